--- /dev/null
+++ b/Libraries/LibCore/EventLoop.cpp
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibCore/EventLoop.h>
+
+#include <csignal>
+#include <event2/event.h>
+
+namespace Core {
+
+static timeval to_timeval(Duration duration)
+{
+    timeval value {};
+    value.tv_sec = duration.count() / 1000;
+    value.tv_usec = (duration.count() % 1000) * 1000;
+    return value;
+}
+
+Timer::~Timer()
+{
+    if (m_event)
+        event_free(m_event);
+}
+
+void Timer::fired(int, short, void* self)
+{
+    // The callback may destroy its own timer, so it is called through a copy.
+    auto callback = static_cast<Timer*>(self)->m_callback;
+    callback();
+}
+
+EventLoop::EventLoop()
+    : m_base(event_base_new())
+{
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+EventLoop::~EventLoop()
+{
+    if (m_terminate)
+        event_free(m_terminate);
+    if (m_interrupt)
+        event_free(m_interrupt);
+    event_base_free(m_base);
+}
+
+std::unique_ptr<Timer> EventLoop::make_timer(Duration duration, short flags, std::function<void()> callback)
+{
+    std::unique_ptr<Timer> timer(new Timer);
+    timer->m_callback = std::move(callback);
+    timer->m_event = event_new(m_base, -1, flags, Timer::fired, timer.get());
+    auto interval = to_timeval(duration);
+    event_add(timer->m_event, &interval);
+    return timer;
+}
+
+std::unique_ptr<Timer> EventLoop::every(Duration duration, std::function<void()> callback)
+{
+    return make_timer(duration, EV_PERSIST, std::move(callback));
+}
+
+std::unique_ptr<Timer> EventLoop::after(Duration duration, std::function<void()> callback)
+{
+    return make_timer(duration, 0, std::move(callback));
+}
+
+void EventLoop::soon(std::function<void()> callback)
+{
+    auto* copy = new std::function<void()>(std::move(callback));
+    auto run_and_delete = [](int, short, void* argument) {
+        std::unique_ptr<std::function<void()>> owned(static_cast<std::function<void()>*>(argument));
+        (*owned)();
+    };
+    timeval at_once {};
+    event_base_once(m_base, -1, EV_TIMEOUT, run_and_delete, copy, &at_once);
+}
+
+void EventLoop::on_stop_signal(std::function<void()> callback)
+{
+    m_on_stop = std::move(callback);
+    auto handle = [](int, short, void* self) { static_cast<EventLoop*>(self)->m_on_stop(); };
+    m_terminate = evsignal_new(m_base, SIGTERM, handle, this);
+    m_interrupt = evsignal_new(m_base, SIGINT, handle, this);
+    event_add(m_terminate, nullptr);
+    event_add(m_interrupt, nullptr);
+}
+
+void EventLoop::run()
+{
+    event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::stop()
+{
+    event_base_loopbreak(m_base);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCore/Log.cpp
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibCore/Log.h>
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
+
+namespace Core {
+
+static log4cxx::LoggerPtr s_logger;
+
+static log4cxx::LevelPtr to_level(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cxx::Level::getDebug();
+    case LogLevel::Info:
+        return log4cxx::Level::getInfo();
+    case LogLevel::Warn:
+        return log4cxx::Level::getWarn();
+    case LogLevel::Error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getInfo();
+}
+
+void configure_log(std::string const& process, LogLevel least, std::string const& file)
+{
+    s_logger = log4cxx::Logger::getLogger(process);
+    auto layout = std::make_shared<log4cxx::PatternLayout>(R"({"time":"%d{yyyy-MM-dd'T'HH:mm:ss.SSS}","level":"%p","process":"%c",%m}%n)");
+    log4cxx::AppenderPtr appender;
+    if (file.empty())
+        appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
+    else
+        appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
+    s_logger->removeAllAppenders();
+    s_logger->setAdditivity(false);
+    s_logger->addAppender(appender);
+    s_logger->setLevel(to_level(least));
+}
+
+void log_event(LogLevel level, char const* event, std::initializer_list<LogField> fields)
+{
+    if (!s_logger || !s_logger->isEnabledFor(to_level(level)))
+        return;
+    nlohmann::ordered_json line;
+    line["event"] = event;
+    for (auto const& [key, value] : fields)
+        line[key] = value;
+    // The layout opens and closes the object around these members.
+    auto text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    s_logger->forcedLog(to_level(level), text.substr(1, text.size() - 2));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -0,0 +1,343 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibDistribution/Transfer.h>
+
+#include <LibCore/Hash.h>
+#include <algorithm>
+
+namespace Distribution {
+
+// A source that is busy is asked again soon; one that fails is left alone for longer each time.
+static constexpr Core::Duration busy_wait { 50 };
+static constexpr Core::Duration fault_wait { 500 };
+static constexpr Core::Duration corrupt_wait { 10000 };
+static constexpr size_t most_fault_doublings = 5;
+static constexpr size_t corrupt_chunks_tolerated = 2;
+// At the end a slow read is doubled once, so the bytes read twice stay bounded.
+static constexpr size_t reads_per_chunk = 2;
+static constexpr double slow_read_factor = 2;
+
+Transfer::Transfer(Schema::VersionSpec const& version, std::string self, std::vector<std::string> targets, std::vector<int64_t> const& held, TransferSettings settings, uint64_t seed, Core::Time now)
+    : m_self(std::move(self))
+    , m_targets(std::move(targets))
+    , m_settings(settings)
+    , m_random(seed)
+    , m_last_useful(now)
+{
+    m_chunks.resize(version.chunks.size());
+    for (auto const& chunk : version.chunks)
+        m_digests.push_back(chunk.digest);
+    for (auto& chunk : m_chunks)
+        chunk.without_holder_since = now;
+    for (auto number : held) {
+        m_chunks[static_cast<size_t>(number)].is_held = true;
+        m_held_count += 1;
+    }
+    rank_chunks();
+}
+
+void Transfer::set_targets(std::vector<std::string> targets)
+{
+    m_targets = std::move(targets);
+    rank_chunks();
+}
+
+void Transfer::rank_chunks()
+{
+    for (size_t i = 0; i < m_chunks.size(); ++i) {
+        // The rank is the number of targets with a higher hash; no order needs to be built.
+        auto const own = Core::stable_hash(m_digests[i], m_self);
+        m_chunks[i].origin_rank = static_cast<size_t>(std::count_if(m_targets.begin(), m_targets.end(), [&](auto const& target) {
+            return target != m_self && Core::stable_hash(m_digests[i], target) > own;
+        }));
+    }
+}
+
+void Transfer::on_peer_chunks(std::string const& peer, std::vector<int64_t> const& chunks)
+{
+    auto& state = m_peers[peer];
+    for (auto number : chunks) {
+        auto const chunk = static_cast<size_t>(number);
+        // A peer may name anything: what the version does not have is not believed.
+        if (number < 0 || chunk >= m_chunks.size())
+            continue;
+        if (state.chunks.insert(chunk).second)
+            m_chunks[chunk].holders += 1;
+    }
+}
+
+void Transfer::on_peer_lost(std::string const& peer)
+{
+    auto found = m_peers.find(peer);
+    if (found == m_peers.end())
+        return;
+    for (auto chunk : found->second.chunks) {
+        m_chunks[chunk].holders -= 1;
+        if (m_chunks[chunk].holders == 0)
+            m_chunks[chunk].without_holder_since = m_last_useful;
+    }
+    m_peers.erase(found);
+}
+
+void Transfer::on_progress(uint64_t fetch, Core::Time now)
+{
+    auto found = m_running.find(fetch);
+    if (found != m_running.end())
+        found->second.last_progress = now;
+}
+
+void Transfer::end_fetch(uint64_t id)
+{
+    auto found = m_running.find(id);
+    m_chunks[found->second.chunk].fetches -= 1;
+    auto peer = m_peers.find(found->second.source.peer);
+    if (peer != m_peers.end() && peer->second.fetches > 0)
+        peer->second.fetches -= 1;
+    m_running.erase(found);
+}
+
+void Transfer::on_fetched(uint64_t fetch, Core::Time now)
+{
+    auto found = m_running.find(fetch);
+    if (found == m_running.end())
+        return;
+    auto const running = found->second;
+    auto const took = static_cast<double>((now - running.started).count());
+    m_mean_fetch_ms = m_mean_fetch_ms == 0 ? took : 0.8 * m_mean_fetch_ms + 0.2 * took;
+    m_last_useful = now;
+    auto peer = m_peers.find(running.source.peer);
+    if (peer != m_peers.end())
+        peer->second.faults = 0;
+    if (running.source.is_origin())
+        m_origin_faults = 0;
+    end_fetch(fetch);
+    auto& chunk = m_chunks[running.chunk];
+    if (chunk.is_held)
+        return;
+    chunk.is_held = true;
+    m_held_count += 1;
+}
+
+void Transfer::on_failed(uint64_t fetch, FetchFailure failure, Core::Time now)
+{
+    auto found = m_running.find(fetch);
+    if (found == m_running.end())
+        return;
+    auto const running = found->second;
+    end_fetch(fetch);
+    if (failure == FetchFailure::Corrupt)
+        m_corrupt[running.source] += 1;
+    if (failure == FetchFailure::Missing) {
+        auto peer = m_peers.find(running.source.peer);
+        if (peer != m_peers.end() && peer->second.chunks.erase(running.chunk) > 0) {
+            m_chunks[running.chunk].holders -= 1;
+            m_chunks[running.chunk].without_holder_since = now;
+        }
+        if (!running.source.is_origin())
+            return;
+    }
+    punish(running.source, failure, now);
+}
+
+void Transfer::punish(Source const& source, FetchFailure failure, Core::Time now)
+{
+    bool const is_corrupt = failure == FetchFailure::Corrupt;
+    if (is_corrupt && m_corrupt[source] <= corrupt_chunks_tolerated)
+        return;
+    if (source.is_origin()) {
+        auto const doublings = std::min(m_origin_faults++, most_fault_doublings);
+        m_origin_avoid_until = now + (failure == FetchFailure::Busy ? busy_wait : fault_wait * (1 << doublings));
+        return;
+    }
+    auto peer = m_peers.find(source.peer);
+    if (peer == m_peers.end())
+        return;
+    auto wait = busy_wait;
+    if (is_corrupt)
+        wait = corrupt_wait;
+    else if (failure != FetchFailure::Busy)
+        wait = fault_wait * (1 << std::min(peer->second.faults++, most_fault_doublings));
+    peer->second.avoid_until = now + wait;
+}
+
+void Transfer::give_up_stalled(Core::Time now, std::vector<TransferAction>& actions)
+{
+    std::vector<uint64_t> ended;
+    for (auto const& [id, running] : m_running) {
+        bool const is_stalled = now - running.last_progress >= m_settings.stall;
+        if (is_stalled || m_chunks[running.chunk].is_held)
+            ended.push_back(id);
+    }
+    for (auto id : ended) {
+        auto const running = m_running.at(id);
+        end_fetch(id);
+        actions.push_back(CancelFetch { id });
+        if (!m_chunks[running.chunk].is_held)
+            punish(running.source, FetchFailure::Unreachable, now);
+    }
+}
+
+size_t Transfer::running_from_origin() const
+{
+    return static_cast<size_t>(std::count_if(m_running.begin(), m_running.end(), [](auto const& entry) { return entry.second.source.is_origin(); }));
+}
+
+Fetch Transfer::begin(size_t chunk, Source source, Core::Time now)
+{
+    auto const id = m_next_fetch++;
+    m_chunks[chunk].fetches += 1;
+    if (!source.is_origin())
+        m_peers[source.peer].fetches += 1;
+    m_running[id] = { chunk, source, now, now };
+    return { id, chunk, std::move(source) };
+}
+
+std::string Transfer::choose_peer(size_t chunk, Core::Time now, std::string const& except)
+{
+    std::string best;
+    size_t best_fetches = 0;
+    uint64_t ties = 0;
+    for (auto const& [id, peer] : m_peers) {
+        if (id == except || now < peer.avoid_until || !peer.chunks.contains(chunk))
+            continue;
+        if (!best.empty() && peer.fetches > best_fetches)
+            continue;
+        bool const is_better = best.empty() || peer.fetches < best_fetches;
+        ties = is_better ? 1 : ties + 1;
+        // Among equals each has the same chance.
+        if (is_better || m_random() % ties == 0) {
+            best = id;
+            best_fetches = peer.fetches;
+        }
+    }
+    return best;
+}
+
+bool Transfer::start_from_peer(Core::Time now, std::vector<TransferAction>& actions)
+{
+    std::vector<size_t> candidates;
+    size_t rarest = 0;
+    for (size_t i = 0; i < m_chunks.size(); ++i) {
+        auto const& chunk = m_chunks[i];
+        if (chunk.is_held || chunk.fetches > 0 || chunk.holders == 0)
+            continue;
+        if (choose_peer(i, now, {}).empty())
+            continue;
+        if (candidates.empty() || chunk.holders < rarest) {
+            candidates.clear();
+            rarest = chunk.holders;
+        }
+        if (chunk.holders == rarest)
+            candidates.push_back(i);
+    }
+    if (candidates.empty())
+        return false;
+    auto const chunk = candidates[m_random() % candidates.size()];
+    actions.push_back(begin(chunk, Source { choose_peer(chunk, now, {}) }, now));
+    return true;
+}
+
+bool Transfer::may_ask_origin(ChunkState const& chunk, Core::Time now) const
+{
+    if (chunk.is_held || chunk.fetches > 0)
+        return false;
+    switch (m_settings.strategy) {
+    case Schema::Strategy::OriginOnly:
+        return true;
+    case Schema::Strategy::Chain:
+        return !m_targets.empty() && m_targets.front() == m_self;
+    case Schema::Strategy::Swarm:
+        break;
+    }
+    if (chunk.origin_rank == 0)
+        return chunk.holders == 0;
+    if (chunk.holders > 0)
+        return false;
+    auto const since = std::max(chunk.without_holder_since, m_last_useful);
+    return now - since >= m_settings.origin_patience * static_cast<int64_t>(chunk.origin_rank);
+}
+
+bool Transfer::start_from_origin(Core::Time now, std::vector<TransferAction>& actions)
+{
+    if (now < m_origin_avoid_until || running_from_origin() >= m_settings.origin_fetches_in_flight)
+        return false;
+    std::vector<size_t> candidates;
+    for (size_t i = 0; i < m_chunks.size(); ++i) {
+        if (may_ask_origin(m_chunks[i], now))
+            candidates.push_back(i);
+    }
+    if (candidates.empty())
+        return false;
+    auto const chunk = candidates[m_random() % candidates.size()];
+    actions.push_back(begin(chunk, Source {}, now));
+    return true;
+}
+
+bool Transfer::start_duplicate(Core::Time now, std::vector<TransferAction>& actions)
+{
+    for (auto const& [id, running] : m_running) {
+        if (m_chunks[running.chunk].fetches >= reads_per_chunk)
+            continue;
+        auto const lasted = static_cast<double>((now - running.started).count());
+        if (m_mean_fetch_ms == 0 || lasted < slow_read_factor * m_mean_fetch_ms)
+            continue;
+        auto peer = choose_peer(running.chunk, now, running.source.peer);
+        if (peer.empty())
+            continue;
+        actions.push_back(begin(running.chunk, Source { peer }, now));
+        return true;
+    }
+    return false;
+}
+
+std::vector<TransferAction> Transfer::step(Core::Time now)
+{
+    std::vector<TransferAction> actions;
+    give_up_stalled(now, actions);
+    if (is_complete())
+        return actions;
+    bool has_started = true;
+    while (has_started && m_running.size() < m_settings.fetches_in_flight) {
+        // What the origin owes to the others goes first: everybody waits for it.
+        has_started = start_from_origin(now, actions);
+        if (!has_started)
+            has_started = start_from_peer(now, actions);
+        if (!has_started)
+            has_started = start_duplicate(now, actions);
+    }
+    return actions;
+}
+
+bool Transfer::is_starved(Core::Time now) const
+{
+    return !is_complete() && m_running.empty() && now - m_last_useful >= m_settings.stall / 2;
+}
+
+std::vector<std::string> choose_neighbours(NeighbourCandidate const& self, std::vector<NeighbourCandidate> const& others, size_t count, size_t widen)
+{
+    struct Scored {
+        int distance;
+        uint64_t score;
+        std::string id;
+    };
+    std::vector<Scored> scored;
+    for (auto const& other : others) {
+        if (other.id == self.id)
+            continue;
+        int const distance = other.failure_domain == self.failure_domain ? 0 : other.region == self.region ? 1
+                                                                                                           : 2;
+        scored.push_back({ distance, Core::stable_hash(self.id, other.id), other.id });
+    }
+    auto const wanted = std::min(count + widen, scored.size());
+    auto const near = wanted / 2;
+    auto by_distance = [](Scored const& a, Scored const& b) { return std::pair(a.distance, a.score) < std::pair(b.distance, b.score); };
+    std::sort(scored.begin(), scored.end(), by_distance);
+    std::vector<std::string> chosen;
+    for (size_t i = 0; i < near; ++i)
+        chosen.push_back(scored[i].id);
+    std::sort(scored.begin() + static_cast<ptrdiff_t>(near), scored.end(), [](auto const& a, auto const& b) { return a.score < b.score; });
+    for (size_t i = near; i < wanted; ++i)
+        chosen.push_back(scored[i].id);
+    return chosen;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDistribution/Transfer.h
@@ -0,0 +1,161 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibSchema/Generated.h>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Distribution {
+
+/// Where a chunk is read from: a peer, or the origin if `peer` is empty.
+struct Source {
+    std::string peer;
+
+    bool is_origin() const { return peer.empty(); }
+    bool operator<(Source const& other) const { return peer < other.peer; }
+};
+
+/// Start reading a chunk.
+struct Fetch {
+    uint64_t id { 0 };
+    size_t chunk { 0 };
+    Source source;
+};
+
+/// Stop a read that is no longer wanted.
+struct CancelFetch {
+    uint64_t id { 0 };
+};
+
+using TransferAction = std::variant<Fetch, CancelFetch>;
+
+enum class FetchFailure {
+    /// The source refused because it serves as many as it may.
+    Busy,
+    /// The bytes did not have the chunk's digest.
+    Corrupt,
+    /// The source does not hold the chunk.
+    Missing,
+    /// The source did not answer, or broke off.
+    Unreachable,
+};
+
+struct TransferSettings {
+    Schema::Strategy strategy { Schema::Strategy::Swarm };
+    /// Chunks read at once, from peers and from the origin.
+    size_t fetches_in_flight { 4 };
+    size_t origin_fetches_in_flight { 2 };
+    /// Wait per rank before the origin is asked for a chunk that no neighbour holds.
+    Core::Duration origin_patience { 2000 };
+    /// Silence after which a read is given up and its source left alone for a while.
+    Core::Duration stall { 2000 };
+};
+
+/// Decides which chunk of one version this instance reads next, and from whom.
+///
+/// Each chunk has a ranking of the instances that want it, the same everywhere, by rendezvous hashing:
+/// the first reads it from the origin at once, the one at rank r only if after r times a patience no
+/// neighbour holds it and nothing better is left to read. All else comes from neighbours, rarest first.
+class Transfer {
+public:
+    Transfer(Schema::VersionSpec const&, std::string self, std::vector<std::string> targets, std::vector<int64_t> const& held, TransferSettings, uint64_t seed, Core::Time now);
+
+    /// The set of instances that want the version changed.
+    void set_targets(std::vector<std::string> targets);
+
+    /// A neighbour says that it holds chunks, beyond those that it named before.
+    void on_peer_chunks(std::string const& peer, std::vector<int64_t> const& chunks);
+    /// A neighbour is gone, with all that it held.
+    void on_peer_lost(std::string const& peer);
+
+    /// Some bytes of a read arrived.
+    void on_progress(uint64_t fetch, Core::Time now);
+    /// A read ended with verified bytes.
+    void on_fetched(uint64_t fetch, Core::Time now);
+    void on_failed(uint64_t fetch, FetchFailure, Core::Time now);
+
+    /// What to do now.
+    std::vector<TransferAction> step(Core::Time now);
+
+    bool is_complete() const { return m_held_count == m_chunks.size(); }
+    size_t held_count() const { return m_held_count; }
+    size_t chunk_count() const { return m_chunks.size(); }
+    bool holds(size_t chunk) const { return m_chunks[chunk].is_held; }
+
+    /// True if for some time no neighbour has had anything to offer: other neighbours may.
+    bool is_starved(Core::Time now) const;
+
+    /// Chunks that came with a wrong digest, by source.
+    std::map<Source, uint64_t> const& corrupt_counts() const { return m_corrupt; }
+
+private:
+    struct ChunkState {
+        bool is_held { false };
+        // Reads under way.
+        size_t fetches { 0 };
+        // Neighbours that hold it.
+        size_t holders { 0 };
+        size_t origin_rank { 0 };
+        Core::Time without_holder_since { 0 };
+    };
+
+    struct PeerState {
+        std::set<size_t> chunks;
+        size_t fetches { 0 };
+        size_t faults { 0 };
+        Core::Time avoid_until { 0 };
+    };
+
+    struct Running {
+        size_t chunk { 0 };
+        Source source;
+        Core::Time started { 0 };
+        Core::Time last_progress { 0 };
+    };
+
+    void rank_chunks();
+    void end_fetch(uint64_t id);
+    void punish(Source const&, FetchFailure, Core::Time now);
+    void give_up_stalled(Core::Time now, std::vector<TransferAction>&);
+    bool start_from_peer(Core::Time now, std::vector<TransferAction>&);
+    bool start_from_origin(Core::Time now, std::vector<TransferAction>&);
+    bool start_duplicate(Core::Time now, std::vector<TransferAction>&);
+    std::string choose_peer(size_t chunk, Core::Time now, std::string const& except);
+    Fetch begin(size_t chunk, Source, Core::Time now);
+    bool may_ask_origin(ChunkState const&, Core::Time now) const;
+    size_t running_from_origin() const;
+
+    std::string m_self;
+    std::vector<std::string> m_targets;
+    TransferSettings m_settings;
+    std::mt19937_64 m_random;
+    std::vector<std::string> m_digests;
+    std::vector<ChunkState> m_chunks;
+    std::map<std::string, PeerState> m_peers;
+    std::map<uint64_t, Running> m_running;
+    std::map<Source, uint64_t> m_corrupt;
+    size_t m_held_count { 0 };
+    size_t m_origin_faults { 0 };
+    uint64_t m_next_fetch { 1 };
+    Core::Time m_last_useful { 0 };
+    Core::Time m_origin_avoid_until { 0 };
+    // A running mean of how long a read takes, to tell a slow one.
+    double m_mean_fetch_ms { 0 };
+};
+
+/// The peers that an instance keeps a link to for a version: about half near (the same failure domain first),
+/// half anywhere, by rendezvous hashing. `widen` asks for that many more, when it is starved.
+struct NeighbourCandidate {
+    std::string id;
+    std::string failure_domain;
+    std::string region;
+};
+std::vector<std::string> choose_neighbours(NeighbourCandidate const& self, std::vector<NeighbourCandidate> const& others, size_t count, size_t widen);
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/KeyHome.cpp
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibMembership/KeyHome.h>
+
+#include <LibCore/Hash.h>
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace Membership {
+
+static constexpr size_t uuid_characters = 36;
+static constexpr size_t version_position = 14;
+static constexpr size_t variant_position = 19;
+
+static std::optional<int> hexadecimal_digit(char character)
+{
+    if (character >= '0' && character <= '9')
+        return character - '0';
+    if (character >= 'a' && character <= 'f')
+        return character - 'a' + 10;
+    if (character >= 'A' && character <= 'F')
+        return character - 'A' + 10;
+    return {};
+}
+
+static bool is_dash_position(size_t position)
+{
+    return position == 8 || position == 13 || position == 18 || position == 23;
+}
+
+std::optional<Core::WallTime> made_at(std::string const& uuid)
+{
+    if (uuid.size() != uuid_characters)
+        return {};
+    int64_t milliseconds = 0;
+    for (size_t i = 0; i < uuid.size(); ++i) {
+        if (is_dash_position(i)) {
+            if (uuid[i] != '-')
+                return {};
+            continue;
+        }
+        auto digit = hexadecimal_digit(uuid[i]);
+        if (!digit)
+            return {};
+        // The first 48 bits, before the second dash, are the time.
+        if (i < 13)
+            milliseconds = milliseconds * 16 + *digit;
+    }
+    bool const is_variant = std::string_view("89abAB").find(uuid[variant_position]) != std::string_view::npos;
+    if (uuid[version_position] != '7' || !is_variant)
+        return {};
+    return Core::WallTime(milliseconds);
+}
+
+std::string make_key(Core::WallTime time, std::mt19937_64& random)
+{
+    static constexpr uint64_t time_mask = 0xffffffffffff;
+    static constexpr uint64_t variant_bits = 0x8000000000000000;
+    uint64_t const low = (random() >> 2) | variant_bits;
+    auto const milliseconds = static_cast<uint64_t>(time.count()) & time_mask;
+    std::array<char, uuid_characters + 1> text {};
+    std::snprintf(text.data(), text.size(), "%08x-%04x-7%03x-%04x-%012llx", static_cast<unsigned>(milliseconds >> 16), static_cast<unsigned>(milliseconds & 0xffff), static_cast<unsigned>(random() & 0xfff), static_cast<unsigned>(low >> 48), static_cast<unsigned long long>(low & time_mask));
+    return text.data();
+}
+
+std::string home_of(std::string const& key, std::vector<std::string> const& agents)
+{
+    std::string const* best = nullptr;
+    uint64_t best_score = 0;
+    for (auto const& agent : agents) {
+        auto const score = Core::stable_hash(key, agent);
+        if (!best || score > best_score || (score == best_score && agent > *best)) {
+            best = &agent;
+            best_score = score;
+        }
+    }
+    return best ? *best : std::string();
+}
+
+KeyHome::KeyHome(std::string self, std::string service, KeyHomeSettings settings, Core::WallTime started_at)
+    : m_self(std::move(self))
+    , m_service(std::move(service))
+    , m_settings(settings)
+    , m_started_at(started_at)
+{
+}
+
+void KeyHome::on_list(InstanceList const& list, Core::WallTime wall_now)
+{
+    if (list.version() <= m_list_version)
+        return;
+    // A list that was skipped may have named another home for a while.
+    bool const follows = list.version() == m_list_version + 1;
+    m_list_version = list.version();
+    // The lease was for the older list.
+    m_lease_from.reset();
+    auto agents = list.live_agents(m_service);
+    if (follows && !m_eras.empty() && m_eras.back().agents == agents)
+        return;
+    m_eras.push_back({ wall_now, std::move(agents), follows });
+    // An era that ended before the oldest key still accepted was made decides nothing any more.
+    while (m_eras.size() > 1 && m_eras[1].since + m_settings.key_lifetime < wall_now)
+        m_eras.pop_front();
+}
+
+void KeyHome::on_pong(Core::Time sent_at, int64_t list_version, bool is_confirmed)
+{
+    if (!is_confirmed || list_version != m_list_version)
+        return;
+    if (!m_lease_from || sent_at > *m_lease_from)
+        m_lease_from = sent_at;
+}
+
+bool KeyHome::has_lease(Core::Time now) const
+{
+    return m_lease_from && now < *m_lease_from + m_settings.lease;
+}
+
+Core::WallTime KeyHome::home_since(std::string const& key) const
+{
+    auto since = m_eras.back().since;
+    for (auto era = m_eras.rbegin(); era != m_eras.rend(); ++era) {
+        if (home_of(key, era->agents) != m_self)
+            break;
+        since = era->since;
+        if (!era->follows_previous)
+            break;
+    }
+    return std::max(since, m_started_at);
+}
+
+std::optional<Schema::Reason> KeyHome::refusal(std::string const& key, Core::Time now, Core::WallTime wall_now) const
+{
+    auto const made = made_at(key);
+    if (!made)
+        return Schema::Reason::KeyMalformed;
+    if (*made > wall_now + m_settings.clock_bound)
+        return Schema::Reason::KeyFromFuture;
+    if (!has_lease(now))
+        return Schema::Reason::LeaseLapsed;
+    if (m_eras.empty() || home_of(key, m_eras.back().agents) != m_self)
+        return Schema::Reason::NotHome;
+    if (*made + m_settings.key_lifetime < wall_now)
+        return Schema::Reason::KeyTooOld;
+    auto const others_stopped = home_since(key) + 2 * m_settings.lease + m_settings.list_lag;
+    if (*made <= others_stopped + m_settings.clock_bound)
+        return Schema::Reason::KeyBeforeHome;
+    return {};
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/Admission.cpp
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/Admission.h>
+
+namespace Routing {
+
+static std::optional<AdmissionResult> earlier_run(Schema::Dispatch const& dispatch, OnceTable const& table)
+{
+    auto const* entry = table.find(*dispatch.key);
+    if (!entry)
+        return {};
+    // A key is one customer's own: another's must not be read through it.
+    if (entry->customer != dispatch.customer)
+        return RefuseNotRun { Schema::Reason::KeyMalformed };
+    switch (entry->state) {
+    case OnceTable::State::Running:
+        return RefuseUnknown { Schema::Reason::KeyInProgress };
+    case OnceTable::State::Answered:
+        return Replay { entry->answer };
+    case OnceTable::State::Unknown:
+        return RefuseUnknown { Schema::Reason::BackendBrokeOff };
+    }
+    return {};
+}
+
+static bool serves_what_was_asked(Schema::Dispatch const& dispatch, AdmissionView const& view)
+{
+    if (!dispatch.model)
+        return true;
+    if (view.is_switching || !view.serving || view.serving->model != *dispatch.model)
+        return false;
+    return !dispatch.version || view.serving->version == *dispatch.version;
+}
+
+AdmissionResult admit(Schema::Dispatch const& dispatch, AdmissionView const& view, Membership::KeyHome const& home, OnceTable& table)
+{
+    if (dispatch.key) {
+        // What ran before is answered even by an agent that takes no new work.
+        if (auto earlier = earlier_run(dispatch, table))
+            return *earlier;
+    }
+    if (view.is_draining)
+        return RefuseNotRun { Schema::Reason::Draining };
+    if (dispatch.deadline_ms <= 0)
+        return RefuseNotRun { Schema::Reason::DeadlinePassed };
+    if (!serves_what_was_asked(dispatch, view))
+        return RefuseNotRun { Schema::Reason::VersionNotReady };
+    if (view.in_flight >= view.capacity)
+        return RefuseNotRun { Schema::Reason::InstanceBusy };
+    if (!dispatch.key)
+        return Admit {};
+    if (auto reason = home.refusal(*dispatch.key, view.now, view.wall_now)) {
+        bool const may_have_run = *reason == Schema::Reason::KeyBeforeHome || *reason == Schema::Reason::KeyTooOld;
+        if (may_have_run)
+            return RefuseUnknown { *reason };
+        return RefuseNotRun { *reason };
+    }
+    if (!table.begin(*dispatch.key, dispatch.customer, view.now))
+        return RefuseNotRun { Schema::Reason::RecordFull };
+    return Admit {};
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/AnswerAssembly.cpp
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/AnswerAssembly.h>
+
+namespace Routing {
+
+AnswerAssembly::PartResult AnswerAssembly::add(Schema::Part part)
+{
+    auto const sequence = part.sequence;
+    if (sequence < m_next || m_waiting.contains(sequence))
+        return PartResult::Duplicate;
+    if (sequence >= m_next + window)
+        return PartResult::Impossible;
+    if (m_last && (sequence > *m_last || part.last))
+        return PartResult::Impossible;
+    if (part.last) {
+        if (!m_waiting.empty() && m_waiting.rbegin()->first > sequence)
+            return PartResult::Impossible;
+        m_last = sequence;
+    }
+    m_waiting.emplace(sequence, std::move(part));
+    return PartResult::Taken;
+}
+
+std::vector<Schema::Part> AnswerAssembly::take_ready()
+{
+    std::vector<Schema::Part> ready;
+    while (!m_waiting.empty() && m_waiting.begin()->first == m_next) {
+        ready.push_back(std::move(m_waiting.begin()->second));
+        m_waiting.erase(m_waiting.begin());
+        m_next += 1;
+    }
+    return ready;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/Limits.cpp
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/Limits.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Routing {
+
+static constexpr Core::Duration concurrency_retry_after { 200 };
+static constexpr Core::Duration unknown_customer_retry_after { 60000 };
+
+TokenBucket::TokenBucket(double per_second, double burst)
+    : m_per_second(per_second)
+    , m_burst(burst)
+    , m_tokens(burst)
+{
+}
+
+void TokenBucket::set(double per_second, double burst)
+{
+    bool const was_unset = m_burst == 0;
+    m_per_second = per_second;
+    m_burst = burst;
+    m_tokens = was_unset ? burst : std::min(m_tokens, burst);
+}
+
+void TokenBucket::fill(Core::Time now)
+{
+    if (m_filled_at && now > *m_filled_at) {
+        auto const seconds = static_cast<double>((now - *m_filled_at).count()) / 1000;
+        m_tokens = std::min(m_burst, m_tokens + seconds * m_per_second);
+    }
+    if (!m_filled_at || now > *m_filled_at)
+        m_filled_at = now;
+}
+
+double TokenBucket::level(Core::Time now)
+{
+    fill(now);
+    return m_tokens;
+}
+
+bool TokenBucket::take(double tokens, Core::Time now)
+{
+    fill(now);
+    if (m_tokens < tokens)
+        return false;
+    m_tokens -= tokens;
+    return true;
+}
+
+void TokenBucket::give(double tokens)
+{
+    m_tokens = std::min(m_burst, m_tokens + tokens);
+}
+
+Core::Duration TokenBucket::wait_for(double tokens, Core::Time now)
+{
+    fill(now);
+    if (m_tokens >= tokens)
+        return Core::Duration(0);
+    if (m_per_second <= 0)
+        return unknown_customer_retry_after;
+    return Core::Duration(static_cast<int64_t>(std::ceil((tokens - m_tokens) / m_per_second * 1000)));
+}
+
+void CustomerLimits::set_customers(std::map<std::string, Schema::CustomerSpec> const& customers)
+{
+    m_are_configured = !customers.empty();
+    for (auto const& [name, spec] : customers) {
+        auto& state = m_customers[name];
+        state.spec = spec;
+        apply_share(state);
+    }
+    // A customer that was removed is forgotten once its last request has ended.
+    std::erase_if(m_customers, [&](auto const& entry) { return !customers.contains(entry.first) && entry.second.in_flight == 0; });
+}
+
+void CustomerLimits::set_share(double share)
+{
+    m_share = share;
+    for (auto& [name, state] : m_customers)
+        apply_share(state);
+}
+
+void CustomerLimits::apply_share(State& state)
+{
+    // Below one request of burst nothing would ever pass.
+    state.bucket.set(state.spec.requests_per_second * m_share, std::max(1.0, state.spec.burst * m_share));
+}
+
+size_t CustomerLimits::concurrency_share(State const& state) const
+{
+    return static_cast<size_t>(std::ceil(static_cast<double>(state.spec.concurrency) * m_share));
+}
+
+std::optional<CustomerLimits::Refusal> CustomerLimits::start(std::string const& customer, Core::Time now)
+{
+    if (!m_are_configured) {
+        m_customers[customer].in_flight += 1;
+        return {};
+    }
+    auto found = m_customers.find(customer);
+    if (found == m_customers.end())
+        return Refusal { Schema::Reason::NoSuchCustomer, unknown_customer_retry_after };
+    auto& state = found->second;
+    if (state.in_flight >= concurrency_share(state))
+        return Refusal { Schema::Reason::OverConcurrency, concurrency_retry_after };
+    if (!state.bucket.take(1, now))
+        return Refusal { Schema::Reason::OverRate, state.bucket.wait_for(1, now) };
+    state.in_flight += 1;
+    return {};
+}
+
+void CustomerLimits::finish(std::string const& customer)
+{
+    auto found = m_customers.find(customer);
+    if (found != m_customers.end() && found->second.in_flight > 0)
+        found->second.in_flight -= 1;
+}
+
+size_t CustomerLimits::in_flight(std::string const& customer) const
+{
+    auto found = m_customers.find(customer);
+    return found == m_customers.end() ? 0 : found->second.in_flight;
+}
+
+RetryBudget::RetryBudget(double ratio)
+    : m_ratio(ratio)
+{
+}
+
+void RetryBudget::on_request()
+{
+    m_saved = std::min(most_saved, m_saved + m_ratio);
+}
+
+bool RetryBudget::take()
+{
+    if (m_saved < 1)
+        return false;
+    m_saved -= 1;
+    return true;
+}
+
+Core::Duration spread_retry_after(Core::Duration base, std::mt19937_64& random)
+{
+    auto const least = std::max<int64_t>(1, base.count());
+    std::uniform_int_distribution<int64_t> wait(least, 2 * least);
+    return Core::Duration(wait(random));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/RequestQueue.cpp
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/RequestQueue.h>
+
+#include <algorithm>
+
+namespace Routing {
+
+static constexpr double gap_smoothing = 0.05;
+// An idle stretch says nothing about how fast the service is.
+static constexpr double longest_gap_ms = 5000;
+
+RequestQueue::RequestQueue(size_t limit)
+    : m_limit(limit)
+{
+}
+
+size_t RequestQueue::ahead_of(int priority) const
+{
+    size_t ahead = 0;
+    for (auto const& [level, state] : m_levels) {
+        if (level <= priority)
+            ahead += state.size;
+    }
+    return ahead;
+}
+
+Core::Duration RequestQueue::expected_wait(int priority) const
+{
+    return Core::Duration(static_cast<int64_t>(m_mean_gap_ms * static_cast<double>(ahead_of(priority) + 1)));
+}
+
+RequestQueue::PushResult RequestQueue::push(uint64_t request, std::string const& customer, int priority, Core::Time deadline, Core::Time now)
+{
+    if (m_where.size() >= m_limit)
+        return PushResult::Full;
+    if (now + expected_wait(priority) >= deadline)
+        return PushResult::TooLate;
+    auto& level = m_levels[priority];
+    auto& waiting = level.by_customer[customer];
+    if (waiting.empty())
+        level.turns.push_back(customer);
+    waiting.push_back(request);
+    level.size += 1;
+    m_where[request] = { priority, customer };
+    return PushResult::Queued;
+}
+
+void RequestQueue::remove(uint64_t request)
+{
+    auto found = m_where.find(request);
+    if (found == m_where.end())
+        return;
+    auto const [priority, customer] = found->second;
+    m_where.erase(found);
+    auto& level = m_levels[priority];
+    auto& waiting = level.by_customer[customer];
+    std::erase(waiting, request);
+    level.size -= 1;
+    if (waiting.empty()) {
+        level.by_customer.erase(customer);
+        std::erase(level.turns, customer);
+    }
+}
+
+void RequestQueue::offer(std::function<bool(uint64_t)> const& start)
+{
+    for (auto& [priority, level] : m_levels) {
+        size_t passed_over = 0;
+        while (passed_over < level.turns.size()) {
+            auto const customer = level.turns.front();
+            auto const request = level.by_customer.at(customer).front();
+            level.turns.pop_front();
+            level.turns.push_back(customer);
+            if (!start(request)) {
+                passed_over += 1;
+                continue;
+            }
+            passed_over = 0;
+            remove(request);
+        }
+    }
+}
+
+void RequestQueue::on_completed(Core::Time now)
+{
+    m_completed_in_tick += 1;
+    if (!m_last_completed) {
+        m_last_completed = now;
+        m_completed_in_tick = 0;
+        return;
+    }
+    auto const elapsed = static_cast<double>((now - *m_last_completed).count());
+    if (elapsed <= 0)
+        return;
+    double const gap = std::min(longest_gap_ms, elapsed / static_cast<double>(m_completed_in_tick));
+    m_mean_gap_ms = m_mean_gap_ms == 0 ? gap : (1 - gap_smoothing) * m_mean_gap_ms + gap_smoothing * gap;
+    m_last_completed = now;
+    m_completed_in_tick = 0;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchema/Generated.h
@@ -0,0 +1,2863 @@
+//  To parse this JSON data, first install
+//
+//      json.hpp  https://github.com/nlohmann/json
+//
+//  Then include this file, and then do
+//
+//     AgentSettings data = nlohmann::json::parse(jsonString);
+//     EngineFaults data = nlohmann::json::parse(jsonString);
+//     EngineStatus data = nlohmann::json::parse(jsonString);
+//     EntrySettings data = nlohmann::json::parse(jsonString);
+//     LoadOrder data = nlohmann::json::parse(jsonString);
+//     LogPage data = nlohmann::json::parse(jsonString);
+//     LogPosition data = nlohmann::json::parse(jsonString);
+//     LogRecord data = nlohmann::json::parse(jsonString);
+//     Message data = nlohmann::json::parse(jsonString);
+//     ModelSeed data = nlohmann::json::parse(jsonString);
+//     Problem data = nlohmann::json::parse(jsonString);
+//     ResourceView data = nlohmann::json::parse(jsonString);
+//     RolloutStatus data = nlohmann::json::parse(jsonString);
+//     WeightsFaults data = nlohmann::json::parse(jsonString);
+
+#pragma once
+
+#include <optional>
+#include <nlohmann/json.hpp>
+
+#include <unordered_map>
+
+#ifndef NLOHMANN_OPT_HELPER
+#define NLOHMANN_OPT_HELPER
+namespace nlohmann {
+    template <typename T>
+    struct adl_serializer<std::shared_ptr<T>> {
+        static void to_json(json & j, const std::shared_ptr<T> & opt) {
+            if (!opt) j = nullptr; else j = *opt;
+        }
+
+        static std::shared_ptr<T> from_json(const json & j) {
+            if (j.is_null()) return std::shared_ptr<T>(); else return std::make_shared<T>(j.get<T>());
+        }
+    };
+    template <typename T>
+    struct adl_serializer<std::optional<T>> {
+        static void to_json(json & j, const std::optional<T> & opt) {
+            if (!opt) j = nullptr; else j = *opt;
+        }
+
+        static std::optional<T> from_json(const json & j) {
+            if (j.is_null()) return std::optional<T>(); else return std::make_optional<T>(j.get<T>());
+        }
+    };
+}
+#endif
+
+namespace Schema {
+    using nlohmann::json;
+
+    #ifndef NLOHMANN_UNTYPED_Schema_HELPER
+    #define NLOHMANN_UNTYPED_Schema_HELPER
+    inline json get_untyped(const json & j, const char * property) {
+        if (j.find(property) != j.end()) {
+            return j.at(property).get<json>();
+        }
+        return json();
+    }
+
+    inline json get_untyped(const json & j, std::string property) {
+        return get_untyped(j, property.data());
+    }
+    #endif
+
+    #ifndef NLOHMANN_OPTIONAL_Schema_HELPER
+    #define NLOHMANN_OPTIONAL_Schema_HELPER
+    template <typename T>
+    inline std::shared_ptr<T> get_heap_optional(const json & j, const char * property) {
+        auto it = j.find(property);
+        if (it != j.end() && !it->is_null()) {
+            return j.at(property).get<std::shared_ptr<T>>();
+        }
+        return std::shared_ptr<T>();
+    }
+
+    template <typename T>
+    inline std::shared_ptr<T> get_heap_optional(const json & j, std::string property) {
+        return get_heap_optional<T>(j, property.data());
+    }
+    template <typename T>
+    inline std::optional<T> get_stack_optional(const json & j, const char * property) {
+        auto it = j.find(property);
+        if (it != j.end() && !it->is_null()) {
+            return j.at(property).get<std::optional<T>>();
+        }
+        return std::optional<T>();
+    }
+
+    template <typename T>
+    inline std::optional<T> get_stack_optional(const json & j, std::string property) {
+        return get_stack_optional<T>(j, property.data());
+    }
+    #endif
+
+    /**
+     * Kind.
+     *
+     * What stands behind it.
+     */
+    enum class BackendKindEnum : int { Engine, Plain };
+
+    /**
+     * Least level logged.
+     */
+    enum class LogLevel : int { Debug, Error, Info, Warn };
+
+    /**
+     * How weights spread; all but swarm are baselines.
+     */
+    enum class Strategy : int { Chain, OriginOnly, Swarm };
+
+    /**
+     * Settings of mountbarrow-agent.
+     */
+    struct AgentSettings {
+        /**
+         * IP number to listen on.
+         */
+        std::string address;
+        /**
+         * IP number of the backend server.
+         */
+        std::string backend_address;
+        /**
+         * Kind.
+         */
+        BackendKindEnum backend_kind;
+        /**
+         * TCP port of the backend server.
+         */
+        int64_t backend_port;
+        /**
+         * Requests admitted at once.
+         */
+        std::optional<int64_t> capacity;
+        /**
+         * Largest clock difference assumed, milliseconds.
+         */
+        std::optional<int64_t> clock_bound_ms;
+        /**
+         * Limit on weights fetched; 0 for none.
+         */
+        std::optional<int64_t> download_bytes_per_second;
+        /**
+         * Longest wait for requests in flight at a stop, milliseconds.
+         */
+        std::optional<int64_t> drain_ms;
+        /**
+         * Failure domain.
+         */
+        std::string failure_domain;
+        /**
+         * Chunks fetched at once.
+         */
+        std::optional<int64_t> fetches_in_flight;
+        /**
+         * TCP port for HTTP; 0 lets the system choose.
+         */
+        int64_t http_port;
+        /**
+         * Instance identity.
+         */
+        std::string identity;
+        /**
+         * File with the shared link keys, one a line, newest first.
+         */
+        std::optional<std::string> key_file;
+        /**
+         * How long an outcome is kept, milliseconds.
+         */
+        std::optional<int64_t> key_lifetime_ms;
+        /**
+         * How long a home lease lasts, milliseconds.
+         */
+        std::optional<int64_t> lease_ms;
+        /**
+         * TCP port of the WebSocket link.
+         */
+        int64_t link_port;
+        /**
+         * How far two readers of the instance list may lie apart, milliseconds.
+         */
+        std::optional<int64_t> list_lag_ms;
+        /**
+         * How often the instance list is read, milliseconds.
+         */
+        std::optional<int64_t> list_poll_ms;
+        /**
+         * Log file; standard error if absent.
+         */
+        std::optional<std::string> log_file;
+        /**
+         * Least level logged.
+         */
+        std::optional<LogLevel> log_level;
+        /**
+         * How often the log is read, milliseconds.
+         */
+        std::optional<int64_t> log_poll_ms;
+        /**
+         * Peers a transfer talks to.
+         */
+        std::optional<int64_t> neighbours;
+        /**
+         * Memory for outcomes of keyed requests, bytes.
+         */
+        std::optional<int64_t> once_record_bytes;
+        /**
+         * Wait per rank before the origin is asked, milliseconds.
+         */
+        std::optional<int64_t> origin_patience_ms;
+        /**
+         * IP number of the platform.
+         */
+        std::string platform_address;
+        /**
+         * TCP port of the platform.
+         */
+        int64_t platform_port;
+        /**
+         * Region.
+         */
+        std::string region;
+        /**
+         * How long a dropped link may take to come back, milliseconds.
+         */
+        std::optional<int64_t> resume_ms;
+        /**
+         * Service beside the agent.
+         */
+        std::string service;
+        /**
+         * Silence after which a fetch is given up, milliseconds.
+         */
+        std::optional<int64_t> stall_ms;
+        /**
+         * How weights spread; all but swarm are baselines.
+         */
+        std::optional<Strategy> strategy;
+        /**
+         * Limit on weights sent; 0 for none.
+         */
+        std::optional<int64_t> upload_bytes_per_second;
+    };
+
+    /**
+     * Faults of the stand-in engine.
+     */
+    struct EngineFaults {
+        /**
+         * Break a stream off after so many tokens; 0 for never.
+         */
+        std::optional<int64_t> break_after_tokens;
+        /**
+         * Run a request, then close without an answer.
+         */
+        std::optional<bool> close_after_run;
+        /**
+         * Share of requests answered with a server error at once, 0 to 1.
+         */
+        std::optional<double> error_share;
+        /**
+         * Loads that fail.
+         */
+        std::optional<int64_t> fail_loads;
+        /**
+         * Take requests and answer nothing.
+         */
+        std::optional<bool> stop_answering;
+        /**
+         * Time between tokens, milliseconds.
+         */
+        std::optional<int64_t> token_ms;
+    };
+
+    /**
+     * A model version as an engine knows it.
+     */
+    struct LoadedWeights {
+        /**
+         * SHA-256 of the whole set, in hexadecimal.
+         */
+        std::string digest;
+        /**
+         * Model name.
+         */
+        std::string model;
+        /**
+         * Version name.
+         */
+        std::string version;
+    };
+
+    /**
+     * What a backend server says of itself.
+     */
+    struct EngineStatus {
+        /**
+         * Highest fence accepted; 0 for none.
+         */
+        int64_t fence;
+        /**
+         * Streams open.
+         */
+        int64_t in_flight;
+        /**
+         * 0 to 1; lags.
+         */
+        double load;
+        /**
+         * True while a load is under way.
+         */
+        bool loading;
+        std::optional<LoadedWeights> serving;
+        /**
+         * Prefixes cached; late and with gaps.
+         */
+        std::optional<std::vector<std::string>> warm_prefixes;
+    };
+
+    /**
+     * How an instance is chosen.
+     */
+    enum class Choice : int { LeastLoaded, Prefix, Random };
+
+    /**
+     * Settings of mountbarrow-entry.
+     */
+    struct EntrySettings {
+        /**
+         * Wait for an agent to admit a repeatable request before it is tried elsewhere,
+         * milliseconds.
+         */
+        std::optional<int64_t> accept_wait_ms;
+        /**
+         * IP number to listen on.
+         */
+        std::string address;
+        /**
+         * How an instance is chosen.
+         */
+        std::optional<Choice> choice;
+        /**
+         * Largest clock difference assumed, milliseconds.
+         */
+        std::optional<int64_t> clock_bound_ms;
+        /**
+         * Deadline where the caller names none, milliseconds.
+         */
+        std::optional<int64_t> default_deadline_ms;
+        /**
+         * Longest wait for requests in flight at a stop, milliseconds.
+         */
+        std::optional<int64_t> drain_ms;
+        /**
+         * Failure domain.
+         */
+        std::string failure_domain;
+        /**
+         * TCP port for HTTP; 0 lets the system choose.
+         */
+        int64_t http_port;
+        /**
+         * Instance identity.
+         */
+        std::string identity;
+        /**
+         * How long a silent caller is kept, milliseconds.
+         */
+        std::optional<int64_t> idle_timeout_ms;
+        /**
+         * File with the shared link keys, one a line, newest first.
+         */
+        std::optional<std::string> key_file;
+        /**
+         * How long a home lease lasts, milliseconds.
+         */
+        std::optional<int64_t> lease_ms;
+        /**
+         * Agents of a service an entry keeps a link to.
+         */
+        std::optional<int64_t> links_per_service;
+        /**
+         * How far two readers of the instance list may lie apart, milliseconds.
+         */
+        std::optional<int64_t> list_lag_ms;
+        /**
+         * How often the instance list is read, milliseconds.
+         */
+        std::optional<int64_t> list_poll_ms;
+        /**
+         * Log file; standard error if absent.
+         */
+        std::optional<std::string> log_file;
+        /**
+         * Least level logged.
+         */
+        std::optional<LogLevel> log_level;
+        /**
+         * How often the log is read, milliseconds.
+         */
+        std::optional<int64_t> log_poll_ms;
+        /**
+         * Largest body, bytes.
+         */
+        std::optional<int64_t> max_body_bytes;
+        /**
+         * Largest header block, bytes.
+         */
+        std::optional<int64_t> max_header_bytes;
+        /**
+         * IP number of the platform.
+         */
+        std::string platform_address;
+        /**
+         * TCP port of the platform.
+         */
+        int64_t platform_port;
+        /**
+         * Region.
+         */
+        std::string region;
+        /**
+         * How long a dropped link may take to come back, milliseconds.
+         */
+        std::optional<int64_t> resume_ms;
+        /**
+         * How long the platform keeps records, milliseconds.
+         */
+        std::optional<int64_t> retention_ms;
+        /**
+         * Retries allowed per request, 0 to 1.
+         */
+        std::optional<double> retry_ratio;
+        /**
+         * JSON file of operators' bearer tokens to roles.
+         */
+        std::optional<std::string> tokens_file;
+    };
+
+    /**
+     * A fenced order to an engine.
+     */
+    struct LoadOrder {
+        /**
+         * In order.
+         */
+        std::vector<std::string> chunks;
+        /**
+         * Digest of the set.
+         */
+        std::string digest;
+        /**
+         * Only grows.
+         */
+        int64_t fence;
+        /**
+         * Model.
+         */
+        std::string model;
+        /**
+         * IP number that serves the chunks.
+         */
+        std::string source_address;
+        /**
+         * TCP port that serves them.
+         */
+        int64_t source_port;
+        /**
+         * Version.
+         */
+        std::string version;
+    };
+
+    /**
+     * A page of the platform's log.
+     */
+    struct LogPage {
+        /**
+         * Consecutive records.
+         */
+        std::vector<std::string> bodies;
+        /**
+         * Offset that the next append will get.
+         */
+        int64_t end;
+        /**
+         * Oldest offset still kept.
+         */
+        int64_t first_retained;
+        /**
+         * Offset of the first body.
+         */
+        int64_t from;
+    };
+
+    /**
+     * Where a record was appended.
+     */
+    struct LogPosition {
+        /**
+         * Offset.
+         */
+        int64_t offset;
+    };
+
+    /**
+     * Resource kind.
+     */
+    enum class ChangeKind : int { Customer, Rollout, Service, Version };
+
+    /**
+     * Operation.
+     */
+    enum class Operation : int { Delete, Put };
+
+    /**
+     * An operator's change.
+     */
+    struct Change {
+        /**
+         * Unique id; a second one with the same id folds to nothing.
+         */
+        std::string change_id;
+        /**
+         * Revision it replaces; -1 when the resource must not exist.
+         */
+        int64_t expected_revision;
+        /**
+         * Resource kind.
+         */
+        ChangeKind kind;
+        /**
+         * Resource name.
+         */
+        std::string name;
+        /**
+         * Operation.
+         */
+        Operation operation;
+        /**
+         * Serialised spec; empty for a delete.
+         */
+        std::string spec;
+    };
+
+    /**
+     * Limits of a customer over all entries.
+     */
+    struct CustomerSpec {
+        /**
+         * Requests above the rate at once.
+         */
+        double burst;
+        /**
+         * Requests in flight.
+         */
+        int64_t concurrency;
+        /**
+         * Rate.
+         */
+        double requests_per_second;
+    };
+
+    /**
+     * Why it was not applied.
+     */
+    enum class Failure : int { InvalidSpec, RevisionConflict };
+
+    /**
+     * What became of a change.
+     */
+    struct StoredOutcome {
+        /**
+         * Change id.
+         */
+        std::string change_id;
+        /**
+         * Why it was not applied.
+         */
+        std::optional<Failure> failure;
+        /**
+         * Offset of its record.
+         */
+        int64_t offset;
+        /**
+         * Revision in force after it; -1 for none.
+         */
+        int64_t revision;
+    };
+
+    /**
+     * A resource in a fold.
+     */
+    struct StoredResource {
+        /**
+         * Resource kind.
+         */
+        ChangeKind kind;
+        /**
+         * Name.
+         */
+        std::string name;
+        /**
+         * Offset of the record that last changed it.
+         */
+        int64_t revision;
+        /**
+         * Serialised spec.
+         */
+        std::string spec;
+    };
+
+    /**
+     * A fold, serialised.
+     */
+    struct FoldState {
+        /**
+         * Digest over all records folded.
+         */
+        std::string chain;
+        /**
+         * Last offset folded.
+         */
+        int64_t offset;
+        /**
+         * Latest outcomes, oldest first.
+         */
+        std::vector<StoredOutcome> outcomes;
+        /**
+         * All resources.
+         */
+        std::vector<StoredResource> resources;
+    };
+
+    /**
+     * What to save.
+     */
+    enum class Prefer : int { OriginBytes, Time };
+
+    /**
+     * Desired copies of a model version.
+     */
+    struct RolloutSpec {
+        /**
+         * Adapters.
+         */
+        std::optional<std::vector<std::string>> adapters;
+        /**
+         * Model name.
+         */
+        std::string model;
+        /**
+         * Where it must run; empty means anywhere.
+         */
+        std::optional<std::vector<std::string>> places;
+        /**
+         * What to save.
+         */
+        std::optional<Prefer> prefer;
+        /**
+         * Copies wanted.
+         */
+        int64_t replicas;
+        /**
+         * Services whose instances serve it.
+         */
+        std::vector<std::string> services;
+        /**
+         * Version name.
+         */
+        std::string version;
+    };
+
+    /**
+     * A service that callers name.
+     */
+    struct ServiceSpec {
+        /**
+         * What stands behind it.
+         */
+        BackendKindEnum kind;
+        /**
+         * Requests one instance admits at once.
+         */
+        std::optional<int64_t> max_in_flight_per_instance;
+        /**
+         * Requests an entry queues.
+         */
+        std::optional<int64_t> queue_limit;
+    };
+
+    /**
+     * The fold, written again before records lapse.
+     */
+    struct SnapshotRecord {
+        /**
+         * Digest over all records folded.
+         */
+        std::string chain;
+        /**
+         * Last offset folded.
+         */
+        int64_t folds_to;
+        /**
+         * Serialised fold.
+         */
+        std::string state;
+    };
+
+    /**
+     * One piece of a version.
+     */
+    struct Chunk {
+        /**
+         * Length, bytes.
+         */
+        int64_t bytes;
+        /**
+         * SHA-256 in hexadecimal.
+         */
+        std::string digest;
+    };
+
+    /**
+     * A model version: what its weights are made of.
+     */
+    struct VersionSpec {
+        /**
+         * Adapters whose chunks are included.
+         */
+        std::optional<std::vector<std::string>> adapters;
+        /**
+         * In order.
+         */
+        std::vector<Chunk> chunks;
+        /**
+         * SHA-256 over the chunks' digests in order, in hexadecimal.
+         */
+        std::string digest;
+        /**
+         * Model name.
+         */
+        std::string model;
+        /**
+         * Version name.
+         */
+        std::string version;
+    };
+
+    /**
+     * One record on the platform's log: exactly one member is set.
+     */
+    struct LogRecord {
+        std::optional<Change> change;
+        std::optional<CustomerSpec> customer_spec;
+        std::optional<FoldState> fold_state;
+        std::optional<RolloutSpec> rollout_spec;
+        std::optional<ServiceSpec> service_spec;
+        std::optional<SnapshotRecord> snapshot;
+        std::optional<VersionSpec> version_spec;
+    };
+
+    /**
+     * The attempt was admitted and may run from now on.
+     */
+    struct Accepted {
+        /**
+         * Attempt id.
+         */
+        std::string attempt;
+    };
+
+    /**
+     * All parts below this one arrived.
+     */
+    struct Acknowledge {
+        /**
+         * Attempt id.
+         */
+        std::string attempt;
+        /**
+         * First part not yet held.
+         */
+        int64_t next_sequence;
+    };
+
+    /**
+     * Why a request, an order or a change was not carried out.
+     */
+    enum class Reason : int { AnswerIncomplete, BackendBrokeOff, BackendTimeout, CallerGone, ConnectFailed, DeadlinePassed, DeadlineTooNear, Draining, Forbidden, InstanceBusy, InstanceLost, KeyBeforeHome, KeyFromFuture, KeyInProgress, KeyMalformed, KeyTooOld, LeaseLapsed, LinkLost, LoadFailed, Malformed, NoInstance, NoSuchCustomer, NoSuchService, NoSuchVersion, None, NotHome, OriginUnavailable, OverConcurrency, OverRate, QueueFull, RecordFull, RetryBudgetSpent, Stopping, TooLarge, Unauthorized, VersionNotReady };
+
+    /**
+     * The attempt may have run and its answer will not become whole.
+     */
+    struct Broken {
+        /**
+         * Attempt id.
+         */
+        std::string attempt;
+        Reason reason;
+    };
+
+    /**
+     * The answer is no longer wanted.
+     */
+    struct Cancel {
+        /**
+         * Attempt id.
+         */
+        std::string attempt;
+    };
+
+    /**
+     * First word of both sides of a link.
+     */
+    struct Challenge {
+        /**
+         * Random hexadecimal; the peer's hello is keyed over it.
+         */
+        std::string nonce;
+        /**
+         * Protocol version.
+         */
+        int64_t protocol;
+    };
+
+    /**
+     * Chunks a peer holds of a version; a delta adds to what was said before.
+     */
+    struct ChunkMap {
+        /**
+         * Held.
+         */
+        std::vector<int64_t> chunks;
+        /**
+         * Digest of the version.
+         */
+        std::string digest;
+    };
+
+    /**
+     * One HTTP header.
+     */
+    struct Header {
+        /**
+         * Field name.
+         */
+        std::string name;
+        /**
+         * Field value.
+         */
+        std::string value;
+    };
+
+    /**
+     * Whether a second run does harm.
+     */
+    enum class Repeatability : int { Once, Repeatable };
+
+    /**
+     * One attempt of one request.
+     */
+    struct Dispatch {
+        /**
+         * Attempt id, unique.
+         */
+        std::string attempt;
+        /**
+         * Request body.
+         */
+        std::string body;
+        /**
+         * Customer.
+         */
+        std::string customer;
+        /**
+         * Milliseconds left.
+         */
+        int64_t deadline_ms;
+        /**
+         * Forwarded headers.
+         */
+        std::vector<Header> headers;
+        /**
+         * Idempotency key, a UUIDv7.
+         */
+        std::optional<std::string> key;
+        /**
+         * HTTP method.
+         */
+        std::string method;
+        /**
+         * Model that must be served.
+         */
+        std::optional<std::string> model;
+        /**
+         * Path behind the service's name.
+         */
+        std::string path;
+        /**
+         * 0 is most urgent.
+         */
+        int64_t priority;
+        /**
+         * Whether a second run does harm.
+         */
+        Repeatability repeatability;
+        /**
+         * Version that must be served.
+         */
+        std::optional<std::string> version;
+    };
+
+    /**
+     * Role.
+     *
+     * What runs there.
+     */
+    enum class Role : int { Agent, Entry };
+
+    /**
+     * Identity, proved by an HMAC over the peer's nonce.
+     */
+    struct Hello {
+        /**
+         * Instance identity.
+         */
+        std::string identity;
+        /**
+         * Start time of the process, milliseconds since the epoch.
+         */
+        int64_t incarnation;
+        /**
+         * Version of the instance list held; -1 for none.
+         */
+        int64_t list_version;
+        /**
+         * HMAC-SHA-256 in hexadecimal.
+         */
+        std::string mac;
+        /**
+         * Highest configuration offset folded; -1 for none.
+         */
+        int64_t offset;
+        /**
+         * Role.
+         */
+        Role role;
+    };
+
+    /**
+     * As the platform sees it.
+     */
+    enum class InstanceState : int { Leaving, Live };
+
+    /**
+     * One row of the platform's list.
+     */
+    struct Instance {
+        /**
+         * IP number.
+         */
+        std::string address;
+        /**
+         * Failure domain.
+         */
+        std::string failure_domain;
+        /**
+         * TCP port for weights or callers.
+         */
+        int64_t http_port;
+        /**
+         * Identity, unique for the life of the instance.
+         */
+        std::string id;
+        /**
+         * TCP port of the WebSocket link.
+         */
+        int64_t link_port;
+        /**
+         * Region.
+         */
+        std::string region;
+        /**
+         * What runs there.
+         */
+        Role role;
+        /**
+         * Service served beside the agent; empty for an entry.
+         */
+        std::string service;
+        /**
+         * As the platform sees it.
+         */
+        InstanceState state;
+    };
+
+    /**
+     * The platform's list.
+     */
+    struct Members {
+        /**
+         * All rows.
+         */
+        std::vector<Instance> instances;
+        /**
+         * Grows with every change.
+         */
+        int64_t version;
+    };
+
+    /**
+     * One piece of an answer.
+     */
+    struct Part {
+        /**
+         * Attempt id.
+         */
+        std::string attempt;
+        /**
+         * Bytes.
+         */
+        std::string data;
+        /**
+         * Answer headers, on part 0.
+         */
+        std::optional<std::vector<Header>> headers;
+        /**
+         * True on the final part.
+         */
+        bool last;
+        /**
+         * From 0, without gaps.
+         */
+        int64_t sequence;
+        /**
+         * HTTP status, on part 0.
+         */
+        std::optional<int64_t> status;
+    };
+
+    /**
+     * Lease request of an agent.
+     */
+    struct Ping {
+        /**
+         * Version of the list the agent holds.
+         */
+        int64_t list_version;
+        /**
+         * The sender's own clock, milliseconds.
+         */
+        int64_t sent_at_ms;
+    };
+
+    /**
+     * Echo of a ping.
+     */
+    struct Pong {
+        /**
+         * True if the answerer's list is known to be current.
+         */
+        bool confirmed;
+        /**
+         * Version of the list the answerer holds.
+         */
+        int64_t list_version;
+        /**
+         * As received.
+         */
+        int64_t sent_at_ms;
+    };
+
+    /**
+     * One log record.
+     */
+    struct Record {
+        /**
+         * Record as published.
+         */
+        std::string body;
+        /**
+         * Offset in the log.
+         */
+        int64_t offset;
+    };
+
+    /**
+     * Consecutive log records.
+     */
+    struct Records {
+        /**
+         * In order of offset.
+         */
+        std::vector<Record> records;
+    };
+
+    /**
+     * The attempt was not run and will not be.
+     */
+    struct Refused {
+        /**
+         * Attempt id.
+         */
+        std::string attempt;
+        Reason reason;
+        /**
+         * When to come back, milliseconds; 0 says nothing.
+         */
+        int64_t retry_after_ms;
+    };
+
+    /**
+     * State.
+     */
+    enum class ProgressState : int { Failed, Loading, Ready, Transferring };
+
+    /**
+     * A rollout as one instance sees it.
+     */
+    struct Progress {
+        /**
+         * Chunks held and verified.
+         */
+        int64_t chunks_held;
+        /**
+         * Chunks of the version.
+         */
+        int64_t chunks_total;
+        std::optional<Reason> failure;
+        /**
+         * Bytes read from the origin for it.
+         */
+        int64_t origin_bytes;
+        /**
+         * Bytes read from peers for it.
+         */
+        int64_t peer_bytes;
+        /**
+         * Revision of the rollout that is being followed.
+         */
+        int64_t revision;
+        /**
+         * Rollout name.
+         */
+        std::string rollout;
+        /**
+         * State.
+         */
+        ProgressState state;
+    };
+
+    /**
+     * A model version as an engine knows it.
+     */
+    struct Weights {
+        /**
+         * SHA-256 of the whole set, in hexadecimal.
+         */
+        std::string digest;
+        /**
+         * Model name.
+         */
+        std::string model;
+        /**
+         * Version name.
+         */
+        std::string version;
+    };
+
+    /**
+     * What an agent says of itself.
+     */
+    struct Report {
+        /**
+         * Requests it admits at once.
+         */
+        int64_t capacity;
+        /**
+         * True once it admits no new work.
+         */
+        bool draining;
+        /**
+         * Load the backend server last reported, 0 to 1; lags.
+         */
+        double engine_load;
+        /**
+         * Fence of the load order in force.
+         */
+        std::optional<int64_t> fence;
+        /**
+         * Requests admitted and not finished.
+         */
+        int64_t in_flight;
+        /**
+         * Configuration offset in force there.
+         */
+        int64_t offset;
+        std::optional<Progress> progress;
+        std::optional<Weights> serving;
+        /**
+         * Prefixes the engine says are cached; late and with gaps.
+         */
+        std::optional<std::vector<std::string>> warm_prefixes;
+    };
+
+    /**
+     * The link is back; send on from here.
+     */
+    struct Resume {
+        /**
+         * Attempt id.
+         */
+        std::string attempt;
+        /**
+         * First part not yet held.
+         */
+        int64_t next_sequence;
+    };
+
+    /**
+     * A fold, for a reader whose records have lapsed.
+     */
+    struct Snapshot {
+        /**
+         * Last offset folded.
+         */
+        int64_t folds_to;
+        /**
+         * Serialised fold.
+         */
+        std::string state;
+    };
+
+    /**
+     * Who serves a rollout's version.
+     */
+    struct Tally {
+        /**
+         * Instances that report ready.
+         */
+        std::vector<std::string> ready;
+        /**
+         * Its revision.
+         */
+        int64_t revision;
+        /**
+         * Rollout name.
+         */
+        std::string rollout;
+    };
+
+    /**
+     * One frame between two processes of the system: exactly one member is set.
+     */
+    struct Message {
+        std::optional<Accepted> accepted;
+        std::optional<Acknowledge> acknowledge;
+        std::optional<Broken> broken;
+        std::optional<Cancel> cancel;
+        std::optional<Challenge> challenge;
+        std::optional<ChunkMap> chunk_map;
+        std::optional<Dispatch> dispatch;
+        std::optional<Hello> hello;
+        std::optional<Members> members;
+        std::optional<Part> part;
+        std::optional<Ping> ping;
+        std::optional<Pong> pong;
+        std::optional<Records> records;
+        std::optional<Refused> refused;
+        std::optional<Report> report;
+        std::optional<Resume> resume;
+        std::optional<Snapshot> snapshot;
+        std::optional<Tally> tally;
+    };
+
+    /**
+     * A synthetic version for the stand-in's origin.
+     */
+    struct ModelSeed {
+        /**
+         * Bytes of each.
+         */
+        int64_t chunk_bytes;
+        /**
+         * Chunks.
+         */
+        int64_t chunk_count;
+        /**
+         * Model.
+         */
+        std::string model;
+        /**
+         * Seed of the content.
+         */
+        int64_t seed;
+        /**
+         * Leading chunks that come from seed 0 instead, shared by all versions.
+         */
+        int64_t shared_chunks;
+        /**
+         * Version.
+         */
+        std::string version;
+    };
+
+    /**
+     * What is known of the request.
+     */
+    enum class Outcome : int { NotRun, Rejected, Unknown };
+
+    /**
+     * RFC 9457 problem details.
+     */
+    struct Problem {
+        /**
+         * Change to ask by, when undecided.
+         */
+        std::optional<std::string> change_id;
+        /**
+         * More.
+         */
+        std::optional<std::string> detail;
+        /**
+         * What is known of the request.
+         */
+        Outcome outcome;
+        /**
+         * When to come back, milliseconds.
+         */
+        std::optional<int64_t> retry_after_ms;
+        /**
+         * Revision in force, on a conflict.
+         */
+        std::optional<int64_t> revision;
+        /**
+         * HTTP status.
+         */
+        int64_t status;
+        /**
+         * Short text.
+         */
+        std::string title;
+        /**
+         * Machine-readable type.
+         */
+        std::string type;
+    };
+
+    /**
+     * A resource as the API shows it.
+     */
+    struct ResourceView {
+        /**
+         * Kind.
+         */
+        std::string kind;
+        /**
+         * Name.
+         */
+        std::string name;
+        /**
+         * Revision.
+         */
+        int64_t revision;
+        /**
+         * The spec.
+         */
+        nlohmann::json spec;
+        /**
+         * The status, for a rollout.
+         */
+        nlohmann::json status;
+    };
+
+    /**
+     * How far a rollout has come, as one entry sees it.
+     */
+    struct RolloutStatus {
+        /**
+         * Chunks held over all instances.
+         */
+        int64_t chunks_held;
+        /**
+         * Chunks wanted over all instances.
+         */
+        int64_t chunks_total;
+        /**
+         * Instances that gave up.
+         */
+        int64_t failed;
+        /**
+         * Reason that the failed ones give.
+         */
+        std::optional<std::string> failure;
+        /**
+         * Instances whose engine loads.
+         */
+        int64_t loading;
+        /**
+         * Bytes read from the origin.
+         */
+        int64_t origin_bytes;
+        /**
+         * Origin bytes in copies of the version.
+         */
+        double origin_copies;
+        /**
+         * Bytes read from peers.
+         */
+        int64_t peer_bytes;
+        /**
+         * Instances whose engine serves the version.
+         */
+        int64_t ready;
+        /**
+         * Revision.
+         */
+        int64_t revision;
+        /**
+         * Rollout name.
+         */
+        std::string rollout;
+        /**
+         * From acceptance until all wanted copies served, milliseconds.
+         */
+        std::optional<int64_t> time_to_all_ms;
+        /**
+         * The same for half of them.
+         */
+        std::optional<int64_t> time_to_half_ms;
+        /**
+         * The same for a quarter.
+         */
+        std::optional<int64_t> time_to_quarter_ms;
+        /**
+         * Instances that fetch weights.
+         */
+        int64_t transferring;
+        /**
+         * Copies wanted.
+         */
+        int64_t wanted;
+    };
+
+    /**
+     * Faults of the stand-in platform.
+     */
+    struct WeightsFaults {
+        /**
+         * Wait before an append takes effect, milliseconds.
+         */
+        std::optional<int64_t> append_delay_ms;
+        /**
+         * Share of chunks sent with a flipped byte, 0 to 1.
+         */
+        std::optional<double> corrupt_share;
+        /**
+         * Forget log records below this offset.
+         */
+        std::optional<int64_t> drop_before;
+        /**
+         * How far the list lags, milliseconds.
+         */
+        std::optional<int64_t> list_lag_ms;
+        /**
+         * The list answers nothing.
+         */
+        std::optional<bool> list_out;
+        /**
+         * The log answers nothing.
+         */
+        std::optional<bool> log_out;
+        /**
+         * Appends that take effect and lose their answer.
+         */
+        std::optional<int64_t> lose_append_answers;
+        /**
+         * The origin answers nothing.
+         */
+        std::optional<bool> origin_out;
+    };
+}
+
+namespace Schema {
+    void from_json(const json & j, AgentSettings & x);
+    void to_json(json & j, const AgentSettings & x);
+
+    void from_json(const json & j, EngineFaults & x);
+    void to_json(json & j, const EngineFaults & x);
+
+    void from_json(const json & j, LoadedWeights & x);
+    void to_json(json & j, const LoadedWeights & x);
+
+    void from_json(const json & j, EngineStatus & x);
+    void to_json(json & j, const EngineStatus & x);
+
+    void from_json(const json & j, EntrySettings & x);
+    void to_json(json & j, const EntrySettings & x);
+
+    void from_json(const json & j, LoadOrder & x);
+    void to_json(json & j, const LoadOrder & x);
+
+    void from_json(const json & j, LogPage & x);
+    void to_json(json & j, const LogPage & x);
+
+    void from_json(const json & j, LogPosition & x);
+    void to_json(json & j, const LogPosition & x);
+
+    void from_json(const json & j, Change & x);
+    void to_json(json & j, const Change & x);
+
+    void from_json(const json & j, CustomerSpec & x);
+    void to_json(json & j, const CustomerSpec & x);
+
+    void from_json(const json & j, StoredOutcome & x);
+    void to_json(json & j, const StoredOutcome & x);
+
+    void from_json(const json & j, StoredResource & x);
+    void to_json(json & j, const StoredResource & x);
+
+    void from_json(const json & j, FoldState & x);
+    void to_json(json & j, const FoldState & x);
+
+    void from_json(const json & j, RolloutSpec & x);
+    void to_json(json & j, const RolloutSpec & x);
+
+    void from_json(const json & j, ServiceSpec & x);
+    void to_json(json & j, const ServiceSpec & x);
+
+    void from_json(const json & j, SnapshotRecord & x);
+    void to_json(json & j, const SnapshotRecord & x);
+
+    void from_json(const json & j, Chunk & x);
+    void to_json(json & j, const Chunk & x);
+
+    void from_json(const json & j, VersionSpec & x);
+    void to_json(json & j, const VersionSpec & x);
+
+    void from_json(const json & j, LogRecord & x);
+    void to_json(json & j, const LogRecord & x);
+
+    void from_json(const json & j, Accepted & x);
+    void to_json(json & j, const Accepted & x);
+
+    void from_json(const json & j, Acknowledge & x);
+    void to_json(json & j, const Acknowledge & x);
+
+    void from_json(const json & j, Broken & x);
+    void to_json(json & j, const Broken & x);
+
+    void from_json(const json & j, Cancel & x);
+    void to_json(json & j, const Cancel & x);
+
+    void from_json(const json & j, Challenge & x);
+    void to_json(json & j, const Challenge & x);
+
+    void from_json(const json & j, ChunkMap & x);
+    void to_json(json & j, const ChunkMap & x);
+
+    void from_json(const json & j, Header & x);
+    void to_json(json & j, const Header & x);
+
+    void from_json(const json & j, Dispatch & x);
+    void to_json(json & j, const Dispatch & x);
+
+    void from_json(const json & j, Hello & x);
+    void to_json(json & j, const Hello & x);
+
+    void from_json(const json & j, Instance & x);
+    void to_json(json & j, const Instance & x);
+
+    void from_json(const json & j, Members & x);
+    void to_json(json & j, const Members & x);
+
+    void from_json(const json & j, Part & x);
+    void to_json(json & j, const Part & x);
+
+    void from_json(const json & j, Ping & x);
+    void to_json(json & j, const Ping & x);
+
+    void from_json(const json & j, Pong & x);
+    void to_json(json & j, const Pong & x);
+
+    void from_json(const json & j, Record & x);
+    void to_json(json & j, const Record & x);
+
+    void from_json(const json & j, Records & x);
+    void to_json(json & j, const Records & x);
+
+    void from_json(const json & j, Refused & x);
+    void to_json(json & j, const Refused & x);
+
+    void from_json(const json & j, Progress & x);
+    void to_json(json & j, const Progress & x);
+
+    void from_json(const json & j, Weights & x);
+    void to_json(json & j, const Weights & x);
+
+    void from_json(const json & j, Report & x);
+    void to_json(json & j, const Report & x);
+
+    void from_json(const json & j, Resume & x);
+    void to_json(json & j, const Resume & x);
+
+    void from_json(const json & j, Snapshot & x);
+    void to_json(json & j, const Snapshot & x);
+
+    void from_json(const json & j, Tally & x);
+    void to_json(json & j, const Tally & x);
+
+    void from_json(const json & j, Message & x);
+    void to_json(json & j, const Message & x);
+
+    void from_json(const json & j, ModelSeed & x);
+    void to_json(json & j, const ModelSeed & x);
+
+    void from_json(const json & j, Problem & x);
+    void to_json(json & j, const Problem & x);
+
+    void from_json(const json & j, ResourceView & x);
+    void to_json(json & j, const ResourceView & x);
+
+    void from_json(const json & j, RolloutStatus & x);
+    void to_json(json & j, const RolloutStatus & x);
+
+    void from_json(const json & j, WeightsFaults & x);
+    void to_json(json & j, const WeightsFaults & x);
+
+    void from_json(const json & j, BackendKindEnum & x);
+    void to_json(json & j, const BackendKindEnum & x);
+
+    void from_json(const json & j, LogLevel & x);
+    void to_json(json & j, const LogLevel & x);
+
+    void from_json(const json & j, Strategy & x);
+    void to_json(json & j, const Strategy & x);
+
+    void from_json(const json & j, Choice & x);
+    void to_json(json & j, const Choice & x);
+
+    void from_json(const json & j, ChangeKind & x);
+    void to_json(json & j, const ChangeKind & x);
+
+    void from_json(const json & j, Operation & x);
+    void to_json(json & j, const Operation & x);
+
+    void from_json(const json & j, Failure & x);
+    void to_json(json & j, const Failure & x);
+
+    void from_json(const json & j, Prefer & x);
+    void to_json(json & j, const Prefer & x);
+
+    void from_json(const json & j, Reason & x);
+    void to_json(json & j, const Reason & x);
+
+    void from_json(const json & j, Repeatability & x);
+    void to_json(json & j, const Repeatability & x);
+
+    void from_json(const json & j, Role & x);
+    void to_json(json & j, const Role & x);
+
+    void from_json(const json & j, InstanceState & x);
+    void to_json(json & j, const InstanceState & x);
+
+    void from_json(const json & j, ProgressState & x);
+    void to_json(json & j, const ProgressState & x);
+
+    void from_json(const json & j, Outcome & x);
+    void to_json(json & j, const Outcome & x);
+
+    inline void from_json(const json & j, AgentSettings& x) {
+        x.address = j.at("address").get<std::string>();
+        x.backend_address = j.at("backend_address").get<std::string>();
+        x.backend_kind = j.at("backend_kind").get<BackendKindEnum>();
+        x.backend_port = j.at("backend_port").get<int64_t>();
+        x.capacity = get_stack_optional<int64_t>(j, "capacity");
+        x.clock_bound_ms = get_stack_optional<int64_t>(j, "clock_bound_ms");
+        x.download_bytes_per_second = get_stack_optional<int64_t>(j, "download_bytes_per_second");
+        x.drain_ms = get_stack_optional<int64_t>(j, "drain_ms");
+        x.failure_domain = j.at("failure_domain").get<std::string>();
+        x.fetches_in_flight = get_stack_optional<int64_t>(j, "fetches_in_flight");
+        x.http_port = j.at("http_port").get<int64_t>();
+        x.identity = j.at("identity").get<std::string>();
+        x.key_file = get_stack_optional<std::string>(j, "key_file");
+        x.key_lifetime_ms = get_stack_optional<int64_t>(j, "key_lifetime_ms");
+        x.lease_ms = get_stack_optional<int64_t>(j, "lease_ms");
+        x.link_port = j.at("link_port").get<int64_t>();
+        x.list_lag_ms = get_stack_optional<int64_t>(j, "list_lag_ms");
+        x.list_poll_ms = get_stack_optional<int64_t>(j, "list_poll_ms");
+        x.log_file = get_stack_optional<std::string>(j, "log_file");
+        x.log_level = get_stack_optional<LogLevel>(j, "log_level");
+        x.log_poll_ms = get_stack_optional<int64_t>(j, "log_poll_ms");
+        x.neighbours = get_stack_optional<int64_t>(j, "neighbours");
+        x.once_record_bytes = get_stack_optional<int64_t>(j, "once_record_bytes");
+        x.origin_patience_ms = get_stack_optional<int64_t>(j, "origin_patience_ms");
+        x.platform_address = j.at("platform_address").get<std::string>();
+        x.platform_port = j.at("platform_port").get<int64_t>();
+        x.region = j.at("region").get<std::string>();
+        x.resume_ms = get_stack_optional<int64_t>(j, "resume_ms");
+        x.service = j.at("service").get<std::string>();
+        x.stall_ms = get_stack_optional<int64_t>(j, "stall_ms");
+        x.strategy = get_stack_optional<Strategy>(j, "strategy");
+        x.upload_bytes_per_second = get_stack_optional<int64_t>(j, "upload_bytes_per_second");
+    }
+
+    inline void to_json(json & j, const AgentSettings & x) {
+        j = json::object();
+        j["address"] = x.address;
+        j["backend_address"] = x.backend_address;
+        j["backend_kind"] = x.backend_kind;
+        j["backend_port"] = x.backend_port;
+        j["capacity"] = x.capacity;
+        j["clock_bound_ms"] = x.clock_bound_ms;
+        j["download_bytes_per_second"] = x.download_bytes_per_second;
+        j["drain_ms"] = x.drain_ms;
+        j["failure_domain"] = x.failure_domain;
+        j["fetches_in_flight"] = x.fetches_in_flight;
+        j["http_port"] = x.http_port;
+        j["identity"] = x.identity;
+        j["key_file"] = x.key_file;
+        j["key_lifetime_ms"] = x.key_lifetime_ms;
+        j["lease_ms"] = x.lease_ms;
+        j["link_port"] = x.link_port;
+        j["list_lag_ms"] = x.list_lag_ms;
+        j["list_poll_ms"] = x.list_poll_ms;
+        j["log_file"] = x.log_file;
+        j["log_level"] = x.log_level;
+        j["log_poll_ms"] = x.log_poll_ms;
+        j["neighbours"] = x.neighbours;
+        j["once_record_bytes"] = x.once_record_bytes;
+        j["origin_patience_ms"] = x.origin_patience_ms;
+        j["platform_address"] = x.platform_address;
+        j["platform_port"] = x.platform_port;
+        j["region"] = x.region;
+        j["resume_ms"] = x.resume_ms;
+        j["service"] = x.service;
+        j["stall_ms"] = x.stall_ms;
+        j["strategy"] = x.strategy;
+        j["upload_bytes_per_second"] = x.upload_bytes_per_second;
+    }
+
+    inline void from_json(const json & j, EngineFaults& x) {
+        x.break_after_tokens = get_stack_optional<int64_t>(j, "break_after_tokens");
+        x.close_after_run = get_stack_optional<bool>(j, "close_after_run");
+        x.error_share = get_stack_optional<double>(j, "error_share");
+        x.fail_loads = get_stack_optional<int64_t>(j, "fail_loads");
+        x.stop_answering = get_stack_optional<bool>(j, "stop_answering");
+        x.token_ms = get_stack_optional<int64_t>(j, "token_ms");
+    }
+
+    inline void to_json(json & j, const EngineFaults & x) {
+        j = json::object();
+        j["break_after_tokens"] = x.break_after_tokens;
+        j["close_after_run"] = x.close_after_run;
+        j["error_share"] = x.error_share;
+        j["fail_loads"] = x.fail_loads;
+        j["stop_answering"] = x.stop_answering;
+        j["token_ms"] = x.token_ms;
+    }
+
+    inline void from_json(const json & j, LoadedWeights& x) {
+        x.digest = j.at("digest").get<std::string>();
+        x.model = j.at("model").get<std::string>();
+        x.version = j.at("version").get<std::string>();
+    }
+
+    inline void to_json(json & j, const LoadedWeights & x) {
+        j = json::object();
+        j["digest"] = x.digest;
+        j["model"] = x.model;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, EngineStatus& x) {
+        x.fence = j.at("fence").get<int64_t>();
+        x.in_flight = j.at("in_flight").get<int64_t>();
+        x.load = j.at("load").get<double>();
+        x.loading = j.at("loading").get<bool>();
+        x.serving = get_stack_optional<LoadedWeights>(j, "serving");
+        x.warm_prefixes = get_stack_optional<std::vector<std::string>>(j, "warm_prefixes");
+    }
+
+    inline void to_json(json & j, const EngineStatus & x) {
+        j = json::object();
+        j["fence"] = x.fence;
+        j["in_flight"] = x.in_flight;
+        j["load"] = x.load;
+        j["loading"] = x.loading;
+        j["serving"] = x.serving;
+        j["warm_prefixes"] = x.warm_prefixes;
+    }
+
+    inline void from_json(const json & j, EntrySettings& x) {
+        x.accept_wait_ms = get_stack_optional<int64_t>(j, "accept_wait_ms");
+        x.address = j.at("address").get<std::string>();
+        x.choice = get_stack_optional<Choice>(j, "choice");
+        x.clock_bound_ms = get_stack_optional<int64_t>(j, "clock_bound_ms");
+        x.default_deadline_ms = get_stack_optional<int64_t>(j, "default_deadline_ms");
+        x.drain_ms = get_stack_optional<int64_t>(j, "drain_ms");
+        x.failure_domain = j.at("failure_domain").get<std::string>();
+        x.http_port = j.at("http_port").get<int64_t>();
+        x.identity = j.at("identity").get<std::string>();
+        x.idle_timeout_ms = get_stack_optional<int64_t>(j, "idle_timeout_ms");
+        x.key_file = get_stack_optional<std::string>(j, "key_file");
+        x.lease_ms = get_stack_optional<int64_t>(j, "lease_ms");
+        x.links_per_service = get_stack_optional<int64_t>(j, "links_per_service");
+        x.list_lag_ms = get_stack_optional<int64_t>(j, "list_lag_ms");
+        x.list_poll_ms = get_stack_optional<int64_t>(j, "list_poll_ms");
+        x.log_file = get_stack_optional<std::string>(j, "log_file");
+        x.log_level = get_stack_optional<LogLevel>(j, "log_level");
+        x.log_poll_ms = get_stack_optional<int64_t>(j, "log_poll_ms");
+        x.max_body_bytes = get_stack_optional<int64_t>(j, "max_body_bytes");
+        x.max_header_bytes = get_stack_optional<int64_t>(j, "max_header_bytes");
+        x.platform_address = j.at("platform_address").get<std::string>();
+        x.platform_port = j.at("platform_port").get<int64_t>();
+        x.region = j.at("region").get<std::string>();
+        x.resume_ms = get_stack_optional<int64_t>(j, "resume_ms");
+        x.retention_ms = get_stack_optional<int64_t>(j, "retention_ms");
+        x.retry_ratio = get_stack_optional<double>(j, "retry_ratio");
+        x.tokens_file = get_stack_optional<std::string>(j, "tokens_file");
+    }
+
+    inline void to_json(json & j, const EntrySettings & x) {
+        j = json::object();
+        j["accept_wait_ms"] = x.accept_wait_ms;
+        j["address"] = x.address;
+        j["choice"] = x.choice;
+        j["clock_bound_ms"] = x.clock_bound_ms;
+        j["default_deadline_ms"] = x.default_deadline_ms;
+        j["drain_ms"] = x.drain_ms;
+        j["failure_domain"] = x.failure_domain;
+        j["http_port"] = x.http_port;
+        j["identity"] = x.identity;
+        j["idle_timeout_ms"] = x.idle_timeout_ms;
+        j["key_file"] = x.key_file;
+        j["lease_ms"] = x.lease_ms;
+        j["links_per_service"] = x.links_per_service;
+        j["list_lag_ms"] = x.list_lag_ms;
+        j["list_poll_ms"] = x.list_poll_ms;
+        j["log_file"] = x.log_file;
+        j["log_level"] = x.log_level;
+        j["log_poll_ms"] = x.log_poll_ms;
+        j["max_body_bytes"] = x.max_body_bytes;
+        j["max_header_bytes"] = x.max_header_bytes;
+        j["platform_address"] = x.platform_address;
+        j["platform_port"] = x.platform_port;
+        j["region"] = x.region;
+        j["resume_ms"] = x.resume_ms;
+        j["retention_ms"] = x.retention_ms;
+        j["retry_ratio"] = x.retry_ratio;
+        j["tokens_file"] = x.tokens_file;
+    }
+
+    inline void from_json(const json & j, LoadOrder& x) {
+        x.chunks = j.at("chunks").get<std::vector<std::string>>();
+        x.digest = j.at("digest").get<std::string>();
+        x.fence = j.at("fence").get<int64_t>();
+        x.model = j.at("model").get<std::string>();
+        x.source_address = j.at("source_address").get<std::string>();
+        x.source_port = j.at("source_port").get<int64_t>();
+        x.version = j.at("version").get<std::string>();
+    }
+
+    inline void to_json(json & j, const LoadOrder & x) {
+        j = json::object();
+        j["chunks"] = x.chunks;
+        j["digest"] = x.digest;
+        j["fence"] = x.fence;
+        j["model"] = x.model;
+        j["source_address"] = x.source_address;
+        j["source_port"] = x.source_port;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, LogPage& x) {
+        x.bodies = j.at("bodies").get<std::vector<std::string>>();
+        x.end = j.at("end").get<int64_t>();
+        x.first_retained = j.at("first_retained").get<int64_t>();
+        x.from = j.at("from").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const LogPage & x) {
+        j = json::object();
+        j["bodies"] = x.bodies;
+        j["end"] = x.end;
+        j["first_retained"] = x.first_retained;
+        j["from"] = x.from;
+    }
+
+    inline void from_json(const json & j, LogPosition& x) {
+        x.offset = j.at("offset").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const LogPosition & x) {
+        j = json::object();
+        j["offset"] = x.offset;
+    }
+
+    inline void from_json(const json & j, Change& x) {
+        x.change_id = j.at("change_id").get<std::string>();
+        x.expected_revision = j.at("expected_revision").get<int64_t>();
+        x.kind = j.at("kind").get<ChangeKind>();
+        x.name = j.at("name").get<std::string>();
+        x.operation = j.at("operation").get<Operation>();
+        x.spec = j.at("spec").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Change & x) {
+        j = json::object();
+        j["change_id"] = x.change_id;
+        j["expected_revision"] = x.expected_revision;
+        j["kind"] = x.kind;
+        j["name"] = x.name;
+        j["operation"] = x.operation;
+        j["spec"] = x.spec;
+    }
+
+    inline void from_json(const json & j, CustomerSpec& x) {
+        x.burst = j.at("burst").get<double>();
+        x.concurrency = j.at("concurrency").get<int64_t>();
+        x.requests_per_second = j.at("requests_per_second").get<double>();
+    }
+
+    inline void to_json(json & j, const CustomerSpec & x) {
+        j = json::object();
+        j["burst"] = x.burst;
+        j["concurrency"] = x.concurrency;
+        j["requests_per_second"] = x.requests_per_second;
+    }
+
+    inline void from_json(const json & j, StoredOutcome& x) {
+        x.change_id = j.at("change_id").get<std::string>();
+        x.failure = get_stack_optional<Failure>(j, "failure");
+        x.offset = j.at("offset").get<int64_t>();
+        x.revision = j.at("revision").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const StoredOutcome & x) {
+        j = json::object();
+        j["change_id"] = x.change_id;
+        j["failure"] = x.failure;
+        j["offset"] = x.offset;
+        j["revision"] = x.revision;
+    }
+
+    inline void from_json(const json & j, StoredResource& x) {
+        x.kind = j.at("kind").get<ChangeKind>();
+        x.name = j.at("name").get<std::string>();
+        x.revision = j.at("revision").get<int64_t>();
+        x.spec = j.at("spec").get<std::string>();
+    }
+
+    inline void to_json(json & j, const StoredResource & x) {
+        j = json::object();
+        j["kind"] = x.kind;
+        j["name"] = x.name;
+        j["revision"] = x.revision;
+        j["spec"] = x.spec;
+    }
+
+    inline void from_json(const json & j, FoldState& x) {
+        x.chain = j.at("chain").get<std::string>();
+        x.offset = j.at("offset").get<int64_t>();
+        x.outcomes = j.at("outcomes").get<std::vector<StoredOutcome>>();
+        x.resources = j.at("resources").get<std::vector<StoredResource>>();
+    }
+
+    inline void to_json(json & j, const FoldState & x) {
+        j = json::object();
+        j["chain"] = x.chain;
+        j["offset"] = x.offset;
+        j["outcomes"] = x.outcomes;
+        j["resources"] = x.resources;
+    }
+
+    inline void from_json(const json & j, RolloutSpec& x) {
+        x.adapters = get_stack_optional<std::vector<std::string>>(j, "adapters");
+        x.model = j.at("model").get<std::string>();
+        x.places = get_stack_optional<std::vector<std::string>>(j, "places");
+        x.prefer = get_stack_optional<Prefer>(j, "prefer");
+        x.replicas = j.at("replicas").get<int64_t>();
+        x.services = j.at("services").get<std::vector<std::string>>();
+        x.version = j.at("version").get<std::string>();
+    }
+
+    inline void to_json(json & j, const RolloutSpec & x) {
+        j = json::object();
+        j["adapters"] = x.adapters;
+        j["model"] = x.model;
+        j["places"] = x.places;
+        j["prefer"] = x.prefer;
+        j["replicas"] = x.replicas;
+        j["services"] = x.services;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, ServiceSpec& x) {
+        x.kind = j.at("kind").get<BackendKindEnum>();
+        x.max_in_flight_per_instance = get_stack_optional<int64_t>(j, "max_in_flight_per_instance");
+        x.queue_limit = get_stack_optional<int64_t>(j, "queue_limit");
+    }
+
+    inline void to_json(json & j, const ServiceSpec & x) {
+        j = json::object();
+        j["kind"] = x.kind;
+        j["max_in_flight_per_instance"] = x.max_in_flight_per_instance;
+        j["queue_limit"] = x.queue_limit;
+    }
+
+    inline void from_json(const json & j, SnapshotRecord& x) {
+        x.chain = j.at("chain").get<std::string>();
+        x.folds_to = j.at("folds_to").get<int64_t>();
+        x.state = j.at("state").get<std::string>();
+    }
+
+    inline void to_json(json & j, const SnapshotRecord & x) {
+        j = json::object();
+        j["chain"] = x.chain;
+        j["folds_to"] = x.folds_to;
+        j["state"] = x.state;
+    }
+
+    inline void from_json(const json & j, Chunk& x) {
+        x.bytes = j.at("bytes").get<int64_t>();
+        x.digest = j.at("digest").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Chunk & x) {
+        j = json::object();
+        j["bytes"] = x.bytes;
+        j["digest"] = x.digest;
+    }
+
+    inline void from_json(const json & j, VersionSpec& x) {
+        x.adapters = get_stack_optional<std::vector<std::string>>(j, "adapters");
+        x.chunks = j.at("chunks").get<std::vector<Chunk>>();
+        x.digest = j.at("digest").get<std::string>();
+        x.model = j.at("model").get<std::string>();
+        x.version = j.at("version").get<std::string>();
+    }
+
+    inline void to_json(json & j, const VersionSpec & x) {
+        j = json::object();
+        j["adapters"] = x.adapters;
+        j["chunks"] = x.chunks;
+        j["digest"] = x.digest;
+        j["model"] = x.model;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, LogRecord& x) {
+        x.change = get_stack_optional<Change>(j, "change");
+        x.customer_spec = get_stack_optional<CustomerSpec>(j, "customer_spec");
+        x.fold_state = get_stack_optional<FoldState>(j, "fold_state");
+        x.rollout_spec = get_stack_optional<RolloutSpec>(j, "rollout_spec");
+        x.service_spec = get_stack_optional<ServiceSpec>(j, "service_spec");
+        x.snapshot = get_stack_optional<SnapshotRecord>(j, "snapshot");
+        x.version_spec = get_stack_optional<VersionSpec>(j, "version_spec");
+    }
+
+    inline void to_json(json & j, const LogRecord & x) {
+        j = json::object();
+        j["change"] = x.change;
+        j["customer_spec"] = x.customer_spec;
+        j["fold_state"] = x.fold_state;
+        j["rollout_spec"] = x.rollout_spec;
+        j["service_spec"] = x.service_spec;
+        j["snapshot"] = x.snapshot;
+        j["version_spec"] = x.version_spec;
+    }
+
+    inline void from_json(const json & j, Accepted& x) {
+        x.attempt = j.at("attempt").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Accepted & x) {
+        j = json::object();
+        j["attempt"] = x.attempt;
+    }
+
+    inline void from_json(const json & j, Acknowledge& x) {
+        x.attempt = j.at("attempt").get<std::string>();
+        x.next_sequence = j.at("next_sequence").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Acknowledge & x) {
+        j = json::object();
+        j["attempt"] = x.attempt;
+        j["next_sequence"] = x.next_sequence;
+    }
+
+    inline void from_json(const json & j, Broken& x) {
+        x.attempt = j.at("attempt").get<std::string>();
+        x.reason = j.at("reason").get<Reason>();
+    }
+
+    inline void to_json(json & j, const Broken & x) {
+        j = json::object();
+        j["attempt"] = x.attempt;
+        j["reason"] = x.reason;
+    }
+
+    inline void from_json(const json & j, Cancel& x) {
+        x.attempt = j.at("attempt").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Cancel & x) {
+        j = json::object();
+        j["attempt"] = x.attempt;
+    }
+
+    inline void from_json(const json & j, Challenge& x) {
+        x.nonce = j.at("nonce").get<std::string>();
+        x.protocol = j.at("protocol").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Challenge & x) {
+        j = json::object();
+        j["nonce"] = x.nonce;
+        j["protocol"] = x.protocol;
+    }
+
+    inline void from_json(const json & j, ChunkMap& x) {
+        x.chunks = j.at("chunks").get<std::vector<int64_t>>();
+        x.digest = j.at("digest").get<std::string>();
+    }
+
+    inline void to_json(json & j, const ChunkMap & x) {
+        j = json::object();
+        j["chunks"] = x.chunks;
+        j["digest"] = x.digest;
+    }
+
+    inline void from_json(const json & j, Header& x) {
+        x.name = j.at("name").get<std::string>();
+        x.value = j.at("value").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Header & x) {
+        j = json::object();
+        j["name"] = x.name;
+        j["value"] = x.value;
+    }
+
+    inline void from_json(const json & j, Dispatch& x) {
+        x.attempt = j.at("attempt").get<std::string>();
+        x.body = j.at("body").get<std::string>();
+        x.customer = j.at("customer").get<std::string>();
+        x.deadline_ms = j.at("deadline_ms").get<int64_t>();
+        x.headers = j.at("headers").get<std::vector<Header>>();
+        x.key = get_stack_optional<std::string>(j, "key");
+        x.method = j.at("method").get<std::string>();
+        x.model = get_stack_optional<std::string>(j, "model");
+        x.path = j.at("path").get<std::string>();
+        x.priority = j.at("priority").get<int64_t>();
+        x.repeatability = j.at("repeatability").get<Repeatability>();
+        x.version = get_stack_optional<std::string>(j, "version");
+    }
+
+    inline void to_json(json & j, const Dispatch & x) {
+        j = json::object();
+        j["attempt"] = x.attempt;
+        j["body"] = x.body;
+        j["customer"] = x.customer;
+        j["deadline_ms"] = x.deadline_ms;
+        j["headers"] = x.headers;
+        j["key"] = x.key;
+        j["method"] = x.method;
+        j["model"] = x.model;
+        j["path"] = x.path;
+        j["priority"] = x.priority;
+        j["repeatability"] = x.repeatability;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, Hello& x) {
+        x.identity = j.at("identity").get<std::string>();
+        x.incarnation = j.at("incarnation").get<int64_t>();
+        x.list_version = j.at("list_version").get<int64_t>();
+        x.mac = j.at("mac").get<std::string>();
+        x.offset = j.at("offset").get<int64_t>();
+        x.role = j.at("role").get<Role>();
+    }
+
+    inline void to_json(json & j, const Hello & x) {
+        j = json::object();
+        j["identity"] = x.identity;
+        j["incarnation"] = x.incarnation;
+        j["list_version"] = x.list_version;
+        j["mac"] = x.mac;
+        j["offset"] = x.offset;
+        j["role"] = x.role;
+    }
+
+    inline void from_json(const json & j, Instance& x) {
+        x.address = j.at("address").get<std::string>();
+        x.failure_domain = j.at("failure_domain").get<std::string>();
+        x.http_port = j.at("http_port").get<int64_t>();
+        x.id = j.at("id").get<std::string>();
+        x.link_port = j.at("link_port").get<int64_t>();
+        x.region = j.at("region").get<std::string>();
+        x.role = j.at("role").get<Role>();
+        x.service = j.at("service").get<std::string>();
+        x.state = j.at("state").get<InstanceState>();
+    }
+
+    inline void to_json(json & j, const Instance & x) {
+        j = json::object();
+        j["address"] = x.address;
+        j["failure_domain"] = x.failure_domain;
+        j["http_port"] = x.http_port;
+        j["id"] = x.id;
+        j["link_port"] = x.link_port;
+        j["region"] = x.region;
+        j["role"] = x.role;
+        j["service"] = x.service;
+        j["state"] = x.state;
+    }
+
+    inline void from_json(const json & j, Members& x) {
+        x.instances = j.at("instances").get<std::vector<Instance>>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Members & x) {
+        j = json::object();
+        j["instances"] = x.instances;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, Part& x) {
+        x.attempt = j.at("attempt").get<std::string>();
+        x.data = j.at("data").get<std::string>();
+        x.headers = get_stack_optional<std::vector<Header>>(j, "headers");
+        x.last = j.at("last").get<bool>();
+        x.sequence = j.at("sequence").get<int64_t>();
+        x.status = get_stack_optional<int64_t>(j, "status");
+    }
+
+    inline void to_json(json & j, const Part & x) {
+        j = json::object();
+        j["attempt"] = x.attempt;
+        j["data"] = x.data;
+        j["headers"] = x.headers;
+        j["last"] = x.last;
+        j["sequence"] = x.sequence;
+        j["status"] = x.status;
+    }
+
+    inline void from_json(const json & j, Ping& x) {
+        x.list_version = j.at("list_version").get<int64_t>();
+        x.sent_at_ms = j.at("sent_at_ms").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Ping & x) {
+        j = json::object();
+        j["list_version"] = x.list_version;
+        j["sent_at_ms"] = x.sent_at_ms;
+    }
+
+    inline void from_json(const json & j, Pong& x) {
+        x.confirmed = j.at("confirmed").get<bool>();
+        x.list_version = j.at("list_version").get<int64_t>();
+        x.sent_at_ms = j.at("sent_at_ms").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Pong & x) {
+        j = json::object();
+        j["confirmed"] = x.confirmed;
+        j["list_version"] = x.list_version;
+        j["sent_at_ms"] = x.sent_at_ms;
+    }
+
+    inline void from_json(const json & j, Record& x) {
+        x.body = j.at("body").get<std::string>();
+        x.offset = j.at("offset").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Record & x) {
+        j = json::object();
+        j["body"] = x.body;
+        j["offset"] = x.offset;
+    }
+
+    inline void from_json(const json & j, Records& x) {
+        x.records = j.at("records").get<std::vector<Record>>();
+    }
+
+    inline void to_json(json & j, const Records & x) {
+        j = json::object();
+        j["records"] = x.records;
+    }
+
+    inline void from_json(const json & j, Refused& x) {
+        x.attempt = j.at("attempt").get<std::string>();
+        x.reason = j.at("reason").get<Reason>();
+        x.retry_after_ms = j.at("retry_after_ms").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Refused & x) {
+        j = json::object();
+        j["attempt"] = x.attempt;
+        j["reason"] = x.reason;
+        j["retry_after_ms"] = x.retry_after_ms;
+    }
+
+    inline void from_json(const json & j, Progress& x) {
+        x.chunks_held = j.at("chunks_held").get<int64_t>();
+        x.chunks_total = j.at("chunks_total").get<int64_t>();
+        x.failure = get_stack_optional<Reason>(j, "failure");
+        x.origin_bytes = j.at("origin_bytes").get<int64_t>();
+        x.peer_bytes = j.at("peer_bytes").get<int64_t>();
+        x.revision = j.at("revision").get<int64_t>();
+        x.rollout = j.at("rollout").get<std::string>();
+        x.state = j.at("state").get<ProgressState>();
+    }
+
+    inline void to_json(json & j, const Progress & x) {
+        j = json::object();
+        j["chunks_held"] = x.chunks_held;
+        j["chunks_total"] = x.chunks_total;
+        j["failure"] = x.failure;
+        j["origin_bytes"] = x.origin_bytes;
+        j["peer_bytes"] = x.peer_bytes;
+        j["revision"] = x.revision;
+        j["rollout"] = x.rollout;
+        j["state"] = x.state;
+    }
+
+    inline void from_json(const json & j, Weights& x) {
+        x.digest = j.at("digest").get<std::string>();
+        x.model = j.at("model").get<std::string>();
+        x.version = j.at("version").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Weights & x) {
+        j = json::object();
+        j["digest"] = x.digest;
+        j["model"] = x.model;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, Report& x) {
+        x.capacity = j.at("capacity").get<int64_t>();
+        x.draining = j.at("draining").get<bool>();
+        x.engine_load = j.at("engine_load").get<double>();
+        x.fence = get_stack_optional<int64_t>(j, "fence");
+        x.in_flight = j.at("in_flight").get<int64_t>();
+        x.offset = j.at("offset").get<int64_t>();
+        x.progress = get_stack_optional<Progress>(j, "progress");
+        x.serving = get_stack_optional<Weights>(j, "serving");
+        x.warm_prefixes = get_stack_optional<std::vector<std::string>>(j, "warm_prefixes");
+    }
+
+    inline void to_json(json & j, const Report & x) {
+        j = json::object();
+        j["capacity"] = x.capacity;
+        j["draining"] = x.draining;
+        j["engine_load"] = x.engine_load;
+        j["fence"] = x.fence;
+        j["in_flight"] = x.in_flight;
+        j["offset"] = x.offset;
+        j["progress"] = x.progress;
+        j["serving"] = x.serving;
+        j["warm_prefixes"] = x.warm_prefixes;
+    }
+
+    inline void from_json(const json & j, Resume& x) {
+        x.attempt = j.at("attempt").get<std::string>();
+        x.next_sequence = j.at("next_sequence").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Resume & x) {
+        j = json::object();
+        j["attempt"] = x.attempt;
+        j["next_sequence"] = x.next_sequence;
+    }
+
+    inline void from_json(const json & j, Snapshot& x) {
+        x.folds_to = j.at("folds_to").get<int64_t>();
+        x.state = j.at("state").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Snapshot & x) {
+        j = json::object();
+        j["folds_to"] = x.folds_to;
+        j["state"] = x.state;
+    }
+
+    inline void from_json(const json & j, Tally& x) {
+        x.ready = j.at("ready").get<std::vector<std::string>>();
+        x.revision = j.at("revision").get<int64_t>();
+        x.rollout = j.at("rollout").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Tally & x) {
+        j = json::object();
+        j["ready"] = x.ready;
+        j["revision"] = x.revision;
+        j["rollout"] = x.rollout;
+    }
+
+    inline void from_json(const json & j, Message& x) {
+        x.accepted = get_stack_optional<Accepted>(j, "accepted");
+        x.acknowledge = get_stack_optional<Acknowledge>(j, "acknowledge");
+        x.broken = get_stack_optional<Broken>(j, "broken");
+        x.cancel = get_stack_optional<Cancel>(j, "cancel");
+        x.challenge = get_stack_optional<Challenge>(j, "challenge");
+        x.chunk_map = get_stack_optional<ChunkMap>(j, "chunk_map");
+        x.dispatch = get_stack_optional<Dispatch>(j, "dispatch");
+        x.hello = get_stack_optional<Hello>(j, "hello");
+        x.members = get_stack_optional<Members>(j, "members");
+        x.part = get_stack_optional<Part>(j, "part");
+        x.ping = get_stack_optional<Ping>(j, "ping");
+        x.pong = get_stack_optional<Pong>(j, "pong");
+        x.records = get_stack_optional<Records>(j, "records");
+        x.refused = get_stack_optional<Refused>(j, "refused");
+        x.report = get_stack_optional<Report>(j, "report");
+        x.resume = get_stack_optional<Resume>(j, "resume");
+        x.snapshot = get_stack_optional<Snapshot>(j, "snapshot");
+        x.tally = get_stack_optional<Tally>(j, "tally");
+    }
+
+    inline void to_json(json & j, const Message & x) {
+        j = json::object();
+        j["accepted"] = x.accepted;
+        j["acknowledge"] = x.acknowledge;
+        j["broken"] = x.broken;
+        j["cancel"] = x.cancel;
+        j["challenge"] = x.challenge;
+        j["chunk_map"] = x.chunk_map;
+        j["dispatch"] = x.dispatch;
+        j["hello"] = x.hello;
+        j["members"] = x.members;
+        j["part"] = x.part;
+        j["ping"] = x.ping;
+        j["pong"] = x.pong;
+        j["records"] = x.records;
+        j["refused"] = x.refused;
+        j["report"] = x.report;
+        j["resume"] = x.resume;
+        j["snapshot"] = x.snapshot;
+        j["tally"] = x.tally;
+    }
+
+    inline void from_json(const json & j, ModelSeed& x) {
+        x.chunk_bytes = j.at("chunk_bytes").get<int64_t>();
+        x.chunk_count = j.at("chunk_count").get<int64_t>();
+        x.model = j.at("model").get<std::string>();
+        x.seed = j.at("seed").get<int64_t>();
+        x.shared_chunks = j.at("shared_chunks").get<int64_t>();
+        x.version = j.at("version").get<std::string>();
+    }
+
+    inline void to_json(json & j, const ModelSeed & x) {
+        j = json::object();
+        j["chunk_bytes"] = x.chunk_bytes;
+        j["chunk_count"] = x.chunk_count;
+        j["model"] = x.model;
+        j["seed"] = x.seed;
+        j["shared_chunks"] = x.shared_chunks;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, Problem& x) {
+        x.change_id = get_stack_optional<std::string>(j, "change_id");
+        x.detail = get_stack_optional<std::string>(j, "detail");
+        x.outcome = j.at("outcome").get<Outcome>();
+        x.retry_after_ms = get_stack_optional<int64_t>(j, "retry_after_ms");
+        x.revision = get_stack_optional<int64_t>(j, "revision");
+        x.status = j.at("status").get<int64_t>();
+        x.title = j.at("title").get<std::string>();
+        x.type = j.at("type").get<std::string>();
+    }
+
+    inline void to_json(json & j, const Problem & x) {
+        j = json::object();
+        j["change_id"] = x.change_id;
+        j["detail"] = x.detail;
+        j["outcome"] = x.outcome;
+        j["retry_after_ms"] = x.retry_after_ms;
+        j["revision"] = x.revision;
+        j["status"] = x.status;
+        j["title"] = x.title;
+        j["type"] = x.type;
+    }
+
+    inline void from_json(const json & j, ResourceView& x) {
+        x.kind = j.at("kind").get<std::string>();
+        x.name = j.at("name").get<std::string>();
+        x.revision = j.at("revision").get<int64_t>();
+        x.spec = get_untyped(j, "spec");
+        x.status = get_untyped(j, "status");
+    }
+
+    inline void to_json(json & j, const ResourceView & x) {
+        j = json::object();
+        j["kind"] = x.kind;
+        j["name"] = x.name;
+        j["revision"] = x.revision;
+        j["spec"] = x.spec;
+        j["status"] = x.status;
+    }
+
+    inline void from_json(const json & j, RolloutStatus& x) {
+        x.chunks_held = j.at("chunks_held").get<int64_t>();
+        x.chunks_total = j.at("chunks_total").get<int64_t>();
+        x.failed = j.at("failed").get<int64_t>();
+        x.failure = get_stack_optional<std::string>(j, "failure");
+        x.loading = j.at("loading").get<int64_t>();
+        x.origin_bytes = j.at("origin_bytes").get<int64_t>();
+        x.origin_copies = j.at("origin_copies").get<double>();
+        x.peer_bytes = j.at("peer_bytes").get<int64_t>();
+        x.ready = j.at("ready").get<int64_t>();
+        x.revision = j.at("revision").get<int64_t>();
+        x.rollout = j.at("rollout").get<std::string>();
+        x.time_to_all_ms = get_stack_optional<int64_t>(j, "time_to_all_ms");
+        x.time_to_half_ms = get_stack_optional<int64_t>(j, "time_to_half_ms");
+        x.time_to_quarter_ms = get_stack_optional<int64_t>(j, "time_to_quarter_ms");
+        x.transferring = j.at("transferring").get<int64_t>();
+        x.wanted = j.at("wanted").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const RolloutStatus & x) {
+        j = json::object();
+        j["chunks_held"] = x.chunks_held;
+        j["chunks_total"] = x.chunks_total;
+        j["failed"] = x.failed;
+        j["failure"] = x.failure;
+        j["loading"] = x.loading;
+        j["origin_bytes"] = x.origin_bytes;
+        j["origin_copies"] = x.origin_copies;
+        j["peer_bytes"] = x.peer_bytes;
+        j["ready"] = x.ready;
+        j["revision"] = x.revision;
+        j["rollout"] = x.rollout;
+        j["time_to_all_ms"] = x.time_to_all_ms;
+        j["time_to_half_ms"] = x.time_to_half_ms;
+        j["time_to_quarter_ms"] = x.time_to_quarter_ms;
+        j["transferring"] = x.transferring;
+        j["wanted"] = x.wanted;
+    }
+
+    inline void from_json(const json & j, WeightsFaults& x) {
+        x.append_delay_ms = get_stack_optional<int64_t>(j, "append_delay_ms");
+        x.corrupt_share = get_stack_optional<double>(j, "corrupt_share");
+        x.drop_before = get_stack_optional<int64_t>(j, "drop_before");
+        x.list_lag_ms = get_stack_optional<int64_t>(j, "list_lag_ms");
+        x.list_out = get_stack_optional<bool>(j, "list_out");
+        x.log_out = get_stack_optional<bool>(j, "log_out");
+        x.lose_append_answers = get_stack_optional<int64_t>(j, "lose_append_answers");
+        x.origin_out = get_stack_optional<bool>(j, "origin_out");
+    }
+
+    inline void to_json(json & j, const WeightsFaults & x) {
+        j = json::object();
+        j["append_delay_ms"] = x.append_delay_ms;
+        j["corrupt_share"] = x.corrupt_share;
+        j["drop_before"] = x.drop_before;
+        j["list_lag_ms"] = x.list_lag_ms;
+        j["list_out"] = x.list_out;
+        j["log_out"] = x.log_out;
+        j["lose_append_answers"] = x.lose_append_answers;
+        j["origin_out"] = x.origin_out;
+    }
+
+    inline void from_json(const json & j, BackendKindEnum & x) {
+        if (j == "engine") x = BackendKindEnum::Engine;
+        else if (j == "plain") x = BackendKindEnum::Plain;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"BackendKindEnum\""); }
+    }
+
+    inline void to_json(json & j, const BackendKindEnum & x) {
+        switch (x) {
+            case BackendKindEnum::Engine: j = "engine"; break;
+            case BackendKindEnum::Plain: j = "plain"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"BackendKindEnum\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, LogLevel & x) {
+        if (j == "debug") x = LogLevel::Debug;
+        else if (j == "error") x = LogLevel::Error;
+        else if (j == "info") x = LogLevel::Info;
+        else if (j == "warn") x = LogLevel::Warn;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"LogLevel\""); }
+    }
+
+    inline void to_json(json & j, const LogLevel & x) {
+        switch (x) {
+            case LogLevel::Debug: j = "debug"; break;
+            case LogLevel::Error: j = "error"; break;
+            case LogLevel::Info: j = "info"; break;
+            case LogLevel::Warn: j = "warn"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"LogLevel\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, Strategy & x) {
+        if (j == "chain") x = Strategy::Chain;
+        else if (j == "origin_only") x = Strategy::OriginOnly;
+        else if (j == "swarm") x = Strategy::Swarm;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"Strategy\""); }
+    }
+
+    inline void to_json(json & j, const Strategy & x) {
+        switch (x) {
+            case Strategy::Chain: j = "chain"; break;
+            case Strategy::OriginOnly: j = "origin_only"; break;
+            case Strategy::Swarm: j = "swarm"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"Strategy\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, Choice & x) {
+        if (j == "least_loaded") x = Choice::LeastLoaded;
+        else if (j == "prefix") x = Choice::Prefix;
+        else if (j == "random") x = Choice::Random;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"Choice\""); }
+    }
+
+    inline void to_json(json & j, const Choice & x) {
+        switch (x) {
+            case Choice::LeastLoaded: j = "least_loaded"; break;
+            case Choice::Prefix: j = "prefix"; break;
+            case Choice::Random: j = "random"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"Choice\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, ChangeKind & x) {
+        if (j == "customer") x = ChangeKind::Customer;
+        else if (j == "rollout") x = ChangeKind::Rollout;
+        else if (j == "service") x = ChangeKind::Service;
+        else if (j == "version") x = ChangeKind::Version;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"ChangeKind\""); }
+    }
+
+    inline void to_json(json & j, const ChangeKind & x) {
+        switch (x) {
+            case ChangeKind::Customer: j = "customer"; break;
+            case ChangeKind::Rollout: j = "rollout"; break;
+            case ChangeKind::Service: j = "service"; break;
+            case ChangeKind::Version: j = "version"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"ChangeKind\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, Operation & x) {
+        if (j == "delete") x = Operation::Delete;
+        else if (j == "put") x = Operation::Put;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"Operation\""); }
+    }
+
+    inline void to_json(json & j, const Operation & x) {
+        switch (x) {
+            case Operation::Delete: j = "delete"; break;
+            case Operation::Put: j = "put"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"Operation\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, Failure & x) {
+        if (j == "invalid_spec") x = Failure::InvalidSpec;
+        else if (j == "revision_conflict") x = Failure::RevisionConflict;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"Failure\""); }
+    }
+
+    inline void to_json(json & j, const Failure & x) {
+        switch (x) {
+            case Failure::InvalidSpec: j = "invalid_spec"; break;
+            case Failure::RevisionConflict: j = "revision_conflict"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"Failure\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, Prefer & x) {
+        if (j == "origin_bytes") x = Prefer::OriginBytes;
+        else if (j == "time") x = Prefer::Time;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"Prefer\""); }
+    }
+
+    inline void to_json(json & j, const Prefer & x) {
+        switch (x) {
+            case Prefer::OriginBytes: j = "origin_bytes"; break;
+            case Prefer::Time: j = "time"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"Prefer\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, Reason & x) {
+        static std::unordered_map<std::string, Reason> enumValues {
+            {"answer_incomplete", Reason::AnswerIncomplete},
+            {"backend_broke_off", Reason::BackendBrokeOff},
+            {"backend_timeout", Reason::BackendTimeout},
+            {"caller_gone", Reason::CallerGone},
+            {"connect_failed", Reason::ConnectFailed},
+            {"deadline_passed", Reason::DeadlinePassed},
+            {"deadline_too_near", Reason::DeadlineTooNear},
+            {"draining", Reason::Draining},
+            {"forbidden", Reason::Forbidden},
+            {"instance_busy", Reason::InstanceBusy},
+            {"instance_lost", Reason::InstanceLost},
+            {"key_before_home", Reason::KeyBeforeHome},
+            {"key_from_future", Reason::KeyFromFuture},
+            {"key_in_progress", Reason::KeyInProgress},
+            {"key_malformed", Reason::KeyMalformed},
+            {"key_too_old", Reason::KeyTooOld},
+            {"lease_lapsed", Reason::LeaseLapsed},
+            {"link_lost", Reason::LinkLost},
+            {"load_failed", Reason::LoadFailed},
+            {"malformed", Reason::Malformed},
+            {"no_instance", Reason::NoInstance},
+            {"no_such_customer", Reason::NoSuchCustomer},
+            {"no_such_service", Reason::NoSuchService},
+            {"no_such_version", Reason::NoSuchVersion},
+            {"none", Reason::None},
+            {"not_home", Reason::NotHome},
+            {"origin_unavailable", Reason::OriginUnavailable},
+            {"over_concurrency", Reason::OverConcurrency},
+            {"over_rate", Reason::OverRate},
+            {"queue_full", Reason::QueueFull},
+            {"record_full", Reason::RecordFull},
+            {"retry_budget_spent", Reason::RetryBudgetSpent},
+            {"stopping", Reason::Stopping},
+            {"too_large", Reason::TooLarge},
+            {"unauthorized", Reason::Unauthorized},
+            {"version_not_ready", Reason::VersionNotReady},
+        };
+        auto iter = enumValues.find(j.get<std::string>());
+        if (iter != enumValues.end()) {
+            x = iter->second;
+        }
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"Reason\""); }
+    }
+
+    inline void to_json(json & j, const Reason & x) {
+        switch (x) {
+            case Reason::AnswerIncomplete: j = "answer_incomplete"; break;
+            case Reason::BackendBrokeOff: j = "backend_broke_off"; break;
+            case Reason::BackendTimeout: j = "backend_timeout"; break;
+            case Reason::CallerGone: j = "caller_gone"; break;
+            case Reason::ConnectFailed: j = "connect_failed"; break;
+            case Reason::DeadlinePassed: j = "deadline_passed"; break;
+            case Reason::DeadlineTooNear: j = "deadline_too_near"; break;
+            case Reason::Draining: j = "draining"; break;
+            case Reason::Forbidden: j = "forbidden"; break;
+            case Reason::InstanceBusy: j = "instance_busy"; break;
+            case Reason::InstanceLost: j = "instance_lost"; break;
+            case Reason::KeyBeforeHome: j = "key_before_home"; break;
+            case Reason::KeyFromFuture: j = "key_from_future"; break;
+            case Reason::KeyInProgress: j = "key_in_progress"; break;
+            case Reason::KeyMalformed: j = "key_malformed"; break;
+            case Reason::KeyTooOld: j = "key_too_old"; break;
+            case Reason::LeaseLapsed: j = "lease_lapsed"; break;
+            case Reason::LinkLost: j = "link_lost"; break;
+            case Reason::LoadFailed: j = "load_failed"; break;
+            case Reason::Malformed: j = "malformed"; break;
+            case Reason::NoInstance: j = "no_instance"; break;
+            case Reason::NoSuchCustomer: j = "no_such_customer"; break;
+            case Reason::NoSuchService: j = "no_such_service"; break;
+            case Reason::NoSuchVersion: j = "no_such_version"; break;
+            case Reason::None: j = "none"; break;
+            case Reason::NotHome: j = "not_home"; break;
+            case Reason::OriginUnavailable: j = "origin_unavailable"; break;
+            case Reason::OverConcurrency: j = "over_concurrency"; break;
+            case Reason::OverRate: j = "over_rate"; break;
+            case Reason::QueueFull: j = "queue_full"; break;
+            case Reason::RecordFull: j = "record_full"; break;
+            case Reason::RetryBudgetSpent: j = "retry_budget_spent"; break;
+            case Reason::Stopping: j = "stopping"; break;
+            case Reason::TooLarge: j = "too_large"; break;
+            case Reason::Unauthorized: j = "unauthorized"; break;
+            case Reason::VersionNotReady: j = "version_not_ready"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"Reason\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, Repeatability & x) {
+        if (j == "once") x = Repeatability::Once;
+        else if (j == "repeatable") x = Repeatability::Repeatable;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"Repeatability\""); }
+    }
+
+    inline void to_json(json & j, const Repeatability & x) {
+        switch (x) {
+            case Repeatability::Once: j = "once"; break;
+            case Repeatability::Repeatable: j = "repeatable"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"Repeatability\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, Role & x) {
+        if (j == "agent") x = Role::Agent;
+        else if (j == "entry") x = Role::Entry;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"Role\""); }
+    }
+
+    inline void to_json(json & j, const Role & x) {
+        switch (x) {
+            case Role::Agent: j = "agent"; break;
+            case Role::Entry: j = "entry"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"Role\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, InstanceState & x) {
+        if (j == "leaving") x = InstanceState::Leaving;
+        else if (j == "live") x = InstanceState::Live;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"InstanceState\""); }
+    }
+
+    inline void to_json(json & j, const InstanceState & x) {
+        switch (x) {
+            case InstanceState::Leaving: j = "leaving"; break;
+            case InstanceState::Live: j = "live"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"InstanceState\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, ProgressState & x) {
+        if (j == "failed") x = ProgressState::Failed;
+        else if (j == "loading") x = ProgressState::Loading;
+        else if (j == "ready") x = ProgressState::Ready;
+        else if (j == "transferring") x = ProgressState::Transferring;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"ProgressState\""); }
+    }
+
+    inline void to_json(json & j, const ProgressState & x) {
+        switch (x) {
+            case ProgressState::Failed: j = "failed"; break;
+            case ProgressState::Loading: j = "loading"; break;
+            case ProgressState::Ready: j = "ready"; break;
+            case ProgressState::Transferring: j = "transferring"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"ProgressState\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
+    inline void from_json(const json & j, Outcome & x) {
+        if (j == "not_run") x = Outcome::NotRun;
+        else if (j == "rejected") x = Outcome::Rejected;
+        else if (j == "unknown") x = Outcome::Unknown;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"Outcome\""); }
+    }
+
+    inline void to_json(json & j, const Outcome & x) {
+        switch (x) {
+            case Outcome::NotRun: j = "not_run"; break;
+            case Outcome::Rejected: j = "rejected"; break;
+            case Outcome::Unknown: j = "unknown"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"Outcome\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+}
--- /dev/null
+++ b/Libraries/LibSchema/Json.h
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibSchema/Generated.h>
+#include <fstream>
+#include <sstream>
+
+namespace Schema {
+
+/// Removes members that are null, which is how generated code writes an absent one.
+inline nlohmann::json without_nulls(nlohmann::json value)
+{
+    if (value.is_object()) {
+        for (auto member = value.begin(); member != value.end();) {
+            if (member->is_null()) {
+                member = value.erase(member);
+                continue;
+            }
+            *member = without_nulls(std::move(*member));
+            ++member;
+        }
+    } else if (value.is_array()) {
+        for (auto& element : value)
+            element = without_nulls(std::move(element));
+    }
+    return value;
+}
+
+/// The first member of `given` that `known` lacks, as a path; empty if there is none.
+inline std::string unknown_member(nlohmann::json const& given, nlohmann::json const& known)
+{
+    if (given.is_array() && known.is_array()) {
+        for (size_t i = 0; i < given.size() && i < known.size(); ++i) {
+            auto inner = unknown_member(given[i], known[i]);
+            if (!inner.empty())
+                return "[" + std::to_string(i) + "]." + inner;
+        }
+        return {};
+    }
+    if (!given.is_object() || !known.is_object())
+        return {};
+    for (auto const& [key, value] : given.items()) {
+        if (!known.contains(key))
+            return key;
+        auto inner = unknown_member(value, known.at(key));
+        if (!inner.empty())
+            return key + "." + inner;
+    }
+    return {};
+}
+
+template<typename T>
+nlohmann::json to_value(T const& object)
+{
+    nlohmann::json value = object;
+    return without_nulls(std::move(value));
+}
+
+template<typename T>
+std::string to_text(T const& object)
+{
+    return to_value(object).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+/// Reads a schema type strictly: a wrong type, an unknown enumerator or an unknown member is an error.
+/// This is the one place where what the generated code throws becomes a typed error.
+template<typename T>
+Core::ErrorOr<T> from_value(nlohmann::json const& value)
+{
+    try {
+        T object = value.get<T>();
+        nlohmann::json known = object;
+        auto unknown = unknown_member(without_nulls(value), known);
+        if (!unknown.empty())
+            return Core::failure(Core::ErrorCode::UnknownKey, unknown);
+        return object;
+    } catch (std::exception const& exception) {
+        return Core::failure(Core::ErrorCode::WrongType, exception.what());
+    }
+}
+
+template<typename T>
+Core::ErrorOr<T> from_text(std::string_view text)
+{
+    auto value = nlohmann::json::parse(text, nullptr, false, true);
+    if (value.is_discarded())
+        return Core::failure(Core::ErrorCode::MalformedJson, "not JSON");
+    return from_value<T>(value);
+}
+
+/// Reads a settings file: JSON with comments.
+template<typename T>
+Core::ErrorOr<T> from_file(std::string const& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return Core::failure(Core::ErrorCode::FileUnreadable, path);
+    std::stringstream text;
+    text << file.rdbuf();
+    auto result = from_text<T>(text.str());
+    if (!result.has_value())
+        return Core::failure(result.error().code, path + ": " + result.error().detail);
+    return result;
+}
+
+/// The wire name of an enumerator.
+template<typename T>
+std::string enumerator_name(T value)
+{
+    return nlohmann::json(value).template get<std::string>();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTransport/Link.h
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/EventLoop.h>
+#include <LibSchema/Generated.h>
+#include <LibTransport/Handshake.h>
+#include <LibTransport/WebSocketCodec.h>
+#include <functional>
+#include <memory>
+#include <string>
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace Transport {
+
+/// What every link of a process shares.
+struct LinkOptions {
+    Identity identity;
+    std::vector<std::string> keys;
+    /// Highest configuration offset folded, and the version of the instance list, at the time of a hello.
+    std::function<int64_t()> offset;
+    std::function<int64_t()> list_version;
+};
+
+/// One authenticated WebSocket between two processes, carried by one bufferevent.
+class Link : public std::enable_shared_from_this<Link> {
+public:
+    struct Callbacks {
+        /// The peer proved its key; only now may messages be sent.
+        std::function<void(Link&, Schema::Hello const&)> ready;
+        std::function<void(Link&, Schema::Message const&)> message;
+        /// The link is over; it is not called when the owner closes it.
+        std::function<void(Link&, Core::ErrorCode)> closed;
+    };
+
+    static std::shared_ptr<Link> dial(Core::EventLoop&, LinkOptions const&, std::string const& address, uint16_t port, Callbacks);
+    static std::shared_ptr<Link> accept(Core::EventLoop&, LinkOptions const&, int socket, Callbacks);
+    ~Link();
+
+    /// Sends a message. False means that nothing was or will be sent.
+    bool send(Schema::Message const&);
+
+    /// Ends the link without calling back.
+    void close();
+
+    bool is_ready() const { return m_is_ready; }
+    Schema::Hello const& peer() const { return m_peer; }
+
+    /// Bytes that wait to be sent.
+    size_t pending_bytes() const;
+
+private:
+    Link(Core::EventLoop&, LinkOptions const&, Handshake::Side, Callbacks);
+
+    void attach(bufferevent*);
+    void begin();
+    void on_bytes();
+    void on_payload(std::string_view);
+    void on_handshake(Schema::Message const&);
+    void fail(Core::ErrorCode);
+    void finish_failing();
+
+    Core::EventLoop& m_loop;
+    LinkOptions const& m_options;
+    Callbacks m_callbacks;
+    Handshake m_handshake;
+    WebSocketCodec m_codec;
+    bufferevent* m_stream { nullptr };
+    Schema::Hello m_peer {};
+    std::unique_ptr<Core::Timer> m_handshake_timer;
+    bool m_is_ready { false };
+    bool m_is_over { false };
+};
+
+/// Accepts links on a port.
+class LinkListener {
+public:
+    /// @return AddressInUse if the port cannot be bound.
+    static Core::ErrorOr<std::unique_ptr<LinkListener>> create(Core::EventLoop&, std::string const& address, uint16_t port, std::function<void(int socket)>);
+    ~LinkListener();
+
+    uint16_t port() const;
+
+private:
+    LinkListener() = default;
+
+    evconnlistener* m_listener { nullptr };
+    std::function<void(int)> m_on_socket;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibTransport/LinkHub.h
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibTransport/Link.h>
+#include <map>
+#include <set>
+
+namespace Transport {
+
+struct LinkAddress {
+    std::string address;
+    uint16_t port { 0 };
+
+    bool operator==(LinkAddress const&) const = default;
+};
+
+/// All links of a process: those that it accepts, and those that it keeps dialling.
+class LinkHub {
+public:
+    struct Callbacks {
+        /// A peer has a new link; any older one of the same direction is closed and its unread bytes are gone.
+        std::function<void(Schema::Hello const&)> up;
+        std::function<void(Schema::Hello const&, Schema::Message const&)> message;
+        /// The last link to a peer is gone.
+        std::function<void(std::string const& identity)> down;
+        /// A link was refused or broken by its peer.
+        std::function<void(Core::ErrorCode)> failed;
+    };
+
+    LinkHub(Core::EventLoop&, LinkOptions, Callbacks);
+    ~LinkHub();
+
+    /// @return the port bound, or AddressInUse.
+    Core::ErrorOr<uint16_t> listen(std::string const& address, uint16_t port);
+
+    /// The peers to keep a link to, by identity. Links to others that were dialled are closed.
+    void set_wanted(std::map<std::string, LinkAddress>);
+
+    /// Sends to a peer. False means that nothing was or will be sent.
+    bool send(std::string const& identity, Schema::Message const&);
+
+    /// Ends all links to a peer, as if they had broken.
+    void drop(std::string const& identity);
+
+    bool is_up(std::string const& identity) const;
+    Schema::Hello const* peer(std::string const& identity) const;
+    std::vector<std::string> peers(Schema::Role) const;
+
+private:
+    enum class Direction {
+        Dialled,
+        Accepted,
+    };
+    using LinkKey = std::pair<std::string, Direction>;
+
+    struct Dial {
+        LinkAddress target;
+        std::shared_ptr<Link> link;
+        Core::Time not_before { 0 };
+        Core::Duration backoff { 0 };
+    };
+
+    Link::Callbacks callbacks(Direction, std::string const& wanted_identity);
+    void on_ready(Direction, std::string const& wanted_identity, Link&, Schema::Hello const&);
+    void on_closed(Direction, std::string const& wanted_identity, Link&, Core::ErrorCode);
+    void forget(LinkKey const&, Link const&);
+    void dial_due();
+
+    Core::EventLoop& m_loop;
+    LinkOptions m_options;
+    Callbacks m_callbacks;
+    std::unique_ptr<LinkListener> m_listener;
+    std::set<std::shared_ptr<Link>> m_accepting;
+    std::map<LinkKey, std::shared_ptr<Link>> m_links;
+    std::map<std::string, Dial> m_dials;
+    std::unique_ptr<Core::Timer> m_dial_timer;
+};
+
+}
