Services: Serve a request through the whole thin path

Cause: the whole path comes first, in separate processes. Change: mountbarrow-entry, mountbarrow-agent, mountbarrow, mountbarrow-load, and the stand-ins for the platform and for a backend server. A resource goes through the log, agents fetch its weights from the origin and each other, engines load them, and streamed requests pass entry, agent and engine.

--- /dev/null
+++ b/Services/Agent/Agent.cpp
@@ -0,0 +1,324 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "Agent.h"
+
+#include <LibCore/Log.h>
+#include <LibPlatform/HttpPlatform.h>
+#include <LibSchema/Json.h>
+
+namespace Agent {
+
+static constexpr Core::Duration default_lease { 3000 };
+static constexpr Core::Duration default_list_lag { 2000 };
+static constexpr Core::Duration default_clock_bound { 500 };
+static constexpr Core::Duration default_key_lifetime { 600000 };
+static constexpr Core::Duration default_drain { 30000 };
+static constexpr Core::Duration default_resume { 3000 };
+static constexpr Core::Duration default_patience { 2000 };
+static constexpr Core::Duration default_stall { 2000 };
+static constexpr size_t default_neighbours = 16;
+static constexpr size_t default_fetches = 4;
+static constexpr size_t default_capacity = 8;
+static constexpr int64_t default_once_record_bytes = 16 * 1024 * 1024;
+// A lease survives two lost pings.
+static constexpr int pings_per_lease = 3;
+static constexpr Core::Duration report_delay { 20 };
+static constexpr Core::Duration alone_before_reading { 3000 };
+static constexpr Core::Duration default_platform_poll { 1000 };
+static constexpr Core::Duration drain_check { 20 };
+// Long enough for the word of leaving to reach the entries before the port closes.
+static constexpr Core::Duration least_drain { 300 };
+static constexpr int status_ok = 200;
+static constexpr int status_not_found = 404;
+static constexpr std::string_view chunk_path = "/chunks/";
+
+static Core::Duration duration_or(std::optional<int64_t> const& milliseconds, Core::Duration fallback)
+{
+    return milliseconds ? Core::Duration(*milliseconds) : fallback;
+}
+
+static Membership::KeyHomeSettings key_home_settings(Schema::AgentSettings const& settings)
+{
+    return {
+        .lease = duration_or(settings.lease_ms, default_lease),
+        .list_lag = duration_or(settings.list_lag_ms, default_list_lag),
+        .clock_bound = duration_or(settings.clock_bound_ms, default_clock_bound),
+        .key_lifetime = duration_or(settings.key_lifetime_ms, default_key_lifetime),
+    };
+}
+
+static WeightsRunnerSettings weights_settings(Schema::AgentSettings const& settings)
+{
+    WeightsRunnerSettings result;
+    result.identity = settings.identity;
+    result.own_address = settings.address;
+    result.platform_address = settings.platform_address;
+    result.platform_port = static_cast<uint16_t>(settings.platform_port);
+    result.backend_address = settings.backend_address;
+    result.backend_port = static_cast<uint16_t>(settings.backend_port);
+    result.has_engine = settings.backend_kind == Schema::BackendKindEnum::Engine;
+    result.neighbours = static_cast<size_t>(settings.neighbours.value_or(default_neighbours));
+    result.upload_bytes_per_second = settings.upload_bytes_per_second.value_or(0);
+    result.download_bytes_per_second = settings.download_bytes_per_second.value_or(0);
+    result.transfer.strategy = settings.strategy.value_or(Schema::Strategy::Swarm);
+    result.transfer.fetches_in_flight = static_cast<size_t>(settings.fetches_in_flight.value_or(default_fetches));
+    result.transfer.origin_patience = duration_or(settings.origin_patience_ms, default_patience);
+    result.transfer.stall = duration_or(settings.stall_ms, default_stall);
+    return result;
+}
+
+Core::ErrorOr<std::unique_ptr<Agent>> Agent::create(Core::EventLoop& loop, Schema::AgentSettings const& settings)
+{
+    auto keys = TRY(Transport::read_keys(*settings.key_file));
+    std::unique_ptr<Agent> agent(new Agent(loop, settings, std::move(keys)));
+    TRY(agent->listen());
+    return agent;
+}
+
+Agent::Agent(Core::EventLoop& loop, Schema::AgentSettings const& settings, std::vector<std::string> keys)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_key_home(settings.identity, settings.service, key_home_settings(settings), Core::wall_now())
+    , m_platform(std::make_unique<Platform::HttpPlatform>(loop, settings.platform_address, static_cast<uint16_t>(settings.platform_port)))
+    , m_capacity(static_cast<size_t>(settings.capacity.value_or(default_capacity)))
+    , m_last_entry_seen(Core::monotonic_now())
+{
+    Transport::LinkOptions options;
+    options.identity = { settings.identity, Schema::Role::Agent, Core::wall_now().count() };
+    options.keys = std::move(keys);
+    options.offset = [this] { return m_replica.fold().offset(); };
+    options.list_version = [this] { return m_list.version(); };
+    m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
+
+    RequestRunnerSettings requests;
+    requests.backend_address = settings.backend_address;
+    requests.backend_port = static_cast<uint16_t>(settings.backend_port);
+    requests.resume_wait = duration_or(settings.resume_ms, default_resume);
+    requests.once_record_bytes = static_cast<size_t>(settings.once_record_bytes.value_or(default_once_record_bytes));
+    requests.key_lifetime = duration_or(settings.key_lifetime_ms, default_key_lifetime);
+    auto send = [this](std::string const& entry, Schema::Message const& message) { return m_hub->send(entry, message); };
+    m_requests = std::make_unique<RequestRunner>(loop, requests, m_key_home, m_metrics, send, [this] { return admission_view(); });
+    m_weights = std::make_unique<WeightsRunner>(loop, weights_settings(settings), m_metrics, weights_callbacks());
+
+    m_ping_timer = loop.every(duration_or(settings.lease_ms, default_lease) / pings_per_lease, [this] { ping(); });
+    m_platform_timer = loop.every(duration_or(settings.list_poll_ms, default_platform_poll), [this] { read_platform_if_alone(); });
+}
+
+Agent::~Agent() = default;
+
+Core::ErrorOr<void> Agent::listen()
+{
+    auto handler = [this](std::shared_ptr<Transport::HttpExchange> const& exchange) { on_http(exchange); };
+    m_http = TRY(Transport::HttpServer::create(m_loop, m_settings.address, static_cast<uint16_t>(m_settings.http_port), {}, handler));
+    m_weights->set_http_port(m_http->port());
+    auto const link_port = TRY(m_hub->listen(m_settings.address, static_cast<uint16_t>(m_settings.link_port)));
+    Core::log_event(Core::LogLevel::Info, "started", { { "service", m_settings.service }, { "http_port", std::to_string(m_http->port()) }, { "link_port", std::to_string(link_port) } });
+    return {};
+}
+
+Transport::LinkHub::Callbacks Agent::link_callbacks()
+{
+    return {
+        .up = [this](Schema::Hello const& hello) { on_up(hello); },
+        .message = [this](Schema::Hello const& hello, Schema::Message const& message) { on_message(hello, message); },
+        .down = [this](std::string const& peer) { on_down(peer); },
+        .failed = [this](Core::ErrorCode code) { m_metrics.count("mountbarrow_agent_link_failures_total", "reason=\"" + std::string(Core::error_name(code)) + "\""); },
+    };
+}
+
+WeightsRunner::Callbacks Agent::weights_callbacks()
+{
+    return {
+        .send = [this](std::string const& peer, Schema::Message const& message) { return m_hub->send(peer, message); },
+        .set_neighbours = [this](std::map<std::string, Transport::LinkAddress> wanted) { m_hub->set_wanted(std::move(wanted)); },
+        .linked_peers = [this] { return m_hub->peers(Schema::Role::Agent); },
+        .in_flight = [this] { return m_requests->in_flight(); },
+        .changed = [this] { report_soon(); },
+    };
+}
+
+void Agent::on_up(Schema::Hello const& hello)
+{
+    Core::log_event(Core::LogLevel::Debug, "link_up", { { "peer", hello.identity } });
+    for (auto const& message : m_replica.messages_since(hello.offset))
+        m_hub->send(hello.identity, message);
+    if (m_list.version() > hello.list_version) {
+        Schema::Message message;
+        message.members = m_list.members();
+        m_hub->send(hello.identity, message);
+    }
+    if (hello.role == Schema::Role::Agent) {
+        m_weights->on_peer_up(hello.identity);
+        return;
+    }
+    // Whatever an older link of this entry left behind waits for its word to resume.
+    m_requests->on_entry_down(hello.identity);
+    send_report();
+    ping();
+}
+
+void Agent::on_down(std::string const& peer)
+{
+    Core::log_event(Core::LogLevel::Debug, "link_down", { { "peer", peer } });
+    m_requests->on_entry_down(peer);
+    m_weights->on_peer_down(peer);
+}
+
+void Agent::on_message(Schema::Hello const& from, Schema::Message const& message)
+{
+    if (message.members)
+        on_members(*message.members);
+    else if (m_replica.on_message(message))
+        on_configuration();
+    else if (message.chunk_map)
+        m_weights->on_chunk_map(from.identity, *message.chunk_map);
+    // What follows is for entries alone.
+    if (from.role != Schema::Role::Entry)
+        return;
+    if (message.dispatch)
+        m_requests->on_dispatch(from.identity, *message.dispatch);
+    else if (message.acknowledge)
+        m_requests->on_acknowledge(message.acknowledge->attempt, message.acknowledge->next_sequence);
+    else if (message.resume)
+        m_requests->on_resume(from.identity, *message.resume);
+    else if (message.cancel)
+        m_requests->on_cancel(message.cancel->attempt);
+    else if (message.tally)
+        m_weights->on_tally(*message.tally);
+    else if (message.pong)
+        m_key_home.on_pong(Core::Time(message.pong->sent_at_ms), message.pong->list_version, message.pong->confirmed);
+}
+
+void Agent::on_members(Schema::Members members)
+{
+    if (!m_list.update(std::move(members)))
+        return;
+    m_key_home.on_list(m_list, Core::wall_now());
+    m_weights->update(m_replica.fold(), m_list);
+    // A new list ended the lease that was for the older one.
+    ping();
+}
+
+void Agent::on_configuration()
+{
+    auto const& services = m_replica.fold().services();
+    auto const service = services.find(m_settings.service);
+    if (service != services.end() && service->second.max_in_flight_per_instance)
+        m_capacity = static_cast<size_t>(*service->second.max_in_flight_per_instance);
+    m_weights->update(m_replica.fold(), m_list);
+    report_soon();
+}
+
+Routing::AdmissionView Agent::admission_view() const
+{
+    Routing::AdmissionView view;
+    view.is_draining = m_is_draining;
+    view.is_switching = m_weights->is_switching();
+    view.serving = m_weights->serving();
+    view.capacity = m_capacity;
+    view.now = Core::monotonic_now();
+    view.wall_now = Core::wall_now();
+    return view;
+}
+
+Schema::Report Agent::report() const
+{
+    Schema::Report report {};
+    report.draining = m_is_draining;
+    report.in_flight = static_cast<int64_t>(m_requests->in_flight());
+    report.capacity = static_cast<int64_t>(m_capacity);
+    report.offset = m_replica.fold().offset();
+    m_weights->describe(report);
+    return report;
+}
+
+void Agent::report_soon()
+{
+    if (!m_report_timer)
+        m_report_timer = m_loop.after(report_delay, [this] { send_report(); });
+}
+
+void Agent::send_report()
+{
+    m_report_timer.reset();
+    Schema::Message message;
+    message.report = report();
+    for (auto const& entry : m_hub->peers(Schema::Role::Entry))
+        m_hub->send(entry, message);
+}
+
+void Agent::ping()
+{
+    Schema::Message message;
+    message.ping.emplace();
+    message.ping->sent_at_ms = Core::monotonic_now().count();
+    message.ping->list_version = m_list.version();
+    for (auto const& entry : m_hub->peers(Schema::Role::Entry))
+        m_hub->send(entry, message);
+    send_report();
+}
+
+bool Agent::is_linked_to_entry() const
+{
+    return !m_hub->peers(Schema::Role::Entry).empty();
+}
+
+void Agent::read_platform_if_alone()
+{
+    auto const now = Core::monotonic_now();
+    if (is_linked_to_entry())
+        m_last_entry_seen = now;
+    if (m_is_reading_platform || now < m_last_entry_seen + alone_before_reading)
+        return;
+    m_is_reading_platform = true;
+    m_platform->read_list(m_list.version(), [this](auto members) {
+        if (members.has_value())
+            on_members(std::move(*members));
+    });
+    m_platform->read_log(m_replica.next_offset(), [this](auto batch) {
+        m_is_reading_platform = false;
+        if (batch.has_value() && m_replica.on_log(*batch))
+            on_configuration();
+    });
+}
+
+void Agent::on_http(std::shared_ptr<Transport::HttpExchange> const& exchange)
+{
+    auto const& path = exchange->path();
+    if (path.starts_with(chunk_path)) {
+        m_weights->serve_chunk(exchange, path.substr(chunk_path.size()));
+    } else if (path == "/metrics") {
+        m_metrics.set("mountbarrow_agent_in_flight", static_cast<double>(m_requests->in_flight()));
+        m_metrics.set("mountbarrow_agent_configuration_offset", static_cast<double>(m_replica.fold().offset()));
+        m_metrics.set("mountbarrow_agent_configuration_divergences", static_cast<double>(m_replica.divergences()));
+        exchange->reply(status_ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.to_prometheus());
+    } else if (path == "/report") {
+        exchange->reply(status_ok, { { "Content-Type", "application/json" } }, Schema::to_text(report()));
+    } else if (path == "/healthz") {
+        exchange->reply(m_is_draining ? 503 : status_ok, {}, {});
+    } else {
+        exchange->reply(status_not_found, {}, {});
+    }
+}
+
+void Agent::drain()
+{
+    if (m_is_draining)
+        return;
+    Core::log_event(Core::LogLevel::Info, "draining", { { "in_flight", std::to_string(m_requests->in_flight()) } });
+    m_is_draining = true;
+    m_draining_since = Core::monotonic_now();
+    send_report();
+    m_drain_timer = m_loop.every(drain_check, [this] { finish_when_idle(); });
+}
+
+void Agent::finish_when_idle()
+{
+    auto const waited = Core::monotonic_now() - m_draining_since;
+    bool const is_out_of_time = waited >= duration_or(m_settings.drain_ms, default_drain);
+    if (!is_out_of_time && (waited < least_drain || !m_requests->is_idle()))
+        return;
+    Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped", { { "unfinished", std::to_string(m_requests->in_flight()) } });
+    m_loop.stop();
+}
+
+}
--- /dev/null
+++ b/Services/Entry/CallerApi.h
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include "CallerRequest.h"
+#include <LibConfiguration/Fold.h>
+#include <LibCore/EventLoop.h>
+#include <LibCore/Metrics.h>
+#include <LibMembership/InstanceList.h>
+#include <LibRouting/InstanceTable.h>
+#include <LibRouting/Limits.h>
+#include <LibRouting/RequestFlow.h>
+#include <LibRouting/RequestQueue.h>
+#include <LibTransport/HttpServer.h>
+#include <LibTransport/LinkHub.h>
+#include <map>
+#include <memory>
+
+namespace Entry {
+
+struct CallerApiSettings {
+    std::string identity;
+    int64_t incarnation { 0 };
+    CallerLimits limits;
+    double retry_ratio { 0.1 };
+    Routing::FlowSettings flow;
+    Routing::InstanceTableSettings table;
+    uint64_t seed { 0 };
+};
+
+/// Carries callers' requests to agents and the answers back. What to do is decided by RequestFlow and the tables.
+class CallerApi {
+public:
+    CallerApi(Core::EventLoop&, CallerApiSettings, Core::Metrics&, Transport::LinkHub&, Membership::InstanceList const&, Configuration::Fold const&);
+    ~CallerApi();
+
+    void handle(std::shared_ptr<Transport::HttpExchange> const&);
+
+    /// The configuration or the list changed.
+    void update();
+    void on_message(Schema::Hello const& from, Schema::Message const&);
+    void on_link_up(Schema::Hello const&);
+    void on_link_down(std::string const& agent);
+
+    /// From now on every new request is refused as not run.
+    void stop_accepting() { m_is_stopping = true; }
+    size_t in_flight() const { return m_contexts.size(); }
+    size_t queued() const;
+    Routing::InstanceTable const& table() const { return m_table; }
+
+private:
+    struct Context {
+        uint64_t id { 0 };
+        std::shared_ptr<Transport::HttpExchange> exchange;
+        CallerRequest request;
+        Routing::RequestFlow flow;
+        Core::Time started { 0 };
+        bool is_queued { false };
+        bool has_first_byte { false };
+    };
+
+    void refuse(Transport::HttpExchange&, Schema::Reason, Core::Duration retry_after);
+    void perform(Context&, Routing::FlowActions);
+    void perform_one(Context&, Routing::FlowAction const&, Routing::FlowActions& more);
+    void deliver(Context&, Schema::Part const&, Routing::FlowActions& more);
+    void give_up(Context&, Routing::GiveUp const&);
+    void attempt_over(Context&, Routing::AttemptOver const&);
+    Routing::FlowActions find_instance(Context&);
+    Routing::FlowActions wait_in_queue(Context&);
+    Routing::FlowActions dispatch_to(Context&, std::string const& instance);
+    tl::expected<std::string, Schema::Reason> choose(Context const&);
+    Routing::RequestQueue& queue_of(std::string const& service);
+    void serve_queue(std::string const& service);
+    void end(Context&);
+    Context* find(uint64_t id);
+    Context* find_attempt(std::string const& attempt);
+    void tick();
+    Core::Duration spread(Core::Duration);
+
+    Core::EventLoop& m_loop;
+    CallerApiSettings m_settings;
+    Core::Metrics& m_metrics;
+    Transport::LinkHub& m_hub;
+    Membership::InstanceList const& m_list;
+    Configuration::Fold const& m_fold;
+    Routing::InstanceTable m_table;
+    Routing::CustomerLimits m_limits;
+    Routing::RetryBudget m_budget;
+    std::mt19937_64 m_random;
+    std::map<std::string, Routing::RequestQueue> m_queues;
+    std::map<uint64_t, std::unique_ptr<Context>> m_contexts;
+    std::map<std::string, uint64_t> m_by_attempt;
+    std::set<std::string> m_listed;
+    uint64_t m_next_request { 1 };
+    uint64_t m_next_attempt { 1 };
+    bool m_is_stopping { false };
+    std::unique_ptr<Core::Timer> m_tick_timer;
+};
+
+}
--- /dev/null
+++ b/Services/Entry/OperatorApi.h
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibConfiguration/Replica.h>
+#include <LibCore/EventLoop.h>
+#include <LibCore/Metrics.h>
+#include <LibDistribution/RolloutTally.h>
+#include <LibPlatform/Platform.h>
+#include <LibSettings/Settings.h>
+#include <LibTransport/HttpServer.h>
+#include <list>
+#include <memory>
+#include <set>
+
+namespace Entry {
+
+/// The operators' resource API below `/api/v1/`.
+class OperatorApi {
+public:
+    OperatorApi(Core::EventLoop&, Core::Metrics&, Configuration::Replica const&, Distribution::RolloutTally const&, Platform::Platform&, std::map<std::string, Settings::OperatorRole> tokens);
+    ~OperatorApi();
+
+    void handle(std::shared_ptr<Transport::HttpExchange> const&);
+
+    /// The fold moved on: changes that wait to be read back may be answered, and watchers told.
+    void on_configuration();
+
+    /// Ends the watches, so that a stop need not wait for them.
+    void stop();
+    /// Changes that are not answered yet.
+    size_t pending_changes() const { return m_pending.size(); }
+
+private:
+    struct Pending {
+        std::shared_ptr<Transport::HttpExchange> exchange;
+        Schema::Change change;
+        std::string body;
+        Core::Time started { 0 };
+        Core::Time next_append { 0 };
+        bool is_appending { false };
+    };
+
+    struct Watch {
+        std::shared_ptr<Transport::HttpExchange> exchange;
+        std::string kind;
+        std::string name;
+        int64_t told_to { -1 };
+        std::set<std::string> known;
+        std::map<std::string, std::string> told_status;
+    };
+
+    bool is_allowed(Transport::HttpExchange&);
+    void list(Transport::HttpExchange&, Schema::ChangeKind);
+    void read(Transport::HttpExchange&, Schema::ChangeKind, std::string const& name);
+    void change(std::shared_ptr<Transport::HttpExchange> const&, Schema::ChangeKind, std::string const& name);
+    void read_change(Transport::HttpExchange&, std::string const& change_id);
+    void watch(std::shared_ptr<Transport::HttpExchange> const&);
+    void tell(Watch&);
+    void tell_status(Watch&);
+    nlohmann::json view(Configuration::Resource const&) const;
+    void append(Pending&);
+    void answer_pending();
+    void answer_outcome(Pending&, Configuration::ChangeOutcome const&);
+    void tick();
+
+    Core::EventLoop& m_loop;
+    Core::Metrics& m_metrics;
+    Configuration::Replica const& m_replica;
+    Distribution::RolloutTally const& m_tally;
+    Platform::Platform& m_platform;
+    std::map<std::string, Settings::OperatorRole> m_tokens;
+    std::list<std::shared_ptr<Pending>> m_pending;
+    std::list<std::shared_ptr<Watch>> m_watches;
+    uint64_t m_told_generation { 0 };
+    std::unique_ptr<Core::Timer> m_timer;
+};
+
+}
--- /dev/null
+++ b/Services/Entry/Problems.h
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibSchema/Generated.h>
+#include <LibTransport/HttpServer.h>
+#include <string>
+
+namespace Entry {
+
+/// Answers with problem details (RFC 9457) that always say what is known of the request.
+void reply_problem(Transport::HttpExchange&, Schema::Problem const&);
+
+/// The problem that tells a caller why its request got no answer.
+Schema::Problem problem_for(Schema::Outcome, Schema::Reason, Core::Duration retry_after);
+
+/// A problem of the operators' API.
+Schema::Problem rejection(int status, std::string const& type, std::string const& title, std::string const& detail = {});
+
+}
--- /dev/null
+++ b/Tests/Processes/run.py
@@ -0,0 +1,51 @@
+# SPDX-License-Identifier: BSD-2-Clause
+"""Runs the process tests one after another: run.py BUILD_DIRECTORY [NAME ...]"""
+
+import importlib
+import os
+import sys
+import traceback
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+MODULES = ["test_whole_path"]
+
+
+def sanitizer_reports(folder):
+    """What the sanitizers wrote; any of it fails the test."""
+    for name in sorted(os.listdir(folder)):
+        if not name.endswith(".err"):
+            continue
+        with open(os.path.join(folder, name), encoding="utf-8", errors="replace") as file:
+            text = file.read()
+        if "AddressSanitizer" in text or "runtime error" in text:
+            yield f"{name}:\n{text[:4000]}"
+
+
+def main():
+    build = os.path.abspath(sys.argv[1])
+    wanted = sys.argv[2:]
+    passed = failed = 0
+    for module_name in MODULES:
+        module = importlib.import_module(module_name)
+        for name in [n for n in dir(module) if n.startswith("test_")]:
+            if wanted and name not in wanted:
+                continue
+            folders = []
+            try:
+                getattr(module, name)(build, folders)
+                for folder in folders:
+                    for report in sanitizer_reports(folder):
+                        raise AssertionError(report)
+                print(f"ok {module_name}.{name}", flush=True)
+                passed += 1
+            except Exception:  # Every failure is reported; the others still run.
+                traceback.print_exc()
+                print(f"FAILED {module_name}.{name} (logs in {folders})", flush=True)
+                failed += 1
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
