LibRouting: Refuse a removed customer that still has requests in flight

Cause: a customer known only by its requests in flight (from before any was configured, or after its removal) kept a state without a spec, so it was told over_concurrency and to come back soon, not that it does not exist. Ruled out: erasing it at once, because its requests must still be counted out. Change: such a state is marked as not configured.

--- a/Libraries/LibRouting/Limits.cpp
+++ b/Libraries/LibRouting/Limits.cpp
@@ -67,9 +67,12 @@
 void CustomerLimits::set_customers(std::map<std::string, Schema::CustomerSpec> const& customers)
 {
     m_are_configured = !customers.empty();
+    for (auto& [name, state] : m_customers)
+        state.is_configured = false;
     for (auto const& [name, spec] : customers) {
         auto& state = m_customers[name];
         state.spec = spec;
+        state.is_configured = true;
         apply_share(state);
     }
     // A customer that was removed is forgotten once its last request has ended.
@@ -101,7 +104,7 @@
         return {};
     }
     auto found = m_customers.find(customer);
-    if (found == m_customers.end())
+    if (found == m_customers.end() || !found->second.is_configured)
         return Refusal { Schema::Reason::NoSuchCustomer, unknown_customer_retry_after };
     auto& state = found->second;
     if (state.in_flight >= concurrency_share(state))
--- a/Libraries/LibRouting/Limits.h
+++ b/Libraries/LibRouting/Limits.h
@@ -55,6 +55,8 @@
         Schema::CustomerSpec spec;
         TokenBucket bucket { 0, 0 };
         size_t in_flight { 0 };
+        // False for one that is only known by requests in flight, from before any was configured or after its removal.
+        bool is_configured { false };
     };
 
     void apply_share(State&);
--- /dev/null
+++ b/Tests/LibRouting/TestAdmission.cpp
@@ -0,0 +1,124 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/Admission.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Routing;
+
+namespace {
+
+class AdmissionTest : public testing::Test {
+protected:
+    static constexpr Core::WallTime epoch { 1700000000000 };
+    Membership::KeyHome home { "a", "s", {}, epoch };
+    OnceTable table { 1 << 20, Core::Duration(600000) };
+    AdmissionView view;
+    std::mt19937_64 random { 1 };
+    std::string key;
+    Schema::Dispatch dispatch {};
+
+    void SetUp() override
+    {
+        Schema::Members members;
+        members.version = 1;
+        members.instances.emplace_back();
+        members.instances[0].id = "a";
+        members.instances[0].role = Schema::Role::Agent;
+        members.instances[0].service = "s";
+        members.instances[0].state = Schema::InstanceState::Live;
+        Membership::InstanceList list;
+        list.update(members);
+        home.on_list(list, epoch);
+        home.on_pong(Core::Time(1000), 1, true);
+        view.now = Core::Time(1000);
+        view.wall_now = epoch + Core::Duration(100000);
+        view.capacity = 2;
+        key = Membership::make_key(view.wall_now, random);
+        dispatch.customer = "c";
+        dispatch.deadline_ms = 1000;
+        dispatch.key = key;
+    }
+
+    AdmissionResult decide() { return admit(dispatch, view, home, table); }
+
+    static Schema::Reason refusal(AdmissionResult const& result) { return std::get<RefuseNotRun>(result).reason; }
+};
+
+}
+
+TEST_F(AdmissionTest, AKeyRunsOnceAndItsAnswerIsGivenAgain)
+{
+    EXPECT_TRUE(std::holds_alternative<Admit>(decide()));
+    EXPECT_EQ(std::get<RefuseUnknown>(decide()).reason, Schema::Reason::KeyInProgress);
+    table.answered(key, { 200, {}, "done" });
+    // Also while it drains, and after its lease lapsed.
+    view.is_draining = true;
+    view.now += Core::Duration(100000);
+    EXPECT_EQ(std::get<Replay>(decide()).answer.body, "done");
+}
+
+TEST_F(AdmissionTest, AKeyWhoseOutcomeIsOpenNeverRunsAgain)
+{
+    decide();
+    table.unknown(key);
+    EXPECT_TRUE(std::holds_alternative<RefuseUnknown>(decide()));
+}
+
+TEST_F(AdmissionTest, AKeyWhoseRunNeverBeganMayRun)
+{
+    decide();
+    table.forget(key);
+    EXPECT_TRUE(std::holds_alternative<Admit>(decide()));
+}
+
+TEST_F(AdmissionTest, AnotherCustomerLearnsNothingThroughAKey)
+{
+    decide();
+    table.answered(key, { 200, {}, "secret" });
+    dispatch.customer = "other";
+    EXPECT_EQ(refusal(decide()), Schema::Reason::KeyMalformed);
+}
+
+TEST_F(AdmissionTest, AFullRecordRefusesInsteadOfForgetting)
+{
+    OnceTable tiny(OnceTable::bytes_per_key, Core::Duration(600000));
+    EXPECT_TRUE(std::holds_alternative<Admit>(admit(dispatch, view, home, tiny)));
+    dispatch.key = Membership::make_key(view.wall_now, random);
+    EXPECT_EQ(refusal(admit(dispatch, view, home, tiny)), Schema::Reason::RecordFull);
+    EXPECT_NE(tiny.find(key), nullptr);
+}
+
+TEST_F(AdmissionTest, TheVersionIsCheckedAtTheMomentOfDispatch)
+{
+    dispatch.key.reset();
+    dispatch.model = "m";
+    dispatch.version = "2";
+    EXPECT_EQ(refusal(decide()), Schema::Reason::VersionNotReady);
+    view.serving.emplace();
+    view.serving->model = "m";
+    view.serving->version = "1";
+    EXPECT_EQ(refusal(decide()), Schema::Reason::VersionNotReady);
+    view.serving->version = "2";
+    EXPECT_TRUE(std::holds_alternative<Admit>(decide()));
+    view.is_switching = true;
+    EXPECT_EQ(refusal(decide()), Schema::Reason::VersionNotReady);
+}
+
+TEST_F(AdmissionTest, ADrainingOrFullAgentTakesNothingNew)
+{
+    view.in_flight = 2;
+    EXPECT_EQ(refusal(decide()), Schema::Reason::InstanceBusy);
+    view.is_draining = true;
+    EXPECT_EQ(refusal(decide()), Schema::Reason::Draining);
+    EXPECT_EQ(table.size(), 0u);
+}
+
+TEST_F(AdmissionTest, OutcomesAreKeptForTheirLifetimeAndThenMakeRoom)
+{
+    decide();
+    table.answered(key, { 200, {}, "done" });
+    table.expire(view.now + Core::Duration(599999));
+    EXPECT_EQ(table.size(), 1u);
+    table.expire(view.now + Core::Duration(600000));
+    EXPECT_EQ(table.size(), 0u);
+    EXPECT_EQ(table.bytes(), 0u);
+}
--- /dev/null
+++ b/Tests/LibRouting/TestInstanceTable.cpp
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/InstanceTable.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Routing;
+
+static Schema::Report report(int64_t in_flight, int64_t capacity, std::string const& version = "1")
+{
+    Schema::Report result {};
+    result.in_flight = in_flight;
+    result.capacity = capacity;
+    result.serving.emplace();
+    result.serving->model = "m";
+    result.serving->version = version;
+    return result;
+}
+
+static InstanceTable table_of(std::vector<std::string> const& ids, InstanceTableSettings settings = {}, int64_t capacity = 8)
+{
+    InstanceTable table(settings, 1);
+    for (auto const& id : ids) {
+        table.set_listed(id, "s", false);
+        table.on_link_up(id);
+        table.on_report(id, report(0, capacity));
+    }
+    return table;
+}
+
+static RouteNeeds needs(std::string const& prefix = {})
+{
+    RouteNeeds result;
+    result.service = "s";
+    result.model = "m";
+    result.prefix = prefix;
+    return result;
+}
+
+RC_GTEST_PROP(InstanceTable, NoInstanceThatIsLeavingDownDrainingFullOrOnOtherWeightsIsChosen, (uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    std::vector<std::string> const ids { "a", "b", "c", "d", "e" };
+    auto table = table_of(ids);
+    struct Truth {
+        bool leaving { false };
+        bool linked { true };
+        bool draining { false };
+        std::string version { "1" };
+        size_t own { 0 };
+    };
+    std::map<std::string, Truth> truths;
+    for (auto const& id : ids)
+        truths[id] = {};
+    for (int step = 0; step < 200; ++step) {
+        auto const& id = ids[random() % ids.size()];
+        auto& truth = truths[id];
+        auto tell = [&] {
+            auto said = report(static_cast<int64_t>(truth.own), 3, truth.version);
+            said.draining = truth.draining;
+            table.on_report(id, said);
+        };
+        switch (random() % 7) {
+        case 0:
+            truth.leaving = random() % 3 == 0;
+            table.set_listed(id, "s", truth.leaving);
+            break;
+        case 1:
+            truth.linked = !truth.linked;
+            if (truth.linked) {
+                table.on_link_up(id);
+                tell();
+            } else {
+                table.on_link_down(id);
+            }
+            break;
+        case 2:
+            truth.draining = random() % 4 == 0;
+            truth.version = std::to_string(1 + random() % 2);
+            if (truth.linked)
+                tell();
+            break;
+        case 3:
+            if (truth.own > 0) {
+                truth.own -= 1;
+                table.on_finished(id, random() % 3 == 0 ? InstanceOutcome::Failure : InstanceOutcome::Success, Core::Time(step));
+            }
+            break;
+        default: {
+            auto wanted = needs(random() % 2 == 0 ? "p" : "");
+            wanted.version = "1";
+            auto const chosen = table.choose(wanted, Core::Time(step));
+            if (!chosen.has_value())
+                break;
+            auto& picked = truths[*chosen];
+            RC_ASSERT(!picked.leaving && picked.linked && !picked.draining);
+            RC_ASSERT(picked.version == "1");
+            RC_ASSERT(picked.own < 8u);
+            table.on_started(*chosen);
+            picked.own += 1;
+        }
+        }
+    }
+}
+
+TEST(InstanceTable, OneThatAnswersErrorsFastDrawsNoTraffic)
+{
+    auto table = table_of({ "bad", "good" });
+    size_t at_bad = 0;
+    for (int64_t now = 0; now < 10000; now += 10) {
+        auto const chosen = table.choose(needs(), Core::Time(now));
+        ASSERT_TRUE(chosen.has_value());
+        table.on_started(*chosen);
+        at_bad += *chosen == "bad" ? 1 : 0;
+        table.on_finished(*chosen, *chosen == "bad" ? InstanceOutcome::Failure : InstanceOutcome::Success, Core::Time(now));
+    }
+    EXPECT_LT(at_bad, 12u);
+}
+
+TEST(InstanceTable, APromptGoesWhereItsPrefixIsWarmUnlessThatIsOverloaded)
+{
+    auto table = table_of({ "a", "b", "c" });
+    auto warm = report(0, 8);
+    warm.warm_prefixes = { "p" };
+    table.on_report("b", warm);
+    EXPECT_EQ(*table.choose(needs("p"), Core::Time(0)), "b");
+    for (int i = 0; i < 6; ++i)
+        table.on_started("b");
+    EXPECT_NE(*table.choose(needs("p"), Core::Time(0)), "b");
+}
+
+TEST(InstanceTable, AllFullIsBusyAndNoneAtAllIsNone)
+{
+    auto table = table_of({ "a" }, {}, 1);
+    table.on_started("a");
+    EXPECT_EQ(table.choose(needs(), Core::Time(0)).error(), Schema::Reason::InstanceBusy);
+    table.on_link_down("a");
+    EXPECT_EQ(table.choose(needs(), Core::Time(0)).error(), Schema::Reason::NoInstance);
+}
+
+TEST(InstanceTable, ARefusalCountsUntilTheNextReport)
+{
+    auto table = table_of({ "a" });
+    table.on_refused("a", Schema::Reason::InstanceBusy);
+    EXPECT_EQ(table.choose(needs(), Core::Time(0)).error(), Schema::Reason::InstanceBusy);
+    table.on_report("a", report(0, 8));
+    EXPECT_TRUE(table.choose(needs(), Core::Time(0)).has_value());
+    table.on_refused("a", Schema::Reason::Draining);
+    EXPECT_FALSE(table.choose(needs(), Core::Time(0)).has_value());
+}
