LibDistribution: Spread from few seeders, one upload at a time, lagging first

Cause: with every instance reading its share from the origin at once, 64 chunks shared the origin's link and all came late, together; then each upload was split eight ways, so that the number of copies of a chunk doubled slowly; and badly placed instances lost every race for a free upload.

--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -21,6 +21,7 @@
     , m_targets(std::move(targets))
     , m_settings(settings)
     , m_random(seed)
+    , m_version_digest(version.digest)
     , m_last_useful(now)
 {
     m_chunks.resize(version.chunks.size());
@@ -41,14 +42,25 @@
     rank_chunks();
 }
 
+size_t Transfer::rank_among(std::vector<std::string> const& instances, std::string const& digest) const
+{
+    // The rank is the number of instances with a higher hash; no order needs to be built.
+    auto const own = Core::stable_hash(digest, m_self);
+    return static_cast<size_t>(std::count_if(instances.begin(), instances.end(), [&](auto const& instance) {
+        return instance != m_self && Core::stable_hash(digest, instance) > own;
+    }));
+}
+
 void Transfer::rank_chunks()
 {
+    auto seeders = Core::rendezvous_order(m_version_digest, m_targets);
+    auto const seeder_count = std::min(std::max<size_t>(1, m_settings.seeders), seeders.size());
+    std::vector<std::string> const others(seeders.begin() + static_cast<ptrdiff_t>(seeder_count), seeders.end());
+    seeders.resize(seeder_count);
+    bool const is_seeder = std::find(seeders.begin(), seeders.end(), m_self) != seeders.end();
     for (size_t i = 0; i < m_chunks.size(); ++i) {
-        // The rank is the number of targets with a higher hash; no order needs to be built.
-        auto const own = Core::stable_hash(m_digests[i], m_self);
-        m_chunks[i].origin_rank = static_cast<size_t>(std::count_if(m_targets.begin(), m_targets.end(), [&](auto const& target) {
-            return target != m_self && Core::stable_hash(m_digests[i], target) > own;
-        }));
+        auto const rank = rank_among(is_seeder ? seeders : others, m_digests[i]);
+        m_chunks[i].origin_rank = is_seeder ? rank : seeder_count + rank;
     }
 }
 
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -50,7 +50,9 @@
     Schema::Strategy strategy { Schema::Strategy::Swarm };
     /// Chunks read at once, from peers and from the origin.
     size_t fetches_in_flight { 4 };
-    size_t origin_fetches_in_flight { 2 };
+    size_t origin_fetches_in_flight { 1 };
+    /// Instances that share the reading from the origin.
+    size_t seeders { 4 };
     /// Wait per rank before the origin is asked for a chunk that no neighbour holds.
     Core::Duration origin_patience { 2000 };
     /// Silence after which a read is given up and its source left alone for a while.
@@ -59,9 +61,11 @@
 
 /// Decides which chunk of one version this instance reads next, and from whom.
 ///
-/// Each chunk has a ranking of the instances that want it, the same everywhere, by rendezvous hashing:
-/// the first reads it from the origin at once, the one at rank r only if after r times a patience no
-/// neighbour holds it and nothing better is left to read. All else comes from neighbours, rarest first.
+/// A few seeders, the same everywhere by rendezvous hashing over the instances that want the version, read
+/// from the origin: few, so that each chunk arrives early and whole instead of all arriving late together.
+/// Each chunk has a ranking, the seeders first: the first reads it from the origin at once, the one at rank r
+/// only if after r times a patience no neighbour holds it and nothing better is left to read.
+/// All else comes from neighbours, rarest first.
 class Transfer {
 public:
     Transfer(Schema::VersionSpec const&, std::string self, std::vector<std::string> targets, std::vector<int64_t> const& held, TransferSettings, uint64_t seed, Core::Time now);
@@ -120,6 +124,7 @@
     };
 
     void rank_chunks();
+    size_t rank_among(std::vector<std::string> const&, std::string const& digest) const;
     void end_fetch(uint64_t id);
     void punish(Source const&, FetchFailure, Core::Time now);
     void give_up_stalled(Core::Time now, std::vector<TransferAction>&);
@@ -135,6 +140,7 @@
     std::vector<std::string> m_targets;
     TransferSettings m_settings;
     std::mt19937_64 m_random;
+    std::string m_version_digest;
     std::vector<std::string> m_digests;
     std::vector<ChunkState> m_chunks;
     std::map<std::string, PeerState> m_peers;
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -232,6 +232,10 @@
          * How long a dropped link may take to come back, milliseconds.
          */
         std::optional<int64_t> resume_ms;
+        /**
+         * Instances of a rollout that share the reading from the origin.
+         */
+        std::optional<int64_t> seeders;
         /**
          * Service beside the agent.
          */
@@ -248,6 +252,14 @@
          * Limit on weights sent; 0 for none.
          */
         std::optional<int64_t> upload_bytes_per_second;
+        /**
+         * Chunks sent to peers at once.
+         */
+        std::optional<int64_t> uploads_at_once;
+        /**
+         * Requests for a chunk that may wait for an upload to end.
+         */
+        std::optional<int64_t> uploads_waiting;
     };
 
     /**
@@ -1706,10 +1718,13 @@
         x.platform_port = j.at("platform_port").get<int64_t>();
         x.region = j.at("region").get<std::string>();
         x.resume_ms = get_stack_optional<int64_t>(j, "resume_ms");
+        x.seeders = get_stack_optional<int64_t>(j, "seeders");
         x.service = j.at("service").get<std::string>();
         x.stall_ms = get_stack_optional<int64_t>(j, "stall_ms");
         x.strategy = get_stack_optional<Strategy>(j, "strategy");
         x.upload_bytes_per_second = get_stack_optional<int64_t>(j, "upload_bytes_per_second");
+        x.uploads_at_once = get_stack_optional<int64_t>(j, "uploads_at_once");
+        x.uploads_waiting = get_stack_optional<int64_t>(j, "uploads_waiting");
     }
 
     inline void to_json(json & j, const AgentSettings & x) {
@@ -1742,10 +1757,13 @@
         j["platform_port"] = x.platform_port;
         j["region"] = x.region;
         j["resume_ms"] = x.resume_ms;
+        j["seeders"] = x.seeders;
         j["service"] = x.service;
         j["stall_ms"] = x.stall_ms;
         j["strategy"] = x.strategy;
         j["upload_bytes_per_second"] = x.upload_bytes_per_second;
+        j["uploads_at_once"] = x.uploads_at_once;
+        j["uploads_waiting"] = x.uploads_waiting;
     }
 
     inline void from_json(const json & j, EngineFaults& x) {
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -84,6 +84,9 @@
     TRY(check_amount(path, "origin_patience_ms", settings.origin_patience_ms, 0));
     TRY(check_amount(path, "stall_ms", settings.stall_ms, 100));
     TRY(check_amount(path, "fetches_in_flight", settings.fetches_in_flight, 1));
+    TRY(check_amount(path, "seeders", settings.seeders, 1));
+    TRY(check_amount(path, "uploads_at_once", settings.uploads_at_once, 1));
+    TRY(check_amount(path, "uploads_waiting", settings.uploads_waiting, 0));
     TRY(check_amount(path, "once_record_bytes", settings.once_record_bytes, 4096));
     TRY(check_amount(path, "key_lifetime_ms", settings.key_lifetime_ms, 1000));
     if (settings.service.empty())
--- a/Libraries/LibTransport/Link.cpp
+++ b/Libraries/LibTransport/Link.cpp
@@ -24,8 +24,10 @@
     , m_handshake(side, options.identity, options.keys, Core::random_hex(nonce_bytes))
     , m_codec(side == Handshake::Side::Dialer ? WebSocketCodec::Side::Client : WebSocketCodec::Side::Server, max_message_bytes,
           { .output = [this](std::string_view bytes) {
-               if (m_stream)
-                   bufferevent_write(m_stream, bytes.data(), bytes.size()); },
+               if (!m_stream)
+                   return;
+               m_options.traffic->sent += bytes.size();
+               bufferevent_write(m_stream, bytes.data(), bytes.size()); },
               .opened = [this] { begin(); },
               .message = [this](std::string_view payload) { on_payload(payload); },
               .closed = [this] { fail(Core::ErrorCode::MalformedMessage); } })
@@ -91,6 +93,7 @@
         auto size = evbuffer_get_contiguous_space(input);
         std::string bytes(size, '\0');
         evbuffer_remove(input, bytes.data(), size);
+        m_options.traffic->received += size;
         m_codec.receive(bytes);
     }
 }
--- a/Libraries/LibTransport/Link.h
+++ b/Libraries/LibTransport/Link.h
@@ -14,6 +14,12 @@
 
 namespace Transport {
 
+/// Bytes that all links of a process carried, frames included.
+struct LinkTraffic {
+    uint64_t sent { 0 };
+    uint64_t received { 0 };
+};
+
 /// What every link of a process shares.
 struct LinkOptions {
     Identity identity;
@@ -21,6 +27,7 @@
     /// Highest configuration offset folded, and the version of the instance list, at the time of a hello.
     std::function<int64_t()> offset;
     std::function<int64_t()> list_version;
+    std::shared_ptr<LinkTraffic> traffic = std::make_shared<LinkTraffic>();
 };
 
 /// One authenticated WebSocket between two processes, carried by one bufferevent.
--- a/Libraries/LibTransport/LinkHub.h
+++ b/Libraries/LibTransport/LinkHub.h
@@ -45,6 +45,7 @@
     bool is_up(std::string const& identity) const;
     Schema::Hello const* peer(std::string const& identity) const;
     std::vector<std::string> peers(Schema::Role) const;
+    LinkTraffic const& traffic() const { return *m_options.traffic; }
 
 private:
     enum class Direction {
--- a/Services/Agent/Agent.cpp
+++ b/Services/Agent/Agent.cpp
@@ -17,6 +17,9 @@
 static constexpr Core::Duration default_stall { 2000 };
 static constexpr size_t default_neighbours = 16;
 static constexpr size_t default_fetches = 4;
+static constexpr size_t default_seeders = 4;
+static constexpr size_t default_uploads = 1;
+static constexpr size_t default_uploads_waiting = 1;
 static constexpr size_t default_capacity = 8;
 static constexpr int64_t default_once_record_bytes = 16 * 1024 * 1024;
 // A lease survives two lost pings.
@@ -57,10 +60,13 @@
     result.backend_port = static_cast<uint16_t>(settings.backend_port);
     result.has_engine = settings.backend_kind == Schema::BackendKindEnum::Engine;
     result.neighbours = static_cast<size_t>(settings.neighbours.value_or(default_neighbours));
+    result.uploads_at_once = static_cast<size_t>(settings.uploads_at_once.value_or(default_uploads));
+    result.uploads_waiting = static_cast<size_t>(settings.uploads_waiting.value_or(default_uploads_waiting));
     result.upload_bytes_per_second = settings.upload_bytes_per_second.value_or(0);
     result.download_bytes_per_second = settings.download_bytes_per_second.value_or(0);
     result.transfer.strategy = settings.strategy.value_or(Schema::Strategy::Swarm);
     result.transfer.fetches_in_flight = static_cast<size_t>(settings.fetches_in_flight.value_or(default_fetches));
+    result.transfer.seeders = static_cast<size_t>(settings.seeders.value_or(default_seeders));
     result.transfer.origin_patience = duration_or(settings.origin_patience_ms, default_patience);
     result.transfer.stall = duration_or(settings.stall_ms, default_stall);
     return result;
@@ -288,6 +294,8 @@
         m_weights->serve_chunk(exchange, path.substr(chunk_path.size()));
     } else if (path == "/metrics") {
         m_metrics.set("mountbarrow_agent_in_flight", static_cast<double>(m_requests->in_flight()));
+        m_metrics.set("mountbarrow_agent_link_bytes", static_cast<double>(m_hub->traffic().sent), "direction=\"sent\"");
+        m_metrics.set("mountbarrow_agent_link_bytes", static_cast<double>(m_hub->traffic().received), "direction=\"received\"");
         m_metrics.set("mountbarrow_agent_configuration_offset", static_cast<double>(m_replica.fold().offset()));
         m_metrics.set("mountbarrow_agent_configuration_divergences", static_cast<double>(m_replica.divergences()));
         exchange->reply(status_ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.to_prometheus());
--- a/Services/Agent/WeightsRunner.cpp
+++ b/Services/Agent/WeightsRunner.cpp
@@ -14,7 +14,6 @@
 static constexpr Core::Duration load_timeout { 600000 };
 // A surplus copy, and the chunks of a version that was replaced, go only after this.
 static constexpr Core::Duration hold_down { 10000 };
-static constexpr size_t most_uploads = 8;
 static constexpr size_t neighbours_per_widening = 4;
 static constexpr size_t versions_remembered_per_peer = 4;
 static constexpr int status_ok = 200;
@@ -215,18 +214,25 @@
 {
     if (m_to_announce.empty() || !m_version)
         return;
-    Schema::Message message;
-    message.chunk_map.emplace();
-    message.chunk_map->digest = m_version->digest;
-    message.chunk_map->chunks = std::exchange(m_to_announce, {});
-    for (auto const& peer : m_callbacks.linked_peers())
-        m_callbacks.send(peer, message);
+    auto const news = std::exchange(m_to_announce, {});
+    for (auto const& peer : m_callbacks.linked_peers()) {
+        // A peer that holds a chunk has no use for the word that others do.
+        auto const& held = m_peer_chunks[peer][m_version->digest];
+        Schema::Message message;
+        message.chunk_map.emplace();
+        message.chunk_map->digest = m_version->digest;
+        for (auto number : news) {
+            if (!held.contains(number))
+                message.chunk_map->chunks.push_back(number);
+        }
+        if (!message.chunk_map->chunks.empty())
+            m_callbacks.send(peer, message);
+    }
 }
 
 void WeightsRunner::turn()
 {
     auto const now = Core::monotonic_now();
-    announce();
     if (m_transfer)
         run_transfer(now);
     if (m_settings.has_engine)
@@ -268,7 +274,7 @@
         auto const& target = m_http_addresses[fetch.source.peer];
         request.address = target.address;
         request.port = target.port;
-        request.path = "/chunks/" + digest;
+        request.path = "/chunks/" + digest + "?held=" + std::to_string(m_transfer->held_count());
     }
     request.limit = m_download_limit.get();
     auto download = std::make_unique<Download>();
@@ -309,7 +315,10 @@
         m_transfer->on_failed(fetch, failure, now);
         return;
     }
-    if (m_store.add(download->digest, download->bytes) == Distribution::ChunkStore::AddResult::Corrupt) {
+    auto const added = m_store.add(download->digest, download->bytes);
+    if (added == Distribution::ChunkStore::AddResult::AlreadyHeld)
+        m_metrics.count("mountbarrow_agent_chunks_fetched_again_total");
+    if (added == Distribution::ChunkStore::AddResult::Corrupt) {
         m_metrics.count("mountbarrow_agent_fetch_failures_total", "reason=\"corrupt\"");
         Core::log_event(Core::LogLevel::Warn, "chunk_corrupt", { { "digest", download->digest } });
         m_transfer->on_failed(fetch, Distribution::FetchFailure::Corrupt, now);
@@ -320,6 +329,7 @@
         if (m_version->chunks[i].digest == download->digest)
             m_to_announce.push_back(static_cast<int64_t>(i));
     }
+    announce();
     run_transfer(now);
     if (!m_transfer->is_complete())
         return;
@@ -337,6 +347,11 @@
     m_transfer->on_failed(fetch, failure, Core::monotonic_now());
 }
 
+bool WeightsRunner::has_fewer_chunks(WaitingUpload const& first, WaitingUpload const& second)
+{
+    return first.held < second.held;
+}
+
 void WeightsRunner::serve_chunk(std::shared_ptr<Transport::HttpExchange> const& exchange, std::string const& digest)
 {
     auto chunk = m_store.find(digest);
@@ -350,18 +365,51 @@
         exchange->reply_shared(status_ok, {}, std::move(chunk));
         return;
     }
-    if (*m_uploads >= most_uploads) {
-        m_metrics.count("mountbarrow_agent_uploads_refused_total");
-        exchange->reply(status_unavailable, { { "Retry-After", "1" } }, {});
+    if (*m_uploads < m_settings.uploads_at_once) {
+        upload(*exchange, chunk);
         return;
     }
-    exchange->limit(*m_upload_limit);
+    auto const held = std::strtoul(exchange->query("held").value_or("0").c_str(), nullptr, 10);
+    m_waiting_uploads.push_back({ exchange, std::move(chunk), held });
+    std::erase_if(m_waiting_uploads, [](auto const& waiting) { return waiting.exchange->is_over(); });
+    if (m_waiting_uploads.size() <= m_settings.uploads_waiting)
+        return;
+    // The peer that is furthest along can best find another source.
+    auto const furthest = std::max_element(m_waiting_uploads.begin(), m_waiting_uploads.end(), has_fewer_chunks);
+    m_metrics.count("mountbarrow_agent_uploads_refused_total");
+    furthest->exchange->reply(status_unavailable, { { "Retry-After", "1" } }, {});
+    m_waiting_uploads.erase(furthest);
+}
+
+void WeightsRunner::upload(Transport::HttpExchange& exchange, std::shared_ptr<std::string const> const& chunk)
+{
+    exchange.limit(*m_upload_limit);
     *m_uploads += 1;
     m_metrics.count("mountbarrow_agent_uploads_total");
-    auto const* bytes = chunk.get();
-    // The count goes down when the last byte is sent, or the connection breaks.
-    auto counted = std::shared_ptr<std::string const>(bytes, [chunk, uploads = m_uploads](auto const*) { *uploads -= 1; });
-    exchange->reply_shared(status_ok, {}, std::move(counted));
+    // The count goes down when the last byte is sent, or the connection breaks; the link must not idle after that.
+    auto counted = std::shared_ptr<std::string const>(chunk.get(), [this, chunk, alive = std::weak_ptr(m_uploads)](auto const*) {
+        auto const uploads = alive.lock();
+        if (!uploads)
+            return;
+        *uploads -= 1;
+        m_loop.soon([this, alive] {
+            if (!alive.expired())
+                upload_next();
+        });
+    });
+    exchange.reply_shared(status_ok, {}, std::move(counted));
+}
+
+void WeightsRunner::upload_next()
+{
+    while (*m_uploads < m_settings.uploads_at_once && !m_waiting_uploads.empty()) {
+        // The peer that is furthest behind goes first: the time to all replicas is the time of the last.
+        auto const furthest_behind = std::min_element(m_waiting_uploads.begin(), m_waiting_uploads.end(), has_fewer_chunks);
+        auto const next = std::move(*furthest_behind);
+        m_waiting_uploads.erase(furthest_behind);
+        if (!next.exchange->is_over())
+            upload(*next.exchange, next.chunk);
+    }
 }
 
 bool WeightsRunner::may_switch_now() const
@@ -451,6 +499,7 @@
             Core::log_event(Core::LogLevel::Warn, "load_failed", { { "fence", std::to_string(fence) }, { "status", answer.has_value() ? std::to_string(answer->status) : "none" } });
         }
         m_engine.on_order_answered(fence, is_accepted, Core::monotonic_now());
+        poll_engine();
         m_callbacks.changed();
     });
     m_callbacks.changed();
--- a/Services/Agent/WeightsRunner.h
+++ b/Services/Agent/WeightsRunner.h
@@ -11,6 +11,7 @@
 #include <LibSchema/Generated.h>
 #include <LibTransport/HttpClient.h>
 #include <LibTransport/LinkHub.h>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,6 +29,9 @@
     uint16_t backend_port { 0 };
     bool has_engine { true };
     size_t neighbours { 16 };
+    size_t uploads_at_once { 1 };
+    /// Requests for a chunk that may wait for an upload to end.
+    size_t uploads_waiting { 2 };
     int64_t upload_bytes_per_second { 0 };
     int64_t download_bytes_per_second { 0 };
     Distribution::TransferSettings transfer;
@@ -75,6 +79,14 @@
         int status { 0 };
     };
 
+    struct WaitingUpload {
+        std::shared_ptr<Transport::HttpExchange> exchange;
+        std::shared_ptr<std::string const> chunk;
+        // Chunks that the requesting peer says it holds.
+        size_t held { 0 };
+    };
+
+    static bool has_fewer_chunks(WaitingUpload const&, WaitingUpload const&);
     void adopt(std::string const& rollout, int64_t revision, Schema::VersionSpec const&);
     void release();
     void start_transfer();
@@ -94,6 +106,8 @@
     bool do_successors_serve() const;
     std::vector<std::string> const& ready_of(std::string const& rollout) const;
     void drop_unneeded(Core::Time now);
+    void upload(Transport::HttpExchange&, std::shared_ptr<std::string const> const& chunk);
+    void upload_next();
 
     Core::EventLoop& m_loop;
     WeightsRunnerSettings m_settings;
@@ -124,7 +138,9 @@
     // What peers said they hold, by peer and version digest.
     std::map<std::string, std::map<std::string, std::set<int64_t>>> m_peer_chunks;
     std::vector<int64_t> m_to_announce;
+    // Uploads under way. Bytes on their way out may outlive this object, and ask by this whether it is there.
     std::shared_ptr<size_t> m_uploads;
+    std::deque<WaitingUpload> m_waiting_uploads;
     int64_t m_origin_bytes { 0 };
     int64_t m_peer_bytes { 0 };
 
--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -331,6 +331,8 @@
     m_metrics.set("mountbarrow_entry_in_flight", static_cast<double>(m_callers->in_flight()));
     m_metrics.set("mountbarrow_entry_queued", static_cast<double>(m_callers->queued()));
     m_metrics.set("mountbarrow_entry_links", static_cast<double>(m_last_heard.size()));
+    m_metrics.set("mountbarrow_entry_link_bytes", static_cast<double>(m_hub->traffic().sent), "direction=\"sent\"");
+    m_metrics.set("mountbarrow_entry_link_bytes", static_cast<double>(m_hub->traffic().received), "direction=\"received\"");
     m_metrics.set("mountbarrow_entry_configuration_offset", static_cast<double>(m_replica.fold().offset()));
     m_metrics.set("mountbarrow_entry_configuration_divergences", static_cast<double>(m_replica.divergences()));
     exchange.reply(status_ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.to_prometheus());
--- /dev/null
+++ b/Tests/LibDistribution/TestTransfer.cpp
@@ -0,0 +1,265 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibCore/Hash.h>
+#include <LibDistribution/ChunkStore.h>
+#include <LibDistribution/Transfer.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Distribution;
+
+static Schema::VersionSpec version_of(size_t chunks)
+{
+    Schema::VersionSpec version;
+    for (size_t i = 0; i < chunks; ++i) {
+        Schema::Chunk chunk;
+        chunk.digest = "chunk-" + std::to_string(i);
+        chunk.bytes = 1;
+        version.chunks.push_back(chunk);
+    }
+    return version;
+}
+
+TEST(ChunkStore, BytesWithAnotherDigestAreDropped)
+{
+    ChunkStore store;
+    IncomingChunk right;
+    right.append("ab");
+    right.append("c");
+    auto const digest = Core::sha256("abc");
+    IncomingChunk wrong;
+    wrong.append("abd");
+    EXPECT_EQ(store.add(digest, wrong), ChunkStore::AddResult::Corrupt);
+    EXPECT_FALSE(store.holds(digest));
+    EXPECT_EQ(store.add(digest, right), ChunkStore::AddResult::Added);
+    EXPECT_EQ(*store.find(digest), "abc");
+    IncomingChunk again;
+    EXPECT_EQ(store.add(digest, again), ChunkStore::AddResult::AlreadyHeld);
+    EXPECT_EQ(store.bytes(), 3u);
+    store.keep_only({});
+    EXPECT_EQ(store.bytes(), 0u);
+}
+
+TEST(Transfer, ChunksHeldFromAnotherVersionAreNotFetchedAgain)
+{
+    Transfer transfer(version_of(4), "a", { "a" }, { 0, 2 }, {}, 1, Core::Time(0));
+    std::set<size_t> fetched;
+    for (int64_t now = 0; now < 100; ++now) {
+        for (auto const& action : transfer.step(Core::Time(now))) {
+            auto const& fetch = std::get<Fetch>(action);
+            fetched.insert(fetch.chunk);
+            transfer.on_fetched(fetch.id, Core::Time(now));
+        }
+    }
+    EXPECT_EQ(fetched, (std::set<size_t> { 1, 3 }));
+    EXPECT_TRUE(transfer.is_complete());
+}
+
+TEST(Transfer, AStalledReadGoesElsewhere)
+{
+    TransferSettings settings;
+    settings.stall = Core::Duration(1000);
+    Transfer transfer(version_of(1), "a", { "a", "b", "c" }, {}, settings, 1, Core::Time(0));
+    transfer.on_peer_chunks("b", { 0 });
+    auto const first = std::get<Fetch>(transfer.step(Core::Time(0)).at(0));
+    EXPECT_EQ(first.source.peer, "b");
+    transfer.on_peer_chunks("c", { 0 });
+    EXPECT_TRUE(transfer.step(Core::Time(999)).empty());
+    auto const actions = transfer.step(Core::Time(1000));
+    ASSERT_EQ(actions.size(), 2u);
+    EXPECT_EQ(std::get<CancelFetch>(actions[0]).id, first.id);
+    EXPECT_EQ(std::get<Fetch>(actions[1]).source.peer, "c");
+}
+
+TEST(Transfer, APeerThatSendsCorruptChunksIsLeftAlone)
+{
+    Transfer transfer(version_of(64), "a", { "a", "b" }, {}, {}, 1, Core::Time(0));
+    std::vector<int64_t> all(64);
+    for (int64_t i = 0; i < 64; ++i)
+        all[static_cast<size_t>(i)] = i;
+    transfer.on_peer_chunks("b", all);
+    size_t from_peer = 0;
+    for (int64_t now = 0; now < 5000; now += 20) {
+        for (auto const& action : transfer.step(Core::Time(now))) {
+            auto const* fetch = std::get_if<Fetch>(&action);
+            if (!fetch || fetch->source.is_origin())
+                continue;
+            from_peer += 1;
+            transfer.on_failed(fetch->id, FetchFailure::Corrupt, Core::Time(now));
+        }
+    }
+    // Each step may have started as many as may be in flight before the verdict on the first came.
+    EXPECT_LE(from_peer, 8u);
+}
+
+RC_GTEST_PROP(Transfer, ItCompletesWithinItsLimitsWhateverSourcesDo, (uint64_t seed))
+{
+    auto const chunks = *rc::gen::inRange<size_t>(1, 40);
+    TransferSettings settings;
+    settings.fetches_in_flight = *rc::gen::inRange<size_t>(1, 6);
+    std::vector<std::string> const targets { "a", "b", "c", "d" };
+    Transfer transfer(version_of(chunks), "a", targets, {}, settings, seed, Core::Time(0));
+    std::mt19937_64 random(seed);
+    std::map<uint64_t, Fetch> running;
+    std::map<size_t, size_t> reads;
+    auto const troubles_end = Core::Time(20000);
+    for (Core::Time now { 0 }; now < Core::Time(120000) && !transfer.is_complete(); now += Core::Duration(20)) {
+        bool const is_troubled = now < troubles_end;
+        if (is_troubled && random() % 20 == 0)
+            transfer.on_peer_chunks(targets[1 + random() % 3], { static_cast<int64_t>(random() % (chunks + 3)) - 1 });
+        if (is_troubled && random() % 100 == 0)
+            transfer.on_peer_lost(targets[1 + random() % 3]);
+        for (auto const& action : transfer.step(now)) {
+            if (auto const* cancel = std::get_if<CancelFetch>(&action)) {
+                running.erase(cancel->id);
+                continue;
+            }
+            auto const& fetch = std::get<Fetch>(action);
+            RC_ASSERT(!transfer.holds(fetch.chunk));
+            RC_ASSERT(running.emplace(fetch.id, fetch).second);
+        }
+        RC_ASSERT(running.size() <= settings.fetches_in_flight);
+        reads.clear();
+        for (auto const& [id, fetch] : running)
+            RC_ASSERT(++reads[fetch.chunk] <= 2u);
+        // Every source may finish, fail in any way, or say nothing at all.
+        std::vector<uint64_t> ids;
+        for (auto const& [id, fetch] : running)
+            ids.push_back(id);
+        for (auto id : ids) {
+            auto const luck = random() % 100;
+            if (luck < 20 || !is_troubled) {
+                transfer.on_fetched(id, now);
+            } else if (luck < 40) {
+                static constexpr FetchFailure failures[] = { FetchFailure::Busy, FetchFailure::Corrupt, FetchFailure::Missing, FetchFailure::Unreachable };
+                transfer.on_failed(id, failures[random() % 4], now);
+            } else {
+                continue;
+            }
+            running.erase(id);
+        }
+    }
+    RC_ASSERT(transfer.is_complete());
+}
+
+namespace {
+
+/// Fakes around many transfers: a link passes one chunk per slot each way, the origin twice as many. Virtual time.
+struct Swarm {
+    static constexpr Core::Duration slot { 100 };
+    size_t chunks;
+    std::vector<std::string> ids;
+    std::vector<std::unique_ptr<Transfer>> transfers;
+    std::vector<std::vector<std::string>> neighbours;
+    std::vector<bool> is_dead;
+    size_t origin_reads { 0 };
+    Core::Time now { 0 };
+    std::vector<std::map<uint64_t, Fetch>> running;
+
+    Swarm(size_t count, size_t chunk_count, size_t neighbour_count)
+        : chunks(chunk_count)
+        , is_dead(count, false)
+        , running(count)
+    {
+        std::vector<NeighbourCandidate> candidates;
+        for (size_t i = 0; i < count; ++i) {
+            ids.push_back("i" + std::to_string(i));
+            candidates.push_back({ ids.back(), "d" + std::to_string(i % 3), "r" });
+        }
+        neighbours.resize(count);
+        for (size_t i = 0; i < count; ++i) {
+            TransferSettings settings;
+            settings.origin_patience = slot * 20;
+            transfers.push_back(std::make_unique<Transfer>(version_of(chunks), ids[i], ids, std::vector<int64_t>(), settings, i, now));
+            for (auto const& id : choose_neighbours(candidates[i], candidates, neighbour_count / 2, 0)) {
+                auto const other = static_cast<size_t>(std::find(ids.begin(), ids.end(), id) - ids.begin());
+                neighbours[i].push_back(id);
+                neighbours[other].push_back(ids[i]);
+            }
+        }
+    }
+
+    size_t index_of(std::string const& id) const { return static_cast<size_t>(std::find(ids.begin(), ids.end(), id) - ids.begin()); }
+
+    void complete_one(size_t i, uint64_t id)
+    {
+        auto const fetch = running[i].at(id);
+        running[i].erase(id);
+        origin_reads += fetch.source.is_origin() ? 1 : 0;
+        transfers[i]->on_fetched(id, now);
+        for (auto const& neighbour : neighbours[i])
+            transfers[index_of(neighbour)]->on_peer_chunks(ids[i], { static_cast<int64_t>(fetch.chunk) });
+    }
+
+    void begin_reads(size_t i)
+    {
+        for (auto const& action : transfers[i]->step(now)) {
+            if (auto const* cancel = std::get_if<CancelFetch>(&action))
+                running[i].erase(cancel->id);
+            else
+                running[i][std::get<Fetch>(action).id] = std::get<Fetch>(action);
+        }
+    }
+
+    /// One chunk in for each instance, one out for each peer, two out for the origin; the rest are refused as busy.
+    void run_slot()
+    {
+        now += slot;
+        std::map<std::string, size_t> sent;
+        for (size_t i = 0; i < ids.size(); ++i) {
+            if (is_dead[i])
+                continue;
+            begin_reads(i);
+            bool has_received = false;
+            for (auto const& [id, fetch] : std::map(running[i])) {
+                bool const is_silent = !fetch.source.is_origin() && is_dead[index_of(fetch.source.peer)];
+                if (is_silent || has_received)
+                    continue;
+                size_t const slots = fetch.source.is_origin() ? 2 : 1;
+                if (sent[fetch.source.peer] < slots) {
+                    sent[fetch.source.peer] += 1;
+                    complete_one(i, id);
+                    has_received = true;
+                } else {
+                    running[i].erase(id);
+                    transfers[i]->on_failed(id, FetchFailure::Busy, now);
+                }
+            }
+        }
+    }
+
+    size_t slots_until_complete()
+    {
+        for (size_t slots = 1; slots < 5000; ++slots) {
+            run_slot();
+            bool is_done = true;
+            for (size_t i = 0; i < ids.size(); ++i)
+                is_done = is_done && (is_dead[i] || transfers[i]->is_complete());
+            if (is_done)
+                return slots;
+        }
+        return 5000;
+    }
+};
+
+}
+
+TEST(Swarm, AHealthySpreadReadsOneCopyFromTheOrigin)
+{
+    Swarm swarm(24, 48, 16);
+    auto const slots = swarm.slots_until_complete();
+    EXPECT_EQ(swarm.origin_reads, 48u);
+    EXPECT_LT(slots, 2 * swarm.chunks);
+}
+
+TEST(Swarm, TheSurvivorsOfDeathsInTheMiddleComplete)
+{
+    Swarm swarm(20, 40, 16);
+    for (int i = 0; i < 15; ++i)
+        swarm.run_slot();
+    swarm.is_dead[3] = swarm.is_dead[11] = true;
+    for (auto const lost : { 3, 11 }) {
+        for (auto const& transfer : swarm.transfers)
+            transfer->on_peer_lost("i" + std::to_string(lost));
+    }
+    EXPECT_LT(swarm.slots_until_complete(), 4 * swarm.chunks);
+    EXPECT_LE(swarm.origin_reads, 60u);
+}
