LibMembership: Spare a restarted home the wait for homes that never were

Cause: a restarted agent knew no earlier list, so it refused every key made in its first two leases and the list's lag as "may have run", although the set of agents had not changed and only its own process was new. Ruled out: answering those as not run, because a caller would then make a new key for a request that may have run before the restart; keeping the record elsewhere, because nothing is kept outside the platform. Change: an entry tells in its pong since when it has seen the same agents, in lists of which it skipped none; the agent then only refuses keys from before its own start and the clock bound. What a loop has still to run when it ends is dropped without a leak. Process tests of configuration, weights, requests and interfaces come with it.

--- a/Libraries/LibCore/EventLoop.cpp
+++ b/Libraries/LibCore/EventLoop.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <event2/event.h>
+#include <utility>
 
 namespace Core {
 
@@ -30,11 +31,15 @@
 EventLoop::EventLoop()
     : m_base(event_base_new())
 {
+    m_soon_event = event_new(
+        m_base, -1, 0, [](int, short, void* self) { static_cast<EventLoop*>(self)->run_soon(); }, this);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
 EventLoop::~EventLoop()
 {
+    m_soon.clear();
+    event_free(m_soon_event);
     if (m_terminate)
         event_free(m_terminate);
     if (m_interrupt)
@@ -64,13 +69,17 @@
 
 void EventLoop::soon(std::function<void()> callback)
 {
-    auto* copy = new std::function<void()>(std::move(callback));
-    auto run_and_delete = [](int, short, void* argument) {
-        std::unique_ptr<std::function<void()>> owned(static_cast<std::function<void()>*>(argument));
-        (*owned)();
-    };
-    timeval at_once {};
-    event_base_once(m_base, -1, EV_TIMEOUT, run_and_delete, copy, &at_once);
+    m_soon.push_back(std::move(callback));
+    if (m_soon.size() == 1)
+        event_active(m_soon_event, EV_TIMEOUT, 0);
+}
+
+void EventLoop::run_soon()
+{
+    // What these callbacks add is a turn of its own.
+    auto const due = std::exchange(m_soon, {});
+    for (auto const& callback : due)
+        callback();
 }
 
 void EventLoop::on_stop_signal(std::function<void()> callback)
--- a/Libraries/LibCore/EventLoop.h
+++ b/Libraries/LibCore/EventLoop.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 #include <functional>
 #include <memory>
+#include <vector>
 
 struct event;
 struct event_base;
@@ -40,7 +41,7 @@
     [[nodiscard]] std::unique_ptr<Timer> every(Duration, std::function<void()>);
     [[nodiscard]] std::unique_ptr<Timer> after(Duration, std::function<void()>);
 
-    /// Runs the callback once in the loop's next turn.
+    /// Runs the callback once in the loop's next turn. What has not run when the loop ends is dropped.
     void soon(std::function<void()>);
 
     /// Calls back on SIGTERM and SIGINT, and ignores SIGPIPE.
@@ -50,9 +51,12 @@
     void stop();
 
 private:
+    void run_soon();
     std::unique_ptr<Timer> make_timer(Duration, short flags, std::function<void()>);
 
     event_base* m_base { nullptr };
+    event* m_soon_event { nullptr };
+    std::vector<std::function<void()>> m_soon;
     event* m_terminate { nullptr };
     event* m_interrupt { nullptr };
     std::function<void()> m_on_stop;
--- a/Libraries/LibMembership/KeyHome.cpp
+++ b/Libraries/LibMembership/KeyHome.cpp
@@ -103,9 +103,13 @@
         m_eras.pop_front();
 }
 
-void KeyHome::on_pong(Core::Time sent_at, int64_t list_version, bool is_confirmed)
+void KeyHome::on_pong(Core::Time sent_at, int64_t list_version, bool is_confirmed, std::optional<Core::WallTime> set_since)
 {
-    if (!is_confirmed || list_version != m_list_version)
+    if (list_version != m_list_version || m_eras.empty())
+        return;
+    if (set_since)
+        m_eras.back().since = std::min(m_eras.back().since, *set_since);
+    if (!is_confirmed)
         return;
     if (!m_lease_from || sent_at > *m_lease_from)
         m_lease_from = sent_at;
@@ -126,7 +130,7 @@
         if (!era->follows_previous)
             break;
     }
-    return std::max(since, m_started_at);
+    return since;
 }
 
 std::optional<Schema::Reason> KeyHome::refusal(std::string const& key, Core::Time now, Core::WallTime wall_now) const
@@ -143,9 +147,33 @@
     if (*made + m_settings.key_lifetime < wall_now)
         return Schema::Reason::KeyTooOld;
     auto const others_stopped = home_since(key) + 2 * m_settings.lease + m_settings.list_lag;
-    if (*made <= others_stopped + m_settings.clock_bound)
+    // What ran before this process started is forgotten with the one before it.
+    if (*made <= std::max(others_stopped, m_started_at) + m_settings.clock_bound)
         return Schema::Reason::KeyBeforeHome;
     return {};
 }
 
+void SetHistory::on_list(InstanceList const& list, Core::WallTime wall_now)
+{
+    bool const follows = list.version() == m_version + 1;
+    m_version = list.version();
+    std::map<std::string, Seen> services;
+    for (auto const& service : list.services()) {
+        Seen seen { list.live_agents(service), wall_now };
+        auto const before = m_services.find(service);
+        if (follows && before != m_services.end() && before->second.agents == seen.agents)
+            seen.since = before->second.since;
+        services[service] = std::move(seen);
+    }
+    m_services = std::move(services);
+}
+
+std::optional<Core::WallTime> SetHistory::since(std::string const& service) const
+{
+    auto const found = m_services.find(service);
+    if (found == m_services.end())
+        return {};
+    return found->second.since;
+}
+
 }
--- a/Libraries/LibMembership/KeyHome.h
+++ b/Libraries/LibMembership/KeyHome.h
@@ -47,7 +47,9 @@
 
     /// The echo of a ping. `sent_at` is this agent's own clock at the ping, so that an answer
     /// that waited while the agent was paused grants nothing.
-    void on_pong(Core::Time sent_at, int64_t list_version, bool is_confirmed);
+    /// `set_since` is since when the answerer has seen the same live agents of this service in every list:
+    /// it spares a restarted agent the wait for homes that there never were.
+    void on_pong(Core::Time sent_at, int64_t list_version, bool is_confirmed, std::optional<Core::WallTime> set_since = {});
 
     /// Nothing if the key may run here for the first time; otherwise why not.
     /// KeyBeforeHome and KeyTooOld say that it may have run before; every other reason that it was not run here.
@@ -75,4 +77,20 @@
     std::optional<Core::Time> m_lease_from;
 };
 
+/// Since when an entry has seen the same live agents of each service, in lists of which it skipped none.
+class SetHistory {
+public:
+    void on_list(InstanceList const&, Core::WallTime wall_now);
+    std::optional<Core::WallTime> since(std::string const& service) const;
+
+private:
+    struct Seen {
+        std::vector<std::string> agents;
+        Core::WallTime since;
+    };
+
+    int64_t m_version { -1 };
+    std::map<std::string, Seen> m_services;
+};
+
 }
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -1089,6 +1089,11 @@
          * As received.
          */
         int64_t sent_at_ms;
+        /**
+         * Since when, in milliseconds since the epoch, the answerer has seen the same live agents
+         * of the peer's service in every list, none skipped.
+         */
+        std::optional<int64_t> set_since_ms;
     };
 
     /**
@@ -2289,6 +2294,7 @@
         x.confirmed = j.at("confirmed").get<bool>();
         x.list_version = j.at("list_version").get<int64_t>();
         x.sent_at_ms = j.at("sent_at_ms").get<int64_t>();
+        x.set_since_ms = get_stack_optional<int64_t>(j, "set_since_ms");
     }
 
     inline void to_json(json & j, const Pong & x) {
@@ -2296,6 +2302,7 @@
         j["confirmed"] = x.confirmed;
         j["list_version"] = x.list_version;
         j["sent_at_ms"] = x.sent_at_ms;
+        j["set_since_ms"] = x.set_since_ms;
     }
 
     inline void from_json(const json & j, Record& x) {
--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -97,11 +97,12 @@
 {
     if (!m_connection)
         return;
-    // libevent may be in the middle of this connection's callback.
-    m_loop.soon([self = shared_from_this(), connection = std::exchange(m_connection, nullptr)] {
+    // libevent may be in the middle of this connection's callback. Where the loop ends first, dropping the owner does it.
+    auto owner = std::shared_ptr<evhttp_connection>(std::exchange(m_connection, nullptr), [self = shared_from_this()](auto* connection) {
         evhttp_connection_free(connection);
         self->m_self.reset();
     });
+    m_loop.soon([owner = std::move(owner)] {});
 }
 
 void HttpCall::State::on_head(evhttp_request* request)
--- a/Services/Agent/Agent.cpp
+++ b/Services/Agent/Agent.cpp
@@ -191,7 +191,15 @@
     else if (message.tally)
         m_weights->on_tally(*message.tally);
     else if (message.pong)
-        m_key_home.on_pong(Core::Time(message.pong->sent_at_ms), message.pong->list_version, message.pong->confirmed);
+        on_pong(*message.pong);
+}
+
+void Agent::on_pong(Schema::Pong const& pong)
+{
+    std::optional<Core::WallTime> set_since;
+    if (pong.set_since_ms)
+        set_since = Core::WallTime(*pong.set_since_ms);
+    m_key_home.on_pong(Core::Time(pong.sent_at_ms), pong.list_version, pong.confirmed, set_since);
 }
 
 void Agent::on_members(Schema::Members members)
--- a/Services/Agent/Agent.h
+++ b/Services/Agent/Agent.h
@@ -33,6 +33,7 @@
     void on_up(Schema::Hello const&);
     void on_message(Schema::Hello const&, Schema::Message const&);
     void on_down(std::string const& peer);
+    void on_pong(Schema::Pong const&);
     void on_members(Schema::Members);
     void on_configuration();
     void on_http(std::shared_ptr<Transport::HttpExchange> const&);
--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -172,6 +172,10 @@
     message.pong->sent_at_ms = ping.sent_at_ms;
     message.pong->list_version = m_list.version();
     message.pong->confirmed = is_list_confirmed();
+    auto const* instance = m_list.find(from.identity);
+    auto const since = instance ? m_set_history.since(instance->service) : std::nullopt;
+    if (since)
+        message.pong->set_since_ms = since->count();
     m_hub->send(from.identity, message);
 }
 
@@ -199,6 +203,7 @@
     if (!m_list.update(std::move(members)))
         return;
     Core::log_event(Core::LogLevel::Info, "list_changed", { { "version", std::to_string(m_list.version()) }, { "instances", std::to_string(m_list.members().instances.size()) } });
+    m_set_history.on_list(m_list, Core::wall_now());
     m_callers->update();
     update_links();
     Schema::Message message;
--- a/Tests/LibMembership/TestKeyHome.cpp
+++ b/Tests/LibMembership/TestKeyHome.cpp
@@ -107,6 +107,20 @@
     EXPECT_EQ(home.refusal(key_made_at(wall + Core::Duration(60000), 1), now, wall), Schema::Reason::KeyFromFuture);
 }
 
+TEST_F(KeyHomeTest, ARestartedAgentNeedNotWaitWhereTheSetHasLongBeenTheSame)
+{
+    auto const restarted = wall;
+    KeyHome again("a", "s", settings, restarted);
+    again.on_list(list_of(1, { "a" }), restarted);
+    again.on_pong(now, 1, true);
+    auto const soon = restarted + settings.clock_bound + Core::Duration(1);
+    EXPECT_EQ(again.refusal(key_made_at(soon, 1), now, soon), Schema::Reason::KeyBeforeHome);
+    again.on_pong(now, 1, true, epoch);
+    EXPECT_EQ(again.refusal(key_made_at(soon, 1), now, soon), std::nullopt);
+    // What it ran before the restart it does not know.
+    EXPECT_EQ(again.refusal(key_made_at(restarted, 1), now, soon), Schema::Reason::KeyBeforeHome);
+}
+
 TEST_F(KeyHomeTest, AListThatWasSkippedMayHaveNamedAnotherHome)
 {
     // Version 2 was never seen here: it may have left "a" out for a while.
@@ -124,6 +138,7 @@
         int64_t version { 1 };
         Core::Time read_at { 0 };
         bool is_cut_off { false };
+        SetHistory history;
     };
     struct Agent {
         std::string id;
@@ -131,7 +146,13 @@
         int64_t version { 0 };
         Core::Duration skew { 0 };
         bool is_paused { false };
-        std::optional<std::pair<Core::Time, std::pair<int64_t, bool>>> late_pong;
+        struct Pong {
+            Core::Time sent_at;
+            int64_t version;
+            bool is_confirmed;
+            std::optional<Core::WallTime> set_since;
+        };
+        std::optional<Pong> late_pong;
     };
 
     KeyHomeSettings settings;
@@ -166,6 +187,7 @@
             if (i + 1 == published.size() || *rc::gen::inRange(0, 2) == 0) {
                 entry.version = static_cast<int64_t>(i) + 1;
                 entry.read_at = now;
+                entry.history.on_list(list_of(entry.version, published[i].second), epoch + now);
                 break;
             }
         }
@@ -180,17 +202,19 @@
             agent.home->on_list(list_of(entry.version, published[static_cast<size_t>(entry.version) - 1].second), wall(agent));
         }
         bool const is_confirmed = now < entry.read_at + settings.lease;
+        Agent::Pong const pong { now, entry.version, is_confirmed, entry.history.since("s") };
         if (*rc::gen::inRange(0, 2) == 0)
-            agent.late_pong = { now, { entry.version, is_confirmed } };
+            agent.late_pong = pong;
         else
-            agent.home->on_pong(now, entry.version, is_confirmed);
+            agent.home->on_pong(pong.sent_at, pong.version, pong.is_confirmed, pong.set_since);
     }
 
     void pong_arrives_late(Agent& agent)
     {
         if (!agent.late_pong || agent.is_paused)
             return;
-        agent.home->on_pong(agent.late_pong->first, agent.late_pong->second.first, agent.late_pong->second.second);
+        auto const& pong = *agent.late_pong;
+        agent.home->on_pong(pong.sent_at, pong.version, pong.is_confirmed, pong.set_since);
         agent.late_pong.reset();
     }
 
--- a/Tests/Processes/run.py
+++ b/Tests/Processes/run.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-MODULES = ["test_whole_path"]
+MODULES = ["test_whole_path", "test_interfaces", "test_configuration", "test_weights", "test_requests"]
 
 
 def sanitizer_reports(folder):
--- a/Utilities/mountbarrow-load/LoadRunner.cpp
+++ b/Utilities/mountbarrow-load/LoadRunner.cpp
@@ -137,6 +137,7 @@
     auto const& running = *node.mapped();
     if (!failure.empty()) {
         m_outcomes[failure] += 1;
+        note_call(running.id, failure);
     } else if (running.status == 200) {
         m_outcomes["answered"] += 1;
         m_not_whole += is_whole(running) ? 0 : 1;
@@ -152,11 +153,21 @@
             m_reasons[outcome + " " + problem.value("type", "")] += 1;
         if (outcome == "not_run")
             m_metrics.observe_ms("refusal", std::max(0.1, static_cast<double>((Core::monotonic_now() - running.started).count())));
-        if (!running.id.empty() && !m_calls.contains(running.id))
-            m_calls[running.id] = outcome;
+        note_call(running.id, outcome);
     }
 }
 
+void LoadRunner::note_call(std::string const& id, std::string const& outcome)
+{
+    if (id.empty())
+        return;
+    // A call that was sent twice counts as not run only if both submissions were refused as not run.
+    auto& noted = m_calls[id];
+    bool const is_worse = noted.empty() || noted == "not_run" || noted == "not_connected";
+    if (is_worse)
+        noted = outcome;
+}
+
 nlohmann::json LoadRunner::report() const
 {
     auto quantiles = [this](std::string const& name) {
--- a/Utilities/mountbarrow-load/LoadRunner.h
+++ b/Utilities/mountbarrow-load/LoadRunner.h
@@ -61,6 +61,7 @@
     Transport::HttpCallRequest make_request(Running&, std::string const& key, Target const&);
     void finish(uint64_t id, std::string const& failure);
     bool is_whole(Running const&) const;
+    void note_call(std::string const& id, std::string const& outcome);
     nlohmann::json report() const;
 
     Core::EventLoop& m_loop;
@@ -73,7 +74,7 @@
     std::map<std::string, uint64_t> m_outcomes;
     std::map<std::string, uint64_t> m_reasons;
     uint64_t m_not_whole { 0 };
-    // Calls answered with success, by call id: a plain service must not have run one twice.
+    // What became of each call, by call id: a plain service must not have run one twice, nor one that was not run.
     std::map<std::string, std::string> m_calls;
     Core::Metrics m_metrics;
     std::unique_ptr<Core::Timer> m_timer;
