--- a/Libraries/LibConfiguration/Fold.cpp
+++ b/Libraries/LibConfiguration/Fold.cpp
@@ -176,8 +176,12 @@
     return {};
 }
 
-static Core::ErrorOr<void> check_service(std::string const& text)
+static Core::ErrorOr<void> check_service(std::string const& name, std::string const& text)
 {
+    // These paths are the entry's own.
+    bool const is_reserved = name == "api" || name == "metrics" || name == "healthz";
+    if (is_reserved || name.find('/') != std::string::npos)
+        return Core::failure(Core::ErrorCode::ImpossibleSettings, "name: is reserved, or has a slash");
     auto spec = TRY(Schema::from_text<Schema::ServiceSpec>(text));
     if (spec.max_in_flight_per_instance && *spec.max_in_flight_per_instance < 1)
         return Core::failure(Core::ErrorCode::ImpossibleSettings, "max_in_flight_per_instance: less than 1");
@@ -214,7 +218,7 @@
     case ChangeKind::Version:
         return check_version(name, spec);
     case ChangeKind::Service:
-        return check_service(spec);
+        return check_service(name, spec);
     case ChangeKind::Rollout:
         return check_rollout(spec);
     case ChangeKind::Customer:
--- a/Tests/LibConfiguration/TestFold.cpp
+++ b/Tests/LibConfiguration/TestFold.cpp
@@ -120,6 +120,13 @@
     RC_ASSERT(Schema::to_text(taken_over.state()) == Schema::to_text(whole.state()));
 }
 
+TEST(Fold, AServiceCannotTakeThePathsOfTheEntryItself)
+{
+    EXPECT_TRUE(check_spec(Schema::ChangeKind::Service, "ledger-api", R"({"kind":"plain"})").has_value());
+    for (auto const* name : { "api", "metrics", "healthz", "a/b", "" })
+        EXPECT_FALSE(check_spec(Schema::ChangeKind::Service, name, R"({"kind":"plain"})").has_value()) << name;
+}
+
 TEST(Fold, WeightsOfARolloutAreTheVersionThenItsAdapters)
 {
     auto version = [](std::string const& adapter, std::string const& digest) {
--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
+#include <LibConfiguration/Fold.h>
 #include <LibSettings/Settings.h>
+#include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
 
@@ -30,6 +32,17 @@
 
 }
 
+static void check_resources(std::string const& path)
+{
+    std::ifstream file(path);
+    auto const value = nlohmann::json::parse(file, nullptr, true, true);
+    for (auto const& resource : value.at("resources")) {
+        auto const kind = resource.at("kind").get<Schema::ChangeKind>();
+        auto const checked = Configuration::check_spec(kind, resource.at("name"), resource.at("spec").dump());
+        EXPECT_TRUE(checked.has_value()) << path << ": " << resource.dump();
+    }
+}
+
 TEST_F(SettingsTest, CommentsAreRead)
 {
     EXPECT_TRUE(load("").has_value());
@@ -51,6 +64,19 @@
     EXPECT_EQ(Settings::load_agent(path + ".none").error().code, Core::ErrorCode::FileUnreadable);
 }
 
+TEST_F(SettingsTest, TheExamplesAreValid)
+{
+    for (auto const& entry : std::filesystem::directory_iterator(EXAMPLE_DIRECTORY)) {
+        auto const name = entry.path().filename().string();
+        if (name.find("-entry") != std::string::npos)
+            EXPECT_TRUE(Settings::load_entry(entry.path()).has_value()) << name;
+        else if (name.find("-agent-") != std::string::npos)
+            EXPECT_TRUE(Settings::load_agent(entry.path()).has_value()) << name;
+        else
+            check_resources(entry.path());
+    }
+}
+
 TEST_F(SettingsTest, TokensHaveOneOfTwoRoles)
 {
     std::ofstream(path) << R"({"a":"reader","b":"operator"})";
