LibRouting: Use every free slot, and share limits by demand

Cause: at three quarters of the engines' capacity requests queued for 0.7 s. An entry counted an instance as full by what other entries had sent up to a second ago, and left one that had refused as busy alone until its next report; the estimate of the wait counted refusals as completions. Customer limits were split evenly, whatever the demand at each entry. Ruled out: the engines (few streams open), the order of the queue, and the choice among instances (all three choices were as slow). Change: only an entry's own requests fill an instance; a slot that becomes free after a refusal is reported at once; the estimate counts completions, and adds the usual length of a request. Entries tell each other their demand by way of three agents, and share each customer's limits by it.

--- a/Libraries/LibMembership/InstanceList.cpp
+++ b/Libraries/LibMembership/InstanceList.cpp
@@ -55,6 +55,21 @@
     return names;
 }
 
+static constexpr size_t demand_relays = 3;
+
+bool is_demand_relay(std::string const& agent, InstanceList const& list)
+{
+    // The rank is the number of live agents with a higher hash.
+    auto const own = Core::stable_hash("demand", agent);
+    size_t rank = 0;
+    for (auto const& instance : list.members().instances) {
+        bool const is_live_agent = instance.role == Schema::Role::Agent && instance.state == Schema::InstanceState::Live;
+        if (is_live_agent && Core::stable_hash("demand", instance.id) > own)
+            rank += 1;
+    }
+    return rank < demand_relays;
+}
+
 std::set<std::string> agents_linked_to(std::string const& entry, InstanceList const& list, size_t links_per_service)
 {
     auto entries = list.live_entries();
--- a/Libraries/LibMembership/InstanceList.h
+++ b/Libraries/LibMembership/InstanceList.h
@@ -48,4 +48,7 @@
 
 inline constexpr size_t least_entries_per_agent = 3;
 
+/// True for the few agents, the same in every process, that pass entries' demand on to one another.
+bool is_demand_relay(std::string const& agent, InstanceList const&);
+
 }
--- a/Libraries/LibRouting/InstanceTable.cpp
+++ b/Libraries/LibRouting/InstanceTable.cpp
@@ -94,7 +94,8 @@
             continue;
         if (needs.home && *needs.home != id)
             continue;
-        bool const is_full = load(state) >= static_cast<size_t>(std::max<int64_t>(0, state.report.capacity));
+        // What others sent is as old as the last report: it weighs in the choice, but must not leave free slots unused.
+        bool const is_full = state.own_in_flight >= static_cast<size_t>(std::max<int64_t>(0, state.report.capacity));
         if (is_full || state.is_held_back) {
             saw_busy = true;
             continue;
@@ -176,6 +177,9 @@
     if (state.own_in_flight > 0)
         state.own_in_flight -= 1;
     state.own_at_report = std::min(state.own_at_report, state.own_in_flight);
+    // A slot became free there.
+    if (outcome != InstanceOutcome::Neutral)
+        state.is_held_back = false;
     if (outcome == InstanceOutcome::Success) {
         state.failures = 0;
         state.ejections = 0;
--- a/Libraries/LibRouting/Limits.cpp
+++ b/Libraries/LibRouting/Limits.cpp
@@ -79,22 +79,24 @@
     std::erase_if(m_customers, [&](auto const& entry) { return !customers.contains(entry.first) && entry.second.in_flight == 0; });
 }
 
-void CustomerLimits::set_share(double share)
+void CustomerLimits::set_share(std::string const& customer, double share)
 {
-    m_share = share;
-    for (auto& [name, state] : m_customers)
-        apply_share(state);
+    auto found = m_customers.find(customer);
+    if (found == m_customers.end())
+        return;
+    found->second.share = share;
+    apply_share(found->second);
 }
 
 void CustomerLimits::apply_share(State& state)
 {
     // Below one request of burst nothing would ever pass.
-    state.bucket.set(state.spec.requests_per_second * m_share, std::max(1.0, state.spec.burst * m_share));
+    state.bucket.set(state.spec.requests_per_second * state.share, std::max(1.0, state.spec.burst * state.share));
 }
 
-size_t CustomerLimits::concurrency_share(State const& state) const
+size_t CustomerLimits::concurrency_share(State const& state)
 {
-    return static_cast<size_t>(std::ceil(static_cast<double>(state.spec.concurrency) * m_share));
+    return static_cast<size_t>(std::ceil(static_cast<double>(state.spec.concurrency) * state.share));
 }
 
 std::optional<CustomerLimits::Refusal> CustomerLimits::start(std::string const& customer, Core::Time now)
--- a/Libraries/LibRouting/Limits.h
+++ b/Libraries/LibRouting/Limits.h
@@ -41,8 +41,8 @@
 
     /// Takes over the configured customers. A customer that is not configured is refused once any is.
     void set_customers(std::map<std::string, Schema::CustomerSpec> const&);
-    /// This entry's share (0 to 1) of every customer's limits.
-    void set_share(double share);
+    /// This entry's share (0 to 1) of a customer's limits; 1 until it is set.
+    void set_share(std::string const& customer, double share);
 
     /// Counts a request in, or says why not. Every request counted in must be counted out by finish().
     std::optional<Refusal> start(std::string const& customer, Core::Time now);
@@ -57,12 +57,12 @@
         size_t in_flight { 0 };
         // False for one that is only known by requests in flight, from before any was configured or after its removal.
         bool is_configured { false };
+        double share { 1 };
     };
 
-    void apply_share(State&);
-    size_t concurrency_share(State const&) const;
+    static void apply_share(State&);
+    static size_t concurrency_share(State const&);
 
-    double m_share { 1 };
     bool m_are_configured { false };
     std::map<std::string, State> m_customers;
 };
--- a/Libraries/LibRouting/RequestFlow.cpp
+++ b/Libraries/LibRouting/RequestFlow.cpp
@@ -128,8 +128,8 @@
     auto give_up = GiveUp { known, reason, std::max(retry_after, not_run_retry_after) };
     if (!is_worth_another_try(reason))
         return end_with(give_up, outcome, reason);
-    // An instance that is leaving or switching is no overload: moving on from it is free.
-    bool const costs_budget = reason == Schema::Reason::InstanceBusy || reason == Schema::Reason::ConnectFailed;
+    // A word that nothing was run costs the instance next to nothing: moving on from it is free.
+    bool const costs_budget = reason == Schema::Reason::ConnectFailed;
     return retry_or(reason, outcome, give_up, costs_budget);
 }
 
--- a/Libraries/LibRouting/RequestQueue.cpp
+++ b/Libraries/LibRouting/RequestQueue.cpp
@@ -33,7 +33,7 @@
 {
     if (m_where.size() >= m_limit)
         return PushResult::Full;
-    if (now + expected_wait(priority) >= deadline)
+    if (now + expected_wait(priority) + expected_service() >= deadline)
         return PushResult::TooLate;
     auto& level = m_levels[priority];
     auto& waiting = level.by_customer[customer];
@@ -81,8 +81,15 @@
     }
 }
 
-void RequestQueue::on_completed(Core::Time now)
+Core::Duration RequestQueue::expected_service() const
 {
+    return Core::Duration(static_cast<int64_t>(m_mean_service_ms));
+}
+
+void RequestQueue::on_completed(Core::Time now, Core::Duration took)
+{
+    auto const service = static_cast<double>(took.count());
+    m_mean_service_ms = m_mean_service_ms == 0 ? service : (1 - gap_smoothing) * m_mean_service_ms + gap_smoothing * service;
     m_completed_in_tick += 1;
     if (!m_last_completed) {
         m_last_completed = now;
--- a/Libraries/LibRouting/RequestQueue.h
+++ b/Libraries/LibRouting/RequestQueue.h
@@ -23,11 +23,10 @@
     enum class PushResult {
         Queued,
         Full,
-        /// By the present rate it would be served after its deadline.
+        /// By the present rate and the usual length of a request it would end after its deadline.
         TooLate,
     };
 
-    /// `tells_late` leaves out the estimate, for a request that was admitted before.
     PushResult push(uint64_t request, std::string const& customer, int priority, Core::Time deadline, Core::Time now);
 
     void remove(uint64_t request);
@@ -36,8 +35,11 @@
     /// `start` answers true if it took the request; one that it did not take stays where it was.
     void offer(std::function<bool(uint64_t)> const& start);
 
-    /// A request of this service ended at an instance: the rate that the estimate rests on.
-    void on_completed(Core::Time now);
+    /// A request of this service ended at an instance, `took` after it was sent there: the estimates rest on it.
+    void on_completed(Core::Time now, Core::Duration took);
+
+    /// How long a request usually takes at an instance.
+    Core::Duration expected_service() const;
 
     /// Longest a request pushed now is expected to wait.
     Core::Duration expected_wait(int priority) const;
@@ -59,6 +61,7 @@
     std::map<uint64_t, std::pair<int, std::string>> m_where;
     // Mean time between completions, milliseconds; 0 while unknown.
     double m_mean_gap_ms { 0 };
+    double m_mean_service_ms { 0 };
     std::optional<Core::Time> m_last_completed;
     size_t m_completed_in_tick { 0 };
 };
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -858,6 +858,44 @@
         std::string digest;
     };
 
+    /**
+     * What a customer asks of one entry.
+     */
+    struct Demand {
+        /**
+         * Customer.
+         */
+        std::string customer;
+        /**
+         * Requests offered a second, refused ones included.
+         */
+        double per_second;
+    };
+
+    /**
+     * What an entry said of its demand.
+     */
+    struct EntryDemand {
+        /**
+         * The largest ones.
+         */
+        std::vector<Demand> customers;
+        /**
+         * Identity of the entry.
+         */
+        std::string entry;
+    };
+
+    /**
+     * Demand at the other entries, passed on by an agent.
+     */
+    struct Demands {
+        /**
+         * One for each entry heard of late.
+         */
+        std::vector<EntryDemand> entries;
+    };
+
     /**
      * One HTTP header.
      */
@@ -1081,6 +1119,10 @@
          * True if the answerer's list is known to be current.
          */
         bool confirmed;
+        /**
+         * Demand at the answerer, for an agent that passes it on.
+         */
+        std::optional<std::vector<Demand>> demand;
         /**
          * Version of the list the answerer holds.
          */
@@ -1285,6 +1327,7 @@
         std::optional<Cancel> cancel;
         std::optional<Challenge> challenge;
         std::optional<ChunkMap> chunk_map;
+        std::optional<Demands> demands;
         std::optional<Dispatch> dispatch;
         std::optional<Hello> hello;
         std::optional<Members> members;
@@ -1583,6 +1626,15 @@
     void from_json(const json & j, ChunkMap & x);
     void to_json(json & j, const ChunkMap & x);
 
+    void from_json(const json & j, Demand & x);
+    void to_json(json & j, const Demand & x);
+
+    void from_json(const json & j, EntryDemand & x);
+    void to_json(json & j, const EntryDemand & x);
+
+    void from_json(const json & j, Demands & x);
+    void to_json(json & j, const Demands & x);
+
     void from_json(const json & j, Header & x);
     void to_json(json & j, const Header & x);
 
@@ -2163,6 +2215,37 @@
         j["digest"] = x.digest;
     }
 
+    inline void from_json(const json & j, Demand& x) {
+        x.customer = j.at("customer").get<std::string>();
+        x.per_second = j.at("per_second").get<double>();
+    }
+
+    inline void to_json(json & j, const Demand & x) {
+        j = json::object();
+        j["customer"] = x.customer;
+        j["per_second"] = x.per_second;
+    }
+
+    inline void from_json(const json & j, EntryDemand& x) {
+        x.customers = j.at("customers").get<std::vector<Demand>>();
+        x.entry = j.at("entry").get<std::string>();
+    }
+
+    inline void to_json(json & j, const EntryDemand & x) {
+        j = json::object();
+        j["customers"] = x.customers;
+        j["entry"] = x.entry;
+    }
+
+    inline void from_json(const json & j, Demands& x) {
+        x.entries = j.at("entries").get<std::vector<EntryDemand>>();
+    }
+
+    inline void to_json(json & j, const Demands & x) {
+        j = json::object();
+        j["entries"] = x.entries;
+    }
+
     inline void from_json(const json & j, Header& x) {
         x.name = j.at("name").get<std::string>();
         x.value = j.at("value").get<std::string>();
@@ -2292,6 +2375,7 @@
 
     inline void from_json(const json & j, Pong& x) {
         x.confirmed = j.at("confirmed").get<bool>();
+        x.demand = get_stack_optional<std::vector<Demand>>(j, "demand");
         x.list_version = j.at("list_version").get<int64_t>();
         x.sent_at_ms = j.at("sent_at_ms").get<int64_t>();
         x.set_since_ms = get_stack_optional<int64_t>(j, "set_since_ms");
@@ -2300,6 +2384,7 @@
     inline void to_json(json & j, const Pong & x) {
         j = json::object();
         j["confirmed"] = x.confirmed;
+        j["demand"] = x.demand;
         j["list_version"] = x.list_version;
         j["sent_at_ms"] = x.sent_at_ms;
         j["set_since_ms"] = x.set_since_ms;
@@ -2441,6 +2526,7 @@
         x.cancel = get_stack_optional<Cancel>(j, "cancel");
         x.challenge = get_stack_optional<Challenge>(j, "challenge");
         x.chunk_map = get_stack_optional<ChunkMap>(j, "chunk_map");
+        x.demands = get_stack_optional<Demands>(j, "demands");
         x.dispatch = get_stack_optional<Dispatch>(j, "dispatch");
         x.hello = get_stack_optional<Hello>(j, "hello");
         x.members = get_stack_optional<Members>(j, "members");
@@ -2463,6 +2549,7 @@
         j["cancel"] = x.cancel;
         j["challenge"] = x.challenge;
         j["chunk_map"] = x.chunk_map;
+        j["demands"] = x.demands;
         j["dispatch"] = x.dispatch;
         j["hello"] = x.hello;
         j["members"] = x.members;
--- a/Services/Agent/Agent.cpp
+++ b/Services/Agent/Agent.cpp
@@ -25,6 +25,7 @@
 // A lease survives two lost pings.
 static constexpr int pings_per_lease = 3;
 static constexpr Core::Duration report_delay { 20 };
+static constexpr Core::Duration demand_lifetime { 5000 };
 static constexpr Core::Duration alone_before_reading { 3000 };
 static constexpr Core::Duration default_platform_poll { 1000 };
 static constexpr Core::Duration drain_check { 20 };
@@ -102,7 +103,8 @@
     requests.once_record_bytes = static_cast<size_t>(settings.once_record_bytes.value_or(default_once_record_bytes));
     requests.key_lifetime = duration_or(settings.key_lifetime_ms, default_key_lifetime);
     auto send = [this](std::string const& entry, Schema::Message const& message) { return m_hub->send(entry, message); };
-    m_requests = std::make_unique<RequestRunner>(loop, requests, m_key_home, m_metrics, send, [this] { return admission_view(); });
+    m_requests = std::make_unique<RequestRunner>(
+        loop, requests, m_key_home, m_metrics, send, [this] { return admission_view(); }, [this] { report_soon(); });
     m_weights = std::make_unique<WeightsRunner>(loop, weights_settings(settings), m_metrics, weights_callbacks());
 
     m_ping_timer = loop.every(duration_or(settings.lease_ms, default_lease) / pings_per_lease, [this] { ping(); });
@@ -191,11 +193,13 @@
     else if (message.tally)
         m_weights->on_tally(*message.tally);
     else if (message.pong)
-        on_pong(*message.pong);
+        on_pong(from.identity, *message.pong);
 }
 
-void Agent::on_pong(Schema::Pong const& pong)
+void Agent::on_pong(std::string const& entry, Schema::Pong const& pong)
 {
+    if (pong.demand)
+        m_demands[entry] = { Core::monotonic_now(), *pong.demand };
     std::optional<Core::WallTime> set_since;
     if (pong.set_since_ms)
         set_since = Core::WallTime(*pong.set_since_ms);
@@ -269,6 +273,27 @@
     for (auto const& entry : m_hub->peers(Schema::Role::Entry))
         m_hub->send(entry, message);
     send_report();
+    pass_demand_on();
+}
+
+void Agent::pass_demand_on()
+{
+    auto const now = Core::monotonic_now();
+    std::erase_if(m_demands, [&](auto const& entry) { return now >= entry.second.heard_at + demand_lifetime; });
+    for (auto const& entry : m_hub->peers(Schema::Role::Entry)) {
+        Schema::Message message;
+        message.demands.emplace();
+        for (auto const& [other, demand] : m_demands) {
+            if (other == entry)
+                continue;
+            Schema::EntryDemand said;
+            said.entry = other;
+            said.customers = demand.customers;
+            message.demands->entries.push_back(std::move(said));
+        }
+        if (!message.demands->entries.empty())
+            m_hub->send(entry, message);
+    }
 }
 
 bool Agent::is_linked_to_entry() const
--- a/Services/Agent/Agent.h
+++ b/Services/Agent/Agent.h
@@ -33,7 +33,7 @@
     void on_up(Schema::Hello const&);
     void on_message(Schema::Hello const&, Schema::Message const&);
     void on_down(std::string const& peer);
-    void on_pong(Schema::Pong const&);
+    void on_pong(std::string const& entry, Schema::Pong const&);
     void on_members(Schema::Members);
     void on_configuration();
     void on_http(std::shared_ptr<Transport::HttpExchange> const&);
@@ -42,6 +42,7 @@
     void report_soon();
     void send_report();
     void ping();
+    void pass_demand_on();
     void read_platform_if_alone();
     void finish_when_idle();
     bool is_linked_to_entry() const;
@@ -59,6 +60,12 @@
     std::unique_ptr<WeightsRunner> m_weights;
     size_t m_capacity { 0 };
 
+    struct HeardDemand {
+        Core::Time heard_at { 0 };
+        std::vector<Schema::Demand> customers;
+    };
+    std::map<std::string, HeardDemand> m_demands;
+
     bool m_is_draining { false };
     Core::Time m_draining_since { 0 };
     Core::Time m_last_entry_seen { 0 };
--- a/Services/Agent/RequestRunner.cpp
+++ b/Services/Agent/RequestRunner.cpp
@@ -27,13 +27,14 @@
     return std::any_of(std::begin(names), std::end(names), [&](char const* other) { return strcasecmp(name.c_str(), other) == 0; });
 }
 
-RequestRunner::RequestRunner(Core::EventLoop& loop, RequestRunnerSettings settings, Membership::KeyHome const& home, Core::Metrics& metrics, Send send, View view)
+RequestRunner::RequestRunner(Core::EventLoop& loop, RequestRunnerSettings settings, Membership::KeyHome const& home, Core::Metrics& metrics, Send send, View view, SlotFreed slot_freed)
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_home(home)
     , m_metrics(metrics)
     , m_send(std::move(send))
     , m_view(std::move(view))
+    , m_slot_freed(std::move(slot_freed))
     , m_once(m_settings.once_record_bytes, m_settings.key_lifetime)
     , m_timer(loop.every(housekeeping_interval, [this] { housekeep(); }))
 {
@@ -50,6 +51,8 @@
 {
     m_metrics.count("mountbarrow_agent_refused_total", label(reason));
     m_tombstones[attempt] = Core::monotonic_now();
+    if (reason == Schema::Reason::InstanceBusy)
+        m_has_refused_as_busy = true;
     Schema::Message message;
     message.refused.emplace();
     message.refused->attempt = attempt;
@@ -185,6 +188,13 @@
             m_once.unknown(*attempt.dispatch.key);
     }
     send_part(attempt, attempt.buffer.append({}, true));
+    note_slot_freed();
+}
+
+void RequestRunner::note_slot_freed()
+{
+    if (std::exchange(m_has_refused_as_busy, false))
+        m_slot_freed();
 }
 
 void RequestRunner::on_failed(std::string const& id, Transport::HttpFailure failure)
@@ -216,6 +226,7 @@
     m_tombstones[id] = Core::monotonic_now();
     // The call must not be destroyed inside its own callback.
     auto node = m_attempts.extract(id);
+    note_slot_freed();
     if (!node.empty())
         m_loop.soon([keep = std::make_shared<Attempt>(std::move(node.mapped()))] {});
 }
--- a/Services/Agent/RequestRunner.h
+++ b/Services/Agent/RequestRunner.h
@@ -30,8 +30,10 @@
 public:
     using Send = std::function<bool(std::string const& entry, Schema::Message const&)>;
     using View = std::function<Routing::AdmissionView()>;
+    /// A slot became free after a request had been refused for want of one.
+    using SlotFreed = std::function<void()>;
 
-    RequestRunner(Core::EventLoop&, RequestRunnerSettings, Membership::KeyHome const&, Core::Metrics&, Send, View);
+    RequestRunner(Core::EventLoop&, RequestRunnerSettings, Membership::KeyHome const&, Core::Metrics&, Send, View, SlotFreed);
     ~RequestRunner();
 
     void on_dispatch(std::string const& entry, Schema::Dispatch const&);
@@ -69,6 +71,7 @@
     void on_failed(std::string const& attempt, Transport::HttpFailure);
     void send_part(Attempt&, Schema::Part);
     void forget(std::string const& attempt);
+    void note_slot_freed();
     void housekeep();
 
     Core::EventLoop& m_loop;
@@ -77,6 +80,8 @@
     Core::Metrics& m_metrics;
     Send m_send;
     View m_view;
+    SlotFreed m_slot_freed;
+    bool m_has_refused_as_busy { false };
     Routing::OnceTable m_once;
     std::map<std::string, Attempt> m_attempts;
     // Attempts that ended or were refused: a late dispatch of one must not run.
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -33,6 +33,7 @@
     , m_budget(m_settings.retry_ratio)
     , m_random(m_settings.seed)
     , m_tick_timer(loop.every(tick_interval, [this] { tick(); }))
+    , m_share_timer(loop.every(Routing::DemandShares::interval, [this] { share_limits(); }))
 {
 }
 
@@ -68,6 +69,7 @@
         return;
     }
     auto const now = Core::monotonic_now();
+    m_demand.on_offered(request->dispatch.customer);
     if (auto refusal = m_limits.start(request->dispatch.customer, now)) {
         refuse(*exchange, refusal->reason, spread(refusal->retry_after));
         return;
@@ -78,7 +80,7 @@
     header.value = m_settings.identity + "-" + std::to_string(m_settings.incarnation) + "-" + std::to_string(id);
     request->dispatch.headers.push_back(std::move(header));
     auto flow = Routing::RequestFlow(request->dispatch.repeatability, now + request->deadline, m_settings.flow, m_budget);
-    auto context = std::make_unique<Context>(Context { id, exchange, std::move(*request), std::move(flow), now });
+    auto context = std::make_unique<Context>(Context { id, exchange, std::move(*request), std::move(flow), now, now });
     auto& placed = *context;
     m_contexts[id] = std::move(context);
     exchange->on_gone([this, id] {
@@ -195,7 +197,8 @@
     m_by_attempt.erase(context.flow.attempt());
     if (over.is_retried)
         m_metrics.count("mountbarrow_entry_retries_total", label(over.reason));
-    queue_of(context.request.needs.service).on_completed(now);
+    if (over.outcome != Routing::InstanceOutcome::Neutral)
+        queue_of(context.request.needs.service).on_completed(now, now - context.dispatched);
     m_loop.soon([this, service = context.request.needs.service] { serve_queue(service); });
 }
 
@@ -269,6 +272,7 @@
         return context.flow.on_not_dispatched(instance);
     m_by_attempt[dispatch.attempt] = context.id;
     m_table.on_started(instance);
+    context.dispatched = now;
     context.flow.on_dispatched(instance, peer->incarnation, dispatch.attempt, now);
     return {};
 }
@@ -276,7 +280,7 @@
 void CallerApi::serve_queue(std::string const& service)
 {
     auto& queue = queue_of(service);
-    queue.offer([this](uint64_t id) {
+    queue.offer([this, &service](uint64_t id) {
         auto* context = find(id);
         if (!context)
             return true;
@@ -285,7 +289,12 @@
         if (must_wait)
             return false;
         context->is_queued = false;
-        perform(*context, find_instance(*context));
+        // One that waited too long to end in time would only take the place of one that can.
+        bool const is_too_late = Core::monotonic_now() + queue_of(service).expected_service() >= context->flow.deadline();
+        if (is_too_late)
+            perform(*context, context->flow.on_no_instance(Schema::Reason::DeadlineTooNear, least_queue_retry_after));
+        else
+            perform(*context, find_instance(*context));
         return true;
     });
 }
@@ -317,8 +326,8 @@
     }
     m_listed = std::move(listed);
     m_limits.set_customers(m_fold.customers());
-    // FIXME: Shares follow the number of entries, not the demand that each one sees.
-    m_limits.set_share(1.0 / static_cast<double>(std::max<size_t>(1, m_list.live_entries().size())));
+    for (auto const& [customer, spec] : m_fold.customers())
+        m_limits.set_share(customer, m_demand.share(customer, m_list.live_entries().size(), Core::monotonic_now()));
     for (auto const& [name, spec] : m_fold.services())
         queue_of(name).set_limit(static_cast<size_t>(spec.queue_limit.value_or(default_queue_limit)));
 }
@@ -353,6 +362,9 @@
         m_table.on_report(from.identity, *message.report);
         if (auto const* instance = m_list.find(from.identity))
             serve_queue(instance->service);
+    } else if (message.demands) {
+        for (auto const& said : message.demands->entries)
+            m_demand.on_heard(said.entry, said.customers, Core::monotonic_now());
     } else if (message.accepted) {
         if (auto* context = find_attempt(message.accepted->attempt))
             perform(*context, context->flow.on_accepted(message.accepted->attempt));
@@ -381,6 +393,15 @@
     }
 }
 
+void CallerApi::share_limits()
+{
+    m_demand.end_interval();
+    auto const now = Core::monotonic_now();
+    auto const entries = m_list.live_entries().size();
+    for (auto const& [customer, spec] : m_fold.customers())
+        m_limits.set_share(customer, m_demand.share(customer, entries, now));
+}
+
 size_t CallerApi::queued() const
 {
     size_t queued = 0;
--- a/Services/Entry/CallerApi.h
+++ b/Services/Entry/CallerApi.h
@@ -6,6 +6,7 @@
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibMembership/InstanceList.h>
+#include <LibRouting/DemandShares.h>
 #include <LibRouting/InstanceTable.h>
 #include <LibRouting/Limits.h>
 #include <LibRouting/RequestFlow.h>
@@ -44,6 +45,8 @@
     /// From now on every new request is refused as not run.
     void stop_accepting() { m_is_stopping = true; }
     size_t in_flight() const { return m_contexts.size(); }
+    /// What customers ask of this entry, for the agents that pass it on to the others.
+    std::vector<Schema::Demand> own_demand() const { return m_demand.own(); }
     size_t queued() const;
     Routing::InstanceTable const& table() const { return m_table; }
 
@@ -54,6 +57,7 @@
         CallerRequest request;
         Routing::RequestFlow flow;
         Core::Time started { 0 };
+        Core::Time dispatched { 0 };
         bool is_queued { false };
         bool has_first_byte { false };
     };
@@ -74,6 +78,7 @@
     Context* find(uint64_t id);
     Context* find_attempt(std::string const& attempt);
     void tick();
+    void share_limits();
     Core::Duration spread(Core::Duration);
 
     Core::EventLoop& m_loop;
@@ -84,6 +89,7 @@
     Configuration::Fold const& m_fold;
     Routing::InstanceTable m_table;
     Routing::CustomerLimits m_limits;
+    Routing::DemandShares m_demand;
     Routing::RetryBudget m_budget;
     std::mt19937_64 m_random;
     std::map<std::string, Routing::RequestQueue> m_queues;
@@ -94,6 +100,7 @@
     uint64_t m_next_attempt { 1 };
     bool m_is_stopping { false };
     std::unique_ptr<Core::Timer> m_tick_timer;
+    std::unique_ptr<Core::Timer> m_share_timer;
 };
 
 }
--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -176,6 +176,8 @@
     auto const since = instance ? m_set_history.since(instance->service) : std::nullopt;
     if (since)
         message.pong->set_since_ms = since->count();
+    if (Membership::is_demand_relay(from.identity, m_list))
+        message.pong->demand = m_callers->own_demand();
     m_hub->send(from.identity, message);
 }
 
--- a/Tests/LibRouting/TestInstanceTable.cpp
+++ b/Tests/LibRouting/TestInstanceTable.cpp
@@ -136,6 +136,19 @@
     EXPECT_EQ(table.choose(needs(), Core::Time(0)).error(), Schema::Reason::NoInstance);
 }
 
+TEST(InstanceTable, WhatOthersSentAWhileAgoLeavesNoFreeSlotUnused)
+{
+    auto table = table_of({ "a" }, {}, 2);
+    table.on_report("a", report(2, 2));
+    EXPECT_TRUE(table.choose(needs(), Core::Time(0)).has_value());
+    table.on_started("a");
+    table.on_refused("a", Schema::Reason::InstanceBusy);
+    EXPECT_EQ(table.choose(needs(), Core::Time(0)).error(), Schema::Reason::InstanceBusy);
+    // One of our own ended there: a slot is free.
+    table.on_finished("a", InstanceOutcome::Success, Core::Time(0));
+    EXPECT_TRUE(table.choose(needs(), Core::Time(0)).has_value());
+}
+
 TEST(InstanceTable, ARefusalCountsUntilTheNextReport)
 {
     auto table = table_of({ "a" });
--- a/Tests/LibRouting/TestLimits.cpp
+++ b/Tests/LibRouting/TestLimits.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/DemandShares.h>
 #include <LibRouting/Limits.h>
 #include <LibRouting/RequestQueue.h>
 #include <random>
@@ -21,7 +22,7 @@
     std::mt19937_64 random(seed);
     CustomerLimits customers;
     customers.set_customers({ { "c", limits(20, 10, 5) }, { "other", limits(1, 1, 1) } });
-    customers.set_share(0.5);
+    customers.set_share("c", 0.5);
     size_t passed = 0;
     size_t running = 0;
     Core::Time now { 0 };
@@ -110,7 +111,7 @@
 {
     RequestQueue queue(100);
     for (int64_t now = 0; now <= 10000; now += 100)
-        queue.on_completed(Core::Time(now));
+        queue.on_completed(Core::Time(now), Core::Duration(100));
     for (uint64_t i = 0; i < 10; ++i)
         queue.push(i, "c", 4, Core::Time(100000), Core::Time(10000));
     EXPECT_EQ(queue.push(50, "c", 4, Core::Time(10500), Core::Time(10000)), RequestQueue::PushResult::TooLate);
@@ -142,3 +143,53 @@
         RC_ASSERT(queue.size() == waiting.size());
     }
 }
+
+RC_GTEST_PROP(DemandShares, SharesOfEntriesThatHearEachOtherNeverExceedTheWhole, (uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    auto const entries = *rc::gen::inRange<size_t>(1, 8);
+    std::vector<DemandShares> shares(entries);
+    for (int second = 0; second < 20; ++second) {
+        for (auto& entry : shares) {
+            for (auto count = random() % 50; count > 0; --count)
+                entry.on_offered("c");
+            entry.end_interval();
+        }
+    }
+    Core::Time const now { 1000 };
+    for (size_t i = 0; i < entries; ++i) {
+        for (size_t j = 0; j < entries; ++j) {
+            // Some words are lost.
+            if (i != j && random() % 4 != 0)
+                shares[i].on_heard("e" + std::to_string(j), shares[j].own(), now);
+        }
+    }
+    double least = 1;
+    for (auto const& entry : shares)
+        least = std::min(least, entry.share("c", entries, now));
+    RC_ASSERT(least > 0);
+    for (size_t i = 0; i < entries; ++i) {
+        for (size_t j = 0; j < entries; ++j) {
+            if (i != j)
+                shares[i].on_heard("e" + std::to_string(j), shares[j].own(), now);
+        }
+    }
+    double sum = 0;
+    for (auto const& entry : shares)
+        sum += entry.share("c", entries, now);
+    RC_ASSERT(std::abs(sum - 1) < 1e-6);
+}
+
+TEST(DemandShares, AnEntryWithAllTheDemandGetsMostOfTheLimitAndOldWordsCountForNothing)
+{
+    DemandShares busy;
+    for (int second = 0; second < 20; ++second) {
+        for (int i = 0; i < 98; ++i)
+            busy.on_offered("c");
+        busy.end_interval();
+    }
+    EXPECT_DOUBLE_EQ(busy.share("c", 2, Core::Time(0)), 0.5);
+    busy.on_heard("idle", {}, Core::Time(0));
+    EXPECT_GT(busy.share("c", 2, Core::Time(0)), 0.97);
+    EXPECT_DOUBLE_EQ(busy.share("c", 2, Core::Time(5000)), 0.5);
+}
