Tests: Include what the tests use

Cause: the tests took gtest from the precompiled header, which the linter builds without; it stopped at them and reported faults that are none. Change: each test includes gtest; two parameters are references; one vector reserves its room.

--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -289,7 +289,7 @@
     if (!has_state || !m_snapshots.take_due(Core::monotonic_now()))
         return;
     m_metrics.count("mountbarrow_entry_snapshots_total");
-    m_platform->append(m_replica.snapshot_record(), [](Core::ErrorOr<int64_t>) {
+    m_platform->append(m_replica.snapshot_record(), [](Core::ErrorOr<int64_t> const&) {
         // Whether it took effect is seen on the log; until then it stays due.
     });
 }
--- a/Tests/LibConfiguration/TestFold.cpp
+++ b/Tests/LibConfiguration/TestFold.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibConfiguration/Fold.h>
 #include <LibSchema/Json.h>
+#include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 using namespace Configuration;
--- a/Tests/LibConfiguration/TestReplica.cpp
+++ b/Tests/LibConfiguration/TestReplica.cpp
@@ -2,6 +2,7 @@
 #include <LibConfiguration/Replica.h>
 #include <LibConfiguration/SnapshotSchedule.h>
 #include <LibSchema/Json.h>
+#include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 using namespace Configuration;
--- a/Tests/LibDistribution/TestEngineControl.cpp
+++ b/Tests/LibDistribution/TestEngineControl.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibDistribution/EngineControl.h>
+#include <gtest/gtest.h>
 #include <random>
 #include <rapidcheck/gtest.h>
 #include <set>
--- a/Tests/LibDistribution/TestTransfer.cpp
+++ b/Tests/LibDistribution/TestTransfer.cpp
@@ -2,6 +2,7 @@
 #include <LibCore/Hash.h>
 #include <LibDistribution/ChunkStore.h>
 #include <LibDistribution/Transfer.h>
+#include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 using namespace Distribution;
@@ -122,6 +123,7 @@
             RC_ASSERT(++reads[fetch.chunk] <= 2u);
         // Every source may finish, fail in any way, or say nothing at all.
         std::vector<uint64_t> ids;
+        ids.reserve(running.size());
         for (auto const& [id, fetch] : running)
             ids.push_back(id);
         for (auto id : ids) {
--- a/Tests/LibMembership/TestKeyHome.cpp
+++ b/Tests/LibMembership/TestKeyHome.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibMembership/KeyHome.h>
+#include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 using namespace Membership;
@@ -44,7 +45,7 @@
     RC_ASSERT(made_at(key_made_at(time, seed)) == time);
 }
 
-RC_GTEST_PROP(Keys, NoTextThatIsNoUuidCrashesOrPasses, (std::string text))
+RC_GTEST_PROP(Keys, NoTextThatIsNoUuidCrashesOrPasses, (std::string const& text))
 {
     if (text.size() != 36)
         RC_ASSERT(!made_at(text).has_value());
--- a/Tests/LibPlacement/TestPlacement.cpp
+++ b/Tests/LibPlacement/TestPlacement.cpp
@@ -2,6 +2,7 @@
 #include <LibPlacement/Placement.h>
 #include <LibSchema/Json.h>
 #include <algorithm>
+#include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 #include <set>
 
--- a/Tests/LibRouting/TestAdmission.cpp
+++ b/Tests/LibRouting/TestAdmission.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibRouting/Admission.h>
+#include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 using namespace Routing;
--- a/Tests/LibRouting/TestAnswers.cpp
+++ b/Tests/LibRouting/TestAnswers.cpp
@@ -2,6 +2,7 @@
 #include <LibRouting/AnswerAssembly.h>
 #include <LibRouting/AnswerBuffer.h>
 #include <algorithm>
+#include <gtest/gtest.h>
 #include <random>
 #include <rapidcheck/gtest.h>
 
--- a/Tests/LibRouting/TestLimits.cpp
+++ b/Tests/LibRouting/TestLimits.cpp
@@ -2,6 +2,7 @@
 #include <LibRouting/DemandShares.h>
 #include <LibRouting/Limits.h>
 #include <LibRouting/RequestQueue.h>
+#include <gtest/gtest.h>
 #include <random>
 #include <rapidcheck/gtest.h>
 #include <set>
--- a/Tests/LibRouting/TestRequestFlow.cpp
+++ b/Tests/LibRouting/TestRequestFlow.cpp
@@ -3,6 +3,7 @@
 #include <LibSchema/Json.h>
 #include <filesystem>
 #include <fstream>
+#include <gtest/gtest.h>
 #include <random>
 #include <rapidcheck/gtest.h>
 
--- a/Tests/LibTransport/TestDecoders.cpp
+++ b/Tests/LibTransport/TestDecoders.cpp
@@ -3,6 +3,7 @@
 #include <LibTransport/Handshake.h>
 #include <LibTransport/MessageCodec.h>
 #include <LibTransport/WebSocketCodec.h>
+#include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 using namespace Transport;
