--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -3,6 +3,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/Log.h>
+#include <LibCore/Time.h>
 #include <LibSchema/Generated.h>
 #include <map>
 #include <string>
@@ -27,6 +28,12 @@
 /// Reads a JSON object of bearer tokens to `"reader"` or `"operator"`.
 Core::ErrorOr<std::map<std::string, OperatorRole>> load_tokens(std::string const& path);
 
+/// A setting in milliseconds, or what holds without it.
+inline Core::Duration duration_or(std::optional<int64_t> const& milliseconds, Core::Duration fallback)
+{
+    return milliseconds ? Core::Duration(*milliseconds) : fallback;
+}
+
 /// The log level named in settings; `info` if none is.
 Core::LogLevel log_level(std::optional<Schema::LogLevel> const&);
 
--- a/Services/Agent/Agent.cpp
+++ b/Services/Agent/Agent.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Log.h>
 #include <LibPlatform/HttpPlatform.h>
 #include <LibSchema/Json.h>
+#include <LibSettings/Settings.h>
 
 namespace Agent {
 
@@ -35,18 +36,13 @@
 static constexpr int status_not_found = 404;
 static constexpr std::string_view chunk_path = "/chunks/";
 
-static Core::Duration duration_or(std::optional<int64_t> const& milliseconds, Core::Duration fallback)
-{
-    return milliseconds ? Core::Duration(*milliseconds) : fallback;
-}
-
 static Membership::KeyHomeSettings key_home_settings(Schema::AgentSettings const& settings)
 {
     return {
-        .lease = duration_or(settings.lease_ms, default_lease),
-        .list_lag = duration_or(settings.list_lag_ms, default_list_lag),
-        .clock_bound = duration_or(settings.clock_bound_ms, default_clock_bound),
-        .key_lifetime = duration_or(settings.key_lifetime_ms, default_key_lifetime),
+        .lease = Settings::duration_or(settings.lease_ms, default_lease),
+        .list_lag = Settings::duration_or(settings.list_lag_ms, default_list_lag),
+        .clock_bound = Settings::duration_or(settings.clock_bound_ms, default_clock_bound),
+        .key_lifetime = Settings::duration_or(settings.key_lifetime_ms, default_key_lifetime),
     };
 }
 
@@ -61,15 +57,15 @@
     result.backend_port = static_cast<uint16_t>(settings.backend_port);
     result.has_engine = settings.backend_kind == Schema::BackendKindEnum::Engine;
     result.neighbours = static_cast<size_t>(settings.neighbours.value_or(default_neighbours));
-    result.uploads_at_once = static_cast<size_t>(settings.uploads_at_once.value_or(default_uploads));
-    result.uploads_waiting = static_cast<size_t>(settings.uploads_waiting.value_or(default_uploads_waiting));
-    result.upload_bytes_per_second = settings.upload_bytes_per_second.value_or(0);
+    result.uploads.at_once = static_cast<size_t>(settings.uploads_at_once.value_or(default_uploads));
+    result.uploads.waiting = static_cast<size_t>(settings.uploads_waiting.value_or(default_uploads_waiting));
+    result.uploads.bytes_per_second = settings.upload_bytes_per_second.value_or(0);
     result.download_bytes_per_second = settings.download_bytes_per_second.value_or(0);
     result.transfer.strategy = settings.strategy.value_or(Schema::Strategy::Swarm);
     result.transfer.fetches_in_flight = static_cast<size_t>(settings.fetches_in_flight.value_or(default_fetches));
     result.transfer.seeders = static_cast<size_t>(settings.seeders.value_or(default_seeders));
-    result.transfer.origin_patience = duration_or(settings.origin_patience_ms, default_patience);
-    result.transfer.stall = duration_or(settings.stall_ms, default_stall);
+    result.transfer.origin_patience = Settings::duration_or(settings.origin_patience_ms, default_patience);
+    result.transfer.stall = Settings::duration_or(settings.stall_ms, default_stall);
     return result;
 }
 
@@ -99,16 +95,16 @@
     RequestRunnerSettings requests;
     requests.backend_address = settings.backend_address;
     requests.backend_port = static_cast<uint16_t>(settings.backend_port);
-    requests.resume_wait = duration_or(settings.resume_ms, default_resume);
+    requests.resume_wait = Settings::duration_or(settings.resume_ms, default_resume);
     requests.once_record_bytes = static_cast<size_t>(settings.once_record_bytes.value_or(default_once_record_bytes));
-    requests.key_lifetime = duration_or(settings.key_lifetime_ms, default_key_lifetime);
+    requests.key_lifetime = Settings::duration_or(settings.key_lifetime_ms, default_key_lifetime);
     auto send = [this](std::string const& entry, Schema::Message const& message) { return m_hub->send(entry, message); };
     m_requests = std::make_unique<RequestRunner>(
         loop, requests, m_key_home, m_metrics, send, [this] { return admission_view(); }, [this] { report_soon(); });
     m_weights = std::make_unique<WeightsRunner>(loop, weights_settings(settings), m_metrics, weights_callbacks());
 
-    m_ping_timer = loop.every(duration_or(settings.lease_ms, default_lease) / pings_per_lease, [this] { ping(); });
-    m_platform_timer = loop.every(duration_or(settings.list_poll_ms, default_platform_poll), [this] { read_platform_if_alone(); });
+    m_ping_timer = loop.every(Settings::duration_or(settings.lease_ms, default_lease) / pings_per_lease, [this] { ping(); });
+    m_platform_timer = loop.every(Settings::duration_or(settings.list_poll_ms, default_platform_poll), [this] { read_platform_if_alone(); });
 }
 
 Agent::~Agent() = default;
@@ -324,7 +320,7 @@
 {
     auto const& path = exchange->path();
     if (path.starts_with(chunk_path)) {
-        m_weights->serve_chunk(exchange, path.substr(chunk_path.size()));
+        m_weights->chunk_server().serve(exchange, path.substr(chunk_path.size()));
     } else if (path == "/metrics") {
         m_metrics.set("mountbarrow_agent_in_flight", static_cast<double>(m_requests->in_flight()));
         m_metrics.set("mountbarrow_agent_link_bytes", static_cast<double>(m_hub->traffic().sent), "direction=\"sent\"");
@@ -355,7 +351,7 @@
 void Agent::finish_when_idle()
 {
     auto const waited = Core::monotonic_now() - m_draining_since;
-    bool const is_out_of_time = waited >= duration_or(m_settings.drain_ms, default_drain);
+    bool const is_out_of_time = waited >= Settings::duration_or(m_settings.drain_ms, default_drain);
     if (!is_out_of_time && (waited < least_drain || !m_requests->is_idle()))
         return;
     Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped", { { "unfinished", std::to_string(m_requests->in_flight()) } });
--- a/Services/Agent/WeightsRunner.cpp
+++ b/Services/Agent/WeightsRunner.cpp
@@ -17,7 +17,6 @@
 static constexpr size_t neighbours_per_widening = 4;
 static constexpr size_t versions_remembered_per_peer = 4;
 static constexpr int status_ok = 200;
-static constexpr int status_not_found = 404;
 static constexpr int status_unavailable = 503;
 
 WeightsRunner::WeightsRunner(Core::EventLoop& loop, WeightsRunnerSettings settings, Core::Metrics& metrics, Callbacks callbacks)
@@ -26,9 +25,8 @@
     , m_metrics(metrics)
     , m_callbacks(std::move(callbacks))
     , m_client(loop)
-    , m_upload_limit(std::make_unique<Transport::RateLimit>(loop, 0, m_settings.upload_bytes_per_second))
     , m_download_limit(std::make_unique<Transport::RateLimit>(loop, m_settings.download_bytes_per_second, 0))
-    , m_uploads(std::make_shared<size_t>(0))
+    , m_chunk_server(loop, m_settings.uploads, metrics, m_store)
     , m_turn_timer(loop.every(turn_interval, [this] { turn(); }))
 {
     if (m_settings.has_engine)
@@ -347,71 +345,6 @@
     m_transfer->on_failed(fetch, failure, Core::monotonic_now());
 }
 
-bool WeightsRunner::has_fewer_chunks(WaitingUpload const& first, WaitingUpload const& second)
-{
-    return first.held < second.held;
-}
-
-void WeightsRunner::serve_chunk(std::shared_ptr<Transport::HttpExchange> const& exchange, std::string const& digest)
-{
-    auto chunk = m_store.find(digest);
-    if (!chunk) {
-        exchange->reply(status_not_found, {}, {});
-        return;
-    }
-    // The engine beside this agent reads over loopback, past the limits that are there for peers.
-    bool const is_for_engine = exchange->query("for") == "engine";
-    if (is_for_engine) {
-        exchange->reply_shared(status_ok, {}, std::move(chunk));
-        return;
-    }
-    if (*m_uploads < m_settings.uploads_at_once) {
-        upload(*exchange, chunk);
-        return;
-    }
-    auto const held = std::strtoul(exchange->query("held").value_or("0").c_str(), nullptr, 10);
-    m_waiting_uploads.push_back({ exchange, std::move(chunk), held });
-    std::erase_if(m_waiting_uploads, [](auto const& waiting) { return waiting.exchange->is_over(); });
-    if (m_waiting_uploads.size() <= m_settings.uploads_waiting)
-        return;
-    // The peer that is furthest along can best find another source.
-    auto const furthest = std::max_element(m_waiting_uploads.begin(), m_waiting_uploads.end(), has_fewer_chunks);
-    m_metrics.count("mountbarrow_agent_uploads_refused_total");
-    furthest->exchange->reply(status_unavailable, { { "Retry-After", "1" } }, {});
-    m_waiting_uploads.erase(furthest);
-}
-
-void WeightsRunner::upload(Transport::HttpExchange& exchange, std::shared_ptr<std::string const> const& chunk)
-{
-    exchange.limit(*m_upload_limit);
-    *m_uploads += 1;
-    m_metrics.count("mountbarrow_agent_uploads_total");
-    // The count goes down when the last byte is sent, or the connection breaks; the link must not idle after that.
-    auto counted = std::shared_ptr<std::string const>(chunk.get(), [this, chunk, alive = std::weak_ptr(m_uploads)](auto const*) {
-        auto const uploads = alive.lock();
-        if (!uploads)
-            return;
-        *uploads -= 1;
-        m_loop.soon([this, alive] {
-            if (!alive.expired())
-                upload_next();
-        });
-    });
-    exchange.reply_shared(status_ok, {}, std::move(counted));
-}
-
-void WeightsRunner::upload_next()
-{
-    while (*m_uploads < m_settings.uploads_at_once && !m_waiting_uploads.empty()) {
-        // The peer that is furthest behind goes first: the time to all replicas is the time of the last.
-        auto const furthest_behind = std::min_element(m_waiting_uploads.begin(), m_waiting_uploads.end(), has_fewer_chunks);
-        auto const next = std::move(*furthest_behind);
-        m_waiting_uploads.erase(furthest_behind);
-        if (!next.exchange->is_over())
-            upload(*next.exchange, next.chunk);
-    }
-}
-
 bool WeightsRunner::may_switch_now() const
 {
     return Distribution::may_switch(m_settings.identity, m_targets, ready_of(m_rollout), Distribution::switch_slack(m_targets.size()));
--- a/Services/Agent/WeightsRunner.h
+++ b/Services/Agent/WeightsRunner.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include "ChunkServer.h"
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibDistribution/ChunkStore.h>
@@ -11,7 +12,6 @@
 #include <LibSchema/Generated.h>
 #include <LibTransport/HttpClient.h>
 #include <LibTransport/LinkHub.h>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,12 +29,9 @@
     uint16_t backend_port { 0 };
     bool has_engine { true };
     size_t neighbours { 16 };
-    size_t uploads_at_once { 1 };
-    /// Requests for a chunk that may wait for an upload to end.
-    size_t uploads_waiting { 2 };
-    int64_t upload_bytes_per_second { 0 };
     int64_t download_bytes_per_second { 0 };
     Distribution::TransferSettings transfer;
+    ChunkServerSettings uploads;
 };
 
 /// Holds the instance's weights: brings them here, passes them on, and has the engine load them.
@@ -62,8 +59,8 @@
     void on_peer_down(std::string const& peer);
     void on_chunk_map(std::string const& peer, Schema::ChunkMap const&);
 
-    /// Answers a request for a chunk.
-    void serve_chunk(std::shared_ptr<Transport::HttpExchange> const&, std::string const& digest);
+    /// Serves the chunks held here.
+    ChunkServer& chunk_server() { return m_chunk_server; }
 
     /// Weights that requests may be served with, and whether a switch is under way.
     std::optional<Schema::Weights> serving() const;
@@ -79,14 +76,6 @@
         int status { 0 };
     };
 
-    struct WaitingUpload {
-        std::shared_ptr<Transport::HttpExchange> exchange;
-        std::shared_ptr<std::string const> chunk;
-        // Chunks that the requesting peer says it holds.
-        size_t held { 0 };
-    };
-
-    static bool has_fewer_chunks(WaitingUpload const&, WaitingUpload const&);
     void adopt(std::string const& rollout, int64_t revision, Schema::VersionSpec const&);
     void release();
     void start_transfer();
@@ -106,19 +95,17 @@
     bool do_successors_serve() const;
     std::vector<std::string> const& ready_of(std::string const& rollout) const;
     void drop_unneeded(Core::Time now);
-    void upload(Transport::HttpExchange&, std::shared_ptr<std::string const> const& chunk);
-    void upload_next();
 
     Core::EventLoop& m_loop;
     WeightsRunnerSettings m_settings;
     Core::Metrics& m_metrics;
     Callbacks m_callbacks;
     Transport::HttpClient m_client;
-    std::unique_ptr<Transport::RateLimit> m_upload_limit;
     std::unique_ptr<Transport::RateLimit> m_download_limit;
     uint16_t m_http_port { 0 };
 
     Distribution::ChunkStore m_store;
+    ChunkServer m_chunk_server;
     std::unique_ptr<Distribution::Transfer> m_transfer;
     Distribution::EngineControl m_engine;
 
@@ -138,9 +125,6 @@
     // What peers said they hold, by peer and version digest.
     std::map<std::string, std::map<std::string, std::set<int64_t>>> m_peer_chunks;
     std::vector<int64_t> m_to_announce;
-    // Uploads under way. Bytes on their way out may outlive this object, and ask by this whether it is there.
-    std::shared_ptr<size_t> m_uploads;
-    std::deque<WaitingUpload> m_waiting_uploads;
     int64_t m_origin_bytes { 0 };
     int64_t m_peer_bytes { 0 };
 
--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -31,11 +31,6 @@
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
 
-static Core::Duration duration_or(std::optional<int64_t> const& milliseconds, Core::Duration fallback)
-{
-    return milliseconds ? Core::Duration(*milliseconds) : fallback;
-}
-
 Core::ErrorOr<std::unique_ptr<Entry>> Entry::create(Core::EventLoop& loop, Schema::EntrySettings const& settings)
 {
     auto keys = TRY(Transport::read_keys(*settings.key_file));
@@ -55,10 +50,10 @@
     result.identity = settings.identity;
     result.incarnation = incarnation;
     result.limits.max_body_bytes = static_cast<size_t>(settings.max_body_bytes.value_or(default_body_bytes));
-    result.limits.default_deadline = duration_or(settings.default_deadline_ms, default_deadline);
+    result.limits.default_deadline = Settings::duration_or(settings.default_deadline_ms, default_deadline);
     result.retry_ratio = settings.retry_ratio.value_or(default_retry_ratio);
-    result.flow.resume_wait = duration_or(settings.resume_ms, default_resume);
-    result.flow.accept_wait = duration_or(settings.accept_wait_ms, default_accept_wait);
+    result.flow.resume_wait = Settings::duration_or(settings.resume_ms, default_resume);
+    result.flow.accept_wait = Settings::duration_or(settings.accept_wait_ms, default_accept_wait);
     result.table.choice = settings.choice.value_or(Schema::Choice::Prefix);
     result.seed = Core::stable_hash(settings.identity, std::to_string(incarnation));
     return result;
@@ -67,7 +62,7 @@
 Entry::Entry(Core::EventLoop& loop, Schema::EntrySettings const& settings, std::vector<std::string> keys, std::map<std::string, Settings::OperatorRole> tokens)
     : m_loop(loop)
     , m_settings(settings)
-    , m_snapshots(duration_or(settings.retention_ms, default_retention), Core::stable_hash(settings.identity))
+    , m_snapshots(Settings::duration_or(settings.retention_ms, default_retention), Core::stable_hash(settings.identity))
     , m_platform(std::make_unique<Platform::HttpPlatform>(loop, settings.platform_address, static_cast<uint16_t>(settings.platform_port)))
     , m_last_check(Core::monotonic_now())
 {
@@ -80,8 +75,8 @@
     m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
     m_callers = std::make_unique<CallerApi>(loop, caller_settings(settings, incarnation), m_metrics, *m_hub, m_list, m_replica.fold());
     m_operators = std::make_unique<OperatorApi>(loop, m_metrics, m_replica, m_tally, *m_platform, std::move(tokens));
-    m_list_timer = loop.every(duration_or(settings.list_poll_ms, default_list_poll), [this] { read_list(); });
-    m_log_timer = loop.every(duration_or(settings.log_poll_ms, default_log_poll), [this] { read_log(); });
+    m_list_timer = loop.every(Settings::duration_or(settings.list_poll_ms, default_list_poll), [this] { read_list(); });
+    m_log_timer = loop.every(Settings::duration_or(settings.log_poll_ms, default_log_poll), [this] { read_log(); });
     m_tally_timer = loop.every(tally_interval, [this] { send_tallies(); });
     m_check_timer = loop.every(check_interval, [this] {
         drop_silent_links();
@@ -95,7 +90,7 @@
 
 Core::Duration Entry::lease() const
 {
-    return duration_or(m_settings.lease_ms, default_lease);
+    return Settings::duration_or(m_settings.lease_ms, default_lease);
 }
 
 Core::ErrorOr<void> Entry::listen()
@@ -104,7 +99,7 @@
     options.max_header_bytes = static_cast<size_t>(m_settings.max_header_bytes.value_or(default_header_bytes));
     // The typed answer to a body over the limit is ours; libevent's own bound only guards the memory.
     options.max_body_bytes = 2 * static_cast<size_t>(m_settings.max_body_bytes.value_or(default_body_bytes));
-    options.idle_timeout = duration_or(m_settings.idle_timeout_ms, default_idle_timeout);
+    options.idle_timeout = Settings::duration_or(m_settings.idle_timeout_ms, default_idle_timeout);
     auto handler = [this](std::shared_ptr<Transport::HttpExchange> const& exchange) { on_http(exchange); };
     m_http = TRY(Transport::HttpServer::create(m_loop, m_settings.address, static_cast<uint16_t>(m_settings.http_port), options, handler));
     Core::log_event(Core::LogLevel::Info, "started", { { "http_port", std::to_string(m_http->port()) } });
@@ -377,7 +372,7 @@
     m_callers->stop_accepting();
     m_operators->stop();
     bool const is_idle = m_callers->in_flight() == 0 && m_operators->pending_changes() == 0;
-    bool const is_out_of_time = waited >= duration_or(m_settings.drain_ms, default_drain);
+    bool const is_out_of_time = waited >= Settings::duration_or(m_settings.drain_ms, default_drain);
     // A little longer for the last bytes to leave.
     bool const is_flushed = waited >= 2 * health_grace;
     if (!is_out_of_time && !(is_idle && is_flushed))
