Meta: Read a process's time and memory in one place

Cause: three measurement scripts each read the processor time and memory of a process from the system on their own. Change: process_seconds and process_kb stand once, beside the code that starts the processes, and the scripts call them.

--- a/Meta/measure-capacity.py
+++ b/Meta/measure-capacity.py
@@ -11,22 +11,11 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "Tests", "Processes"))
-from cluster import Cluster, http, wait_until  # noqa: E402
+from cluster import Cluster, http, wait_until, process_kb, process_seconds  # noqa: E402
 
 POOL = "llm-pool"
 
 
-def seconds_of(process):
-    with open(f"/proc/{process.pid}/stat", encoding="utf-8") as file:
-        fields = file.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def resident_kb(process):
-    with open(f"/proc/{process.pid}/status", encoding="utf-8") as file:
-        return next(int(line.split()[1]) for line in file if line.startswith("VmRSS"))
-
-
 def link_bytes(cluster, instance):
     return sum(v for k, v in cluster.metrics(instance).items() if "link_bytes" in k)
 
@@ -43,10 +32,10 @@
 
 
 def idle(cluster, instance, seconds):
-    before = seconds_of(instance.process), link_bytes(cluster, instance)
+    before = process_seconds(instance.process), link_bytes(cluster, instance)
     time.sleep(seconds)
-    after = seconds_of(instance.process), link_bytes(cluster, instance)
-    return (after[0] - before[0]) / seconds, (after[1] - before[1]) / seconds, resident_kb(instance.process)
+    after = process_seconds(instance.process), link_bytes(cluster, instance)
+    return (after[0] - before[0]) / seconds, (after[1] - before[1]) / seconds, process_kb(instance.process)
 
 
 def links(build, seconds):
@@ -69,7 +58,7 @@
 
         def show(what):
             wait_until(lambda: cluster.report(agent).get("offset") == json.loads(http("GET", cluster.entry_url(entry, "/api/v1/status"))[2])["offset"], "the agent to follow")
-            print(f"| {what} | {resident_kb(entry.process)} | {resident_kb(agent.process)} |", flush=True)
+            print(f"| {what} | {process_kb(entry.process)} | {process_kb(agent.process)} |", flush=True)
         show("1 resource")
         spec = {"requests_per_second": 1, "burst": 1, "concurrency": 1}
         with ThreadPoolExecutor(16) as pool:
--- a/Meta/measure-requests.py
+++ b/Meta/measure-requests.py
@@ -9,7 +9,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "Tests", "Processes"))
-from cluster import BACKEND_PORT, Cluster, finish_load, http, wait_until  # noqa: E402
+from cluster import BACKEND_PORT, Cluster, finish_load, http, wait_until, process_kb, process_seconds  # noqa: E402
 import json  # noqa: E402
 
 POOL = "llm-pool"
@@ -18,17 +18,6 @@
 BACKEND = ("--tokens", "20", "--token-ms", "10", "--prefill-ms", "100", "--slots", str(SLOTS), "--cached-prefixes", "12")
 
 
-def seconds_of(process):
-    with open(f"/proc/{process.pid}/stat", encoding="utf-8") as file:
-        fields = file.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def resident_kb(process):
-    with open(f"/proc/{process.pid}/status", encoding="utf-8") as file:
-        return next(int(line.split()[1]) for line in file if line.startswith("VmRSS"))
-
-
 def deploy(build, entries=2, backend=BACKEND, engines=ENGINES, capacity=SLOTS, **settings):
     cluster = Cluster(build)
     for i in range(entries):
@@ -114,15 +103,15 @@
     fast = ("--tokens", "50", "--token-ms", "2", "--prefill-ms", "1", "--slots", "400")
     with deploy(build, entries=1, engines=1, backend=fast, capacity=400) as cluster:
         entry, agent = cluster.entries()[0], cluster.instances["llm-0"]
-        idle = seconds_of(entry.process), seconds_of(agent.process)
+        idle = process_seconds(entry.process), process_seconds(agent.process)
         time.sleep(5)
-        print(f"| idle entry with 1 link | {(seconds_of(entry.process) - idle[0]) / 5 * 100:.2f}% of a core, {resident_kb(entry.process) / 1024:.1f} MB |")
-        print(f"| idle agent | {(seconds_of(agent.process) - idle[1]) / 5 * 100:.2f}% of a core, {resident_kb(agent.process) / 1024:.1f} MB |")
+        print(f"| idle entry with 1 link | {(process_seconds(entry.process) - idle[0]) / 5 * 100:.2f}% of a core, {process_kb(entry.process) / 1024:.1f} MB |")
+        print(f"| idle agent | {(process_seconds(agent.process) - idle[1]) / 5 * 100:.2f}% of a core, {process_kb(agent.process) / 1024:.1f} MB |")
         samples = []
         for rate in (50, 200):
-            before = seconds_of(entry.process), seconds_of(agent.process)
+            before = process_seconds(entry.process), process_seconds(agent.process)
             report = finish_load(load(cluster, rate, seconds))
-            after = seconds_of(entry.process), seconds_of(agent.process)
+            after = process_seconds(entry.process), process_seconds(agent.process)
             samples.append((report["outcomes"]["answered"], after[0] - before[0], after[1] - before[1]))
         requests = samples[1][0] - samples[0][0]
         for i, role in ((1, "entry"), (2, "agent")):
@@ -131,11 +120,11 @@
     slow = ("--tokens", "400", "--token-ms", "20", "--prefill-ms", "1", "--slots", "2000")
     with deploy(build, entries=1, engines=1, backend=slow, capacity=2000) as cluster:
         entry, agent = cluster.entries()[0], cluster.instances["llm-0"]
-        before = resident_kb(entry.process), resident_kb(agent.process)
+        before = process_kb(entry.process), process_kb(agent.process)
         running = load(cluster, 200, 5, "--deadline-ms", 30000)
         time.sleep(6.5)
         in_flight = cluster.metrics(entry)["mountbarrow_entry_in_flight"]
-        after = resident_kb(entry.process), resident_kb(agent.process)
+        after = process_kb(entry.process), process_kb(agent.process)
         for i, role in enumerate(("entry", "agent")):
             print(f"| {role} memory per request in flight ({in_flight:.0f} of them) | {(after[i] - before[i]) / max(1, in_flight):.1f} KB |")
         finish_load(running)
--- a/Meta/measure-rollout.py
+++ b/Meta/measure-rollout.py
@@ -17,7 +17,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "Tests", "Processes"))
-from cluster import Cluster, http, wait_until  # noqa: E402
+from cluster import Cluster, http, wait_until, process_kb, process_seconds  # noqa: E402
 
 POOL = "llm-pool"
 
@@ -31,20 +31,6 @@
 }
 
 
-def process_memory(process):
-    with open(f"/proc/{process.pid}/status", encoding="utf-8") as file:
-        for line in file:
-            if line.startswith("VmHWM"):
-                return int(line.split()[1]) / 1024
-    return 0
-
-
-def process_seconds(process):
-    with open(f"/proc/{process.pid}/stat", encoding="utf-8") as file:
-        fields = file.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def measure(build, count, scenario, options):
     settings = SCENARIOS[scenario]
     copy = options.chunks * options.chunk_bytes
@@ -126,7 +112,7 @@
             "fetched_copies": sum(v for m in metrics for k, v in m.items() if "weights_bytes" in k) / copy / max(1, alive),
             "again": sum(m.get("mountbarrow_agent_chunks_fetched_again_total", 0) for m in metrics),
             "control_bytes_per_second": (after - before) / 8 / elapsed,
-            "memory_mb": max(process_memory(a.process) for a in live),
+            "memory_mb": max(process_kb(a.process, "VmHWM") / 1024 for a in live),
             "cpu_share": cpu / max(1, alive) / elapsed,
             "ready": status.get("ready", 0), "alive": alive,
         }
--- a/Tests/Processes/cluster.py
+++ b/Tests/Processes/cluster.py
@@ -55,6 +55,19 @@
         return 0, {}, str(error).encode()
 
 
+def process_seconds(process):
+    """Processor time that a process has used."""
+    with open(f"/proc/{process.pid}/stat", encoding="utf-8") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def process_kb(process, field="VmRSS"):
+    """Memory of a process in KB: VmRSS now, VmHWM at its peak."""
+    with open(f"/proc/{process.pid}/status", encoding="utf-8") as file:
+        return next((int(line.split()[1]) for line in file if line.startswith(field)), 0)
+
+
 class Instance:
     def __init__(self, identity, role, service, address, domain, region):
         self.identity = identity
