--- /dev/null
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -0,0 +1,169 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibConfiguration/FactReplica.h>
+
+#include <LibSchema/Json.h>
+#include <algorithm>
+#include <set>
+
+namespace Configuration {
+
+static FactTopic topic_of(Schema::FactKind kind)
+{
+    return kind == Schema::FactKind::BackendServer ? FactTopic::BackendServers : FactTopic::Configuration;
+}
+
+static bool is_same(Schema::BackendServer const& a, Schema::BackendServer const& b)
+{
+    return Schema::to_value(a) == Schema::to_value(b);
+}
+
+bool FactReplica::take_value(Fact const& fact, Core::Time now, FactChanges& changes)
+{
+    if (auto const* configuration = std::get_if<std::shared_ptr<Schema::RoutingConfiguration const>>(&fact.value)) {
+        // A record with a lower version than the one in force is never a step forward.
+        if (m_configuration && (*configuration)->version <= m_configuration->version)
+            return false;
+        m_configuration = *configuration;
+        changes.has_configuration = true;
+        return true;
+    }
+    if (auto const* named = std::get_if<Schema::ModelVersion>(&fact.value)) {
+        auto& known = m_versions[named->model];
+        if (named->version <= known.version)
+            return false;
+        known = { named->version, now };
+        changes.has_versions = true;
+        return true;
+    }
+    return true;
+}
+
+void FactReplica::apply(Fact const& fact, Core::Time now, FactChanges& changes)
+{
+    auto const key = Key(fact.kind, fact.key);
+    auto const known = m_facts.find(key);
+    if (known != m_facts.end() && known->second.revision >= fact.revision)
+        return;
+    bool const is_server = fact.kind == Schema::FactKind::BackendServer;
+    // The configuration and named versions are never taken back.
+    if (!is_server && std::holds_alternative<Removed>(fact.value))
+        return;
+    if (!take_value(fact, now, changes))
+        return;
+    if (is_server) {
+        auto const* before = known == m_facts.end() ? nullptr : std::get_if<Schema::BackendServer>(&known->second.value);
+        auto const* after = std::get_if<Schema::BackendServer>(&fact.value);
+        bool const is_unchanged = before && after ? is_same(*before, *after) : before == after;
+        if (!is_unchanged)
+            changes.servers.push_back(fact.key);
+    }
+    m_facts[key] = fact;
+}
+
+FactChanges FactReplica::on_records(FactTopic topic, std::vector<Fact> const& facts, int64_t end, Core::Time now)
+{
+    FactChanges changes;
+    for (auto const& fact : facts)
+        apply(fact, now, changes);
+    auto& known_end = topic == FactTopic::Configuration ? m_configuration_end : m_servers_end;
+    known_end = std::max(known_end, end);
+    return changes;
+}
+
+FactChanges FactReplica::on_listing(FactTopic topic, std::vector<Fact> const& facts, int64_t end, Core::Time now)
+{
+    auto changes = on_records(topic, facts, end, now);
+    if (topic != FactTopic::BackendServers)
+        return changes;
+    std::set<std::string> listed;
+    for (auto const& fact : facts)
+        listed.insert(fact.key);
+    std::vector<Fact> removed;
+    for (auto const& [key, fact] : m_facts) {
+        bool const is_gone = key.first == Schema::FactKind::BackendServer && !listed.contains(key.second) && fact.revision < end;
+        if (is_gone && !std::holds_alternative<Removed>(fact.value))
+            removed.push_back({ key.first, key.second, fact.revision + 1, Removed {} });
+    }
+    for (auto const& fact : removed)
+        apply(fact, now, changes);
+    return changes;
+}
+
+FactChanges FactReplica::on_peer(Schema::FactBatch const& batch, Core::Time now)
+{
+    FactChanges changes;
+    for (auto const& message : batch.facts) {
+        auto fact = from_message(message);
+        if (fact.has_value())
+            apply(*fact, now, changes);
+    }
+    m_configuration_end = std::max(m_configuration_end, batch.configuration_end);
+    m_servers_end = std::max(m_servers_end, batch.servers_end);
+    return changes;
+}
+
+Schema::FactBatch FactReplica::facts_since(Schema::FactRequest const& request, Core::Duration age) const
+{
+    Schema::FactBatch batch {};
+    batch.age_ms = age.count();
+    batch.configuration_end = m_configuration_end;
+    batch.servers_end = m_servers_end;
+    for (auto const& [key, fact] : m_facts) {
+        auto const from = topic_of(key.first) == FactTopic::Configuration ? request.configuration_from : request.servers_from;
+        if (fact.revision >= from)
+            batch.facts.push_back(to_message(fact));
+    }
+    return batch;
+}
+
+Schema::BackendServer const* FactReplica::server(std::string const& id) const
+{
+    auto const found = m_facts.find({ Schema::FactKind::BackendServer, id });
+    return found == m_facts.end() ? nullptr : std::get_if<Schema::BackendServer>(&found->second.value);
+}
+
+std::vector<Schema::BackendServer const*> FactReplica::servers() const
+{
+    std::vector<Schema::BackendServer const*> servers;
+    for (auto const& [key, fact] : m_facts) {
+        if (auto const* server = std::get_if<Schema::BackendServer>(&fact.value))
+            servers.push_back(server);
+    }
+    return servers;
+}
+
+Schema::Fact to_message(Fact const& fact)
+{
+    Schema::Fact message {};
+    message.kind = fact.kind;
+    message.key = fact.key;
+    message.revision = fact.revision;
+    if (auto const* configuration = std::get_if<std::shared_ptr<Schema::RoutingConfiguration const>>(&fact.value))
+        message.body = Schema::to_text(**configuration);
+    else if (auto const* named = std::get_if<Schema::ModelVersion>(&fact.value))
+        message.body = Schema::to_text(*named);
+    else if (auto const* server = std::get_if<Schema::BackendServer>(&fact.value))
+        message.body = Schema::to_text(*server);
+    return message;
+}
+
+Core::ErrorOr<Fact> from_message(Schema::Fact const& message)
+{
+    Fact fact { message.kind, message.key, message.revision, Removed {} };
+    if (message.body.empty())
+        return fact;
+    switch (message.kind) {
+    case Schema::FactKind::Configuration:
+        fact.value = std::make_shared<Schema::RoutingConfiguration const>(TRY(Schema::from_text<Schema::RoutingConfiguration>(message.body)));
+        break;
+    case Schema::FactKind::ModelVersion:
+        fact.value = TRY(Schema::from_text<Schema::ModelVersion>(message.body));
+        break;
+    case Schema::FactKind::BackendServer:
+        fact.value = TRY(Schema::from_text<Schema::BackendServer>(message.body));
+        break;
+    }
+    return fact;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibCore/Time.h>
+#include <LibSchema/Generated.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Configuration {
+
+/// The two streams of the platform's log that a process follows.
+enum class FactTopic {
+    /// The operator's records: the routing configuration and the named versions.
+    Configuration,
+    /// The list of backend servers.
+    BackendServers,
+};
+
+/// A key that was removed.
+struct Removed { };
+
+using FactValue = std::variant<Removed, std::shared_ptr<Schema::RoutingConfiguration const>, Schema::ModelVersion, Schema::BackendServer>;
+
+/// One key's value at the offset of its record.
+struct Fact {
+    Schema::FactKind kind { Schema::FactKind::Configuration };
+    std::string key;
+    int64_t revision { 0 };
+    FactValue value;
+};
+
+/// What a batch of facts changed.
+struct FactChanges {
+    bool has_configuration { false };
+    bool has_versions { false };
+    /// Backend servers added, changed or removed.
+    std::vector<std::string> servers;
+
+    bool has_any() const { return has_configuration || has_versions || !servers.empty(); }
+};
+
+/// A version that the operator named, and when this process learned of it.
+struct NamedVersion {
+    int64_t version { 0 };
+    Core::Time learned { 0 };
+};
+
+/// A process's copy of what the operator and the platform's list say.
+///
+/// The platform keeps the newest record of each key for ever, so there are no snapshots: a fold of the newest record
+/// by key. It is fed from the log or by peers that read further; whatever comes, nothing moves back.
+class FactReplica {
+public:
+    /// Takes records read at `end(topic)`; `end` is the offset behind the last of them.
+    FactChanges on_records(FactTopic, std::vector<Fact> const&, int64_t end, Core::Time now);
+
+    /// Takes the newest record of every key, read because the records from `end(topic)` on are gone.
+    /// Keys that are not among them were removed.
+    FactChanges on_listing(FactTopic, std::vector<Fact> const&, int64_t end, Core::Time now);
+
+    /// Takes what a peer sent. Facts that cannot be read change nothing.
+    FactChanges on_peer(Schema::FactBatch const&, Core::Time now);
+
+    /// The offset to read a topic from next.
+    int64_t end(FactTopic topic) const { return topic == FactTopic::Configuration ? m_configuration_end : m_servers_end; }
+
+    /// What a peer lacks that has read this far.
+    Schema::FactBatch facts_since(Schema::FactRequest const&, Core::Duration age) const;
+
+    /// Null until a configuration was read.
+    std::shared_ptr<Schema::RoutingConfiguration const> const& configuration() const { return m_configuration; }
+    std::map<std::string, NamedVersion> const& versions() const { return m_versions; }
+    Schema::BackendServer const* server(std::string const& id) const;
+    std::vector<Schema::BackendServer const*> servers() const;
+
+private:
+    using Key = std::pair<Schema::FactKind, std::string>;
+
+    void apply(Fact const&, Core::Time now, FactChanges&);
+    bool take_value(Fact const&, Core::Time now, FactChanges&);
+
+    std::map<Key, Fact> m_facts;
+    std::shared_ptr<Schema::RoutingConfiguration const> m_configuration;
+    std::map<std::string, NamedVersion> m_versions;
+    int64_t m_configuration_end { 0 };
+    int64_t m_servers_end { 0 };
+};
+
+/// The fact as it goes to peers.
+Schema::Fact to_message(Fact const&);
+/// @return MalformedJson, WrongType or UnknownKey for a body that is not of its kind.
+Core::ErrorOr<Fact> from_message(Schema::Fact const&);
+
+}
--- a/Libraries/LibCore/EventLoop.cpp
+++ b/Libraries/LibCore/EventLoop.cpp
@@ -44,6 +44,8 @@
         event_free(m_terminate);
     if (m_interrupt)
         event_free(m_interrupt);
+    if (m_hangup)
+        event_free(m_hangup);
     event_base_free(m_base);
 }
 
@@ -92,6 +94,14 @@
     event_add(m_interrupt, nullptr);
 }
 
+void EventLoop::on_reload_signal(std::function<void()> callback)
+{
+    m_on_reload = std::move(callback);
+    auto handle = [](int, short, void* self) { static_cast<EventLoop*>(self)->m_on_reload(); };
+    m_hangup = evsignal_new(m_base, SIGHUP, handle, this);
+    event_add(m_hangup, nullptr);
+}
+
 void EventLoop::run()
 {
     event_base_loop(m_base, EVLOOP_NO_EXIT_ON_EMPTY);
--- a/Libraries/LibCore/EventLoop.h
+++ b/Libraries/LibCore/EventLoop.h
@@ -47,6 +47,9 @@
     /// Calls back on SIGTERM and SIGINT, and ignores SIGPIPE.
     void on_stop_signal(std::function<void()>);
 
+    /// Calls back on SIGHUP.
+    void on_reload_signal(std::function<void()>);
+
     void run();
     void stop();
 
@@ -59,7 +62,9 @@
     std::vector<std::function<void()>> m_soon;
     event* m_terminate { nullptr };
     event* m_interrupt { nullptr };
+    event* m_hangup { nullptr };
     std::function<void()> m_on_stop;
+    std::function<void()> m_on_reload;
 };
 
 }
--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: BSD-2-Clause
+#include <LibCore/BoundedLog.h>
 #include <LibCore/Log.h>
 
 #include <log4cxx/basicconfigurator.h>
@@ -11,6 +12,8 @@
 namespace Core {
 
 static log4cxx::LoggerPtr s_logger;
+static std::unique_ptr<BoundedLog> s_bounded;
+static constexpr char const* s_pattern = R"({"time":"%d{yyyy-MM-dd'T'HH:mm:ss.SSS}","level":"%p","process":"%c",%m}%n)";
 
 static log4cxx::LevelPtr to_level(LogLevel level)
 {
@@ -30,7 +33,7 @@
 void configure_log(std::string const& process, LogLevel least, std::string const& file)
 {
     s_logger = log4cxx::Logger::getLogger(process);
-    auto layout = std::make_shared<log4cxx::PatternLayout>(R"({"time":"%d{yyyy-MM-dd'T'HH:mm:ss.SSS}","level":"%p","process":"%c",%m}%n)");
+    auto layout = std::make_shared<log4cxx::PatternLayout>(s_pattern);
     log4cxx::AppenderPtr appender;
     if (file.empty())
         appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
@@ -42,10 +45,28 @@
     s_logger->setLevel(to_level(least));
 }
 
+void configure_bounded_log(EventLoop& loop, std::string const& process, int64_t routine_lines_per_second)
+{
+    s_logger = log4cxx::Logger::getLogger(process);
+    s_bounded = std::make_unique<BoundedLog>(loop, process, routine_lines_per_second);
+    s_logger->removeAllAppenders();
+    s_logger->setAdditivity(false);
+    s_logger->addAppender(s_bounded->appender(std::make_shared<log4cxx::PatternLayout>(s_pattern)));
+    s_logger->setLevel(log4cxx::Level::getInfo());
+}
+
+void flush_log()
+{
+    if (s_bounded)
+        s_bounded->flush();
+}
+
 void log_event(LogLevel level, char const* event, std::initializer_list<LogField> fields)
 {
     if (!s_logger || !s_logger->isEnabledFor(to_level(level)))
         return;
+    if (s_bounded && !s_bounded->may_write(level))
+        return;
     nlohmann::ordered_json line;
     line["event"] = event;
     for (auto const& [key, value] : fields)
--- /dev/null
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibDistribution/StagedLoad.h>
+
+#include <LibConfiguration/HeldVersion.h>
+#include <algorithm>
+
+namespace Distribution {
+
+StagedLoad::StagedLoad(int64_t version, size_t chunks, StagedLoadSettings settings)
+    : m_version(version)
+    , m_settings(settings)
+    , m_chunks(chunks)
+{
+}
+
+void StagedLoad::on_held(size_t chunk)
+{
+    m_chunks[chunk].is_held = true;
+}
+
+void StagedLoad::on_staged(size_t chunk, bool is_done)
+{
+    auto& state = m_chunks[chunk];
+    state.is_in_call = false;
+    state.is_staged = is_done;
+    state.right_at.reset();
+    m_calls -= 1;
+}
+
+void StagedLoad::on_read_back(size_t chunk, bool is_right, Core::Time now)
+{
+    auto& state = m_chunks[chunk];
+    state.is_in_call = false;
+    m_calls -= 1;
+    if (is_right) {
+        state.right_at = now;
+        return;
+    }
+    state.right_at.reset();
+    state.is_staged = false;
+    m_bad += 1;
+}
+
+void StagedLoad::on_report(Platform::EngineReport const& report, int64_t layers, Core::Time now)
+{
+    bool const is_new_life = m_report && report.order_sequence < m_report->order_sequence;
+    bool const has_answered = m_ordered_at && !report.is_busy && now - *m_ordered_at >= m_settings.order_patience;
+    m_report = report;
+    m_is_serving = Configuration::whole_version(report.held, layers) == m_version;
+    if (m_is_serving || is_new_life || has_answered)
+        m_ordered_at.reset();
+}
+
+void StagedLoad::on_unreachable()
+{
+    m_report.reset();
+    m_is_serving = false;
+}
+
+void StagedLoad::on_ordered(Platform::OrderOutcome outcome, Core::Time now)
+{
+    m_is_ordering = false;
+    // A refused order leaves nothing to wait for but a newer report.
+    if (outcome == Platform::OrderOutcome::Refused) {
+        m_ordered_at.reset();
+        m_report.reset();
+        return;
+    }
+    m_ordered_at = now;
+}
+
+bool StagedLoad::is_complete() const
+{
+    return std::all_of(m_chunks.begin(), m_chunks.end(), [](auto const& chunk) { return chunk.is_staged && !chunk.is_in_call; });
+}
+
+size_t StagedLoad::held_count() const
+{
+    return static_cast<size_t>(std::count_if(m_chunks.begin(), m_chunks.end(), [](auto const& chunk) { return chunk.is_held; }));
+}
+
+bool StagedLoad::stage_next(std::vector<LoadAction>& actions)
+{
+    for (size_t i = 0; i < m_chunks.size(); ++i) {
+        auto& chunk = m_chunks[i];
+        if (!chunk.is_held || chunk.is_staged || chunk.is_in_call)
+            continue;
+        chunk.is_in_call = true;
+        m_calls += 1;
+        actions.emplace_back(StageChunk { i });
+        return true;
+    }
+    return false;
+}
+
+bool StagedLoad::read_back_next(Core::Time now, std::vector<LoadAction>& actions)
+{
+    for (size_t i = 0; i < m_chunks.size(); ++i) {
+        auto& chunk = m_chunks[i];
+        bool const is_right = chunk.right_at && now - *chunk.right_at < m_settings.read_back_holds;
+        if (is_right || chunk.is_in_call)
+            continue;
+        chunk.is_in_call = true;
+        m_calls += 1;
+        actions.emplace_back(ReadBackChunk { i });
+        return true;
+    }
+    return false;
+}
+
+bool StagedLoad::may_order(Core::Time now) const
+{
+    return m_report && !m_report->is_busy && !m_is_ordering && !m_ordered_at && is_complete() && std::all_of(m_chunks.begin(), m_chunks.end(), [&](auto const& chunk) {
+        return chunk.right_at && now - *chunk.right_at < m_settings.read_back_holds;
+    });
+}
+
+std::vector<LoadAction> StagedLoad::step(Core::Time now)
+{
+    std::vector<LoadAction> actions;
+    bool is_busy = true;
+    while (is_busy && m_calls < m_settings.calls_at_once)
+        is_busy = stage_next(actions);
+    bool const wants_load = m_report && !m_report->is_busy && !m_is_serving && !m_is_ordering && !m_ordered_at;
+    if (!wants_load || !is_complete())
+        return actions;
+    if (may_order(now)) {
+        m_is_ordering = true;
+        actions.emplace_back(OrderLoad { m_report->order_sequence });
+        return actions;
+    }
+    is_busy = true;
+    while (is_busy && m_calls < m_settings.calls_at_once)
+        is_busy = read_back_next(now, actions);
+    return actions;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDistribution/StagedLoad.h
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibPlatform/EngineApi.h>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace Distribution {
+
+/// Lay a verified chunk beside the engine.
+struct StageChunk {
+    size_t chunk { 0 };
+};
+
+/// Read a chunk back from beside the engine, and compare it with its digest.
+struct ReadBackChunk {
+    size_t chunk { 0 };
+};
+
+/// Have the engine load what lies beside it.
+struct OrderLoad {
+    int64_t expected_sequence { 0 };
+};
+
+using LoadAction = std::variant<StageChunk, ReadBackChunk, OrderLoad>;
+
+struct StagedLoadSettings {
+    size_t calls_at_once { 4 };
+    /// A chunk that was read back longer ago than this may have turned bad since.
+    Core::Duration read_back_holds { 1500 };
+    /// Wait for a report that shows what became of an order.
+    Core::Duration order_patience { 1500 };
+};
+
+/// Decides what is laid beside the engine and when the engine is ordered to take it.
+///
+/// An order goes out only when every chunk of one version lies there and was read back and found right just before.
+/// An order that nobody answered may have been taken: the engine's report tells, and the sequence that the next
+/// order expects keeps two orders from both taking effect.
+class StagedLoad {
+public:
+    StagedLoad(int64_t version, size_t chunks, StagedLoadSettings);
+
+    int64_t version() const { return m_version; }
+
+    /// The chunk's bytes are at hand, verified.
+    void on_held(size_t chunk);
+    void on_staged(size_t chunk, bool is_done);
+    /// The chunk was read back: whether it is the version's.
+    void on_read_back(size_t chunk, bool is_right, Core::Time now);
+    void on_report(Platform::EngineReport const&, int64_t layers, Core::Time now);
+    void on_unreachable();
+    void on_ordered(Platform::OrderOutcome, Core::Time now);
+
+    /// What to do now.
+    std::vector<LoadAction> step(Core::Time now);
+
+    /// The engine reports all layers of this version.
+    bool is_serving() const { return m_is_serving; }
+    bool is_order_in_flight() const { return m_is_ordering; }
+    size_t held_count() const;
+    /// Chunks that were found bad when they were read back.
+    uint64_t bad_count() const { return m_bad; }
+
+private:
+    struct Chunk {
+        bool is_held { false };
+        bool is_staged { false };
+        bool is_in_call { false };
+        std::optional<Core::Time> right_at;
+    };
+
+    bool is_complete() const;
+    bool stage_next(std::vector<LoadAction>&);
+    bool read_back_next(Core::Time now, std::vector<LoadAction>&);
+    bool may_order(Core::Time now) const;
+
+    int64_t m_version;
+    StagedLoadSettings m_settings;
+    std::vector<Chunk> m_chunks;
+    size_t m_calls { 0 };
+    std::optional<Platform::EngineReport> m_report;
+    bool m_is_serving { false };
+    bool m_is_ordering { false };
+    std::optional<Core::Time> m_ordered_at;
+    uint64_t m_bad { 0 };
+};
+
+}
--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -42,6 +42,29 @@
     rank_chunks();
 }
 
+void Transfer::set_near(std::vector<std::string> near)
+{
+    m_near = { near.begin(), near.end() };
+    for (size_t i = 0; i < m_chunks.size(); ++i) {
+        m_chunks[i].far_rank = rank_among(near, m_digests[i]);
+        m_chunks[i].near_holders = 0;
+    }
+    for (auto const& [id, peer] : m_peers) {
+        for (auto chunk : peer.chunks)
+            m_chunks[chunk].near_holders += m_near.contains(id) ? 1 : 0;
+    }
+}
+
+bool Transfer::may_ask_peer(ChunkState const& chunk, std::string const& peer, Core::Time now) const
+{
+    if (m_near.empty() || m_near.contains(peer))
+        return true;
+    if (chunk.near_holders > 0)
+        return false;
+    auto const since = std::max(chunk.without_holder_since, m_last_useful);
+    return chunk.far_rank == 0 || now - since >= m_settings.far_patience * static_cast<int64_t>(chunk.far_rank);
+}
+
 size_t Transfer::rank_among(std::vector<std::string> const& instances, std::string const& digest) const
 {
     // The rank is the number of instances with a higher hash; no order needs to be built.
@@ -72,8 +95,10 @@
         // A peer may name anything: what the version does not have is not believed.
         if (number < 0 || chunk >= m_chunks.size())
             continue;
-        if (state.chunks.insert(chunk).second)
-            m_chunks[chunk].holders += 1;
+        if (!state.chunks.insert(chunk).second)
+            continue;
+        m_chunks[chunk].holders += 1;
+        m_chunks[chunk].near_holders += m_near.contains(peer) ? 1 : 0;
     }
 }
 
@@ -84,6 +109,7 @@
         return;
     for (auto chunk : found->second.chunks) {
         m_chunks[chunk].holders -= 1;
+        m_chunks[chunk].near_holders -= m_near.contains(peer) ? 1 : 0;
         if (m_chunks[chunk].holders == 0)
             m_chunks[chunk].without_holder_since = m_last_useful;
     }
@@ -142,6 +168,7 @@
         auto peer = m_peers.find(running.source.peer);
         if (peer != m_peers.end() && peer->second.chunks.erase(running.chunk) > 0) {
             m_chunks[running.chunk].holders -= 1;
+            m_chunks[running.chunk].near_holders -= m_near.contains(running.source.peer) ? 1 : 0;
             m_chunks[running.chunk].without_holder_since = now;
         }
         if (!running.source.is_origin())
@@ -211,6 +238,8 @@
     for (auto const& [id, peer] : m_peers) {
         if (id == except || now < peer.avoid_until || !peer.chunks.contains(chunk))
             continue;
+        if (!may_ask_peer(m_chunks[chunk], id, now))
+            continue;
         if (!best.empty() && peer.fetches > best_fetches)
             continue;
         bool const is_better = best.empty() || peer.fetches < best_fetches;
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -55,6 +55,8 @@
     size_t seeders { 4 };
     /// Wait per rank before the origin is asked for a chunk that no neighbour holds.
     Core::Duration origin_patience { 2000 };
+    /// Wait per rank before a far peer is asked for a chunk that no near one holds.
+    Core::Duration far_patience { 400 };
     /// Silence after which a read is given up and its source left alone for a while.
     Core::Duration stall { 2000 };
 };
@@ -73,6 +75,10 @@
     /// The set of instances that want the version changed.
     void set_targets(std::vector<std::string> targets);
 
+    /// The instances near by, this one among them: bytes from any other are dear, so of each chunk one copy comes
+    /// from far away and the others from near. Empty: all are near.
+    void set_near(std::vector<std::string> near);
+
     /// A neighbour says that it holds chunks, beyond those that it named before.
     void on_peer_chunks(std::string const& peer, std::vector<int64_t> const& chunks);
     /// A neighbour is gone, with all that it held.
@@ -106,6 +112,9 @@
         // Neighbours that hold it.
         size_t holders { 0 };
         size_t origin_rank { 0 };
+        // Holders near by, and this instance's rank among those near by for reading it from far away.
+        size_t near_holders { 0 };
+        size_t far_rank { 0 };
         Core::Time without_holder_since { 0 };
     };
 
@@ -133,11 +142,13 @@
     bool start_duplicate(Core::Time now, std::vector<TransferAction>&);
     std::string choose_peer(size_t chunk, Core::Time now, std::string const& except);
     Fetch begin(size_t chunk, Source, Core::Time now);
+    bool may_ask_peer(ChunkState const&, std::string const& peer, Core::Time now) const;
     bool may_ask_origin(ChunkState const&, Core::Time now) const;
     size_t running_from_origin() const;
 
     std::string m_self;
     std::vector<std::string> m_targets;
+    std::set<std::string> m_near;
     TransferSettings m_settings;
     std::mt19937_64 m_random;
     std::string m_version_digest;
--- /dev/null
+++ b/Libraries/LibPlatform/EngineApi.h
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibSchema/Generated.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Platform {
+
+/// What an engine reports of itself.
+struct EngineReport {
+    std::vector<Schema::HeldLayers> held;
+    /// An order is under way.
+    bool is_busy { false };
+    /// Orders taken since the engine's start.
+    int64_t order_sequence { 0 };
+    int64_t running { 0 };
+    int64_t waiting { 0 };
+    /// Above 1: slow.
+    double pace { 1 };
+};
+
+/// What became of an order.
+enum class OrderOutcome {
+    /// It began, or is done already.
+    Taken,
+    /// It does not fit the engine's state.
+    Refused,
+    /// No answer: it may have been taken.
+    Unknown,
+};
+
+/// The engine beside this process.
+class EngineApi {
+public:
+    virtual ~EngineApi() = default;
+
+    virtual void read_report(std::function<void(Core::ErrorOr<EngineReport>)>) = 0;
+
+    /// Has the engine load what is staged for a model, once what runs has ended.
+    /// `expected_sequence`: the orders that the engine must have taken before.
+    virtual void start(std::string const& model, int64_t version, int64_t expected_sequence, std::function<void(OrderOutcome)>) = 0;
+
+    /// Lays a chunk beside the engine.
+    virtual void stage(std::string const& model, size_t chunk, std::string const& bytes, std::function<void(bool)>) = 0;
+
+    /// Reads a staged chunk back; nothing if there is none.
+    virtual void read_staged(std::string const& model, size_t chunk, std::function<void(std::shared_ptr<std::string const>)>) = 0;
+};
+
+/// The digests of a version's chunks, in order.
+struct Manifest {
+    std::string model;
+    int64_t version { 0 };
+    int64_t chunk_bytes { 0 };
+    std::vector<std::string> digests;
+};
+
+/// The service that has the weights.
+class WeightOrigin {
+public:
+    virtual ~WeightOrigin() = default;
+
+    /// `address`: IP:PORT.
+    virtual void read_manifest(std::string const& address, std::string const& model, int64_t version, std::function<void(Core::ErrorOr<Manifest>)>) = 0;
+    virtual void read_chunk(std::string const& address, std::string const& model, int64_t version, size_t chunk, std::function<void(Core::ErrorOr<std::string>)>) = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibPlatform/FactFollower.h>
+
+#include <algorithm>
+
+namespace Platform {
+
+FactFollower::FactFollower(Core::EventLoop& loop, FactLog& log, Configuration::FactReplica& replica, FactFollowerSettings settings, Callbacks callbacks)
+    : m_loop(loop)
+    , m_log(log)
+    , m_replica(replica)
+    , m_settings(settings)
+    , m_callbacks(std::move(callbacks))
+{
+}
+
+void FactFollower::start()
+{
+    if (std::exchange(m_is_running, true))
+        return;
+    read(m_configuration);
+    read(m_servers);
+}
+
+void FactFollower::stop()
+{
+    m_is_running = false;
+    m_configuration.timer.reset();
+    m_servers.timer.reset();
+}
+
+void FactFollower::on_peer_facts(Core::Duration age)
+{
+    auto const current_at = Core::monotonic_now() - age;
+    m_configuration.current_at = std::max(m_configuration.current_at, current_at);
+    m_servers.current_at = std::max(m_servers.current_at, current_at);
+}
+
+Core::Duration FactFollower::age(Core::Time now) const
+{
+    return now - std::min(m_configuration.current_at, m_servers.current_at);
+}
+
+void FactFollower::read(Topic& topic)
+{
+    if (!m_is_running || topic.is_reading)
+        return;
+    topic.is_reading = true;
+    if (topic.needs_listing) {
+        m_log.read_newest(topic.topic, [this, &topic](auto page) { on_page(topic, page, true); });
+        return;
+    }
+    bool const is_configuration = topic.topic == Configuration::FactTopic::Configuration;
+    auto const wait = is_configuration ? m_settings.configuration_wait : Core::Duration(0);
+    m_log.read(topic.topic, m_replica.end(topic.topic), wait, [this, &topic](auto page) { on_page(topic, page, false); });
+}
+
+void FactFollower::on_page(Topic& topic, tl::expected<FactPage, FactLogFault> const& page, bool is_listing)
+{
+    topic.is_reading = false;
+    if (!m_is_running)
+        return;
+    auto const now = Core::monotonic_now();
+    if (!page.has_value()) {
+        bool const is_gone = page.error() == FactLogFault::HistoryGone;
+        topic.needs_listing = topic.needs_listing || is_gone;
+        read_later(topic, is_gone ? Core::Duration(0) : m_settings.retry_interval);
+        if (!is_gone)
+            m_callbacks.failing(page.error());
+        return;
+    }
+    topic.needs_listing = false;
+    topic.current_at = now;
+    for (auto const& bad : page->bad)
+        m_callbacks.bad_record(bad);
+    auto const changes = is_listing ? m_replica.on_listing(topic.topic, page->facts, page->end, now) : m_replica.on_records(topic.topic, page->facts, page->end, now);
+    bool const is_configuration = topic.topic == Configuration::FactTopic::Configuration;
+    read_later(topic, is_configuration ? Core::Duration(0) : m_settings.servers_interval);
+    if (changes.has_any())
+        m_callbacks.changed(changes);
+}
+
+void FactFollower::read_later(Topic& topic, Core::Duration wait)
+{
+    topic.timer = m_loop.after(wait, [this, &topic] { read(topic); });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/FactLog.h
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibConfiguration/FactReplica.h>
+#include <LibCore/Error.h>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Platform {
+
+/// Why a read of the platform's log brought nothing.
+enum class FactLogFault {
+    /// No answer, or one that is no answer.
+    Unavailable,
+    /// The platform turned the call away.
+    Refused,
+    /// The records asked for are no longer kept: read the newest of each key.
+    HistoryGone,
+};
+
+/// A record that could not be read; what was in force stays in force.
+struct BadRecord {
+    std::string key;
+    int64_t revision { 0 };
+    Core::Error error;
+};
+
+struct FactPage {
+    std::vector<Configuration::Fact> facts;
+    std::vector<BadRecord> bad;
+    /// Offset behind the last record of the page.
+    int64_t end { 0 };
+};
+
+/// The platform's log of what the operator and the backend servers say. Answers come later, on the loop.
+class FactLog {
+public:
+    virtual ~FactLog() = default;
+
+    using Callback = std::function<void(tl::expected<FactPage, FactLogFault>)>;
+
+    /// Reads the records from an offset on, waiting up to `wait` for one.
+    virtual void read(Configuration::FactTopic, int64_t from, Core::Duration wait, Callback) = 0;
+
+    /// Reads the newest record of every key.
+    virtual void read_newest(Configuration::FactTopic, Callback) = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/AttemptPolicy.cpp
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/AttemptPolicy.h>
+
+namespace Routing {
+
+// Less time than this is not worth another send.
+static constexpr Core::Duration least_time_for_a_send { 30 };
+// Sends that ran nothing are tried again a few times, beside the attempts that the route allows.
+static constexpr int64_t most_misses = 3;
+
+bool is_repeatable(AttemptState const& state)
+{
+    if (state.kind == Schema::RouteKind::Repeatable)
+        return true;
+    return state.kind == Schema::RouteKind::Stream && state.is_resumable;
+}
+
+static bool ran_nothing(SendEnd end)
+{
+    return end == SendEnd::NotConnected || end == SendEnd::NotRun;
+}
+
+static bool may_send_again(SendEnd end, AttemptState const& state)
+{
+    if (state.remaining < least_time_for_a_send || !state.has_budget)
+        return false;
+    if (ran_nothing(end))
+        return state.misses <= most_misses;
+    return is_repeatable(state) && state.sends < state.max_attempts;
+}
+
+NextStep next_step(SendEnd end, AttemptState const& state)
+{
+    if (may_send_again(end, state)) {
+        bool const is_repeat_of_a_run = state.may_have_run || !ran_nothing(end);
+        if (!is_repeat_of_a_run || is_repeatable(state))
+            return state.has_delivered ? NextStep::Resume : NextStep::SendAgain;
+    }
+    if (state.has_delivered)
+        return NextStep::BreakOff;
+    if (end == SendEnd::ServerFailure)
+        return NextStep::PassFailure;
+    if (ran_nothing(end) && !state.may_have_run)
+        return NextStep::RefuseNotRun;
+    return NextStep::AnswerUnknown;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/RetryShare.cpp
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/RetryShare.h>
+
+#include <algorithm>
+
+namespace Routing {
+
+static constexpr Core::Duration slot_length { 1000 };
+// Requests of this entry may be counted in another window than their retries: not all of the ratio is spent.
+static constexpr double spent_part_of_ratio = 0.75;
+static constexpr double spent_part_of_slack = 0.8;
+// An entry that has just started may have spent its share in its last life.
+static constexpr double fresh_part_of_slack = 0.4;
+
+RetryShare::RetryShare(RetryBound bound, Core::Time now)
+    : m_bound(bound)
+    , m_started(now)
+{
+}
+
+void RetryShare::set_entries(size_t count)
+{
+    m_entries = std::max(m_entries, count);
+}
+
+RetryShare::Slot& RetryShare::slot(std::string const& service, Core::Time now)
+{
+    auto& slots = m_services[service];
+    auto const second = now / slot_length * slot_length;
+    while (!slots.empty() && slots.front().second + m_bound.window + slot_length < now)
+        slots.pop_front();
+    if (slots.empty() || slots.back().second != second)
+        slots.push_back({ second, 0, 0 });
+    return slots.back();
+}
+
+void RetryShare::on_request(std::string const& service, Core::Time now)
+{
+    slot(service, now).requests += 1;
+}
+
+double RetryShare::left(std::string const& service, Core::Time now)
+{
+    slot(service, now);
+    double requests = 0;
+    double retries = 0;
+    for (auto const& slot : m_services[service]) {
+        requests += slot.requests;
+        retries += slot.retries;
+    }
+    bool const is_fresh = now < m_started + m_bound.window;
+    double const slack = m_bound.slack * (is_fresh ? fresh_part_of_slack : spent_part_of_slack) / static_cast<double>(m_entries);
+    return m_bound.ratio * spent_part_of_ratio * requests + slack - retries;
+}
+
+bool RetryShare::has_left(std::string const& service, Core::Time now)
+{
+    return left(service, now) >= 1;
+}
+
+bool RetryShare::try_spend(std::string const& service, Core::Time now)
+{
+    if (!has_left(service, now))
+        return false;
+    slot(service, now).retries += 1;
+    return true;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/RouteTable.cpp
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/RouteTable.h>
+
+#include <algorithm>
+
+namespace Routing {
+
+RouteTable::RouteTable(std::shared_ptr<Schema::RoutingConfiguration const> configuration)
+    : m_configuration(std::move(configuration))
+{
+    for (auto const& route : m_configuration->routes)
+        m_routes[route.host].push_back(&route);
+    for (auto& [host, routes] : m_routes)
+        std::stable_sort(routes.begin(), routes.end(), [](auto const* a, auto const* b) { return a->path_prefix.size() > b->path_prefix.size(); });
+    for (auto const& customer : m_configuration->customers) {
+        for (auto const& key : customer.keys)
+            m_customers[key] = &customer;
+    }
+    for (auto const& service : m_configuration->services)
+        m_services[service.name] = &service;
+}
+
+Schema::Route const* RouteTable::find(std::string_view host, std::string_view path) const
+{
+    auto const routes = m_routes.find(std::string(host));
+    if (routes == m_routes.end())
+        return nullptr;
+    for (auto const* route : routes->second) {
+        if (path.starts_with(route->path_prefix))
+            return route;
+    }
+    return nullptr;
+}
+
+Schema::RoutedCustomer const* RouteTable::customer_of(std::string const& key) const
+{
+    auto const found = m_customers.find(key);
+    return found == m_customers.end() ? nullptr : found->second;
+}
+
+Schema::RoutedService const* RouteTable::service(std::string const& name) const
+{
+    auto const found = m_services.find(name);
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+std::string const& RouteTable::pick_service(Schema::Route const& route, double draw)
+{
+    static std::string const none;
+    if (route.targets.empty())
+        return none;
+    double total = 0;
+    for (auto const& target : route.targets)
+        total += target.weight;
+    double left = draw * total;
+    for (auto const& target : route.targets) {
+        if (left < target.weight)
+            return target.service;
+        left -= target.weight;
+    }
+    return route.targets.back().service;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/RouteTable.h
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibSchema/Generated.h>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Routing {
+
+/// A configuration, indexed for requests: routes by host and longest prefix, customers by key.
+class RouteTable {
+public:
+    explicit RouteTable(std::shared_ptr<Schema::RoutingConfiguration const>);
+
+    int64_t version() const { return m_configuration->version; }
+    Schema::RoutingConfiguration const& configuration() const { return *m_configuration; }
+
+    /// The route of the host whose prefix begins the path and is longest; null if there is none.
+    Schema::Route const* find(std::string_view host, std::string_view path) const;
+
+    /// Null if no customer holds the key.
+    Schema::RoutedCustomer const* customer_of(std::string const& key) const;
+
+    /// Null if the configuration has no such service.
+    Schema::RoutedService const* service(std::string const& name) const;
+
+    /// The service for one request; `draw` (0 to 1, 1 excluded) picks among split targets by weight.
+    static std::string const& pick_service(Schema::Route const&, double draw);
+
+private:
+    std::shared_ptr<Schema::RoutingConfiguration const> m_configuration;
+    // Routes of a host, the longest prefix first.
+    std::unordered_map<std::string, std::vector<Schema::Route const*>> m_routes;
+    std::unordered_map<std::string, Schema::RoutedCustomer const*> m_customers;
+    std::unordered_map<std::string, Schema::RoutedService const*> m_services;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -0,0 +1,301 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/ServerTable.h>
+
+#include <LibConfiguration/HeldVersion.h>
+#include <algorithm>
+#include <cmath>
+
+namespace Routing {
+
+// An agent that is heard of again at least each second; past this its word is too old to go by.
+static constexpr Core::Duration report_is_fresh { 2500 };
+static constexpr Core::Duration first_suspension { 400 };
+static constexpr Core::Duration longest_suspension { 4000 };
+static constexpr Core::Duration full_wait { 60 };
+static constexpr int64_t failures_to_suspend = 4;
+static constexpr double failure_memory = 0.9;
+// A server that fails everything costs as much as one that is this many milliseconds slower.
+static constexpr double failure_cost_ms = 400;
+// What a request's bytes between regions and failure domains cost, as time that it may wait instead.
+static constexpr double other_region_ms = 25;
+static constexpr double other_domain_ms = 8;
+static constexpr double plain_answer_ms = 30;
+
+ServerTable::ServerTable(ServerTableSettings settings, uint64_t seed)
+    : m_settings(std::move(settings))
+    , m_random(seed)
+{
+}
+
+void ServerTable::set_server(Schema::BackendServer const& entry, Core::Time)
+{
+    auto& server = m_servers[entry.id];
+    server.entry = entry;
+    server.ip = entry.address.substr(0, entry.address.rfind(':'));
+    auto const* model = timing(entry.service);
+    server.listed_version = model ? Configuration::whole_version(entry.held, model->layers) : 0;
+}
+
+void ServerTable::remove_server(std::string const& id)
+{
+    m_servers.erase(id);
+}
+
+void ServerTable::set_timing(std::string const& service, Schema::EngineTiming const& timing)
+{
+    m_timings[service] = timing;
+    for (auto& [id, server] : m_servers) {
+        if (server.entry.service == service)
+            server.listed_version = Configuration::whole_version(server.entry.held, timing.layers);
+    }
+}
+
+void ServerTable::on_engine_state(std::string const& ip, Schema::EngineState const& state, Core::Time now)
+{
+    int64_t own = 0;
+    for (auto const& [id, server] : m_servers) {
+        if (server.ip == ip)
+            own += static_cast<int64_t>(server.pending.size());
+    }
+    m_reported[ip] = { state, now, own };
+}
+
+void ServerTable::on_agent_gone(std::string const& ip)
+{
+    m_reported.erase(ip);
+}
+
+ServerTable::Reported const* ServerTable::reported(Server const& server, Core::Time now) const
+{
+    auto const found = m_reported.find(server.ip);
+    if (found == m_reported.end() || now - found->second.at > report_is_fresh)
+        return nullptr;
+    return &found->second;
+}
+
+Schema::EngineTiming const* ServerTable::timing(std::string const& service) const
+{
+    auto const found = m_timings.find(service);
+    return found == m_timings.end() ? nullptr : &found->second;
+}
+
+int64_t ServerTable::version_of(Server const& server, Core::Time now) const
+{
+    auto const* report = reported(server, now);
+    return report ? report->state.version : server.listed_version;
+}
+
+int64_t ServerTable::version_of(std::string const& id, Core::Time now) const
+{
+    auto const found = m_servers.find(id);
+    return found == m_servers.end() ? 0 : version_of(found->second, now);
+}
+
+bool ServerTable::is_usable(Server const& server, std::optional<int64_t> required_version, Core::Time now) const
+{
+    if (server.entry.is_draining || now < server.suspended_until)
+        return false;
+    if (!timing(server.entry.service))
+        return true;
+    auto const* report = reported(server, now);
+    // An engine with an order before it takes nothing new until it is done.
+    if (report && report->state.is_busy)
+        return false;
+    auto const version = version_of(server, now);
+    return version > 0 && (!required_version || version == *required_version);
+}
+
+int64_t ServerTable::others_in_flight(Server const& server, Core::Time now) const
+{
+    auto const* report = reported(server, now);
+    if (!report)
+        return 0;
+    return std::max<int64_t>(0, report->state.running + report->state.waiting - report->own_in_flight);
+}
+
+bool ServerTable::has_room(Server const& server, Core::Time now) const
+{
+    if (now < server.full_until)
+        return false;
+    auto const own = static_cast<int64_t>(server.pending.size());
+    auto const slots = server.entry.slots;
+    bool const is_engine = timing(server.entry.service) != nullptr;
+    if (!is_engine)
+        return own < slots;
+    if (reported(server, now))
+        return own + others_in_flight(server, now) < slots + m_settings.allowed_queue;
+    // Nobody says what others have there: an equal share.
+    return own < std::max<int64_t>(1, slots / static_cast<int64_t>(m_entries));
+}
+
+double ServerTable::distance_ms(Server const& server) const
+{
+    if (server.entry.failure_domain == m_settings.failure_domain)
+        return 0;
+    auto const region = m_settings.regions.find(server.entry.failure_domain);
+    bool const is_same_region = region != m_settings.regions.end() && region->second == m_settings.region;
+    return is_same_region ? other_domain_ms : other_region_ms;
+}
+
+static double read_ms(Schema::EngineTiming const& timing, double tokens)
+{
+    static constexpr double per_second = 1000;
+    static constexpr double million = 1e6;
+    return tokens * per_second / timing.prompt_tokens_per_second + timing.pairs_ms_per_million * tokens * tokens / 2 / million;
+}
+
+static double step_ms(Schema::EngineTiming const& timing, double running)
+{
+    static constexpr double thousand = 1000;
+    auto const context = timing.usual_prompt_tokens + timing.usual_answer_tokens / 2;
+    return timing.step_ms + running * (timing.per_sequence_ms + timing.context_ms_per_1000 * context / thousand);
+}
+
+/// Time a request takes at a full engine, the reading of others' prompts in between included.
+static double full_service_ms(Schema::EngineTiming const& timing)
+{
+    auto const slots = static_cast<double>(timing.slots);
+    return timing.usual_answer_tokens * step_ms(timing, slots) + slots * read_ms(timing, timing.usual_prompt_tokens);
+}
+
+Core::Duration ServerTable::turnover(std::string const& service) const
+{
+    auto const* model = timing(service);
+    if (!model || model->slots <= 0)
+        return Core::Duration(static_cast<int64_t>(plain_answer_ms));
+    return Core::Duration(static_cast<int64_t>(std::ceil(full_service_ms(*model) / static_cast<double>(model->slots))));
+}
+
+double ServerTable::predicted_ms(Server const& server, ServerNeeds const& needs, Core::Time now) const
+{
+    auto const* model = timing(server.entry.service);
+    auto const own = static_cast<double>(server.pending.size());
+    if (!model)
+        return plain_answer_ms * (1 + own);
+    auto const others = static_cast<double>(others_in_flight(server, now));
+    auto const slots = static_cast<double>(model->slots);
+    double unread = 0;
+    for (auto const& [request, pending] : server.pending) {
+        if (!pending.has_first_event)
+            unread += read_ms(*model, static_cast<double>(pending.prompt_tokens));
+    }
+    auto const* report = reported(server, now);
+    if (report) {
+        auto const waiting_of_others = std::min(others, static_cast<double>(report->state.waiting));
+        unread += waiting_of_others * read_ms(*model, model->usual_prompt_tokens);
+    }
+    auto const running = std::min(slots, own + others);
+    auto const pass = static_cast<double>(model->stride) * step_ms(*model, running);
+    auto const ahead = std::max(0.0, own + others + 1 - slots);
+    auto const queue = ahead * full_service_ms(*model) / slots;
+    auto const pace = report ? std::max(1.0, report->state.pace) : 1.0;
+    // Half of the pass under way, then one that reads what waits and this prompt, and writes the first event.
+    return pace * (pass * 1.5 + unread + read_ms(*model, static_cast<double>(needs.prompt_tokens)) + queue);
+}
+
+double ServerTable::cost(Server const& server, ServerNeeds const& needs, Core::Time now)
+{
+    auto const failure = failure_cost_ms * server.failure_rate;
+    switch (m_settings.choice) {
+    case Schema::ServerChoice::RandomPick:
+        return static_cast<double>(m_random() % 1000);
+    case Schema::ServerChoice::LeastLoaded:
+        return static_cast<double>(others_in_flight(server, now)) + static_cast<double>(server.pending.size());
+    case Schema::ServerChoice::Predicted:
+        break;
+    }
+    return predicted_ms(server, needs, now) + distance_ms(server) + failure;
+}
+
+tl::expected<ServerChoice, NoServer> ServerTable::choose(ServerNeeds const& needs, Core::Time now)
+{
+    Server const* best = nullptr;
+    double best_cost = 0;
+    uint64_t ties = 0;
+    bool saw_full = false;
+    for (auto const& [id, server] : m_servers) {
+        if (server.entry.service != needs.service || needs.excluded.contains(id))
+            continue;
+        if (!is_usable(server, needs.required_version, now))
+            continue;
+        if (!has_room(server, now)) {
+            saw_full = true;
+            continue;
+        }
+        auto const own_cost = cost(server, needs, now);
+        if (best && own_cost > best_cost)
+            continue;
+        bool const is_better = !best || own_cost < best_cost;
+        ties = is_better ? 1 : ties + 1;
+        // Among equals each has the same chance.
+        if (is_better || m_random() % ties == 0) {
+            best = &server;
+            best_cost = own_cost;
+        }
+    }
+    if (!best)
+        return tl::unexpected(saw_full ? NoServer::AllFull : NoServer::NoneUsable);
+    return ServerChoice { best->entry.id, Core::Duration(static_cast<int64_t>(predicted_ms(*best, needs, now))) };
+}
+
+void ServerTable::on_sent(std::string const& id, std::string const& request, int64_t prompt_tokens)
+{
+    auto const found = m_servers.find(id);
+    if (found != m_servers.end())
+        found->second.pending[request] = { prompt_tokens, false };
+}
+
+void ServerTable::on_first_event(std::string const& id, std::string const& request)
+{
+    auto const found = m_servers.find(id);
+    if (found == m_servers.end())
+        return;
+    auto const pending = found->second.pending.find(request);
+    if (pending != found->second.pending.end())
+        pending->second.has_first_event = true;
+}
+
+void ServerTable::on_ended(std::string const& id, std::string const& request, ServerOutcome outcome, Core::Time now)
+{
+    auto const found = m_servers.find(id);
+    if (found == m_servers.end())
+        return;
+    auto& server = found->second;
+    server.pending.erase(request);
+    bool const is_fault = outcome == ServerOutcome::Unreachable || outcome == ServerOutcome::Failure;
+    if (is_fault || outcome == ServerOutcome::Success)
+        server.failure_rate = failure_memory * server.failure_rate + (1 - failure_memory) * (is_fault ? 1 : 0);
+    if (outcome == ServerOutcome::Full)
+        server.full_until = now + full_wait;
+    if (outcome == ServerOutcome::Success)
+        server.faults_in_a_row = 0;
+    if (!is_fault)
+        return;
+    server.faults_in_a_row += 1;
+    bool const suspends = outcome == ServerOutcome::Unreachable || server.faults_in_a_row >= failures_to_suspend;
+    if (!suspends)
+        return;
+    auto const doublings = std::min<int64_t>(server.faults_in_a_row - 1, 4);
+    server.suspended_until = now + std::min(longest_suspension, first_suspension * (int64_t { 1 } << doublings));
+}
+
+Schema::BackendServer const* ServerTable::find(std::string const& id) const
+{
+    auto const found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second.entry;
+}
+
+size_t ServerTable::usable_count(std::string const& service, std::optional<int64_t> version, Core::Time now) const
+{
+    return static_cast<size_t>(std::count_if(m_servers.begin(), m_servers.end(), [&](auto const& entry) {
+        return entry.second.entry.service == service && is_usable(entry.second, version, now);
+    }));
+}
+
+size_t ServerTable::own_in_flight(std::string const& id) const
+{
+    auto const found = m_servers.find(id);
+    return found == m_servers.end() ? 0 : found->second.pending.size();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/ServerTable.h
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibSchema/Generated.h>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace Routing {
+
+/// What a request asks of a backend server.
+struct ServerNeeds {
+    std::string service;
+    /// The version that the engine must serve; nothing while any whole version will do.
+    std::optional<int64_t> required_version;
+    int64_t prompt_tokens { 0 };
+    /// Incarnations that were tried already.
+    std::set<std::string> excluded;
+};
+
+/// Why no backend server can be had now.
+enum class NoServer {
+    /// The list has none of the service that could serve.
+    NoneUsable,
+    /// Those that could serve are full.
+    AllFull,
+};
+
+struct ServerChoice {
+    std::string id;
+    /// Predicted time to the answer, or to a stream's first event.
+    Core::Duration predicted { 0 };
+};
+
+/// How a send ended, as far as it says something about the backend server.
+enum class ServerOutcome {
+    Success,
+    /// The connection never stood, or the server fell silent.
+    Unreachable,
+    /// It failed the request, or its answer was broken.
+    Failure,
+    /// It had no room.
+    Full,
+    /// Says nothing.
+    Neutral,
+};
+
+struct ServerTableSettings {
+    Schema::ServerChoice choice { Schema::ServerChoice::Predicted };
+    std::string failure_domain;
+    std::string region;
+    std::map<std::string, std::string> regions;
+    /// Requests that may wait inside a full backend server.
+    int64_t allowed_queue { 1 };
+};
+
+/// What an entry knows of the backend servers that it sends requests to itself, and its choice among them.
+///
+/// The list says which exist and which are leaving; the agent beside an engine says, sooner, what it holds and how
+/// many run there; the entry's own calls say who answers. Others' load is what the agent reports less what this
+/// entry had there, so that entries share engines without a coordinator.
+class ServerTable {
+public:
+    ServerTable(ServerTableSettings, uint64_t seed);
+
+    /// Adds or changes a server; nothing else that is known of it changes.
+    void set_server(Schema::BackendServer const&, Core::Time now);
+    void remove_server(std::string const& id);
+    void set_timing(std::string const& service, Schema::EngineTiming const&);
+    /// The number of entries that share the servers, this one included.
+    void set_entries(size_t count) { m_entries = std::max<size_t>(1, count); }
+
+    /// What the agent at an IP number read at its engine.
+    void on_engine_state(std::string const& ip, Schema::EngineState const&, Core::Time now);
+    void on_agent_gone(std::string const& ip);
+
+    tl::expected<ServerChoice, NoServer> choose(ServerNeeds const&, Core::Time now);
+
+    /// A request was sent; it holds a place until `on_ended`.
+    void on_sent(std::string const& id, std::string const& request, int64_t prompt_tokens);
+    /// Its first event came: the prompt is read.
+    void on_first_event(std::string const& id, std::string const& request);
+    void on_ended(std::string const& id, std::string const& request, ServerOutcome, Core::Time now);
+
+    /// The server, or null.
+    Schema::BackendServer const* find(std::string const& id) const;
+    /// The whole version that the server holds; 0 if none, or if it serves no model.
+    int64_t version_of(std::string const& id, Core::Time now) const;
+    /// How many servers of a service could serve a version now.
+    size_t usable_count(std::string const& service, std::optional<int64_t> version, Core::Time now) const;
+    size_t own_in_flight(std::string const& id) const;
+
+    /// Mean time between places that become free at one server of a service, when it is full.
+    Core::Duration turnover(std::string const& service) const;
+
+private:
+    struct Pending {
+        int64_t prompt_tokens { 0 };
+        bool has_first_event { false };
+    };
+
+    struct Reported {
+        Schema::EngineState state;
+        Core::Time at { 0 };
+        int64_t own_in_flight { 0 };
+    };
+
+    struct Server {
+        Schema::BackendServer entry;
+        std::string ip;
+        int64_t listed_version { 0 };
+        std::map<std::string, Pending> pending;
+        Core::Time suspended_until { 0 };
+        Core::Time full_until { 0 };
+        int64_t faults_in_a_row { 0 };
+        double failure_rate { 0 };
+    };
+
+    Reported const* reported(Server const&, Core::Time now) const;
+    Schema::EngineTiming const* timing(std::string const& service) const;
+    int64_t version_of(Server const&, Core::Time now) const;
+    bool is_usable(Server const&, std::optional<int64_t> required_version, Core::Time now) const;
+    int64_t others_in_flight(Server const&, Core::Time now) const;
+    bool has_room(Server const&, Core::Time now) const;
+    double predicted_ms(Server const&, ServerNeeds const&, Core::Time now) const;
+    double distance_ms(Server const&) const;
+    double cost(Server const&, ServerNeeds const&, Core::Time now);
+
+    ServerTableSettings m_settings;
+    std::mt19937_64 m_random;
+    size_t m_entries { 1 };
+    std::map<std::string, Server> m_servers;
+    std::map<std::string, Schema::EngineTiming> m_timings;
+    // By the IP number that agent and engine share.
+    std::map<std::string, Reported> m_reported;
+};
+
+}
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -5,6 +5,9 @@
 //  Then include this file, and then do
 //
 //     AgentSettings data = nlohmann::json::parse(jsonString);
+//     BackendServer data = nlohmann::json::parse(jsonString);
+//     DirectEntrySettings data = nlohmann::json::parse(jsonString);
+//     EngineAgentSettings data = nlohmann::json::parse(jsonString);
 //     EngineFaults data = nlohmann::json::parse(jsonString);
 //     EngineStatus data = nlohmann::json::parse(jsonString);
 //     EntrySettings data = nlohmann::json::parse(jsonString);
@@ -14,9 +17,11 @@
 //     LogRecord data = nlohmann::json::parse(jsonString);
 //     Message data = nlohmann::json::parse(jsonString);
 //     ModelSeed data = nlohmann::json::parse(jsonString);
+//     ModelVersion data = nlohmann::json::parse(jsonString);
 //     Problem data = nlohmann::json::parse(jsonString);
 //     ResourceView data = nlohmann::json::parse(jsonString);
 //     RolloutStatus data = nlohmann::json::parse(jsonString);
+//     RoutingConfiguration data = nlohmann::json::parse(jsonString);
 //     WeightsFaults data = nlohmann::json::parse(jsonString);
 
 #pragma once
@@ -262,6 +267,259 @@
         std::optional<int64_t> uploads_waiting;
     };
 
+    /**
+     * Consecutive layers of one version in an engine's memory.
+     */
+    struct HeldLayers {
+        /**
+         * Layer after the last.
+         */
+        int64_t end_layer;
+        /**
+         * First layer.
+         */
+        int64_t first_layer;
+        /**
+         * Model.
+         */
+        std::string model;
+        /**
+         * Version of the weights.
+         */
+        int64_t version;
+    };
+
+    /**
+     * A backend server as the platform's list has it.
+     */
+    struct BackendServer {
+        /**
+         * IP:PORT.
+         */
+        std::string address;
+        /**
+         * Time for which it is still slow, milliseconds.
+         */
+        int64_t cold_left_ms;
+        /**
+         * Failure domain.
+         */
+        std::string failure_domain;
+        /**
+         * Layers in memory.
+         */
+        std::vector<HeldLayers> held;
+        /**
+         * Incarnation: a restarted backend server has another.
+         */
+        std::string id;
+        /**
+         * It is leaving.
+         */
+        bool is_draining;
+        /**
+         * Service.
+         */
+        std::string service;
+        /**
+         * Requests run at once.
+         */
+        int64_t slots;
+    };
+
+    /**
+     * The platform's time bounds, as its settings give them.
+     */
+    struct DirectEntrySettingsBounds {
+        /**
+         * A leaving backend server gets nothing new after this, milliseconds.
+         */
+        int64_t drain_ms;
+        /**
+         * Time between the stop signal and the kill, seconds.
+         */
+        double grace_s;
+        /**
+         * Sends beyond the first of each request, as a share of the requests, all entries together.
+         */
+        double retry_ratio;
+        /**
+         * Sends allowed beyond the ratio in a window, all entries together.
+         */
+        double retry_slack;
+        /**
+         * Window of the ratio, seconds.
+         */
+        double retry_window_s;
+        /**
+         * A named version must be served everywhere after this, milliseconds.
+         */
+        int64_t version_ms;
+    };
+
+    /**
+     * How a backend server is chosen.
+     */
+    enum class ServerChoice : int { LeastLoaded, Predicted, RandomPick };
+
+    /**
+     * Settings of mountbarrow-direct-entry.
+     */
+    struct DirectEntrySettings {
+        /**
+         * The platform's time bounds, as its settings give them.
+         */
+        DirectEntrySettingsBounds bounds;
+        /**
+         * IP:PORT at which callers are served.
+         */
+        std::string callers_address;
+        /**
+         * How a backend server is chosen.
+         */
+        std::optional<ServerChoice> choice;
+        /**
+         * IP:PORT of the link listener that seeds name.
+         */
+        std::optional<std::string> control_address;
+        /**
+         * Failure domain.
+         */
+        std::string failure_domain;
+        /**
+         * IP number of this instance: its name among the project's processes.
+         */
+        std::string identity;
+        /**
+         * Shared key of the links.
+         */
+        std::string key;
+        /**
+         * TCP port of the links between the project's processes, the same on every instance.
+         */
+        int64_t link_port;
+        /**
+         * Bound of routine log lines.
+         */
+        std::optional<int64_t> log_lines_per_second;
+        /**
+         * TCP port of the metrics.
+         */
+        std::optional<int64_t> metrics_port;
+        /**
+         * IP:PORT of the platform's store.
+         */
+        std::string platform_address;
+        /**
+         * IP:PORT at which the balancer asks whether this entry is ready.
+         */
+        std::string readiness_address;
+        /**
+         * Region.
+         */
+        std::string region;
+        /**
+         * The region of each failure domain.
+         */
+        std::map<std::string, std::string> regions;
+        /**
+         * IP:PORT of link listeners of entries; they may be stale.
+         */
+        std::optional<std::vector<std::string>> seeds;
+    };
+
+    /**
+     * The platform's time bounds, as its settings give them.
+     */
+    struct EngineAgentSettingsBounds {
+        /**
+         * A leaving backend server gets nothing new after this, milliseconds.
+         */
+        int64_t drain_ms;
+        /**
+         * Time between the stop signal and the kill, seconds.
+         */
+        double grace_s;
+        /**
+         * Sends beyond the first of each request, as a share of the requests, all entries together.
+         */
+        double retry_ratio;
+        /**
+         * Sends allowed beyond the ratio in a window, all entries together.
+         */
+        double retry_slack;
+        /**
+         * Window of the ratio, seconds.
+         */
+        double retry_window_s;
+        /**
+         * A named version must be served everywhere after this, milliseconds.
+         */
+        int64_t version_ms;
+    };
+
+    /**
+     * Settings of mountbarrow-engine-agent.
+     */
+    struct EngineAgentSettings {
+        /**
+         * The platform's time bounds, as its settings give them.
+         */
+        EngineAgentSettingsBounds bounds;
+        /**
+         * TCP port at which chunks and metrics are served, the same on every instance.
+         */
+        int64_t chunk_port;
+        /**
+         * IP:PORT of the engine beside this agent.
+         */
+        std::string engine_address;
+        /**
+         * Failure domain.
+         */
+        std::string failure_domain;
+        /**
+         * IP number of this instance: its name among the project's processes.
+         */
+        std::string identity;
+        /**
+         * Shared key of the links.
+         */
+        std::string key;
+        /**
+         * Bandwidth of the instance's link, megabits per second.
+         */
+        double link_megabits_per_second;
+        /**
+         * TCP port of the links between the project's processes, the same on every instance.
+         */
+        int64_t link_port;
+        /**
+         * Bound of routine log lines.
+         */
+        std::optional<int64_t> log_lines_per_second;
+        /**
+         * IP:PORT of the platform's store.
+         */
+        std::string platform_address;
+        /**
+         * Region.
+         */
+        std::string region;
+        /**
+         * The region of each failure domain.
+         */
+        std::map<std::string, std::string> regions;
+        /**
+         * IP:PORT of link listeners of entries; they may be stale.
+         */
+        std::optional<std::vector<std::string>> seeds;
+        /**
+         * Service that the engine serves.
+         */
+        std::string service;
+    };
+
     /**
      * Faults of the stand-in engine.
      */
@@ -896,6 +1154,16 @@
         std::vector<EntryDemand> entries;
     };
 
+    /**
+     * Entries that an agent has links with.
+     */
+    struct EntryDirectory {
+        /**
+         * Identities.
+         */
+        std::vector<std::string> entries;
+    };
+
     /**
      * One HTTP header.
      */
@@ -969,6 +1237,99 @@
         std::optional<std::string> version;
     };
 
+    /**
+     * What an agent reads at its engine.
+     */
+    struct EngineState {
+        /**
+         * An order is under way.
+         */
+        bool is_busy;
+        /**
+         * Above 1: slow.
+         */
+        double pace;
+        /**
+         * Requests that run.
+         */
+        int64_t running;
+        /**
+         * Incarnation of the engine, empty if unknown.
+         */
+        std::string server_id;
+        /**
+         * Version of which the engine holds all layers; 0 for none.
+         */
+        int64_t version;
+        /**
+         * Requests that wait.
+         */
+        int64_t waiting;
+    };
+
+    /**
+     * Asks for all facts at or above two offsets.
+     */
+    struct FactRequest {
+        /**
+         * Offset.
+         */
+        int64_t configuration_from;
+        /**
+         * Offset.
+         */
+        int64_t servers_from;
+    };
+
+    /**
+     * What it is about.
+     */
+    enum class FactKind : int { BackendServer, Configuration, ModelVersion };
+
+    /**
+     * One key's newest value, as the platform's log or a peer gave it.
+     */
+    struct Fact {
+        /**
+         * JSON of the value; empty for a removed key.
+         */
+        std::string body;
+        /**
+         * Key.
+         */
+        std::string key;
+        /**
+         * What it is about.
+         */
+        FactKind kind;
+        /**
+         * Offset of its record.
+         */
+        int64_t revision;
+    };
+
+    /**
+     * Facts that the receiver may lack.
+     */
+    struct FactBatch {
+        /**
+         * Time since the sender read the platform's log, milliseconds.
+         */
+        int64_t age_ms;
+        /**
+         * All configuration records below this offset are in.
+         */
+        int64_t configuration_end;
+        /**
+         * Facts.
+         */
+        std::vector<Fact> facts;
+        /**
+         * All records of backend servers below this offset are in.
+         */
+        int64_t servers_end;
+    };
+
     /**
      * Role.
      *
@@ -1097,6 +1458,24 @@
         std::optional<int64_t> status;
     };
 
+    /**
+     * Chunks that an agent holds verified.
+     */
+    struct PieceMap {
+        /**
+         * Chunk numbers.
+         */
+        std::vector<int64_t> chunks;
+        /**
+         * Model.
+         */
+        std::string model;
+        /**
+         * Version.
+         */
+        int64_t version;
+    };
+
     /**
      * Lease request of an agent.
      */
@@ -1317,6 +1696,58 @@
         std::string rollout;
     };
 
+    /**
+     * An instance with an engine of the service.
+     */
+    struct GoalPeer {
+        /**
+         * Failure domain.
+         */
+        std::string failure_domain;
+        /**
+         * IP number.
+         */
+        std::string identity;
+    };
+
+    /**
+     * What the engines of a service are to hold.
+     */
+    struct WeightsGoal {
+        /**
+         * Time since the version was learned, milliseconds.
+         */
+        int64_t age_ms;
+        /**
+         * Chunks.
+         */
+        int64_t chunks;
+        /**
+         * Layers.
+         */
+        int64_t layers;
+        /**
+         * Model.
+         */
+        std::string model;
+        /**
+         * IP:PORT of the origin.
+         */
+        std::string origin_address;
+        /**
+         * Instances.
+         */
+        std::vector<GoalPeer> peers;
+        /**
+         * Service.
+         */
+        std::string service;
+        /**
+         * Version.
+         */
+        int64_t version;
+    };
+
     /**
      * One frame between two processes of the system: exactly one member is set.
      */
@@ -1328,10 +1759,30 @@
         std::optional<Challenge> challenge;
         std::optional<ChunkMap> chunk_map;
         std::optional<Demands> demands;
+        /**
+         * Entries that an agent has links with.
+         */
+        std::optional<EntryDirectory> directory;
         std::optional<Dispatch> dispatch;
+        /**
+         * What an agent reads at its engine.
+         */
+        std::optional<EngineState> engine_state;
+        /**
+         * Asks for all facts at or above two offsets.
+         */
+        std::optional<FactRequest> fact_request;
+        /**
+         * Facts that the receiver may lack.
+         */
+        std::optional<FactBatch> facts;
         std::optional<Hello> hello;
         std::optional<Members> members;
         std::optional<Part> part;
+        /**
+         * Chunks that an agent holds verified.
+         */
+        std::optional<PieceMap> pieces;
         std::optional<Ping> ping;
         std::optional<Pong> pong;
         std::optional<Records> records;
@@ -1340,6 +1791,10 @@
         std::optional<Resume> resume;
         std::optional<Snapshot> snapshot;
         std::optional<Tally> tally;
+        /**
+         * What the engines of a service are to hold.
+         */
+        std::optional<WeightsGoal> weights_goal;
     };
 
     /**
@@ -1372,6 +1827,20 @@
         std::string version;
     };
 
+    /**
+     * A version of a model's weights that the operator has named.
+     */
+    struct ModelVersion {
+        /**
+         * Model.
+         */
+        std::string model;
+        /**
+         * Version, rising.
+         */
+        int64_t version;
+    };
+
     /**
      * What is known of the request.
      */
@@ -1476,39 +1945,252 @@
         /**
          * Bytes read from peers.
          */
-        int64_t peer_bytes;
+        int64_t peer_bytes;
+        /**
+         * Instances whose engine serves the version.
+         */
+        int64_t ready;
+        /**
+         * Revision.
+         */
+        int64_t revision;
+        /**
+         * Rollout name.
+         */
+        std::string rollout;
+        /**
+         * From acceptance until all wanted copies served, milliseconds.
+         */
+        std::optional<int64_t> time_to_all_ms;
+        /**
+         * The same for half of them.
+         */
+        std::optional<int64_t> time_to_half_ms;
+        /**
+         * The same for a quarter.
+         */
+        std::optional<int64_t> time_to_quarter_ms;
+        /**
+         * Instances that fetch weights.
+         */
+        int64_t transferring;
+        /**
+         * Copies wanted.
+         */
+        int64_t wanted;
+    };
+
+    /**
+     * A customer and its keys.
+     */
+    struct RoutedCustomer {
+        /**
+         * Keys.
+         */
+        std::vector<std::string> keys;
+        /**
+         * Name.
+         */
+        std::string name;
+        /**
+         * Rank that goes before the route's.
+         */
+        std::optional<int64_t> priority;
+    };
+
+    /**
+     * Whether a second run does harm, and the form of the answer.
+     */
+    enum class RouteKind : int { Once, Repeatable, Stream };
+
+    /**
+     * A service that a share of a route's requests go to.
+     */
+    struct RouteTarget {
+        /**
+         * Service.
+         */
+        std::string service;
+        /**
+         * Share, relative to the other targets.
+         */
+        double weight;
+    };
+
+    /**
+     * Where requests of a host below a path go, and how.
+     */
+    struct Route {
+        /**
+         * Host that callers name.
+         */
+        std::string host;
+        /**
+         * No key is needed.
+         */
+        bool is_public;
+        /**
+         * A stream may go on at another engine.
+         */
+        bool is_resumable;
+        /**
+         * Whether a second run does harm, and the form of the answer.
+         */
+        RouteKind kind;
+        /**
+         * Backend servers that one request may be sent to.
+         */
+        int64_t max_attempts;
+        /**
+         * Name.
+         */
+        std::string name;
+        /**
+         * Longest pause between a stream's events, milliseconds; 0 if not a stream.
+         */
+        int64_t objective_gap_ms;
+        /**
+         * Time to the answer, or a stream's first event, that earns its full worth, milliseconds.
+         */
+        int64_t objective_ms;
+        /**
+         * Prefix of the path; the longest match wins.
+         */
+        std::string path_prefix;
+        /**
+         * Rank, 0 first.
+         */
+        int64_t priority;
+        /**
+         * Services.
+         */
+        std::vector<RouteTarget> targets;
+        /**
+         * Longest time that a request is held, milliseconds.
+         */
+        int64_t timeout_ms;
+    };
+
+    /**
+     * The timing model of a service's engines.
+     */
+    struct EngineTiming {
+        /**
+         * Bytes of a chunk.
+         */
+        int64_t chunk_bytes;
+        /**
+         * Chunks of a copy.
+         */
+        int64_t chunks;
+        /**
+         * More per 1,000 tokens of context, milliseconds.
+         */
+        double context_ms_per_1000;
+        /**
+         * Layers of the model.
+         */
+        int64_t layers;
+        /**
+         * Model that the engines serve.
+         */
+        std::string model;
+        /**
+         * Cost of a million token pairs, milliseconds.
+         */
+        double pairs_ms_per_million;
+        /**
+         * More per running request, milliseconds.
+         */
+        double per_sequence_ms;
+        /**
+         * Rate of reading prompts.
+         */
+        double prompt_tokens_per_second;
+        /**
+         * Requests run at once.
+         */
+        int64_t slots;
+        /**
+         * Cost of a token step, milliseconds.
+         */
+        double step_ms;
+        /**
+         * Tokens of an event.
+         */
+        int64_t stride;
+        /**
+         * Mean answer.
+         */
+        double usual_answer_tokens;
+        /**
+         * Mean prompt.
+         */
+        double usual_prompt_tokens;
+    };
+
+    /**
+     * A service and its backend servers' limits.
+     */
+    struct RoutedService {
+        /**
+         * Connections that a backend server accepts; 0 if unknown.
+         */
+        int64_t max_connections;
+        /**
+         * Name.
+         */
+        std::string name;
+        /**
+         * IP:PORT of the origin of weights, if this service is one.
+         */
+        std::optional<std::string> origin_address;
+        /**
+         * The timing model of a service's engines.
+         */
+        std::optional<EngineTiming> timing;
+    };
+
+    /**
+     * What the operator wants of routing, whole.
+     */
+    struct RoutingConfiguration {
+        /**
+         * Customers.
+         */
+        std::vector<RoutedCustomer> customers;
         /**
-         * Instances whose engine serves the version.
+         * Requests need a key.
          */
-        int64_t ready;
+        bool has_customers;
         /**
-         * Revision.
+         * Longest time a caller may take for a head, milliseconds.
          */
-        int64_t revision;
+        int64_t header_timeout_ms;
         /**
-         * Rollout name.
+         * Longest rest of a caller's connection, milliseconds.
          */
-        std::string rollout;
+        int64_t idle_timeout_ms;
         /**
-         * From acceptance until all wanted copies served, milliseconds.
+         * Longest body of a caller's request.
          */
-        std::optional<int64_t> time_to_all_ms;
+        int64_t max_body_bytes;
         /**
-         * The same for half of them.
+         * Longest head of a caller's request.
          */
-        std::optional<int64_t> time_to_half_ms;
+        int64_t max_header_bytes;
         /**
-         * The same for a quarter.
+         * Routes.
          */
-        std::optional<int64_t> time_to_quarter_ms;
+        std::vector<Route> routes;
         /**
-         * Instances that fetch weights.
+         * Services.
          */
-        int64_t transferring;
+        std::vector<RoutedService> services;
         /**
-         * Copies wanted.
+         * Version of the configuration.
          */
-        int64_t wanted;
+        int64_t version;
     };
 
     /**
@@ -1554,6 +2236,24 @@
     void from_json(const json & j, AgentSettings & x);
     void to_json(json & j, const AgentSettings & x);
 
+    void from_json(const json & j, HeldLayers & x);
+    void to_json(json & j, const HeldLayers & x);
+
+    void from_json(const json & j, BackendServer & x);
+    void to_json(json & j, const BackendServer & x);
+
+    void from_json(const json & j, DirectEntrySettingsBounds & x);
+    void to_json(json & j, const DirectEntrySettingsBounds & x);
+
+    void from_json(const json & j, DirectEntrySettings & x);
+    void to_json(json & j, const DirectEntrySettings & x);
+
+    void from_json(const json & j, EngineAgentSettingsBounds & x);
+    void to_json(json & j, const EngineAgentSettingsBounds & x);
+
+    void from_json(const json & j, EngineAgentSettings & x);
+    void to_json(json & j, const EngineAgentSettings & x);
+
     void from_json(const json & j, EngineFaults & x);
     void to_json(json & j, const EngineFaults & x);
 
@@ -1635,12 +2335,27 @@
     void from_json(const json & j, Demands & x);
     void to_json(json & j, const Demands & x);
 
+    void from_json(const json & j, EntryDirectory & x);
+    void to_json(json & j, const EntryDirectory & x);
+
     void from_json(const json & j, Header & x);
     void to_json(json & j, const Header & x);
 
     void from_json(const json & j, Dispatch & x);
     void to_json(json & j, const Dispatch & x);
 
+    void from_json(const json & j, EngineState & x);
+    void to_json(json & j, const EngineState & x);
+
+    void from_json(const json & j, FactRequest & x);
+    void to_json(json & j, const FactRequest & x);
+
+    void from_json(const json & j, Fact & x);
+    void to_json(json & j, const Fact & x);
+
+    void from_json(const json & j, FactBatch & x);
+    void to_json(json & j, const FactBatch & x);
+
     void from_json(const json & j, Hello & x);
     void to_json(json & j, const Hello & x);
 
@@ -1653,6 +2368,9 @@
     void from_json(const json & j, Part & x);
     void to_json(json & j, const Part & x);
 
+    void from_json(const json & j, PieceMap & x);
+    void to_json(json & j, const PieceMap & x);
+
     void from_json(const json & j, Ping & x);
     void to_json(json & j, const Ping & x);
 
@@ -1686,12 +2404,21 @@
     void from_json(const json & j, Tally & x);
     void to_json(json & j, const Tally & x);
 
+    void from_json(const json & j, GoalPeer & x);
+    void to_json(json & j, const GoalPeer & x);
+
+    void from_json(const json & j, WeightsGoal & x);
+    void to_json(json & j, const WeightsGoal & x);
+
     void from_json(const json & j, Message & x);
     void to_json(json & j, const Message & x);
 
     void from_json(const json & j, ModelSeed & x);
     void to_json(json & j, const ModelSeed & x);
 
+    void from_json(const json & j, ModelVersion & x);
+    void to_json(json & j, const ModelVersion & x);
+
     void from_json(const json & j, Problem & x);
     void to_json(json & j, const Problem & x);
 
@@ -1701,6 +2428,24 @@
     void from_json(const json & j, RolloutStatus & x);
     void to_json(json & j, const RolloutStatus & x);
 
+    void from_json(const json & j, RoutedCustomer & x);
+    void to_json(json & j, const RoutedCustomer & x);
+
+    void from_json(const json & j, RouteTarget & x);
+    void to_json(json & j, const RouteTarget & x);
+
+    void from_json(const json & j, Route & x);
+    void to_json(json & j, const Route & x);
+
+    void from_json(const json & j, EngineTiming & x);
+    void to_json(json & j, const EngineTiming & x);
+
+    void from_json(const json & j, RoutedService & x);
+    void to_json(json & j, const RoutedService & x);
+
+    void from_json(const json & j, RoutingConfiguration & x);
+    void to_json(json & j, const RoutingConfiguration & x);
+
     void from_json(const json & j, WeightsFaults & x);
     void to_json(json & j, const WeightsFaults & x);
 
@@ -1713,6 +2458,9 @@
     void from_json(const json & j, Strategy & x);
     void to_json(json & j, const Strategy & x);
 
+    void from_json(const json & j, ServerChoice & x);
+    void to_json(json & j, const ServerChoice & x);
+
     void from_json(const json & j, Choice & x);
     void to_json(json & j, const Choice & x);
 
@@ -1734,6 +2482,9 @@
     void from_json(const json & j, Repeatability & x);
     void to_json(json & j, const Repeatability & x);
 
+    void from_json(const json & j, FactKind & x);
+    void to_json(json & j, const FactKind & x);
+
     void from_json(const json & j, Role & x);
     void to_json(json & j, const Role & x);
 
@@ -1746,6 +2497,9 @@
     void from_json(const json & j, Outcome & x);
     void to_json(json & j, const Outcome & x);
 
+    void from_json(const json & j, RouteKind & x);
+    void to_json(json & j, const RouteKind & x);
+
     inline void from_json(const json & j, AgentSettings& x) {
         x.address = j.at("address").get<std::string>();
         x.backend_address = j.at("backend_address").get<std::string>();
@@ -1823,6 +2577,154 @@
         j["uploads_waiting"] = x.uploads_waiting;
     }
 
+    inline void from_json(const json & j, HeldLayers& x) {
+        x.end_layer = j.at("end_layer").get<int64_t>();
+        x.first_layer = j.at("first_layer").get<int64_t>();
+        x.model = j.at("model").get<std::string>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const HeldLayers & x) {
+        j = json::object();
+        j["end_layer"] = x.end_layer;
+        j["first_layer"] = x.first_layer;
+        j["model"] = x.model;
+        j["version"] = x.version;
+    }
+
+    inline void from_json(const json & j, BackendServer& x) {
+        x.address = j.at("address").get<std::string>();
+        x.cold_left_ms = j.at("cold_left_ms").get<int64_t>();
+        x.failure_domain = j.at("failure_domain").get<std::string>();
+        x.held = j.at("held").get<std::vector<HeldLayers>>();
+        x.id = j.at("id").get<std::string>();
+        x.is_draining = j.at("is_draining").get<bool>();
+        x.service = j.at("service").get<std::string>();
+        x.slots = j.at("slots").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const BackendServer & x) {
+        j = json::object();
+        j["address"] = x.address;
+        j["cold_left_ms"] = x.cold_left_ms;
+        j["failure_domain"] = x.failure_domain;
+        j["held"] = x.held;
+        j["id"] = x.id;
+        j["is_draining"] = x.is_draining;
+        j["service"] = x.service;
+        j["slots"] = x.slots;
+    }
+
+    inline void from_json(const json & j, DirectEntrySettingsBounds& x) {
+        x.drain_ms = j.at("drain_ms").get<int64_t>();
+        x.grace_s = j.at("grace_s").get<double>();
+        x.retry_ratio = j.at("retry_ratio").get<double>();
+        x.retry_slack = j.at("retry_slack").get<double>();
+        x.retry_window_s = j.at("retry_window_s").get<double>();
+        x.version_ms = j.at("version_ms").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const DirectEntrySettingsBounds & x) {
+        j = json::object();
+        j["drain_ms"] = x.drain_ms;
+        j["grace_s"] = x.grace_s;
+        j["retry_ratio"] = x.retry_ratio;
+        j["retry_slack"] = x.retry_slack;
+        j["retry_window_s"] = x.retry_window_s;
+        j["version_ms"] = x.version_ms;
+    }
+
+    inline void from_json(const json & j, DirectEntrySettings& x) {
+        x.bounds = j.at("bounds").get<DirectEntrySettingsBounds>();
+        x.callers_address = j.at("callers_address").get<std::string>();
+        x.choice = get_stack_optional<ServerChoice>(j, "choice");
+        x.control_address = get_stack_optional<std::string>(j, "control_address");
+        x.failure_domain = j.at("failure_domain").get<std::string>();
+        x.identity = j.at("identity").get<std::string>();
+        x.key = j.at("key").get<std::string>();
+        x.link_port = j.at("link_port").get<int64_t>();
+        x.log_lines_per_second = get_stack_optional<int64_t>(j, "log_lines_per_second");
+        x.metrics_port = get_stack_optional<int64_t>(j, "metrics_port");
+        x.platform_address = j.at("platform_address").get<std::string>();
+        x.readiness_address = j.at("readiness_address").get<std::string>();
+        x.region = j.at("region").get<std::string>();
+        x.regions = j.at("regions").get<std::map<std::string, std::string>>();
+        x.seeds = get_stack_optional<std::vector<std::string>>(j, "seeds");
+    }
+
+    inline void to_json(json & j, const DirectEntrySettings & x) {
+        j = json::object();
+        j["bounds"] = x.bounds;
+        j["callers_address"] = x.callers_address;
+        j["choice"] = x.choice;
+        j["control_address"] = x.control_address;
+        j["failure_domain"] = x.failure_domain;
+        j["identity"] = x.identity;
+        j["key"] = x.key;
+        j["link_port"] = x.link_port;
+        j["log_lines_per_second"] = x.log_lines_per_second;
+        j["metrics_port"] = x.metrics_port;
+        j["platform_address"] = x.platform_address;
+        j["readiness_address"] = x.readiness_address;
+        j["region"] = x.region;
+        j["regions"] = x.regions;
+        j["seeds"] = x.seeds;
+    }
+
+    inline void from_json(const json & j, EngineAgentSettingsBounds& x) {
+        x.drain_ms = j.at("drain_ms").get<int64_t>();
+        x.grace_s = j.at("grace_s").get<double>();
+        x.retry_ratio = j.at("retry_ratio").get<double>();
+        x.retry_slack = j.at("retry_slack").get<double>();
+        x.retry_window_s = j.at("retry_window_s").get<double>();
+        x.version_ms = j.at("version_ms").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const EngineAgentSettingsBounds & x) {
+        j = json::object();
+        j["drain_ms"] = x.drain_ms;
+        j["grace_s"] = x.grace_s;
+        j["retry_ratio"] = x.retry_ratio;
+        j["retry_slack"] = x.retry_slack;
+        j["retry_window_s"] = x.retry_window_s;
+        j["version_ms"] = x.version_ms;
+    }
+
+    inline void from_json(const json & j, EngineAgentSettings& x) {
+        x.bounds = j.at("bounds").get<EngineAgentSettingsBounds>();
+        x.chunk_port = j.at("chunk_port").get<int64_t>();
+        x.engine_address = j.at("engine_address").get<std::string>();
+        x.failure_domain = j.at("failure_domain").get<std::string>();
+        x.identity = j.at("identity").get<std::string>();
+        x.key = j.at("key").get<std::string>();
+        x.link_megabits_per_second = j.at("link_megabits_per_second").get<double>();
+        x.link_port = j.at("link_port").get<int64_t>();
+        x.log_lines_per_second = get_stack_optional<int64_t>(j, "log_lines_per_second");
+        x.platform_address = j.at("platform_address").get<std::string>();
+        x.region = j.at("region").get<std::string>();
+        x.regions = j.at("regions").get<std::map<std::string, std::string>>();
+        x.seeds = get_stack_optional<std::vector<std::string>>(j, "seeds");
+        x.service = j.at("service").get<std::string>();
+    }
+
+    inline void to_json(json & j, const EngineAgentSettings & x) {
+        j = json::object();
+        j["bounds"] = x.bounds;
+        j["chunk_port"] = x.chunk_port;
+        j["engine_address"] = x.engine_address;
+        j["failure_domain"] = x.failure_domain;
+        j["identity"] = x.identity;
+        j["key"] = x.key;
+        j["link_megabits_per_second"] = x.link_megabits_per_second;
+        j["link_port"] = x.link_port;
+        j["log_lines_per_second"] = x.log_lines_per_second;
+        j["platform_address"] = x.platform_address;
+        j["region"] = x.region;
+        j["regions"] = x.regions;
+        j["seeds"] = x.seeds;
+        j["service"] = x.service;
+    }
+
     inline void from_json(const json & j, EngineFaults& x) {
         x.break_after_tokens = get_stack_optional<int64_t>(j, "break_after_tokens");
         x.close_after_run = get_stack_optional<bool>(j, "close_after_run");
@@ -2246,6 +3148,15 @@
         j["entries"] = x.entries;
     }
 
+    inline void from_json(const json & j, EntryDirectory& x) {
+        x.entries = j.at("entries").get<std::vector<std::string>>();
+    }
+
+    inline void to_json(json & j, const EntryDirectory & x) {
+        j = json::object();
+        j["entries"] = x.entries;
+    }
+
     inline void from_json(const json & j, Header& x) {
         x.name = j.at("name").get<std::string>();
         x.value = j.at("value").get<std::string>();
@@ -2288,6 +3199,66 @@
         j["version"] = x.version;
     }
 
+    inline void from_json(const json & j, EngineState& x) {
+        x.is_busy = j.at("is_busy").get<bool>();
+        x.pace = j.at("pace").get<double>();
+        x.running = j.at("running").get<int64_t>();
+        x.server_id = j.at("server_id").get<std::string>();
+        x.version = j.at("version").get<int64_t>();
+        x.waiting = j.at("waiting").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const EngineState & x) {
+        j = json::object();
+        j["is_busy"] = x.is_busy;
+        j["pace"] = x.pace;
+        j["running"] = x.running;
+        j["server_id"] = x.server_id;
+        j["version"] = x.version;
+        j["waiting"] = x.waiting;
+    }
+
+    inline void from_json(const json & j, FactRequest& x) {
+        x.configuration_from = j.at("configuration_from").get<int64_t>();
+        x.servers_from = j.at("servers_from").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const FactRequest & x) {
+        j = json::object();
+        j["configuration_from"] = x.configuration_from;
+        j["servers_from"] = x.servers_from;
+    }
+
+    inline void from_json(const json & j, Fact& x) {
+        x.body = j.at("body").get<std::string>();
+        x.key = j.at("key").get<std::string>();
+        x.kind = j.at("kind").get<FactKind>();
+        x.revision = j.at("revision").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Fact & x) {
+        j = json::object();
+        j["body"] = x.body;
+        j["key"] = x.key;
+        j["kind"] = x.kind;
+        j["revision"] = x.revision;
+    }
+
+    inline void from_json(const json & j, FactBatch& x) {
+        x.age_ms = j.at("age_ms").get<int64_t>();
+        x.configuration_end = j.at("configuration_end").get<int64_t>();
+        x.facts = j.at("facts").get<std::vector<Fact>>();
+        x.servers_end = j.at("servers_end").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const FactBatch & x) {
+        j = json::object();
+        j["age_ms"] = x.age_ms;
+        j["configuration_end"] = x.configuration_end;
+        j["facts"] = x.facts;
+        j["servers_end"] = x.servers_end;
+    }
+
     inline void from_json(const json & j, Hello& x) {
         x.identity = j.at("identity").get<std::string>();
         x.incarnation = j.at("incarnation").get<int64_t>();
@@ -2362,6 +3333,19 @@
         j["status"] = x.status;
     }
 
+    inline void from_json(const json & j, PieceMap& x) {
+        x.chunks = j.at("chunks").get<std::vector<int64_t>>();
+        x.model = j.at("model").get<std::string>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const PieceMap & x) {
+        j = json::object();
+        j["chunks"] = x.chunks;
+        j["model"] = x.model;
+        j["version"] = x.version;
+    }
+
     inline void from_json(const json & j, Ping& x) {
         x.list_version = j.at("list_version").get<int64_t>();
         x.sent_at_ms = j.at("sent_at_ms").get<int64_t>();
@@ -2519,6 +3503,40 @@
         j["rollout"] = x.rollout;
     }
 
+    inline void from_json(const json & j, GoalPeer& x) {
+        x.failure_domain = j.at("failure_domain").get<std::string>();
+        x.identity = j.at("identity").get<std::string>();
+    }
+
+    inline void to_json(json & j, const GoalPeer & x) {
+        j = json::object();
+        j["failure_domain"] = x.failure_domain;
+        j["identity"] = x.identity;
+    }
+
+    inline void from_json(const json & j, WeightsGoal& x) {
+        x.age_ms = j.at("age_ms").get<int64_t>();
+        x.chunks = j.at("chunks").get<int64_t>();
+        x.layers = j.at("layers").get<int64_t>();
+        x.model = j.at("model").get<std::string>();
+        x.origin_address = j.at("origin_address").get<std::string>();
+        x.peers = j.at("peers").get<std::vector<GoalPeer>>();
+        x.service = j.at("service").get<std::string>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const WeightsGoal & x) {
+        j = json::object();
+        j["age_ms"] = x.age_ms;
+        j["chunks"] = x.chunks;
+        j["layers"] = x.layers;
+        j["model"] = x.model;
+        j["origin_address"] = x.origin_address;
+        j["peers"] = x.peers;
+        j["service"] = x.service;
+        j["version"] = x.version;
+    }
+
     inline void from_json(const json & j, Message& x) {
         x.accepted = get_stack_optional<Accepted>(j, "accepted");
         x.acknowledge = get_stack_optional<Acknowledge>(j, "acknowledge");
@@ -2527,10 +3545,15 @@
         x.challenge = get_stack_optional<Challenge>(j, "challenge");
         x.chunk_map = get_stack_optional<ChunkMap>(j, "chunk_map");
         x.demands = get_stack_optional<Demands>(j, "demands");
+        x.directory = get_stack_optional<EntryDirectory>(j, "directory");
         x.dispatch = get_stack_optional<Dispatch>(j, "dispatch");
+        x.engine_state = get_stack_optional<EngineState>(j, "engine_state");
+        x.fact_request = get_stack_optional<FactRequest>(j, "fact_request");
+        x.facts = get_stack_optional<FactBatch>(j, "facts");
         x.hello = get_stack_optional<Hello>(j, "hello");
         x.members = get_stack_optional<Members>(j, "members");
         x.part = get_stack_optional<Part>(j, "part");
+        x.pieces = get_stack_optional<PieceMap>(j, "pieces");
         x.ping = get_stack_optional<Ping>(j, "ping");
         x.pong = get_stack_optional<Pong>(j, "pong");
         x.records = get_stack_optional<Records>(j, "records");
@@ -2539,6 +3562,7 @@
         x.resume = get_stack_optional<Resume>(j, "resume");
         x.snapshot = get_stack_optional<Snapshot>(j, "snapshot");
         x.tally = get_stack_optional<Tally>(j, "tally");
+        x.weights_goal = get_stack_optional<WeightsGoal>(j, "weights_goal");
     }
 
     inline void to_json(json & j, const Message & x) {
@@ -2550,10 +3574,15 @@
         j["challenge"] = x.challenge;
         j["chunk_map"] = x.chunk_map;
         j["demands"] = x.demands;
+        j["directory"] = x.directory;
         j["dispatch"] = x.dispatch;
+        j["engine_state"] = x.engine_state;
+        j["fact_request"] = x.fact_request;
+        j["facts"] = x.facts;
         j["hello"] = x.hello;
         j["members"] = x.members;
         j["part"] = x.part;
+        j["pieces"] = x.pieces;
         j["ping"] = x.ping;
         j["pong"] = x.pong;
         j["records"] = x.records;
@@ -2562,6 +3591,7 @@
         j["resume"] = x.resume;
         j["snapshot"] = x.snapshot;
         j["tally"] = x.tally;
+        j["weights_goal"] = x.weights_goal;
     }
 
     inline void from_json(const json & j, ModelSeed& x) {
@@ -2583,6 +3613,17 @@
         j["version"] = x.version;
     }
 
+    inline void from_json(const json & j, ModelVersion& x) {
+        x.model = j.at("model").get<std::string>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const ModelVersion & x) {
+        j = json::object();
+        j["model"] = x.model;
+        j["version"] = x.version;
+    }
+
     inline void from_json(const json & j, Problem& x) {
         x.change_id = get_stack_optional<std::string>(j, "change_id");
         x.detail = get_stack_optional<std::string>(j, "detail");
@@ -2662,6 +3703,134 @@
         j["wanted"] = x.wanted;
     }
 
+    inline void from_json(const json & j, RoutedCustomer& x) {
+        x.keys = j.at("keys").get<std::vector<std::string>>();
+        x.name = j.at("name").get<std::string>();
+        x.priority = get_stack_optional<int64_t>(j, "priority");
+    }
+
+    inline void to_json(json & j, const RoutedCustomer & x) {
+        j = json::object();
+        j["keys"] = x.keys;
+        j["name"] = x.name;
+        j["priority"] = x.priority;
+    }
+
+    inline void from_json(const json & j, RouteTarget& x) {
+        x.service = j.at("service").get<std::string>();
+        x.weight = j.at("weight").get<double>();
+    }
+
+    inline void to_json(json & j, const RouteTarget & x) {
+        j = json::object();
+        j["service"] = x.service;
+        j["weight"] = x.weight;
+    }
+
+    inline void from_json(const json & j, Route& x) {
+        x.host = j.at("host").get<std::string>();
+        x.is_public = j.at("is_public").get<bool>();
+        x.is_resumable = j.at("is_resumable").get<bool>();
+        x.kind = j.at("kind").get<RouteKind>();
+        x.max_attempts = j.at("max_attempts").get<int64_t>();
+        x.name = j.at("name").get<std::string>();
+        x.objective_gap_ms = j.at("objective_gap_ms").get<int64_t>();
+        x.objective_ms = j.at("objective_ms").get<int64_t>();
+        x.path_prefix = j.at("path_prefix").get<std::string>();
+        x.priority = j.at("priority").get<int64_t>();
+        x.targets = j.at("targets").get<std::vector<RouteTarget>>();
+        x.timeout_ms = j.at("timeout_ms").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const Route & x) {
+        j = json::object();
+        j["host"] = x.host;
+        j["is_public"] = x.is_public;
+        j["is_resumable"] = x.is_resumable;
+        j["kind"] = x.kind;
+        j["max_attempts"] = x.max_attempts;
+        j["name"] = x.name;
+        j["objective_gap_ms"] = x.objective_gap_ms;
+        j["objective_ms"] = x.objective_ms;
+        j["path_prefix"] = x.path_prefix;
+        j["priority"] = x.priority;
+        j["targets"] = x.targets;
+        j["timeout_ms"] = x.timeout_ms;
+    }
+
+    inline void from_json(const json & j, EngineTiming& x) {
+        x.chunk_bytes = j.at("chunk_bytes").get<int64_t>();
+        x.chunks = j.at("chunks").get<int64_t>();
+        x.context_ms_per_1000 = j.at("context_ms_per_1000").get<double>();
+        x.layers = j.at("layers").get<int64_t>();
+        x.model = j.at("model").get<std::string>();
+        x.pairs_ms_per_million = j.at("pairs_ms_per_million").get<double>();
+        x.per_sequence_ms = j.at("per_sequence_ms").get<double>();
+        x.prompt_tokens_per_second = j.at("prompt_tokens_per_second").get<double>();
+        x.slots = j.at("slots").get<int64_t>();
+        x.step_ms = j.at("step_ms").get<double>();
+        x.stride = j.at("stride").get<int64_t>();
+        x.usual_answer_tokens = j.at("usual_answer_tokens").get<double>();
+        x.usual_prompt_tokens = j.at("usual_prompt_tokens").get<double>();
+    }
+
+    inline void to_json(json & j, const EngineTiming & x) {
+        j = json::object();
+        j["chunk_bytes"] = x.chunk_bytes;
+        j["chunks"] = x.chunks;
+        j["context_ms_per_1000"] = x.context_ms_per_1000;
+        j["layers"] = x.layers;
+        j["model"] = x.model;
+        j["pairs_ms_per_million"] = x.pairs_ms_per_million;
+        j["per_sequence_ms"] = x.per_sequence_ms;
+        j["prompt_tokens_per_second"] = x.prompt_tokens_per_second;
+        j["slots"] = x.slots;
+        j["step_ms"] = x.step_ms;
+        j["stride"] = x.stride;
+        j["usual_answer_tokens"] = x.usual_answer_tokens;
+        j["usual_prompt_tokens"] = x.usual_prompt_tokens;
+    }
+
+    inline void from_json(const json & j, RoutedService& x) {
+        x.max_connections = j.at("max_connections").get<int64_t>();
+        x.name = j.at("name").get<std::string>();
+        x.origin_address = get_stack_optional<std::string>(j, "origin_address");
+        x.timing = get_stack_optional<EngineTiming>(j, "timing");
+    }
+
+    inline void to_json(json & j, const RoutedService & x) {
+        j = json::object();
+        j["max_connections"] = x.max_connections;
+        j["name"] = x.name;
+        j["origin_address"] = x.origin_address;
+        j["timing"] = x.timing;
+    }
+
+    inline void from_json(const json & j, RoutingConfiguration& x) {
+        x.customers = j.at("customers").get<std::vector<RoutedCustomer>>();
+        x.has_customers = j.at("has_customers").get<bool>();
+        x.header_timeout_ms = j.at("header_timeout_ms").get<int64_t>();
+        x.idle_timeout_ms = j.at("idle_timeout_ms").get<int64_t>();
+        x.max_body_bytes = j.at("max_body_bytes").get<int64_t>();
+        x.max_header_bytes = j.at("max_header_bytes").get<int64_t>();
+        x.routes = j.at("routes").get<std::vector<Route>>();
+        x.services = j.at("services").get<std::vector<RoutedService>>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const RoutingConfiguration & x) {
+        j = json::object();
+        j["customers"] = x.customers;
+        j["has_customers"] = x.has_customers;
+        j["header_timeout_ms"] = x.header_timeout_ms;
+        j["idle_timeout_ms"] = x.idle_timeout_ms;
+        j["max_body_bytes"] = x.max_body_bytes;
+        j["max_header_bytes"] = x.max_header_bytes;
+        j["routes"] = x.routes;
+        j["services"] = x.services;
+        j["version"] = x.version;
+    }
+
     inline void from_json(const json & j, WeightsFaults& x) {
         x.append_delay_ms = get_stack_optional<int64_t>(j, "append_delay_ms");
         x.corrupt_share = get_stack_optional<double>(j, "corrupt_share");
@@ -2733,6 +3902,22 @@
         }
     }
 
+    inline void from_json(const json & j, ServerChoice & x) {
+        if (j == "least_loaded") x = ServerChoice::LeastLoaded;
+        else if (j == "predicted") x = ServerChoice::Predicted;
+        else if (j == "random_pick") x = ServerChoice::RandomPick;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"ServerChoice\""); }
+    }
+
+    inline void to_json(json & j, const ServerChoice & x) {
+        switch (x) {
+            case ServerChoice::LeastLoaded: j = "least_loaded"; break;
+            case ServerChoice::Predicted: j = "predicted"; break;
+            case ServerChoice::RandomPick: j = "random_pick"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"ServerChoice\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
     inline void from_json(const json & j, Choice & x) {
         if (j == "least_loaded") x = Choice::LeastLoaded;
         else if (j == "prefix") x = Choice::Prefix;
@@ -2911,6 +4096,22 @@
         }
     }
 
+    inline void from_json(const json & j, FactKind & x) {
+        if (j == "backend_server") x = FactKind::BackendServer;
+        else if (j == "configuration") x = FactKind::Configuration;
+        else if (j == "model_version") x = FactKind::ModelVersion;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"FactKind\""); }
+    }
+
+    inline void to_json(json & j, const FactKind & x) {
+        switch (x) {
+            case FactKind::BackendServer: j = "backend_server"; break;
+            case FactKind::Configuration: j = "configuration"; break;
+            case FactKind::ModelVersion: j = "model_version"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"FactKind\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
+
     inline void from_json(const json & j, Role & x) {
         if (j == "agent") x = Role::Agent;
         else if (j == "entry") x = Role::Entry;
@@ -2972,4 +4173,20 @@
             default: throw std::runtime_error("Unexpected value in enumeration \"Outcome\": " + std::to_string(static_cast<int>(x)));
         }
     }
+
+    inline void from_json(const json & j, RouteKind & x) {
+        if (j == "once") x = RouteKind::Once;
+        else if (j == "repeatable") x = RouteKind::Repeatable;
+        else if (j == "stream") x = RouteKind::Stream;
+        else { throw std::runtime_error("Cannot deserialize to enumeration \"RouteKind\""); }
+    }
+
+    inline void to_json(json & j, const RouteKind & x) {
+        switch (x) {
+            case RouteKind::Once: j = "once"; break;
+            case RouteKind::Repeatable: j = "repeatable"; break;
+            case RouteKind::Stream: j = "stream"; break;
+            default: throw std::runtime_error("Unexpected value in enumeration \"RouteKind\": " + std::to_string(static_cast<int>(x)));
+        }
+    }
 }
--- /dev/null
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -0,0 +1,392 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibTransport/IngressServer.h>
+
+#include <LibTransport/SocketAddress.h>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Transport {
+
+static constexpr Core::Duration idle_check_interval { 250 };
+static constexpr int status_bad_request = 400;
+static constexpr int status_request_timeout = 408;
+static constexpr int status_body_too_large = 413;
+static constexpr int status_head_too_large = 431;
+static constexpr int status_no_content = 204;
+static constexpr int status_not_modified = 304;
+static constexpr int listen_backlog = 512;
+
+char const* reason_phrase(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 403:
+        return "Forbidden";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 421:
+        return "Misdirected Request";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return status < 400 ? "OK" : "Error";
+    }
+}
+
+IngressRequest::IngressRequest(std::weak_ptr<IngressConnection> connection, MessageHead head, std::string body)
+    : m_connection(std::move(connection))
+    , m_head(std::move(head))
+    , m_body(std::move(body))
+{
+}
+
+IngressRequest::~IngressRequest()
+{
+    m_on_gone = nullptr;
+    if (!m_is_over)
+        abort();
+}
+
+void IngressRequest::caller_gone()
+{
+    m_is_over = true;
+    if (auto callback = std::exchange(m_on_gone, nullptr))
+        callback();
+}
+
+void IngressRequest::reply(int status, HttpHeaders const& headers, std::string_view body)
+{
+    start(status, headers, body.size());
+    part(body);
+    end();
+}
+
+void IngressRequest::start(int status, HttpHeaders const& headers, std::optional<uint64_t> length)
+{
+    auto connection = m_connection.lock();
+    if (m_is_over || !connection)
+        return;
+    m_has_started = true;
+    m_is_chunked = !length.has_value();
+    connection->write_head(status, headers, length, m_is_chunked);
+}
+
+void IngressRequest::part(std::string_view data)
+{
+    auto connection = m_connection.lock();
+    if (m_is_over || !connection || data.empty())
+        return;
+    if (!m_is_chunked) {
+        connection->write(data);
+        return;
+    }
+    char size[20];
+    auto const end = std::to_chars(size, size + sizeof(size), data.size(), 16).ptr;
+    std::string chunk(size, end);
+    chunk.reserve(chunk.size() + data.size() + 4);
+    chunk += "\r\n";
+    chunk += data;
+    chunk += "\r\n";
+    connection->write(chunk);
+}
+
+void IngressRequest::end()
+{
+    auto connection = m_connection.lock();
+    if (m_is_over || !connection)
+        return;
+    m_is_over = true;
+    m_on_gone = nullptr;
+    if (m_is_chunked)
+        connection->write("0\r\n\r\n");
+    connection->answered();
+}
+
+void IngressRequest::abort()
+{
+    auto connection = m_connection.lock();
+    if (m_is_over)
+        return;
+    m_is_over = true;
+    m_on_gone = nullptr;
+    if (connection)
+        connection->reset();
+}
+
+size_t IngressRequest::pending_bytes() const
+{
+    auto connection = m_connection.lock();
+    if (!connection || !connection->m_stream)
+        return 0;
+    return evbuffer_get_length(bufferevent_get_output(connection->m_stream));
+}
+
+IngressConnection::IngressConnection(Core::EventLoop& loop, IngressServer& server, int socket)
+    : m_loop(loop)
+    , m_server(&server)
+    , m_reader(MessageReader::Kind::Request, server.limits().max_head_bytes,
+          { .head = [this](MessageHead const& head) { m_head = head; },
+              .data = [this](std::string_view data) {
+                  if (m_body.size() <= m_server->limits().max_body_bytes)
+                      m_body.append(data); },
+              .done = [this] { on_request(); } })
+    , m_quiet_since(Core::monotonic_now())
+{
+    int const on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    m_stream = bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    auto on_read = [](bufferevent*, void* self) { static_cast<IngressConnection*>(self)->on_bytes(); };
+    auto on_event = [](bufferevent*, short, void* self) { static_cast<IngressConnection*>(self)->on_lost(); };
+    auto on_written = [](bufferevent*, void* self) {
+        auto* connection = static_cast<IngressConnection*>(self);
+        if (connection->m_is_closing)
+            connection->drop();
+    };
+    bufferevent_setcb(m_stream, on_read, on_written, on_event, this);
+    bufferevent_enable(m_stream, EV_READ | EV_WRITE);
+}
+
+IngressConnection::~IngressConnection()
+{
+    if (m_stream)
+        bufferevent_free(m_stream);
+}
+
+void IngressConnection::on_bytes()
+{
+    auto keep = shared_from_this();
+    auto* input = bufferevent_get_input(m_stream);
+    auto const size = evbuffer_get_length(input);
+    if (m_is_closing) {
+        evbuffer_drain(input, size);
+        return;
+    }
+    std::string bytes(size, '\0');
+    evbuffer_remove(input, bytes.data(), size);
+    if (m_reader.is_between_messages())
+        m_quiet_since = Core::monotonic_now();
+    auto const fed = m_reader.feed(bytes);
+    if (!fed.has_value()) {
+        refuse(fed.error() == MessageFault::HeadTooLarge ? IngressFault::HeadTooLarge : IngressFault::Malformed);
+        return;
+    }
+    if (!m_is_closing && !m_has_request && m_body.size() > m_server->limits().max_body_bytes)
+        refuse(IngressFault::BodyTooLarge);
+}
+
+void IngressConnection::on_request()
+{
+    m_has_request = true;
+    m_closes = !m_head.keeps_connection;
+    auto request = std::make_shared<IngressRequest>(weak_from_this(), std::exchange(m_head, {}), std::exchange(m_body, {}));
+    m_request = request;
+    m_server->m_handler(std::move(request));
+}
+
+void IngressConnection::refuse(IngressFault fault)
+{
+    if (m_has_request) {
+        // The request in hand is answered first; what came behind it is dropped with the connection.
+        m_closes = true;
+        return;
+    }
+    auto status = status_bad_request;
+    if (fault == IngressFault::HeadTooLarge)
+        status = status_head_too_large;
+    else if (fault == IngressFault::BodyTooLarge)
+        status = status_body_too_large;
+    else if (fault == IngressFault::HeadTimeout)
+        status = status_request_timeout;
+    auto const body = m_server->m_fault_body(fault);
+    m_closes = true;
+    write_head(status, { { "Content-Type", "application/problem+json" } }, body.size(), false);
+    write(body);
+    close_when_written();
+}
+
+void IngressConnection::write(std::string_view data)
+{
+    if (m_stream)
+        bufferevent_write(m_stream, data.data(), data.size());
+}
+
+void IngressConnection::write_head(int status, HttpHeaders const& headers, std::optional<uint64_t> length, bool is_chunked)
+{
+    if (m_server && m_server->is_ending())
+        m_closes = true;
+    std::string head = "HTTP/1.1 " + std::to_string(status) + ' ' + reason_phrase(status) + "\r\n";
+    for (auto const& [name, value] : headers)
+        head += name + ": " + value + "\r\n";
+    bool const has_body = status != status_no_content && status != status_not_modified;
+    if (is_chunked)
+        head += "Transfer-Encoding: chunked\r\n";
+    else if (has_body)
+        head += "Content-Length: " + std::to_string(*length) + "\r\n";
+    if (m_closes)
+        head += "Connection: close\r\n";
+    head += "\r\n";
+    write(head);
+}
+
+void IngressConnection::answered()
+{
+    m_has_request = false;
+    m_quiet_since = Core::monotonic_now();
+    if (m_closes) {
+        close_when_written();
+        return;
+    }
+    // The next request may lie in the reader already; it must not start inside this one's callback.
+    m_loop.soon([weak = weak_from_this()] {
+        auto self = weak.lock();
+        if (!self || !self->m_stream || self->m_is_closing || self->m_has_request)
+            return;
+        auto const fed = self->m_reader.resume();
+        if (!fed.has_value())
+            self->refuse(fed.error() == MessageFault::HeadTooLarge ? IngressFault::HeadTooLarge : IngressFault::Malformed);
+    });
+}
+
+void IngressConnection::close_when_written()
+{
+    m_is_closing = true;
+    m_quiet_since = Core::monotonic_now();
+    if (m_stream && evbuffer_get_length(bufferevent_get_output(m_stream)) == 0)
+        m_loop.soon([weak = weak_from_this()] {
+            if (auto self = weak.lock())
+                self->drop();
+        });
+}
+
+void IngressConnection::reset()
+{
+    if (m_stream) {
+        linger hard { .l_onoff = 1, .l_linger = 0 };
+        setsockopt(bufferevent_getfd(m_stream), SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    }
+    m_is_closing = true;
+    m_loop.soon([weak = weak_from_this()] {
+        if (auto self = weak.lock())
+            self->drop();
+    });
+}
+
+void IngressConnection::on_lost()
+{
+    auto keep = shared_from_this();
+    auto request = m_request.lock();
+    drop();
+    if (request && !request->is_over())
+        request->caller_gone();
+}
+
+void IngressConnection::drop()
+{
+    auto keep = shared_from_this();
+    if (m_stream)
+        bufferevent_free(std::exchange(m_stream, nullptr));
+    if (m_server)
+        m_server->m_connections.erase(keep);
+}
+
+void IngressConnection::look_at_time(Core::Time now)
+{
+    auto const& limits = m_server->limits();
+    auto const quiet = now - m_quiet_since;
+    if (m_is_closing) {
+        // The peer does not read its answer's end.
+        if (quiet >= limits.idle_timeout)
+            drop();
+        return;
+    }
+    if (m_has_request)
+        return;
+    if (m_reader.is_between_messages()) {
+        if (quiet >= limits.idle_timeout)
+            drop();
+        return;
+    }
+    if (m_reader.has_partial_head() && quiet >= limits.head_timeout)
+        refuse(IngressFault::HeadTimeout);
+    else if (quiet >= limits.idle_timeout)
+        refuse(IngressFault::HeadTimeout);
+}
+
+Core::ErrorOr<std::unique_ptr<IngressServer>> IngressServer::create(Core::EventLoop& loop, std::string const& address, uint16_t port, Handler handler, FaultBody fault_body)
+{
+    std::unique_ptr<IngressServer> server(new IngressServer);
+    server->m_loop = &loop;
+    server->m_handler = std::move(handler);
+    server->m_fault_body = std::move(fault_body);
+    auto target = socket_address(address, port);
+    auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) { static_cast<IngressServer*>(self)->accept(socket); };
+    server->m_listener = evconnlistener_new_bind(loop.base(), accepted, server.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog, reinterpret_cast<sockaddr const*>(&target), sizeof(target));
+    if (!server->m_listener)
+        return Core::failure(Core::ErrorCode::AddressInUse, address + ":" + std::to_string(port));
+    server->m_idle_timer = loop.every(idle_check_interval, [raw = server.get()] { raw->look_for_idle(); });
+    return server;
+}
+
+IngressServer::~IngressServer()
+{
+    if (m_listener)
+        evconnlistener_free(m_listener);
+    for (auto const& connection : m_connections)
+        connection->m_server = nullptr;
+}
+
+uint16_t IngressServer::port() const
+{
+    return local_port(evconnlistener_get_fd(m_listener));
+}
+
+void IngressServer::accept(int socket)
+{
+    m_connections.insert(std::make_shared<IngressConnection>(*m_loop, *this, socket));
+}
+
+void IngressServer::look_for_idle()
+{
+    auto const now = Core::monotonic_now();
+    auto const connections = m_connections;
+    for (auto const& connection : connections)
+        connection->look_at_time(now);
+}
+
+void IngressServer::stop_accepting()
+{
+    m_is_ending = true;
+    if (m_listener)
+        evconnlistener_free(std::exchange(m_listener, nullptr));
+    auto const connections = m_connections;
+    for (auto const& connection : connections) {
+        if (!connection->m_has_request && connection->m_reader.is_between_messages() && !connection->m_is_closing)
+            connection->drop();
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTransport/IngressServer.h
@@ -0,0 +1,160 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibCore/EventLoop.h>
+#include <LibTransport/MessageReader.h>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace Transport {
+
+class IngressConnection;
+
+/// One caller's request, read whole, and the answer to it, whole or streamed.
+class IngressRequest {
+public:
+    IngressRequest(std::weak_ptr<IngressConnection>, MessageHead, std::string body);
+    ~IngressRequest();
+    IngressRequest(IngressRequest const&) = delete;
+    IngressRequest& operator=(IngressRequest const&) = delete;
+
+    MessageHead const& head() const { return m_head; }
+    std::string const& body() const { return m_body; }
+
+    /// Sends a whole answer.
+    void reply(int status, HttpHeaders const&, std::string_view body);
+
+    /// Streams an answer: start, any number of parts, then end or abort. Without a length it goes out in chunks.
+    void start(int status, HttpHeaders const&, std::optional<uint64_t> length);
+    void part(std::string_view);
+    void end();
+    /// Resets the connection, so that the caller cannot take what it got for a whole answer.
+    void abort();
+
+    /// Called once if the caller goes away before the answer ends.
+    void on_gone(std::function<void()> callback) { m_on_gone = std::move(callback); }
+
+    bool has_started() const { return m_has_started; }
+    bool is_over() const { return m_is_over; }
+    /// Bytes that the caller has not read yet.
+    size_t pending_bytes() const;
+
+private:
+    friend class IngressConnection;
+    void caller_gone();
+
+    std::weak_ptr<IngressConnection> m_connection;
+    MessageHead m_head;
+    std::string m_body;
+    std::function<void()> m_on_gone;
+    bool m_has_started { false };
+    bool m_is_over { false };
+    bool m_is_chunked { false };
+};
+
+/// What callers may send, and how long they may take.
+struct IngressLimits {
+    size_t max_head_bytes { 16384 };
+    size_t max_body_bytes { size_t { 4 } << 20 };
+    Core::Duration head_timeout { 3000 };
+    Core::Duration idle_timeout { 15000 };
+};
+
+/// Why a connection's bytes were refused before they made a request.
+enum class IngressFault {
+    Malformed,
+    HeadTooLarge,
+    BodyTooLarge,
+    HeadTimeout,
+};
+
+/// Serves callers over HTTP/1.1, one request after another on a connection.
+///
+/// evhttp is not used here: it takes a request with two lengths and resolves the question by itself.
+class IngressServer {
+public:
+    using Handler = std::function<void(std::shared_ptr<IngressRequest>)>;
+    /// The body of the answer to a fault.
+    using FaultBody = std::function<std::string(IngressFault)>;
+
+    /// @return AddressInUse if the port cannot be bound.
+    static Core::ErrorOr<std::unique_ptr<IngressServer>> create(Core::EventLoop&, std::string const& address, uint16_t port, Handler, FaultBody);
+    ~IngressServer();
+
+    void set_limits(IngressLimits const& limits) { m_limits = limits; }
+    IngressLimits const& limits() const { return m_limits; }
+    uint16_t port() const;
+
+    /// From now on each answer says that its connection ends.
+    void end_connections_gently() { m_is_ending = true; }
+    /// Takes no new connections and closes those that are at rest.
+    void stop_accepting();
+    bool is_ending() const { return m_is_ending; }
+
+    size_t connection_count() const { return m_connections.size(); }
+
+private:
+    friend class IngressConnection;
+    IngressServer() = default;
+    void accept(int socket);
+    void look_for_idle();
+
+    Core::EventLoop* m_loop { nullptr };
+    evconnlistener* m_listener { nullptr };
+    Handler m_handler;
+    FaultBody m_fault_body;
+    IngressLimits m_limits;
+    bool m_is_ending { false };
+    std::set<std::shared_ptr<IngressConnection>> m_connections;
+    std::unique_ptr<Core::Timer> m_idle_timer;
+};
+
+/// One caller's connection; see IngressServer.
+class IngressConnection : public std::enable_shared_from_this<IngressConnection> {
+public:
+    IngressConnection(Core::EventLoop&, IngressServer&, int socket);
+    ~IngressConnection();
+    IngressConnection(IngressConnection const&) = delete;
+    IngressConnection& operator=(IngressConnection const&) = delete;
+
+private:
+    friend class IngressRequest;
+    friend class IngressServer;
+
+    void on_bytes();
+    void on_lost();
+    void on_request();
+    void refuse(IngressFault);
+    void write(std::string_view);
+    void write_head(int status, HttpHeaders const&, std::optional<uint64_t> length, bool is_chunked);
+    void answered();
+    void close_when_written();
+    void reset();
+    void drop();
+    void look_at_time(Core::Time now);
+
+    Core::EventLoop& m_loop;
+    // Null once the server is gone.
+    IngressServer* m_server;
+    bufferevent* m_stream { nullptr };
+    MessageReader m_reader;
+    MessageHead m_head;
+    std::string m_body;
+    std::weak_ptr<IngressRequest> m_request;
+    bool m_has_request { false };
+    bool m_closes { false };
+    bool m_is_closing { false };
+    Core::Time m_quiet_since;
+};
+
+/// The reason phrase of a status, as RFC 9110 names it.
+char const* reason_phrase(int status);
+
+}
--- a/Libraries/LibTransport/LinkHub.cpp
+++ b/Libraries/LibTransport/LinkHub.cpp
@@ -21,10 +21,12 @@
 
 Core::ErrorOr<uint16_t> LinkHub::listen(std::string const& address, uint16_t port)
 {
-    m_listener = TRY(LinkListener::create(m_loop, address, port, [this](int socket) {
+    auto listener = TRY(LinkListener::create(m_loop, address, port, [this](int socket) {
         m_accepting.insert(Link::accept(m_loop, m_options, socket, callbacks(Direction::Accepted, {})));
     }));
-    return m_listener->port();
+    auto const bound = listener->port();
+    m_listeners.push_back(std::move(listener));
+    return bound;
 }
 
 Link::Callbacks LinkHub::callbacks(Direction direction, std::string const& wanted_identity)
--- a/Libraries/LibTransport/LinkHub.h
+++ b/Libraries/LibTransport/LinkHub.h
@@ -30,7 +30,7 @@
     LinkHub(Core::EventLoop&, LinkOptions, Callbacks);
     ~LinkHub();
 
-    /// @return the port bound, or AddressInUse.
+    /// May be called for several addresses. @return the port bound, or AddressInUse.
     Core::ErrorOr<uint16_t> listen(std::string const& address, uint16_t port);
 
     /// The peers to keep a link to, by identity. Links to others that were dialled are closed.
@@ -70,7 +70,7 @@
     Core::EventLoop& m_loop;
     LinkOptions m_options;
     Callbacks m_callbacks;
-    std::unique_ptr<LinkListener> m_listener;
+    std::vector<std::unique_ptr<LinkListener>> m_listeners;
     std::set<std::shared_ptr<Link>> m_accepting;
     std::map<LinkKey, std::shared_ptr<Link>> m_links;
     std::map<std::string, Dial> m_dials;
--- a/Libraries/LibTransport/SocketAddress.h
+++ b/Libraries/LibTransport/SocketAddress.h
@@ -3,9 +3,11 @@
 
 #include <arpa/inet.h>
 #include <cstdint>
+#include <cstdlib>
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
+#include <utility>
 
 namespace Transport {
 
@@ -19,6 +21,16 @@
     return target;
 }
 
+/// Splits IP:PORT; the port is 0 where there is none that can be read.
+inline std::pair<std::string, uint16_t> split_address(std::string const& text)
+{
+    auto const colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return { text, 0 };
+    unsigned long const port = std::strtoul(text.c_str() + colon + 1, nullptr, 10);
+    return { text.substr(0, colon), port <= UINT16_MAX ? static_cast<uint16_t>(port) : uint16_t { 0 } };
+}
+
 /// The port that a bound socket got.
 inline uint16_t local_port(int socket)
 {
--- /dev/null
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -0,0 +1,482 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "DirectEntry.h"
+
+#include <LibCore/Hash.h>
+#include <LibCore/Log.h>
+#include <LibSchema/Json.h>
+#include <LibTransport/SocketAddress.h>
+#include <algorithm>
+
+namespace DirectEntry {
+
+using Configuration::FactChanges;
+
+static constexpr Core::Duration tick_interval { 20 };
+static constexpr Core::Duration link_check_interval { 500 };
+static constexpr Core::Duration link_silence { 3000 };
+// Past this, what is denied may be allowed by a configuration that has not come yet.
+static constexpr Core::Duration stale_after { 2500 };
+// A version is required a little before its bound: what is sent just before still has to begin.
+static constexpr Core::Duration version_margin { 1500 };
+// What a process finds at its start was named at a time that it cannot know: it is required soon.
+static constexpr Core::Duration first_versions_grace { 2000 };
+static constexpr Core::Duration least_drain { 3000 };
+static constexpr Core::Duration drain_margin { 500 };
+static constexpr size_t queue_limit = 256;
+static constexpr int status_ok = 200;
+static constexpr int status_unavailable = 503;
+static constexpr double milliseconds_per_second = 1000;
+
+static Routing::ServerTableSettings table_settings(Schema::DirectEntrySettings const& settings)
+{
+    Routing::ServerTableSettings result;
+    result.choice = settings.choice.value_or(Schema::ServerChoice::Predicted);
+    result.failure_domain = settings.failure_domain;
+    result.region = settings.region;
+    result.regions = settings.regions;
+    return result;
+}
+
+static Routing::RetryBound retry_bound(Schema::DirectEntrySettings const& settings)
+{
+    Routing::RetryBound bound;
+    bound.ratio = settings.bounds.retry_ratio;
+    bound.window = Core::Duration(static_cast<int64_t>(settings.bounds.retry_window_s * milliseconds_per_second));
+    bound.slack = settings.bounds.retry_slack;
+    return bound;
+}
+
+Core::ErrorOr<std::unique_ptr<DirectEntry>> DirectEntry::create(Core::EventLoop& loop, Schema::DirectEntrySettings const& settings, PlatformParts parts)
+{
+    std::unique_ptr<DirectEntry> entry(new DirectEntry(loop, settings, std::move(parts)));
+    TRY(entry->listen());
+    entry->m_follower->start();
+    return entry;
+}
+
+DirectEntry::DirectEntry(Core::EventLoop& loop, Schema::DirectEntrySettings const& settings, PlatformParts parts)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_log(std::move(parts.log))
+    , m_heads(std::move(parts.heads))
+    , m_random(Core::stable_hash(settings.identity, std::to_string(Core::wall_now().count())))
+    , m_servers(table_settings(settings), m_random())
+    , m_retries(retry_bound(settings), Core::monotonic_now())
+    , m_context { .loop = loop,
+        .metrics = m_metrics,
+        .heads = *m_heads,
+        .servers = m_servers,
+        .retries = m_retries,
+        .random = m_random,
+        .routes = nullptr,
+        .is_stale = [this] { return is_stale(); },
+        .required_version = [this](std::string const& service) { return required_version(service); },
+        .queue = [this](std::string const& service) -> Routing::RequestQueue& { return m_queues.try_emplace(service, queue_limit).first->second; },
+        .place_freed = [this](std::string const& service) { m_services_with_places.insert(service); },
+        .over = [this](uint64_t number) { m_loop.soon([this, number] { m_requests.erase(number); }); } }
+    , m_started(Core::monotonic_now())
+{
+    m_follower = std::make_unique<Platform::FactFollower>(loop, *m_log, m_replica, Platform::FactFollowerSettings {}, fact_callbacks());
+    Transport::LinkOptions options;
+    options.identity = { settings.identity, Schema::Role::Entry, Core::wall_now().count() };
+    options.keys = { settings.key };
+    options.offset = [this] { return m_replica.end(Configuration::FactTopic::Configuration); };
+    options.list_version = [this] { return m_replica.end(Configuration::FactTopic::BackendServers); };
+    m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
+    m_tick_timer = loop.every(tick_interval, [this] { tick(); });
+    m_link_timer = loop.every(link_check_interval, [this] { check_links(); });
+}
+
+DirectEntry::~DirectEntry()
+{
+    m_requests.clear();
+}
+
+Core::ErrorOr<void> DirectEntry::listen()
+{
+    auto const callers = Transport::split_address(m_settings.callers_address);
+    auto const readiness = Transport::split_address(m_settings.readiness_address);
+    auto fault_body = [this](Transport::IngressFault fault) {
+        m_metrics.count("mountbarrow_ingress_faults_total", "fault=\"" + std::to_string(static_cast<int>(fault)) + "\"");
+        Schema::Problem problem {};
+        problem.type = "urn:mountbarrow:problem:malformed";
+        problem.title = "The request cannot be read.";
+        problem.outcome = Schema::Outcome::Rejected;
+        return Schema::to_text(problem);
+    };
+    m_callers = TRY(Transport::IngressServer::create(m_loop, callers.first, callers.second, [this](auto request) { on_request(std::move(request)); }, fault_body));
+    m_readiness = TRY(Transport::HttpServer::create(m_loop, readiness.first, readiness.second, {}, [this](auto const& exchange) {
+        exchange->reply(is_ready() ? status_ok : status_unavailable, {}, {});
+    }));
+    TRY(m_hub->listen(m_settings.identity, static_cast<uint16_t>(m_settings.link_port)));
+    if (m_settings.control_address) {
+        auto const control = Transport::split_address(*m_settings.control_address);
+        TRY(m_hub->listen(control.first, control.second));
+    }
+    if (m_settings.metrics_port) {
+        m_metrics_server = TRY(Transport::HttpServer::create(m_loop, m_settings.identity, static_cast<uint16_t>(*m_settings.metrics_port), {}, [this](auto const& exchange) { reply_metrics(*exchange); }));
+    }
+    Core::log_event(Core::LogLevel::Info, "started", { { "callers", m_settings.callers_address }, { "domain", m_settings.failure_domain } });
+    return {};
+}
+
+// Links.
+
+Transport::LinkHub::Callbacks DirectEntry::link_callbacks()
+{
+    return {
+        .up = [this](Schema::Hello const& hello) { on_link_up(hello); },
+        .message = [this](Schema::Hello const& hello, Schema::Message const& message) { on_link_message(hello, message); },
+        .down = [this](std::string const& identity) { on_link_down(identity); },
+        .failed = [this](Core::ErrorCode code) { m_metrics.count("mountbarrow_link_failures_total", "reason=\"" + std::string(Core::error_name(code)) + "\""); },
+    };
+}
+
+void DirectEntry::on_link_up(Schema::Hello const& hello)
+{
+    Core::log_event(Core::LogLevel::Info, "link_up", { { "peer", hello.identity }, { "role", Schema::enumerator_name(hello.role) } });
+    m_last_heard[hello.identity] = Core::monotonic_now();
+    if (hello.role == Schema::Role::Entry) {
+        m_known_entries.insert(hello.identity);
+        m_servers.set_entries(m_known_entries.size() + 1);
+        m_retries.set_entries(m_known_entries.size() + 1);
+        return;
+    }
+    for (auto& goal : goals()) {
+        Schema::Message message;
+        message.weights_goal = std::move(goal);
+        m_hub->send(hello.identity, message);
+    }
+}
+
+void DirectEntry::on_link_down(std::string const& identity)
+{
+    Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
+    m_last_heard.erase(identity);
+    m_servers.on_agent_gone(identity);
+}
+
+void DirectEntry::on_link_message(Schema::Hello const& from, Schema::Message const& message)
+{
+    auto const now = Core::monotonic_now();
+    m_last_heard[from.identity] = now;
+    if (message.engine_state) {
+        m_servers.on_engine_state(from.identity, *message.engine_state, now);
+        for (auto const& [service, queue] : m_queues) {
+            if (queue.size() > 0)
+                m_services_with_places.insert(service);
+        }
+    } else if (message.directory) {
+        for (auto const& entry : message.directory->entries) {
+            if (entry != m_settings.identity)
+                m_known_entries.insert(entry);
+        }
+        m_servers.set_entries(m_known_entries.size() + 1);
+        m_retries.set_entries(m_known_entries.size() + 1);
+        update_links();
+    } else if (message.fact_request) {
+        Schema::Message answer;
+        answer.facts = m_replica.facts_since(*message.fact_request, m_follower->age(now));
+        m_hub->send(from.identity, answer);
+    } else if (message.facts) {
+        auto const age = Core::Duration(message.facts->age_ms);
+        // A peer that is itself behind must not make this one believe that it is current.
+        if (age < m_follower->age(now))
+            m_follower->on_peer_facts(age);
+        auto const changes = m_replica.on_peer(*message.facts, now - age);
+        if (changes.has_any()) {
+            Core::log_event(Core::LogLevel::Info, "facts_from_peer", { { "peer", from.identity }, { "age_ms", std::to_string(age.count()) }, { "facts", std::to_string(message.facts->facts.size()) } });
+            on_facts(changes);
+        }
+    }
+}
+
+void DirectEntry::check_links()
+{
+    auto const now = Core::monotonic_now();
+    std::vector<std::string> silent;
+    for (auto const& [identity, heard] : m_last_heard) {
+        if (now - heard >= link_silence)
+            silent.push_back(identity);
+    }
+    for (auto const& identity : silent) {
+        m_metrics.count("mountbarrow_silent_links_total");
+        m_hub->drop(identity);
+    }
+    Schema::Message ping;
+    ping.ping.emplace();
+    ping.ping->sent_at_ms = now.count();
+    ping.ping->list_version = m_replica.end(Configuration::FactTopic::BackendServers);
+    for (auto role : { Schema::Role::Entry, Schema::Role::Agent }) {
+        for (auto const& identity : m_hub->peers(role))
+            m_hub->send(identity, ping);
+    }
+    update_links();
+}
+
+void DirectEntry::update_links()
+{
+    std::map<std::string, Transport::LinkAddress> wanted;
+    auto const link_port = static_cast<uint16_t>(m_settings.link_port);
+    if (auto const& routes = m_context.routes) {
+        for (auto const* server : m_replica.servers()) {
+            auto const* service = routes->service(server->service);
+            if (service && service->timing) {
+                auto const ip = Transport::split_address(server->address).first;
+                wanted[ip] = { ip, link_port };
+            }
+        }
+    }
+    // Of two entries the one with the lower identity dials.
+    for (auto const& entry : m_known_entries) {
+        if (entry > m_settings.identity)
+            wanted[entry] = { entry, link_port };
+    }
+    if (m_known_entries.empty() || !m_context.routes) {
+        for (auto const& seed : m_settings.seeds.value_or(std::vector<std::string> {})) {
+            auto const address = Transport::split_address(seed);
+            if (address.first != m_settings.identity)
+                wanted.try_emplace(address.first, Transport::LinkAddress { address.first, address.second });
+        }
+    }
+    m_hub->set_wanted(std::move(wanted));
+}
+
+// Facts.
+
+Platform::FactFollower::Callbacks DirectEntry::fact_callbacks()
+{
+    return {
+        .changed = [this](FactChanges const& changes) {
+            if (std::exchange(m_is_log_failing, false))
+                Core::log_event(Core::LogLevel::Info, "log_regained");
+            on_facts(changes); },
+        .failing = [this](Platform::FactLogFault fault) { on_log_failing(fault); },
+        .bad_record = [this](Platform::BadRecord const& bad) {
+            m_metrics.count("mountbarrow_bad_records_total", "reason=\"" + std::string(Core::error_name(bad.error.code)) + "\"");
+            Core::log_event(Core::LogLevel::Error, "bad_record", { { "key", bad.key }, { "revision", std::to_string(bad.revision) }, { "reason", Core::error_name(bad.error.code) }, { "detail", bad.error.detail } }); },
+    };
+}
+
+void DirectEntry::on_log_failing(Platform::FactLogFault fault)
+{
+    m_metrics.count("mountbarrow_log_failures_total", fault == Platform::FactLogFault::Refused ? "reason=\"refused\"" : "reason=\"unavailable\"");
+    if (!std::exchange(m_is_log_failing, true))
+        Core::log_event(Core::LogLevel::Warn, "log_lost", { { "age_ms", std::to_string(m_follower->age(Core::monotonic_now()).count()) } });
+    Schema::Message message;
+    message.fact_request.emplace();
+    message.fact_request->configuration_from = m_replica.end(Configuration::FactTopic::Configuration);
+    message.fact_request->servers_from = m_replica.end(Configuration::FactTopic::BackendServers);
+    for (auto const& peer : m_hub->peers(Schema::Role::Entry))
+        m_hub->send(peer, message);
+}
+
+void DirectEntry::on_facts(FactChanges const& changes)
+{
+    auto const now = Core::monotonic_now();
+    if (changes.has_configuration)
+        on_configuration();
+    for (auto const& id : changes.servers) {
+        auto const* server = m_replica.server(id);
+        if (server)
+            m_servers.set_server(*server, now);
+        else
+            m_servers.remove_server(id);
+        Core::log_event(Core::LogLevel::Info, "server_changed", { { "server", id }, { "state", !server ? "removed" : server->is_draining ? "draining" : "ready" }, { "service", server ? server->service : "" }, { "address", server ? server->address : "" }, { "version", std::to_string(m_servers.version_of(id, now)) } });
+    }
+    if (changes.has_versions) {
+        for (auto const& [model, named] : m_replica.versions())
+            Core::log_event(Core::LogLevel::Info, "version_named", { { "model", model }, { "version", std::to_string(named.version) } });
+    }
+    if (!changes.servers.empty() || changes.has_configuration)
+        update_links();
+    send_goals();
+    for (auto const& [service, queue] : m_queues)
+        m_services_with_places.insert(service);
+}
+
+void DirectEntry::on_configuration()
+{
+    auto const& configuration = m_replica.configuration();
+    m_context.routes = std::make_shared<Routing::RouteTable const>(configuration);
+    for (auto const& service : configuration->services) {
+        if (service.timing)
+            m_servers.set_timing(service.name, *service.timing);
+    }
+    if (m_callers) {
+        Transport::IngressLimits limits;
+        limits.max_head_bytes = static_cast<size_t>(configuration->max_header_bytes);
+        limits.max_body_bytes = static_cast<size_t>(configuration->max_body_bytes);
+        limits.head_timeout = Core::Duration(configuration->header_timeout_ms);
+        limits.idle_timeout = Core::Duration(configuration->idle_timeout_ms);
+        m_callers->set_limits(limits);
+    }
+    Core::log_event(Core::LogLevel::Info, "configuration_in_force", { { "version", std::to_string(configuration->version) }, { "routes", std::to_string(configuration->routes.size()) }, { "customers", std::to_string(configuration->customers.size()) } });
+}
+
+std::vector<Schema::WeightsGoal> DirectEntry::goals() const
+{
+    std::vector<Schema::WeightsGoal> goals;
+    auto const& configuration = m_replica.configuration();
+    if (!configuration)
+        return goals;
+    std::string origin;
+    for (auto const& service : configuration->services)
+        origin = service.origin_address.value_or(origin);
+    for (auto const& service : configuration->services) {
+        if (!service.timing)
+            continue;
+        Schema::WeightsGoal goal {};
+        goal.service = service.name;
+        goal.model = service.timing->model;
+        auto const named = m_replica.versions().find(goal.model);
+        goal.version = named == m_replica.versions().end() ? 1 : named->second.version;
+        goal.origin_address = origin;
+        goal.layers = service.timing->layers;
+        goal.chunks = service.timing->chunks;
+        for (auto const* server : m_replica.servers()) {
+            if (server->service == service.name)
+                goal.peers.push_back({ .failure_domain = server->failure_domain, .identity = Transport::split_address(server->address).first });
+        }
+        goals.push_back(std::move(goal));
+    }
+    return goals;
+}
+
+void DirectEntry::send_goals()
+{
+    std::string text;
+    std::vector<Schema::Message> messages;
+    for (auto& goal : goals()) {
+        text += Schema::to_text(goal);
+        Schema::Message message;
+        message.weights_goal = std::move(goal);
+        messages.push_back(std::move(message));
+    }
+    if (text == m_sent_goals)
+        return;
+    m_sent_goals = text;
+    for (auto const& agent : m_hub->peers(Schema::Role::Agent)) {
+        for (auto const& message : messages)
+            m_hub->send(agent, message);
+    }
+}
+
+std::optional<int64_t> DirectEntry::required_version(std::string const& service) const
+{
+    auto const* routed = m_context.routes ? m_context.routes->service(service) : nullptr;
+    if (!routed || !routed->timing)
+        return {};
+    auto const named = m_replica.versions().find(routed->timing->model);
+    if (named == m_replica.versions().end())
+        return {};
+    auto const bound = Core::Duration(m_settings.bounds.version_ms);
+    auto required_at = named->second.learned + bound - version_margin;
+    if (named->second.learned < m_started + first_versions_grace)
+        required_at = std::min(required_at, m_started + first_versions_grace);
+    if (Core::monotonic_now() < required_at)
+        return {};
+    return named->second.version;
+}
+
+bool DirectEntry::is_stale() const
+{
+    return m_follower->age(Core::monotonic_now()) > stale_after;
+}
+
+bool DirectEntry::is_ready() const
+{
+    return m_context.routes && !m_drain_started;
+}
+
+// Callers.
+
+void DirectEntry::on_request(std::shared_ptr<Transport::IngressRequest> caller)
+{
+    auto const number = m_next_request++;
+    auto request = std::make_shared<ProxiedRequest>(m_context, std::move(caller), number);
+    m_requests[number] = request;
+    request->begin();
+}
+
+void DirectEntry::offer_places(std::string const& service)
+{
+    auto const queue = m_queues.find(service);
+    if (queue == m_queues.end() || queue->second.size() == 0)
+        return;
+    queue->second.offer([this](uint64_t number) {
+        auto const found = m_requests.find(number);
+        return found == m_requests.end() || found->second->try_send();
+    });
+}
+
+void DirectEntry::tick()
+{
+    auto const now = Core::monotonic_now();
+    auto const services = std::exchange(m_services_with_places, {});
+    for (auto const& service : services)
+        offer_places(service);
+    std::vector<std::shared_ptr<ProxiedRequest>> requests;
+    requests.reserve(m_requests.size());
+    for (auto const& [number, request] : m_requests)
+        requests.push_back(request);
+    for (auto const& request : requests)
+        request->tick(now);
+    if (m_drain_started)
+        finish_drain();
+}
+
+// Stopping.
+
+void DirectEntry::drain()
+{
+    if (m_drain_started)
+        return;
+    m_drain_started = Core::monotonic_now();
+    m_callers->end_connections_gently();
+    Core::log_event(Core::LogLevel::Info, "draining", { { "in_hand", std::to_string(m_requests.size()) } });
+}
+
+void DirectEntry::finish_drain()
+{
+    auto const elapsed = Core::monotonic_now() - *m_drain_started;
+    if (elapsed < least_drain)
+        return;
+    m_callers->stop_accepting();
+    auto const grace = Core::Duration(static_cast<int64_t>(m_settings.bounds.grace_s * milliseconds_per_second));
+    bool const is_late = elapsed >= grace - drain_margin;
+    if (is_late) {
+        auto const requests = m_requests;
+        for (auto const& [number, request] : requests)
+            request->give_up();
+    }
+    if (!is_late && (!m_requests.empty() || m_callers->connection_count() > 0))
+        return;
+    Core::log_event(Core::LogLevel::Info, "stopped", { { "after_ms", std::to_string(elapsed.count()) }, { "given_up", is_late ? "yes" : "no" } });
+    m_loop.stop();
+}
+
+void DirectEntry::reload(Core::ErrorOr<Schema::DirectEntrySettings> const& settings)
+{
+    if (!settings.has_value()) {
+        Core::log_event(Core::LogLevel::Error, "reload_refused", { { "reason", Core::error_name(settings.error().code) }, { "detail", settings.error().detail } });
+        return;
+    }
+    bool const is_fixed_same = settings->identity == m_settings.identity && settings->callers_address == m_settings.callers_address && settings->platform_address == m_settings.platform_address;
+    m_settings.bounds = settings->bounds;
+    m_settings.seeds = settings->seeds;
+    Core::log_event(Core::LogLevel::Info, "reloaded", { { "needs_restart", is_fixed_same ? "" : "addresses" } });
+}
+
+void DirectEntry::reply_metrics(Transport::HttpExchange& exchange)
+{
+    m_metrics.set("mountbarrow_in_hand", static_cast<double>(m_requests.size()));
+    m_metrics.set("mountbarrow_fact_age_ms", static_cast<double>(m_follower->age(Core::monotonic_now()).count()));
+    m_metrics.set("mountbarrow_configuration_version", m_context.routes ? static_cast<double>(m_context.routes->version()) : 0);
+    m_metrics.set("mountbarrow_links", static_cast<double>(m_last_heard.size()));
+    m_metrics.set("mountbarrow_link_bytes", static_cast<double>(m_hub->traffic().sent), "direction=\"sent\"");
+    m_metrics.set("mountbarrow_link_bytes", static_cast<double>(m_hub->traffic().received), "direction=\"received\"");
+    exchange.reply(status_ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.to_prometheus());
+}
+
+}
--- /dev/null
+++ b/Services/DirectEntry/DirectEntry.h
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include "ProxiedRequest.h"
+#include "RequestContext.h"
+#include <LibConfiguration/FactReplica.h>
+#include <LibCore/EventLoop.h>
+#include <LibCore/Metrics.h>
+#include <LibPlatform/FactFollower.h>
+#include <LibPlatform/FactLog.h>
+#include <LibPlatform/RequestHeads.h>
+#include <LibTransport/HttpServer.h>
+#include <LibTransport/IngressServer.h>
+#include <LibTransport/LinkHub.h>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace DirectEntry {
+
+/// An entry that speaks to backend servers itself: wiring of links, facts, callers and metrics.
+class DirectEntry {
+public:
+    struct PlatformParts {
+        std::unique_ptr<Platform::FactLog> log;
+        std::unique_ptr<Platform::RequestHeads> heads;
+    };
+
+    /// @return AddressInUse if a port cannot be bound.
+    static Core::ErrorOr<std::unique_ptr<DirectEntry>> create(Core::EventLoop&, Schema::DirectEntrySettings const&, PlatformParts);
+    ~DirectEntry();
+
+    /// Takes no new work, finishes what is in hand, and ends the loop.
+    void drain();
+
+    /// The settings file was read again. What cannot change in a running process is named in the log.
+    void reload(Core::ErrorOr<Schema::DirectEntrySettings> const&);
+
+private:
+    DirectEntry(Core::EventLoop&, Schema::DirectEntrySettings const&, PlatformParts);
+
+    Core::ErrorOr<void> listen();
+    Transport::LinkHub::Callbacks link_callbacks();
+    Platform::FactFollower::Callbacks fact_callbacks();
+
+    void on_link_up(Schema::Hello const&);
+    void on_link_message(Schema::Hello const&, Schema::Message const&);
+    void on_link_down(std::string const& identity);
+    void check_links();
+    void update_links();
+
+    void on_facts(Configuration::FactChanges const&);
+    void on_configuration();
+    void on_log_failing(Platform::FactLogFault);
+    void send_goals();
+    std::vector<Schema::WeightsGoal> goals() const;
+    std::optional<int64_t> required_version(std::string const& service) const;
+    bool is_stale() const;
+    bool is_ready() const;
+
+    void on_request(std::shared_ptr<Transport::IngressRequest>);
+    void offer_places(std::string const& service);
+    void tick();
+    void finish_drain();
+    void reply_metrics(Transport::HttpExchange&);
+
+    Core::EventLoop& m_loop;
+    Schema::DirectEntrySettings m_settings;
+    Core::Metrics m_metrics;
+    std::unique_ptr<Platform::FactLog> m_log;
+    std::unique_ptr<Platform::RequestHeads> m_heads;
+    Configuration::FactReplica m_replica;
+    std::unique_ptr<Platform::FactFollower> m_follower;
+    bool m_is_log_failing { false };
+
+    std::unique_ptr<Transport::LinkHub> m_hub;
+    std::map<std::string, Core::Time> m_last_heard;
+    std::set<std::string> m_known_entries;
+    std::string m_sent_goals;
+
+    std::mt19937_64 m_random;
+    Routing::ServerTable m_servers;
+    Routing::RetryShare m_retries;
+    RequestContext m_context;
+    std::map<std::string, Routing::RequestQueue> m_queues;
+    std::map<uint64_t, std::shared_ptr<ProxiedRequest>> m_requests;
+    std::set<std::string> m_services_with_places;
+    uint64_t m_next_request { 1 };
+
+    std::unique_ptr<Transport::IngressServer> m_callers;
+    std::unique_ptr<Transport::HttpServer> m_readiness;
+    std::unique_ptr<Transport::HttpServer> m_metrics_server;
+    std::unique_ptr<Core::Timer> m_tick_timer;
+    std::unique_ptr<Core::Timer> m_link_timer;
+    Core::Time m_started;
+    std::optional<Core::Time> m_drain_started;
+};
+
+}
--- /dev/null
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -0,0 +1,564 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "ProxiedRequest.h"
+
+#include <LibCore/Log.h>
+#include <LibSchema/Json.h>
+#include <LibTransport/SocketAddress.h>
+#include <algorithm>
+
+namespace DirectEntry {
+
+using Routing::NextStep;
+using Routing::SendEnd;
+using Routing::ServerOutcome;
+
+static constexpr int status_unauthorized = 401;
+static constexpr int status_not_found = 404;
+static constexpr int status_request_timeout = 408;
+static constexpr int status_misdirected = 421;
+static constexpr int status_too_many = 429;
+static constexpr int status_server_error = 500;
+static constexpr int status_bad_gateway = 502;
+static constexpr int status_unavailable = 503;
+static constexpr int status_gateway_timeout = 504;
+
+static constexpr Core::Duration default_wait { 30000 };
+// A refusal counts as early within a quarter of the objective; its way to the caller takes a part of that.
+static constexpr double refused_within_objective = 0.25;
+static constexpr Core::Duration refusal_margin { 30 };
+static constexpr Core::Duration least_wait { 10 };
+static constexpr Core::Duration connect_timeout { 300 };
+static constexpr Core::Duration least_silence { 900 };
+static constexpr double silence_per_objective = 2.5;
+static constexpr Core::Duration retry_when_unready { 300 };
+static constexpr size_t most_unread_bytes = size_t { 1 } << 20;
+static constexpr size_t most_buffered_answer = size_t { 8 } << 20;
+static constexpr size_t queue_limit_per_place = 1;
+
+char const* refusal_name(Refusal refusal)
+{
+    switch (refusal) {
+    case Refusal::None:
+        return "none";
+    case Refusal::NoConfiguration:
+        return "no_configuration";
+    case Refusal::NoRoute:
+        return "no_route";
+    case Refusal::UnknownKey:
+        return "unknown_key";
+    case Refusal::StaleConfiguration:
+        return "stale_configuration";
+    case Refusal::NoServer:
+        return "no_server";
+    case Refusal::NoPlace:
+        return "no_place";
+    case Refusal::QueueFull:
+        return "queue_full";
+    case Refusal::NotRunAnywhere:
+        return "not_run_anywhere";
+    case Refusal::OutcomeUnknown:
+        return "outcome_unknown";
+    case Refusal::ServerFailure:
+        return "server_failure";
+    case Refusal::BrokenOff:
+        return "broken_off";
+    case Refusal::DeadlinePassed:
+        return "deadline_passed";
+    case Refusal::CallerGone:
+        return "caller_gone";
+    case Refusal::CallerTooSlow:
+        return "caller_too_slow";
+    case Refusal::Stopping:
+        return "stopping";
+    }
+    return "";
+}
+
+static char const* send_end_name(SendEnd end)
+{
+    switch (end) {
+    case SendEnd::NotConnected:
+        return "not_connected";
+    case SendEnd::NotRun:
+        return "not_run";
+    case SendEnd::ServerFailure:
+        return "server_failure";
+    case SendEnd::BrokenOff:
+        return "broken_off";
+    case SendEnd::Silent:
+        return "silent";
+    }
+    return "";
+}
+
+static std::string milliseconds(Core::Duration duration)
+{
+    return std::to_string(duration.count());
+}
+
+ProxiedRequest::ProxiedRequest(RequestContext& context, std::shared_ptr<Transport::IngressRequest> caller, uint64_t number)
+    : m_context(context)
+    , m_caller(std::move(caller))
+    , m_number(number)
+    , m_started(Core::monotonic_now())
+{
+}
+
+ProxiedRequest::~ProxiedRequest() = default;
+
+void ProxiedRequest::begin()
+{
+    m_head = m_context.heads.read_caller(m_caller->head());
+    m_time_allowed = default_wait;
+    m_caller->on_gone([weak = weak_from_this()] {
+        if (auto self = weak.lock(); self && !self->is_over()) {
+            self->m_call.reset();
+            self->finish(Refusal::CallerGone, 0);
+        }
+    });
+    if (!admit())
+        return;
+    m_context.retries.on_request(m_service, m_started);
+    if (!try_send())
+        wait_for_place();
+}
+
+bool ProxiedRequest::admit()
+{
+    auto const& routes = m_context.routes;
+    if (!routes) {
+        refuse(status_unavailable, Refusal::NoConfiguration, retry_when_unready);
+        return false;
+    }
+    m_configuration_version = routes->version();
+    auto const* route = routes->find(m_head.host, m_head.path);
+    auto const* customer = m_head.key ? routes->customer_of(*m_head.key) : nullptr;
+    bool const needs_key = route && routes->configuration().has_customers && !route->is_public;
+    bool const is_denied = !route || (needs_key && !customer);
+    if (is_denied && m_context.is_stale()) {
+        // A newer configuration may allow it.
+        refuse(status_unavailable, Refusal::StaleConfiguration, retry_when_unready);
+        return false;
+    }
+    if (!route) {
+        refuse(status_not_found, Refusal::NoRoute, {});
+        return false;
+    }
+    if (needs_key && !customer) {
+        refuse(status_unauthorized, Refusal::UnknownKey, {});
+        return false;
+    }
+    m_route = *route;
+    m_priority = route->priority;
+    if (customer) {
+        m_customer = customer->name;
+        m_priority = customer->priority.value_or(m_priority);
+    }
+    m_time_allowed = std::min(Core::Duration(route->timeout_ms), m_head.deadline.value_or(default_wait));
+    std::uniform_real_distribution<double> draw(0, 1);
+    m_service = Routing::RouteTable::pick_service(m_route, draw(m_context.random));
+    m_last_event = m_head.last_event;
+    return true;
+}
+
+void ProxiedRequest::wait_for_place()
+{
+    if (is_over())
+        return;
+    m_phase = Phase::Waiting;
+    m_waiting_since = Core::monotonic_now();
+    auto& queue = m_context.queue(m_service);
+    auto const pushed = queue.push(m_number, m_customer.value_or(""), static_cast<int>(m_priority), deadline(), m_waiting_since);
+    if (pushed == Routing::RequestQueue::PushResult::Queued)
+        return;
+    m_context.metrics.count("mountbarrow_queue_refusals_total");
+    refuse_waiting(m_waiting_since);
+}
+
+Routing::ServerNeeds ProxiedRequest::needs(Core::Time) const
+{
+    Routing::ServerNeeds needs;
+    needs.service = m_service;
+    needs.required_version = m_context.required_version(m_service);
+    needs.prompt_tokens = m_head.prompt_tokens;
+    needs.excluded = m_tried;
+    return needs;
+}
+
+bool ProxiedRequest::try_send()
+{
+    if (is_over())
+        return true;
+    auto const now = Core::monotonic_now();
+    auto const choice = m_context.servers.choose(needs(now), now);
+    if (!choice.has_value())
+        return false;
+    send_to(*choice, now);
+    return true;
+}
+
+void ProxiedRequest::send_to(Routing::ServerChoice const& choice, Core::Time now)
+{
+    auto const* server = m_context.servers.find(choice.id);
+    m_phase = Phase::Sent;
+    m_server = choice.id;
+    m_sent_at = now;
+    m_heard_at = now;
+    m_is_connected = false;
+    m_has_head = false;
+    m_answer_body.clear();
+    m_events = {};
+    m_tried.insert(choice.id);
+
+    Platform::BackendTerms terms;
+    terms.server_id = choice.id;
+    terms.customer = m_customer;
+    terms.remaining = deadline() - now;
+    terms.expected_version = m_context.required_version(m_service);
+    terms.last_event = m_last_event;
+    Transport::BackendCallRequest call;
+    auto const target = Transport::split_address(server->address);
+    call.address = target.first;
+    call.port = target.second;
+    call.bytes = m_context.heads.write_request(m_caller->head(), m_caller->body(), terms);
+    call.connect_timeout = std::min(connect_timeout, terms.remaining);
+    if (m_caller->head().method == "HEAD")
+        call.body_expectation = Transport::BodyExpectation::None;
+    m_context.servers.on_sent(m_server, m_head.request_id, m_head.prompt_tokens);
+    Core::log_event(Core::LogLevel::Info, "request_sent",
+        { { "request", m_head.request_id }, { "route", m_route.name }, { "server", choice.id }, { "address", server->address }, { "domain", server->failure_domain }, { "predicted_ms", milliseconds(choice.predicted) }, { "attempt", std::to_string(m_sends + m_misses + 1) }, { "after_ms", milliseconds(now - m_started) }, { "remaining_ms", milliseconds(terms.remaining) }, { "configuration", std::to_string(m_configuration_version) }, { "expected_version", terms.expected_version ? std::to_string(*terms.expected_version) : "any" }, { "resume_after", m_last_event ? std::to_string(*m_last_event) : "" } });
+    m_call = Transport::BackendCall::start(m_context.loop, std::move(call),
+        { .connected = [this] {
+             m_is_connected = true;
+             m_sends += 1;
+             m_heard_at = Core::monotonic_now(); },
+            .head = [this](Transport::MessageHead const& head) { on_head(head); },
+            .data = [this](std::string_view data) { on_data(data); },
+            .done = [this] { auto keep = shared_from_this(); on_done(); },
+            .failed = [this](Transport::CallFailure failure) { auto keep = shared_from_this(); on_failed(failure); } });
+}
+
+void ProxiedRequest::on_head(Transport::MessageHead const& head)
+{
+    m_has_head = true;
+    m_heard_at = Core::monotonic_now();
+    m_answer = m_context.heads.read_backend(head);
+}
+
+bool ProxiedRequest::is_trusted_success() const
+{
+    return m_answer.status / 100 == 2 && m_answer.is_genuine && m_answer.request_id == m_head.request_id;
+}
+
+void ProxiedRequest::on_data(std::string_view data)
+{
+    auto keep = shared_from_this();
+    if (is_over())
+        return;
+    m_heard_at = Core::monotonic_now();
+    if (is_stream() && is_trusted_success()) {
+        pass_events(data);
+        return;
+    }
+    if (m_answer_body.size() + data.size() > most_buffered_answer) {
+        end_send(SendEnd::BrokenOff, ServerOutcome::Failure);
+        return;
+    }
+    m_answer_body.append(data);
+}
+
+void ProxiedRequest::pass_events(std::string_view data)
+{
+    auto const events = m_events.feed(data);
+    if (m_events.is_overgrown()) {
+        end_send(SendEnd::BrokenOff, ServerOutcome::Failure);
+        return;
+    }
+    std::string out;
+    bool has_gap = false;
+    for (auto const& event : events) {
+        auto const id = m_context.heads.event_id(event);
+        // An event that the caller has already is not passed on twice; one behind a gap is no part of this answer.
+        if (id && m_last_event && *id <= *m_last_event)
+            continue;
+        has_gap = id && *id != m_last_event.value_or(*id - 1) + 1;
+        if (has_gap)
+            break;
+        if (id)
+            m_last_event = id;
+        out += event;
+    }
+    if (!out.empty())
+        deliver(out);
+    if (has_gap && !is_over()) {
+        m_context.metrics.count("mountbarrow_event_gaps_total");
+        end_send(SendEnd::BrokenOff, ServerOutcome::Failure);
+    }
+}
+
+void ProxiedRequest::deliver(std::string const& events)
+{
+    if (!m_has_delivered) {
+        m_has_delivered = true;
+        m_first_event_after = m_heard_at - m_started;
+        m_context.metrics.observe_ms("mountbarrow_first_event_ms", static_cast<double>(m_first_event_after->count()));
+        m_caller->start(m_answer.status, m_answer.headers, {});
+    }
+    m_context.servers.on_first_event(m_server, m_head.request_id);
+    m_caller->part(events);
+    if (m_caller->pending_bytes() > most_unread_bytes) {
+        m_call.reset();
+        break_off(Refusal::CallerTooSlow);
+    }
+}
+
+void ProxiedRequest::on_done()
+{
+    if (is_over())
+        return;
+    if (m_answer.is_not_run) {
+        m_server_retry_after = m_answer.retry_after;
+        end_send(SendEnd::NotRun, m_answer.status == status_misdirected ? ServerOutcome::Neutral : ServerOutcome::Full);
+        return;
+    }
+    bool const is_other_answer = m_answer.request_id != m_head.request_id;
+    bool const is_false_success = m_answer.status / 100 == 2 && !m_answer.is_genuine;
+    if (is_other_answer || is_false_success) {
+        end_send(SendEnd::BrokenOff, ServerOutcome::Failure);
+        return;
+    }
+    if (m_answer.status / 100 != 2) {
+        on_failure_status();
+        return;
+    }
+    if (!is_stream()) {
+        pass_whole_answer();
+        return;
+    }
+    if (m_events.has_partial_event() || !m_has_delivered) {
+        end_send(SendEnd::BrokenOff, ServerOutcome::Failure);
+        return;
+    }
+    m_caller->end();
+    m_call.reset();
+    m_context.servers.on_ended(m_server, m_head.request_id, ServerOutcome::Success, Core::monotonic_now());
+    finish(Refusal::None, m_answer.status);
+}
+
+void ProxiedRequest::pass_whole_answer()
+{
+    m_call.reset();
+    m_caller->reply(m_answer.status, m_answer.headers, m_answer_body);
+    m_context.servers.on_ended(m_server, m_head.request_id, ServerOutcome::Success, Core::monotonic_now());
+    finish(Refusal::None, m_answer.status);
+}
+
+/// Statuses that promise that nothing ran. A backend server that ran the request must not make that promise through us.
+static bool promises_not_run(int status)
+{
+    return status == status_unavailable || status == status_too_many || status == status_request_timeout || status == status_misdirected;
+}
+
+void ProxiedRequest::on_failure_status()
+{
+    if (m_answer.status < status_server_error && !promises_not_run(m_answer.status)) {
+        // The request itself is at fault: the answer stands.
+        pass_whole_answer();
+        return;
+    }
+    end_send(SendEnd::ServerFailure, ServerOutcome::Failure);
+}
+
+void ProxiedRequest::on_failed(Transport::CallFailure failure)
+{
+    if (is_over())
+        return;
+    if (failure == Transport::CallFailure::NotConnected)
+        end_send(SendEnd::NotConnected, ServerOutcome::Unreachable);
+    else
+        end_send(SendEnd::BrokenOff, ServerOutcome::Failure);
+}
+
+Routing::AttemptState ProxiedRequest::attempt_state(SendEnd, Core::Time now) const
+{
+    Routing::AttemptState state;
+    state.kind = m_route.kind;
+    state.is_resumable = m_route.is_resumable;
+    state.has_delivered = m_has_delivered;
+    state.may_have_run = m_may_have_run;
+    state.sends = m_sends;
+    state.max_attempts = m_route.max_attempts;
+    state.misses = m_misses;
+    state.has_budget = m_context.retries.has_left(m_service, now);
+    state.remaining = deadline() - now;
+    return state;
+}
+
+void ProxiedRequest::end_send(SendEnd end, ServerOutcome outcome)
+{
+    auto const now = Core::monotonic_now();
+    m_call.reset();
+    m_context.servers.on_ended(m_server, m_head.request_id, outcome, now);
+    bool const is_miss = end == SendEnd::NotConnected || end == SendEnd::NotRun;
+    if (is_miss) {
+        m_misses += 1;
+        if (end == SendEnd::NotRun)
+            m_sends -= 1;
+    }
+    auto const step = Routing::next_step(end, attempt_state(end, now));
+    if (!is_miss)
+        m_may_have_run = true;
+    m_context.metrics.count("mountbarrow_sends_ended_total", std::string("reason=\"") + send_end_name(end) + "\"");
+    Core::log_event(Core::LogLevel::Info, "send_ended",
+        { { "request", m_head.request_id }, { "server", m_server }, { "end", send_end_name(end) }, { "status", std::to_string(m_has_head ? m_answer.status : 0) }, { "after_ms", milliseconds(now - m_sent_at) }, { "next", std::to_string(static_cast<int>(step)) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+    take_step(step, end);
+    m_context.place_freed(m_service);
+}
+
+void ProxiedRequest::take_step(NextStep step, SendEnd end)
+{
+    switch (step) {
+    case NextStep::SendAgain:
+    case NextStep::Resume:
+        // A call that never connected did not arrive anywhere, so it costs nothing.
+        if (end == SendEnd::NotConnected || m_context.retries.try_spend(m_service, Core::monotonic_now())) {
+            send_again();
+            return;
+        }
+        if (m_has_delivered)
+            break_off(Refusal::BrokenOff);
+        else if (m_may_have_run)
+            refuse(status_bad_gateway, Refusal::OutcomeUnknown, {});
+        else
+            refuse(status_unavailable, Refusal::NotRunAnywhere, m_server_retry_after.value_or(m_context.servers.turnover(m_service)));
+        return;
+    case NextStep::PassFailure:
+        if (promises_not_run(m_answer.status))
+            refuse(status_bad_gateway, Refusal::OutcomeUnknown, {});
+        else
+            pass_whole_answer();
+        return;
+    case NextStep::RefuseNotRun:
+        refuse(status_unavailable, Refusal::NotRunAnywhere, m_server_retry_after.value_or(m_context.servers.turnover(m_service)));
+        return;
+    case NextStep::AnswerUnknown:
+        refuse(end == SendEnd::Silent ? status_gateway_timeout : status_bad_gateway, Refusal::OutcomeUnknown, {});
+        return;
+    case NextStep::BreakOff:
+        break_off(Refusal::BrokenOff);
+        return;
+    }
+}
+
+void ProxiedRequest::send_again()
+{
+    m_phase = Phase::Waiting;
+    if (!try_send())
+        wait_for_place();
+}
+
+void ProxiedRequest::tick(Core::Time now)
+{
+    auto keep = shared_from_this();
+    if (is_over())
+        return;
+    if (now >= deadline()) {
+        bool const was_sent = m_phase == Phase::Sent && m_is_connected;
+        bool const may_have_run = m_may_have_run || was_sent;
+        if (m_phase == Phase::Sent) {
+            m_call.reset();
+            m_context.servers.on_ended(m_server, m_head.request_id, ServerOutcome::Neutral, now);
+            m_context.place_freed(m_service);
+        }
+        if (m_has_delivered)
+            break_off(Refusal::DeadlinePassed);
+        else
+            refuse(may_have_run ? status_gateway_timeout : status_unavailable, Refusal::DeadlinePassed, {});
+        return;
+    }
+    if (m_phase == Phase::Waiting) {
+        refuse_waiting(now);
+        return;
+    }
+    auto const objective = m_has_delivered ? m_route.objective_gap_ms : m_route.objective_ms;
+    auto const silence = std::max(least_silence, Core::Duration(static_cast<int64_t>(silence_per_objective * static_cast<double>(objective))));
+    bool const may_give_up_send = Routing::is_repeatable(attempt_state(SendEnd::Silent, now)) && m_sends < m_route.max_attempts;
+    if (m_phase == Phase::Sent && m_is_connected && may_give_up_send && now - m_heard_at >= silence)
+        end_send(SendEnd::Silent, ServerOutcome::Unreachable);
+}
+
+void ProxiedRequest::refuse_waiting(Core::Time now)
+{
+    auto const early = Core::Duration(static_cast<int64_t>(refused_within_objective * static_cast<double>(m_route.objective_ms))) - refusal_margin;
+    auto const patience = std::max(least_wait, early);
+    bool const is_first_place = m_sends == 0 && m_misses == 0;
+    auto const limit = is_first_place ? m_started + patience : m_waiting_since + 2 * patience;
+    auto& queue = m_context.queue(m_service);
+    if (now < limit && queue.size() <= queue_limit_per_place * 256)
+        return;
+    queue.remove(m_number);
+    if (m_has_delivered) {
+        break_off(Refusal::NoPlace);
+        return;
+    }
+    if (m_may_have_run) {
+        refuse(status_bad_gateway, Refusal::OutcomeUnknown, {});
+        return;
+    }
+    auto const wait = m_context.servers.turnover(m_service) * static_cast<int64_t>(1 + queue.size());
+    refuse(status_unavailable, Refusal::NoPlace, std::clamp(wait, Core::Duration(200), Core::Duration(1500)));
+}
+
+void ProxiedRequest::refuse(int status, Refusal refusal, std::optional<Core::Duration> retry_after)
+{
+    Schema::Problem problem {};
+    problem.type = std::string("urn:mountbarrow:problem:") + refusal_name(refusal);
+    problem.status = status;
+    bool const is_not_run = promises_not_run(status);
+    problem.outcome = is_not_run ? Schema::Outcome::NotRun : status < status_server_error ? Schema::Outcome::Rejected
+                                                                                          : Schema::Outcome::Unknown;
+    problem.title = is_not_run ? "Refused: the request was not run." : "The request got no answer.";
+    if (retry_after)
+        problem.retry_after_ms = retry_after->count();
+    m_caller->reply(status, m_context.heads.own_answer(m_head.request_id, retry_after), Schema::to_text(problem));
+    finish(refusal, status);
+}
+
+void ProxiedRequest::break_off(Refusal refusal)
+{
+    m_caller->abort();
+    finish(refusal, 0);
+}
+
+void ProxiedRequest::give_up()
+{
+    if (is_over())
+        return;
+    bool const may_have_run = m_may_have_run || m_phase == Phase::Sent;
+    m_call.reset();
+    if (m_has_delivered)
+        break_off(Refusal::Stopping);
+    else
+        refuse(may_have_run ? status_bad_gateway : status_unavailable, Refusal::Stopping, retry_when_unready);
+}
+
+void ProxiedRequest::finish(Refusal refusal, int status)
+{
+    auto const now = Core::monotonic_now();
+    if (m_phase == Phase::Waiting)
+        m_context.queue(m_service).remove(m_number);
+    bool const was_sent = m_phase == Phase::Sent;
+    m_phase = Phase::Over;
+    if (was_sent) {
+        m_context.servers.on_ended(m_server, m_head.request_id, ServerOutcome::Neutral, now);
+        m_context.place_freed(m_service);
+    }
+    m_context.metrics.count("mountbarrow_requests_total", std::string("end=\"") + refusal_name(refusal) + "\"");
+    m_context.metrics.observe_ms("mountbarrow_request_ms", static_cast<double>((now - m_started).count()));
+    auto const level = refusal == Refusal::None ? Core::LogLevel::Info : Core::LogLevel::Warn;
+    Core::log_event(level, "request_ended",
+        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "server", m_server }, { "sends", std::to_string(m_sends) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+    m_context.over(m_number);
+}
+
+}
--- /dev/null
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include "RequestContext.h"
+#include <LibPlatform/RequestHeads.h>
+#include <LibRouting/AttemptPolicy.h>
+#include <LibRouting/EventStream.h>
+#include <LibTransport/BackendCall.h>
+#include <LibTransport/IngressServer.h>
+#include <memory>
+#include <string>
+
+namespace DirectEntry {
+
+/// One caller's request, from its head to its single final answer. It reads from top to bottom:
+/// admitted, waiting for a place, sent, answered, or sent again; and then over.
+class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest> {
+public:
+    ProxiedRequest(RequestContext&, std::shared_ptr<Transport::IngressRequest>, uint64_t number);
+    ~ProxiedRequest();
+    ProxiedRequest(ProxiedRequest const&) = delete;
+    ProxiedRequest& operator=(ProxiedRequest const&) = delete;
+
+    /// Admits the request, or refuses it at once.
+    void begin();
+
+    /// Offered a place: sends it if there is a backend server for it now.
+    /// @return false if there is none.
+    bool try_send();
+
+    /// Looks at the time: deadlines, silence, waiting too long.
+    void tick(Core::Time now);
+
+    /// The process ends: what is not over by now is broken off.
+    void give_up();
+
+    uint64_t number() const { return m_number; }
+    bool is_over() const { return m_phase == Phase::Over; }
+
+private:
+    enum class Phase {
+        Admitting,
+        Waiting,
+        Sent,
+        Over,
+    };
+
+    bool admit();
+    void wait_for_place();
+    void refuse_waiting(Core::Time now);
+    Routing::ServerNeeds needs(Core::Time now) const;
+    void send_to(Routing::ServerChoice const&, Core::Time now);
+
+    void on_head(Transport::MessageHead const&);
+    void on_data(std::string_view);
+    void on_done();
+    void on_failed(Transport::CallFailure);
+    void pass_events(std::string_view);
+    void deliver(std::string const& events);
+    void pass_whole_answer();
+    bool is_trusted_success() const;
+    void on_failure_status();
+
+    void end_send(Routing::SendEnd, Routing::ServerOutcome);
+    Routing::AttemptState attempt_state(Routing::SendEnd, Core::Time now) const;
+    void take_step(Routing::NextStep, Routing::SendEnd);
+    void send_again();
+
+    void refuse(int status, Refusal, std::optional<Core::Duration> retry_after);
+    void break_off(Refusal);
+    void finish(Refusal, int status);
+
+    Core::Time deadline() const { return m_started + m_time_allowed; }
+    bool is_stream() const { return m_route.kind == Schema::RouteKind::Stream; }
+
+    RequestContext& m_context;
+    std::shared_ptr<Transport::IngressRequest> m_caller;
+    uint64_t m_number;
+    Phase m_phase { Phase::Admitting };
+    Core::Time m_started;
+    Core::Duration m_time_allowed { 0 };
+    Platform::CallerHead m_head;
+    Schema::Route m_route {};
+    std::string m_service;
+    std::optional<std::string> m_customer;
+    int64_t m_priority { 0 };
+    int64_t m_configuration_version { 0 };
+
+    // The send under way.
+    std::unique_ptr<Transport::BackendCall> m_call;
+    std::string m_server;
+    Core::Time m_sent_at { 0 };
+    Core::Time m_heard_at { 0 };
+    bool m_is_connected { false };
+    bool m_has_head { false };
+    Platform::BackendHead m_answer;
+    std::string m_answer_body;
+    Routing::EventStream m_events;
+
+    // Over all sends.
+    std::set<std::string> m_tried;
+    int64_t m_sends { 0 };
+    int64_t m_misses { 0 };
+    bool m_may_have_run { false };
+    bool m_has_delivered { false };
+    std::optional<int64_t> m_last_event;
+    std::optional<Core::Duration> m_server_retry_after;
+    bool m_wants_resume { false };
+    Core::Time m_waiting_since { 0 };
+    std::optional<Core::Duration> m_first_event_after;
+};
+
+}
--- /dev/null
+++ b/Services/DirectEntry/main.cpp
@@ -0,0 +1,18 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "DirectEntry.h"
+
+#include "../../platform/HttpFactLog.h"
+#include "../../platform/HttpRequestHeads.h"
+#include <LibCore/Log.h>
+#include <LibSettings/ProcessMain.h>
+
+int main(int argc, char** argv)
+{
+    auto const command = Settings::parse_command(argc, argv, "The entry that callers reach: routes, limits and passes on their requests");
+    return Settings::run_process<Schema::DirectEntrySettings>(command, "mountbarrow-direct-entry", [](Core::EventLoop& loop, Schema::DirectEntrySettings const& settings) {
+        DirectEntry::DirectEntry::PlatformParts parts;
+        parts.log = std::make_unique<PlatformAdapter::HttpFactLog>(loop, settings.platform_address);
+        parts.heads = std::make_unique<PlatformAdapter::HttpRequestHeads>();
+        return DirectEntry::DirectEntry::create(loop, settings, std::move(parts));
+    });
+}
--- /dev/null
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "EngineAgent.h"
+
+#include <LibCore/Log.h>
+#include <LibSchema/Json.h>
+
+namespace EngineAgent {
+
+static constexpr Core::Duration state_interval { 150 };
+static constexpr Core::Duration state_repeat { 1000 };
+static constexpr Core::Duration link_check_interval { 500 };
+static constexpr Core::Duration link_silence { 3000 };
+static constexpr size_t neighbours = 16;
+static constexpr double bytes_per_megabit = 125000;
+// Requests and their answers share the link with the chunks.
+static constexpr double upload_part_of_link = 0.85;
+static constexpr int status_ok = 200;
+static constexpr int status_not_found = 404;
+
+Core::ErrorOr<std::unique_ptr<EngineAgent>> EngineAgent::create(Core::EventLoop& loop, Schema::EngineAgentSettings const& settings, PlatformParts parts)
+{
+    std::unique_ptr<EngineAgent> agent(new EngineAgent(loop, settings, std::move(parts)));
+    TRY(agent->listen());
+    return agent;
+}
+
+static CopyKeeperSettings copy_settings(Schema::EngineAgentSettings const& settings)
+{
+    CopyKeeperSettings result;
+    result.identity = settings.identity;
+    result.failure_domain = settings.failure_domain;
+    result.region = settings.region;
+    result.regions = settings.regions;
+    result.chunk_port = static_cast<uint16_t>(settings.chunk_port);
+    return result;
+}
+
+EngineAgent::EngineAgent(Core::EventLoop& loop, Schema::EngineAgentSettings const& settings, PlatformParts parts)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_engine(std::move(parts.engine))
+    , m_origin(std::move(parts.origin))
+{
+    Transport::LinkOptions options;
+    options.identity = { settings.identity, Schema::Role::Agent, Core::wall_now().count() };
+    options.keys = { settings.key };
+    options.offset = [] { return int64_t { 0 }; };
+    options.list_version = [] { return int64_t { 0 }; };
+    m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
+    auto announce = [this](Schema::PieceMap const& map) {
+        Schema::Message message;
+        message.pieces = map;
+        for (auto const& peer : m_hub->peers(Schema::Role::Agent))
+            m_hub->send(peer, message);
+    };
+    m_copy = std::make_unique<CopyKeeper>(loop, copy_settings(settings), m_metrics, *m_engine, *m_origin, CopyKeeper::Callbacks { .announce = announce, .changed = [this] { send_state(); } });
+    Agent::ChunkServerSettings uploads;
+    uploads.bytes_per_second = static_cast<int64_t>(settings.link_megabits_per_second * bytes_per_megabit * upload_part_of_link);
+    m_chunks = std::make_unique<Agent::ChunkServer>(loop, uploads, m_metrics, m_copy->store());
+    m_state_timer = loop.every(state_interval, [this] { send_state_if_changed(); });
+    m_link_timer = loop.every(link_check_interval, [this] { check_links(); });
+}
+
+EngineAgent::~EngineAgent() = default;
+
+Core::ErrorOr<void> EngineAgent::listen()
+{
+    TRY(m_hub->listen(m_settings.identity, static_cast<uint16_t>(m_settings.link_port)));
+    m_http = TRY(Transport::HttpServer::create(m_loop, m_settings.identity, static_cast<uint16_t>(m_settings.chunk_port), {}, [this](auto const& exchange) { on_http(exchange); }));
+    Core::log_event(Core::LogLevel::Info, "started", { { "engine", m_settings.engine_address }, { "domain", m_settings.failure_domain } });
+    return {};
+}
+
+// Links.
+
+Transport::LinkHub::Callbacks EngineAgent::link_callbacks()
+{
+    return {
+        .up = [this](Schema::Hello const& hello) { on_link_up(hello); },
+        .message = [this](Schema::Hello const& hello, Schema::Message const& message) { on_link_message(hello, message); },
+        .down = [this](std::string const& identity) {
+            Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
+            m_last_heard.erase(identity);
+            m_copy->on_peer_down(identity); },
+        .failed = [this](Core::ErrorCode code) { m_metrics.count("mountbarrow_link_failures_total", "reason=\"" + std::string(Core::error_name(code)) + "\""); },
+    };
+}
+
+void EngineAgent::on_link_up(Schema::Hello const& hello)
+{
+    Core::log_event(Core::LogLevel::Info, "link_up", { { "peer", hello.identity }, { "role", Schema::enumerator_name(hello.role) } });
+    m_last_heard[hello.identity] = Core::monotonic_now();
+    if (hello.role == Schema::Role::Entry) {
+        send_directory();
+        send_state();
+        return;
+    }
+    if (auto map = m_copy->held()) {
+        Schema::Message message;
+        message.pieces = std::move(*map);
+        m_hub->send(hello.identity, message);
+    }
+}
+
+void EngineAgent::on_link_message(Schema::Hello const& from, Schema::Message const& message)
+{
+    m_last_heard[from.identity] = Core::monotonic_now();
+    if (message.weights_goal)
+        on_goal(*message.weights_goal);
+    else if (message.pieces)
+        m_copy->on_peer_pieces(from.identity, *message.pieces);
+}
+
+void EngineAgent::on_goal(Schema::WeightsGoal const& goal)
+{
+    if (goal.service != m_settings.service)
+        return;
+    Distribution::NeighbourCandidate const self { m_settings.identity, m_settings.failure_domain, m_settings.region };
+    std::vector<Distribution::NeighbourCandidate> others;
+    for (auto const& peer : goal.peers) {
+        auto const region = m_settings.regions.find(peer.failure_domain);
+        others.push_back({ peer.identity, peer.failure_domain, region == m_settings.regions.end() ? "" : region->second });
+    }
+    std::map<std::string, Transport::LinkAddress> wanted;
+    for (auto const& id : Distribution::choose_neighbours(self, others, neighbours, 0)) {
+        // Of two agents the one with the lower identity dials, unless only this one chose the other.
+        if (id > m_settings.identity)
+            wanted[id] = { id, static_cast<uint16_t>(m_settings.link_port) };
+    }
+    m_hub->set_wanted(std::move(wanted));
+    m_copy->set_goal(goal);
+}
+
+void EngineAgent::send_directory()
+{
+    Schema::Message message;
+    message.directory.emplace();
+    message.directory->entries = m_hub->peers(Schema::Role::Entry);
+    for (auto const& entry : message.directory->entries)
+        m_hub->send(entry, message);
+}
+
+static Schema::EngineState to_state(CopyKeeper const& copy)
+{
+    Schema::EngineState state {};
+    state.version = copy.serving_version();
+    state.pace = 1;
+    if (auto const& report = copy.report()) {
+        state.is_busy = report->is_busy;
+        state.running = report->running;
+        state.waiting = report->waiting;
+        state.pace = report->pace;
+    }
+    return state;
+}
+
+void EngineAgent::send_state()
+{
+    Schema::Message message;
+    message.engine_state = to_state(*m_copy);
+    m_sent_state = *message.engine_state;
+    m_sent_at = Core::monotonic_now();
+    for (auto const& entry : m_hub->peers(Schema::Role::Entry))
+        m_hub->send(entry, message);
+}
+
+void EngineAgent::send_state_if_changed()
+{
+    auto const state = to_state(*m_copy);
+    bool const is_same = state.running == m_sent_state.running && state.waiting == m_sent_state.waiting && state.pace == m_sent_state.pace;
+    if (!is_same || Core::monotonic_now() - m_sent_at >= state_repeat)
+        send_state();
+}
+
+void EngineAgent::check_links()
+{
+    auto const now = Core::monotonic_now();
+    std::vector<std::string> silent;
+    for (auto const& [identity, heard] : m_last_heard) {
+        if (now - heard >= link_silence)
+            silent.push_back(identity);
+    }
+    for (auto const& identity : silent)
+        m_hub->drop(identity);
+    Schema::Message ping;
+    ping.ping.emplace();
+    ping.ping->sent_at_ms = now.count();
+    for (auto const& peer : m_hub->peers(Schema::Role::Agent))
+        m_hub->send(peer, ping);
+}
+
+void EngineAgent::on_http(std::shared_ptr<Transport::HttpExchange> const& exchange)
+{
+    static std::string const chunk_prefix = "/chunks/";
+    auto const& path = exchange->path();
+    if (path.starts_with(chunk_prefix))
+        m_chunks->serve(exchange, path.substr(chunk_prefix.size()));
+    else if (path == "/manifest" && !m_copy->manifest_text().empty())
+        exchange->reply(status_ok, {}, m_copy->manifest_text());
+    else if (path == "/metrics")
+        exchange->reply(status_ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.to_prometheus());
+    else
+        exchange->reply(status_not_found, {}, {});
+}
+
+void EngineAgent::drain()
+{
+    Core::log_event(Core::LogLevel::Info, "stopped");
+    m_loop.stop();
+}
+
+void EngineAgent::reload(Core::ErrorOr<Schema::EngineAgentSettings> const& settings)
+{
+    if (!settings.has_value()) {
+        Core::log_event(Core::LogLevel::Error, "reload_refused", { { "reason", Core::error_name(settings.error().code) }, { "detail", settings.error().detail } });
+        return;
+    }
+    m_settings.bounds = settings->bounds;
+    Core::log_event(Core::LogLevel::Info, "reloaded");
+}
+
+}
--- /dev/null
+++ b/Services/EngineAgent/EngineAgent.h
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include "../Agent/ChunkServer.h"
+#include "CopyKeeper.h"
+#include <LibCore/EventLoop.h>
+#include <LibCore/Metrics.h>
+#include <LibTransport/HttpServer.h>
+#include <LibTransport/LinkHub.h>
+#include <memory>
+
+namespace EngineAgent {
+
+/// The process beside an engine: holds, verifies and passes on its weights, orders the engine, and tells entries what
+/// the engine holds and how loaded it is. No request passes through it.
+class EngineAgent {
+public:
+    struct PlatformParts {
+        std::unique_ptr<Platform::EngineApi> engine;
+        std::unique_ptr<Platform::WeightOrigin> origin;
+    };
+
+    /// @return AddressInUse if a port cannot be bound.
+    static Core::ErrorOr<std::unique_ptr<EngineAgent>> create(Core::EventLoop&, Schema::EngineAgentSettings const&, PlatformParts);
+    ~EngineAgent();
+
+    void drain();
+    void reload(Core::ErrorOr<Schema::EngineAgentSettings> const&);
+
+private:
+    EngineAgent(Core::EventLoop&, Schema::EngineAgentSettings const&, PlatformParts);
+
+    Core::ErrorOr<void> listen();
+    Transport::LinkHub::Callbacks link_callbacks();
+    void on_link_up(Schema::Hello const&);
+    void on_link_message(Schema::Hello const&, Schema::Message const&);
+    void on_goal(Schema::WeightsGoal const&);
+    void send_directory();
+    void send_state();
+    void send_state_if_changed();
+    void check_links();
+    void on_http(std::shared_ptr<Transport::HttpExchange> const&);
+
+    Core::EventLoop& m_loop;
+    Schema::EngineAgentSettings m_settings;
+    Core::Metrics m_metrics;
+    std::unique_ptr<Platform::EngineApi> m_engine;
+    std::unique_ptr<Platform::WeightOrigin> m_origin;
+    std::unique_ptr<Transport::LinkHub> m_hub;
+    std::unique_ptr<CopyKeeper> m_copy;
+    std::unique_ptr<Agent::ChunkServer> m_chunks;
+    std::unique_ptr<Transport::HttpServer> m_http;
+    std::map<std::string, Core::Time> m_last_heard;
+    Schema::EngineState m_sent_state {};
+    Core::Time m_sent_at { 0 };
+    std::unique_ptr<Core::Timer> m_state_timer;
+    std::unique_ptr<Core::Timer> m_link_timer;
+};
+
+}
