EngineAgent: Fill new engines from peers whose engines serve already

Change: agents take the manifest and adopt what is staged; one whose engine serves the version says that it is not seeking and leaves the ranking; a chunk nobody holds is asked of the origin after 0.4 s a rank.

--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -1466,6 +1466,10 @@
          * Chunk numbers.
          */
         std::vector<int64_t> chunks;
+        /**
+         * The agent brings the missing chunks here; false: its engine serves the version already.
+         */
+        bool is_seeking;
         /**
          * Model.
          */
@@ -3335,6 +3339,7 @@
 
     inline void from_json(const json & j, PieceMap& x) {
         x.chunks = j.at("chunks").get<std::vector<int64_t>>();
+        x.is_seeking = j.at("is_seeking").get<bool>();
         x.model = j.at("model").get<std::string>();
         x.version = j.at("version").get<int64_t>();
     }
@@ -3342,6 +3347,7 @@
     inline void to_json(json & j, const PieceMap & x) {
         j = json::object();
         j["chunks"] = x.chunks;
+        j["is_seeking"] = x.is_seeking;
         j["model"] = x.model;
         j["version"] = x.version;
     }
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -38,11 +38,19 @@
 
 // What is wanted.
 
+bool CopyKeeper::is_seeking() const
+{
+    // An engine that holds what is wanted needs no more chunks, until it is restarted.
+    return m_goal && serving_version() != m_goal->version;
+}
+
 std::vector<std::string> CopyKeeper::target_ids() const
 {
     std::vector<std::string> ids;
-    for (auto const& peer : m_goal->peers)
-        ids.push_back(peer.identity);
+    for (auto const& peer : m_goal->peers) {
+        if (!m_not_seeking.contains(peer.identity))
+            ids.push_back(peer.identity);
+    }
     if (std::find(ids.begin(), ids.end(), m_settings.identity) == ids.end())
         ids.push_back(m_settings.identity);
     return ids;
@@ -83,6 +91,7 @@
     m_downloads.clear();
     m_fetch_chunks.clear();
     m_is_complete = false;
+    m_not_seeking.clear();
     turn();
 }
 
@@ -96,17 +105,14 @@
     if (!m_goal)
         return;
     auto const now = Core::monotonic_now();
-    // An engine that holds what is wanted needs nothing, until it is restarted.
-    bool const is_served = serving_version() == m_goal->version;
     if (!m_manifest) {
-        bool const is_known = m_report.has_value();
-        if (is_known && !(is_served && m_goal->version == 1))
+        if (m_report)
             seek_manifest(now);
         return;
     }
     if (m_adopting > 0)
         return;
-    if (m_transfer)
+    if (m_transfer && is_seeking())
         run_transfer(now);
     if (m_load)
         run_load(now);
@@ -228,10 +234,8 @@
     }
     for (auto chunk : held)
         m_load->on_held(static_cast<size_t>(chunk));
-    if (!held.empty()) {
-        if (auto const map = this->held())
-            m_callbacks.announce(*map);
-    }
+    if (auto const map = this->held())
+        m_callbacks.announce(*map);
     turn();
 }
 
@@ -249,8 +253,13 @@
     if (known.first != map.version)
         known = { map.version, {} };
     known.second.insert(map.chunks.begin(), map.chunks.end());
-    bool const is_wanted = m_transfer && m_manifest && map.version == m_manifest->version;
-    if (is_wanted)
+    bool const is_wanted_version = m_goal && map.version == m_goal->version;
+    if (!is_wanted_version)
+        return;
+    bool const has_changed = map.is_seeking ? m_not_seeking.erase(peer) > 0 : m_not_seeking.insert(peer).second;
+    if (has_changed)
+        update_transfer_targets();
+    if (m_transfer)
         m_transfer->on_peer_chunks(peer, map.chunks);
     turn();
 }
@@ -270,6 +279,7 @@
     map.model = m_manifest->model;
     map.version = m_manifest->version;
     map.chunks = m_store.held_of(*m_spec);
+    map.is_seeking = is_seeking();
     return map;
 }
 
@@ -378,6 +388,7 @@
     Schema::PieceMap map;
     map.model = m_manifest->model;
     map.version = m_manifest->version;
+    map.is_seeking = is_seeking();
     // The same bytes may stand at several places of a version.
     auto const& digest = m_spec->chunks[chunk].digest;
     for (size_t i = 0; i < m_spec->chunks.size(); ++i) {
@@ -473,7 +484,12 @@
     if (version == m_last_version && is_busy == m_was_busy)
         return;
     Core::log_event(Core::LogLevel::Info, "engine_changed", { { "version", std::to_string(version) }, { "busy", is_busy ? "yes" : "no" }, { "reachable", m_report ? "yes" : "no" } });
+    bool const lost_its_copy = m_goal && m_last_version == m_goal->version && version != m_goal->version;
     m_last_version = version;
+    if (lost_its_copy && m_transfer && !m_transfer->is_complete()) {
+        if (auto const map = held())
+            m_callbacks.announce(*map);
+    }
     m_was_busy = is_busy;
     m_callbacks.changed();
 }
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace EngineAgent {
@@ -66,6 +67,7 @@
     };
 
     void turn();
+    bool is_seeking() const;
     void poll_engine();
     void on_report(Core::ErrorOr<Platform::EngineReport> const&);
     void seek_manifest(Core::Time now);
@@ -108,6 +110,8 @@
     std::unique_ptr<Distribution::StagedLoad> m_load;
     // Chunks of peers, by peer and version.
     std::map<std::string, std::pair<int64_t, std::set<int64_t>>> m_peer_chunks;
+    // Peers that said that their engine serves the wanted version already.
+    std::set<std::string> m_not_seeking;
     std::map<uint64_t, std::unique_ptr<Download>> m_downloads;
     std::map<uint64_t, size_t> m_fetch_chunks;
     // What lay beside the engine when this process started was looked at.
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -11,9 +11,14 @@
 static constexpr Core::Duration link_check_interval { 500 };
 static constexpr Core::Duration link_silence { 3000 };
 static constexpr size_t neighbours = 16;
+// The copy is small and the bound on it short, so what nobody holds is asked of the origin soon.
+static constexpr Core::Duration origin_patience { 400 };
+static constexpr size_t fetches_in_flight = 6;
+static constexpr Core::Duration transfer_stall { 1200 };
+static constexpr size_t waiting_uploads = 4;
 static constexpr double bytes_per_megabit = 125000;
 // Requests and their answers share the link with the chunks.
-static constexpr double upload_part_of_link = 0.85;
+static constexpr double upload_part_of_link = 0.95;
 static constexpr int status_ok = 200;
 static constexpr int status_not_found = 404;
 
@@ -31,6 +36,9 @@
     result.failure_domain = settings.failure_domain;
     result.region = settings.region;
     result.regions = settings.regions;
+    result.transfer.origin_patience = origin_patience;
+    result.transfer.fetches_in_flight = fetches_in_flight;
+    result.transfer.stall = transfer_stall;
     result.chunk_port = static_cast<uint16_t>(settings.chunk_port);
     return result;
 }
@@ -56,6 +64,7 @@
     m_copy = std::make_unique<CopyKeeper>(loop, copy_settings(settings), m_metrics, *m_engine, *m_origin, CopyKeeper::Callbacks { .announce = announce, .changed = [this] { send_state(); } });
     Agent::ChunkServerSettings uploads;
     uploads.bytes_per_second = static_cast<int64_t>(settings.link_megabits_per_second * bytes_per_megabit * upload_part_of_link);
+    uploads.waiting = waiting_uploads;
     m_chunks = std::make_unique<Agent::ChunkServer>(loop, uploads, m_metrics, m_copy->store());
     m_state_timer = loop.every(state_interval, [this] { send_state_if_changed(); });
     m_link_timer = loop.every(link_check_interval, [this] { check_links(); });
