Entry: Judge each named version by its own time; Transfer: Read the origin first

Cause: a second version named within the bound of the first put the first one's bound off (one time was kept a model). Seeders read from peers over the same link as from the origin, so what everybody waits for came last: with 6 reads at once the origin's chunks took 6.7 s (logs: all copies complete within 0.6 s of each other, none read twice). Ruled out: chunks read twice (bytes fetched equal one copy), processor (0.01 core). Change: the versions named are kept with the time each was learned; 8 seeders with one origin read each, 3 peer reads beside it.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -7,6 +7,9 @@
 
 namespace Configuration {
 
+// More than can be named within the bound on one of them.
+static constexpr size_t versions_remembered = 64;
+
 static FactTopic topic_of(Schema::FactKind kind)
 {
     return kind == Schema::FactKind::BackendServer ? FactTopic::BackendServers : FactTopic::Configuration;
@@ -17,6 +20,16 @@
     return Schema::to_value(a) == Schema::to_value(b);
 }
 
+int64_t NamedVersions::learned_by(Core::Time time) const
+{
+    int64_t newest = 0;
+    for (auto const& named : versions) {
+        if (named.learned <= time)
+            newest = std::max(newest, named.version);
+    }
+    return newest;
+}
+
 bool FactReplica::take_value(Fact const& fact, Core::Time now, FactChanges& changes)
 {
     if (auto const* configuration = std::get_if<std::shared_ptr<Schema::RoutingConfiguration const>>(&fact.value)) {
@@ -29,9 +42,11 @@
     }
     if (auto const* named = std::get_if<Schema::ModelVersion>(&fact.value)) {
         auto& known = m_versions[named->model];
-        if (named->version <= known.version)
+        if (named->version <= known.newest())
             return false;
-        known = { named->version, now };
+        known.versions.push_back({ named->version, now });
+        if (known.versions.size() > versions_remembered)
+            known.versions.erase(known.versions.begin());
         changes.has_versions = true;
         return true;
     }
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -50,6 +50,16 @@
     Core::Time learned { 0 };
 };
 
+/// The versions that were named of one model, oldest first. Each has a bound of its own, so a newer one does not
+/// put off an older one.
+struct NamedVersions {
+    std::vector<NamedVersion> versions;
+
+    int64_t newest() const { return versions.empty() ? 0 : versions.back().version; }
+    /// The newest version learned at or before a time; 0 if there is none.
+    int64_t learned_by(Core::Time) const;
+};
+
 /// A process's copy of what the operator and the platform's list say.
 ///
 /// The platform keeps the newest record of each key for ever, so there are no snapshots: a fold of the newest record
@@ -74,7 +84,7 @@
 
     /// Null until a configuration was read.
     std::shared_ptr<Schema::RoutingConfiguration const> const& configuration() const { return m_configuration; }
-    std::map<std::string, NamedVersion> const& versions() const { return m_versions; }
+    std::map<std::string, NamedVersions> const& versions() const { return m_versions; }
     Schema::BackendServer const* server(std::string const& id) const;
     std::vector<Schema::BackendServer const*> servers() const;
 
@@ -86,7 +96,7 @@
 
     std::map<Key, Fact> m_facts;
     std::shared_ptr<Schema::RoutingConfiguration const> m_configuration;
-    std::map<std::string, NamedVersion> m_versions;
+    std::map<std::string, NamedVersions> m_versions;
     int64_t m_configuration_end { 0 };
     int64_t m_servers_end { 0 };
 };
--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -220,6 +220,21 @@
     return static_cast<size_t>(std::count_if(m_running.begin(), m_running.end(), [](auto const& entry) { return entry.second.source.is_origin(); }));
 }
 
+bool Transfer::owes_origin_chunks() const
+{
+    return m_settings.strategy == Schema::Strategy::Swarm && std::any_of(m_chunks.begin(), m_chunks.end(), [](auto const& chunk) {
+        return chunk.origin_rank == 0 && !chunk.is_held && chunk.holders == 0;
+    });
+}
+
+size_t Transfer::fetch_limit() const
+{
+    bool const is_seeding = m_settings.peer_fetches_while_seeding > 0 && owes_origin_chunks();
+    if (!is_seeding)
+        return m_settings.fetches_in_flight;
+    return std::min(m_settings.fetches_in_flight, m_settings.origin_fetches_in_flight + m_settings.peer_fetches_while_seeding);
+}
+
 Fetch Transfer::begin(size_t chunk, Source source, Core::Time now)
 {
     auto const id = m_next_fetch++;
@@ -337,7 +352,8 @@
     if (is_complete())
         return actions;
     bool has_started = true;
-    while (has_started && m_running.size() < m_settings.fetches_in_flight) {
+    auto const limit = fetch_limit();
+    while (has_started && m_running.size() < limit) {
         // What the origin owes to the others goes first: everybody waits for it.
         has_started = start_from_origin(now, actions);
         if (!has_started)
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -51,6 +51,9 @@
     /// Chunks read at once, from peers and from the origin.
     size_t fetches_in_flight { 4 };
     size_t origin_fetches_in_flight { 1 };
+    /// Chunks read from peers at once while this instance still owes chunks of the origin to the others: these
+    /// reads share its link with what everybody waits for. 0 sets no limit.
+    size_t peer_fetches_while_seeding { 0 };
     /// Instances that share the reading from the origin.
     size_t seeders { 4 };
     /// Wait per rank before the origin is asked for a chunk that no neighbour holds.
@@ -145,6 +148,8 @@
     bool may_ask_peer(ChunkState const&, std::string const& peer, Core::Time now) const;
     bool may_ask_origin(ChunkState const&, Core::Time now) const;
     size_t running_from_origin() const;
+    bool owes_origin_chunks() const;
+    size_t fetch_limit() const;
 
     std::string m_self;
     std::vector<std::string> m_targets;
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -102,7 +102,7 @@
     if (report && report->state.is_busy)
         return false;
     auto const version = version_of(server, now);
-    return version > 0 && (!required_version || version == *required_version);
+    return version > 0 && (!required_version || version >= *required_version);
 }
 
 int64_t ServerTable::others_in_flight(Server const& server, Core::Time now) const
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -16,7 +16,7 @@
 /// What a request asks of a backend server.
 struct ServerNeeds {
     std::string service;
-    /// The version that the engine must serve; nothing while any whole version will do.
+    /// The oldest version that the engine may serve; nothing while any whole version will do.
     std::optional<int64_t> required_version;
     int64_t prompt_tokens { 0 };
     /// Incarnations that were tried already.
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -104,7 +104,8 @@
         problem.outcome = Schema::Outcome::Rejected;
         return Schema::to_text(problem);
     };
-    m_callers = TRY(Transport::IngressServer::create(m_loop, callers.first, callers.second, [this](auto request) { on_request(std::move(request)); }, fault_body));
+    m_callers = TRY(Transport::IngressServer::create(
+        m_loop, callers.first, callers.second, [this](auto request) { on_request(std::move(request)); }, fault_body));
     m_readiness = TRY(Transport::HttpServer::create(m_loop, readiness.first, readiness.second, {}, [this](auto const& exchange) {
         exchange->reply(is_ready() ? status_ok : status_unavailable, {}, {});
     }));
@@ -282,11 +283,13 @@
             m_servers.set_server(*server, now);
         else
             m_servers.remove_server(id);
-        Core::log_event(Core::LogLevel::Info, "server_changed", { { "server", id }, { "state", !server ? "removed" : server->is_draining ? "draining" : "ready" }, { "service", server ? server->service : "" }, { "address", server ? server->address : "" }, { "version", std::to_string(m_servers.version_of(id, now)) } });
+        Core::log_event(Core::LogLevel::Info, "server_changed", { { "server", id }, { "state", !server ? "removed" : server->is_draining ? "draining"
+                                                                                                                                         : "ready" },
+                                                                    { "service", server ? server->service : "" }, { "address", server ? server->address : "" }, { "version", std::to_string(m_servers.version_of(id, now)) } });
     }
     if (changes.has_versions) {
         for (auto const& [model, named] : m_replica.versions())
-            Core::log_event(Core::LogLevel::Info, "version_named", { { "model", model }, { "version", std::to_string(named.version) } });
+            Core::log_event(Core::LogLevel::Info, "version_named", { { "model", model }, { "version", std::to_string(named.newest()) } });
     }
     if (!changes.servers.empty() || changes.has_configuration)
         update_links();
@@ -330,7 +333,7 @@
         goal.service = service.name;
         goal.model = service.timing->model;
         auto const named = m_replica.versions().find(goal.model);
-        goal.version = named == m_replica.versions().end() ? 1 : named->second.version;
+        goal.version = named == m_replica.versions().end() ? 1 : named->second.newest();
         goal.origin_address = origin;
         goal.layers = service.timing->layers;
         goal.chunks = service.timing->chunks;
@@ -370,13 +373,15 @@
     auto const named = m_replica.versions().find(routed->timing->model);
     if (named == m_replica.versions().end())
         return {};
-    auto const bound = Core::Duration(m_settings.bounds.version_ms);
-    auto required_at = named->second.learned + bound - version_margin;
-    if (named->second.learned < m_started + first_versions_grace)
-        required_at = std::min(required_at, m_started + first_versions_grace);
-    if (Core::monotonic_now() < required_at)
+    auto const now = Core::monotonic_now();
+    auto const bound = Core::Duration(m_settings.bounds.version_ms) - version_margin;
+    auto required = named->second.learned_by(now - bound);
+    // What was found at the start may have been named long before.
+    if (now >= m_started + first_versions_grace)
+        required = std::max(required, named->second.learned_by(m_started + first_versions_grace));
+    if (required == 0)
         return {};
-    return named->second.version;
+    return required;
 }
 
 bool DirectEntry::is_stale() const
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -214,7 +214,9 @@
     terms.server_id = choice.id;
     terms.customer = m_customer;
     terms.remaining = deadline() - now;
-    terms.expected_version = m_context.required_version(m_service);
+    // An engine that turned to another version meanwhile refuses it; before the bound any whole version will do.
+    if (m_context.required_version(m_service))
+        terms.expected_version = m_context.servers.version_of(choice.id, now);
     terms.last_event = m_last_event;
     Transport::BackendCallRequest call;
     auto const target = Transport::split_address(server->address);
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -15,6 +15,7 @@
 
 static constexpr Core::Duration turn_interval { 50 };
 static constexpr Core::Duration poll_interval { 100 };
+static constexpr Core::Duration progress_interval { 500 };
 static constexpr Core::Duration manifest_retry { 700 };
 // SHA-256 in hexadecimal.
 static constexpr size_t digest_characters = 64;
@@ -112,12 +113,22 @@
     }
     if (m_adopting > 0)
         return;
-    if (m_transfer && is_seeking())
+    if (m_transfer && is_seeking()) {
         run_transfer(now);
+        log_progress(now);
+    }
     if (m_load)
         run_load(now);
 }
 
+void CopyKeeper::log_progress(Core::Time now)
+{
+    if (m_transfer->is_complete() || now - m_progress_told_at < progress_interval)
+        return;
+    m_progress_told_at = now;
+    Core::log_event(Core::LogLevel::Info, "transfer_progress", { { "version", std::to_string(m_manifest->version) }, { "held", std::to_string(m_transfer->held_count()) }, { "from_origin", std::to_string(m_metrics.counter("mountbarrow_chunks_total", "source=\"origin\"")) }, { "fetching", std::to_string(m_fetch_chunks.size()) }, { "busy", std::to_string(m_metrics.counter("mountbarrow_fetch_failures_total", "reason=\"0\"")) }, { "after_ms", std::to_string((now - m_goal_at).count()) } });
+}
+
 // The manifest.
 
 void CopyKeeper::seek_manifest(Core::Time now)
@@ -370,6 +381,7 @@
         m_transfer->on_failed(fetch, FetchFailure::Corrupt, now);
         return;
     }
+    m_metrics.count("mountbarrow_chunks_total", is_from_origin ? "source=\"origin\"" : "source=\"peer\"");
     m_transfer->on_fetched(fetch, now);
     hold_chunk(chunk);
     run_transfer(now);
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -67,6 +67,7 @@
     };
 
     void turn();
+    void log_progress(Core::Time now);
     bool is_seeking() const;
     void poll_engine();
     void on_report(Core::ErrorOr<Platform::EngineReport> const&);
@@ -118,6 +119,7 @@
     bool m_has_adopted { false };
     size_t m_adopting { 0 };
     bool m_is_complete { false };
+    Core::Time m_progress_told_at { 0 };
 
     std::optional<Platform::EngineReport> m_report;
     int64_t m_last_version { -1 };
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -13,9 +13,13 @@
 static constexpr size_t neighbours = 16;
 // The copy is small and the bound on it short, so what nobody holds is asked of the origin soon.
 static constexpr Core::Duration origin_patience { 400 };
-static constexpr size_t fetches_in_flight = 6;
+static constexpr size_t fetches_in_flight = 4;
+static constexpr size_t origin_fetches_in_flight = 1;
+static constexpr size_t peer_fetches_while_seeding = 3;
+static constexpr size_t seeders = 8;
 static constexpr Core::Duration transfer_stall { 1200 };
-static constexpr size_t waiting_uploads = 4;
+static constexpr size_t uploads_at_once = 1;
+static constexpr size_t waiting_uploads = 2;
 static constexpr double bytes_per_megabit = 125000;
 // Requests and their answers share the link with the chunks.
 static constexpr double upload_part_of_link = 0.95;
@@ -38,6 +42,9 @@
     result.regions = settings.regions;
     result.transfer.origin_patience = origin_patience;
     result.transfer.fetches_in_flight = fetches_in_flight;
+    result.transfer.origin_fetches_in_flight = origin_fetches_in_flight;
+    result.transfer.peer_fetches_while_seeding = peer_fetches_while_seeding;
+    result.transfer.seeders = seeders;
     result.transfer.stall = transfer_stall;
     result.chunk_port = static_cast<uint16_t>(settings.chunk_port);
     return result;
@@ -64,6 +71,7 @@
     m_copy = std::make_unique<CopyKeeper>(loop, copy_settings(settings), m_metrics, *m_engine, *m_origin, CopyKeeper::Callbacks { .announce = announce, .changed = [this] { send_state(); } });
     Agent::ChunkServerSettings uploads;
     uploads.bytes_per_second = static_cast<int64_t>(settings.link_megabits_per_second * bytes_per_megabit * upload_part_of_link);
+    uploads.at_once = uploads_at_once;
     uploads.waiting = waiting_uploads;
     m_chunks = std::make_unique<Agent::ChunkServer>(loop, uploads, m_metrics, m_copy->store());
     m_state_timer = loop.every(state_interval, [this] { send_state_if_changed(); });
