--- /dev/null
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibConfiguration/FactReplica.h>
+#include <LibConfiguration/HeldVersion.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Configuration;
+
+static Fact configuration_fact(int64_t version, int64_t revision)
+{
+    auto configuration = std::make_shared<Schema::RoutingConfiguration>();
+    configuration->version = version;
+    return { Schema::FactKind::Configuration, "config", revision, configuration };
+}
+
+static Fact version_fact(int64_t version, int64_t revision)
+{
+    return { Schema::FactKind::ModelVersion, "version/m", revision, Schema::ModelVersion { .model = "m", .version = version } };
+}
+
+static Fact server_fact(std::string const& id, bool is_draining, int64_t revision)
+{
+    Schema::BackendServer server {};
+    server.id = id;
+    server.is_draining = is_draining;
+    return { Schema::FactKind::BackendServer, id, revision, server };
+}
+
+static Fact removed_fact(std::string const& id, int64_t revision)
+{
+    return { Schema::FactKind::BackendServer, id, revision, Removed {} };
+}
+
+RC_GTEST_PROP(FactReplica, WhateverComesInWhateverOrderNothingMovesBack, ())
+{
+    FactReplica replica;
+    int64_t configuration = 0;
+    int64_t version = 0;
+    auto const steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+        auto const number = *rc::gen::inRange<int64_t>(1, 20);
+        std::vector<Fact> const facts { configuration_fact(number, number * 2), version_fact(number, number * 2 + 1) };
+        if (*rc::gen::arbitrary<bool>()) {
+            replica.on_records(FactTopic::Configuration, facts, number * 2 + 2, Core::Time(step));
+        } else {
+            Schema::FactBatch batch {};
+            for (auto const& fact : facts)
+                batch.facts.push_back(to_message(fact));
+            replica.on_peer(batch, Core::Time(step));
+        }
+        RC_ASSERT(replica.configuration()->version >= configuration);
+        RC_ASSERT(replica.versions().at("m").newest() >= version);
+        configuration = replica.configuration()->version;
+        version = replica.versions().at("m").newest();
+    }
+}
+
+RC_GTEST_PROP(FactReplica, APeerThatReadFurtherBringsAnotherUpToDate, ())
+{
+    FactReplica ahead;
+    FactReplica behind;
+    int64_t end = 0;
+    auto const count = *rc::gen::inRange<int64_t>(1, 40);
+    auto const split = *rc::gen::inRange<int64_t>(0, count);
+    for (int64_t i = 0; i < count; ++i) {
+        auto const id = "s" + std::to_string(*rc::gen::inRange(0, 4));
+        auto const fact = *rc::gen::inRange(0, 3) == 0 ? removed_fact(id, i) : server_fact(id, *rc::gen::arbitrary<bool>(), i);
+        ahead.on_records(FactTopic::BackendServers, { fact }, i + 1, Core::Time(i));
+        if (i < split)
+            behind.on_records(FactTopic::BackendServers, { fact }, i + 1, Core::Time(i));
+        end = i + 1;
+    }
+    Schema::FactRequest request {};
+    request.servers_from = behind.end(FactTopic::BackendServers);
+    request.configuration_from = behind.end(FactTopic::Configuration);
+    behind.on_peer(ahead.facts_since(request, Core::Duration(0)), Core::Time(100));
+    RC_ASSERT(behind.end(FactTopic::BackendServers) == end);
+    auto names = [](FactReplica const& replica) {
+        std::map<std::string, bool> result;
+        for (auto const* server : replica.servers())
+            result[server->id] = server->is_draining;
+        return result;
+    };
+    RC_ASSERT(names(behind) == names(ahead));
+}
+
+TEST(FactReplica, AListingRemovesWhatItDoesNotName)
+{
+    FactReplica replica;
+    replica.on_records(FactTopic::BackendServers, { server_fact("a", false, 0), server_fact("b", false, 1) }, 2, Core::Time(0));
+    auto const changes = replica.on_listing(FactTopic::BackendServers, { server_fact("b", true, 7) }, 8, Core::Time(1));
+    EXPECT_EQ(replica.server("a"), nullptr);
+    EXPECT_TRUE(replica.server("b")->is_draining);
+    EXPECT_EQ(changes.servers.size(), 2u);
+    EXPECT_EQ(replica.end(FactTopic::BackendServers), 8);
+}
+
+TEST(FactReplica, AHeartbeatThatChangesNothingIsNoChange)
+{
+    FactReplica replica;
+    replica.on_records(FactTopic::BackendServers, { server_fact("a", false, 0) }, 1, Core::Time(0));
+    EXPECT_FALSE(replica.on_records(FactTopic::BackendServers, { server_fact("a", false, 1) }, 2, Core::Time(1)).has_any());
+}
+
+TEST(FactReplica, ANewerVersionDoesNotPutOffTheBoundOfAnOlderOne)
+{
+    FactReplica replica;
+    replica.on_records(FactTopic::Configuration, { version_fact(2, 0) }, 1, Core::Time(1000));
+    replica.on_records(FactTopic::Configuration, { version_fact(3, 1) }, 2, Core::Time(5000));
+    auto const& versions = replica.versions().at("m");
+    EXPECT_EQ(versions.learned_by(Core::Time(999)), 0);
+    EXPECT_EQ(versions.learned_by(Core::Time(1000)), 2);
+    EXPECT_EQ(versions.learned_by(Core::Time(4999)), 2);
+    EXPECT_EQ(versions.learned_by(Core::Time(5000)), 3);
+}
+
+TEST(FactReplica, AFactThatCannotBeReadChangesNothing)
+{
+    FactReplica replica;
+    replica.on_records(FactTopic::Configuration, { configuration_fact(3, 0) }, 1, Core::Time(0));
+    Schema::FactBatch batch {};
+    batch.facts = { { .body = "{\"version\":9}", .key = "config", .kind = Schema::FactKind::Configuration, .revision = 9 } };
+    EXPECT_FALSE(replica.on_peer(batch, Core::Time(1)).has_any());
+    EXPECT_EQ(replica.configuration()->version, 3);
+}
+
+TEST(HeldVersion, OnlyAVersionWithEveryLayerIsWhole)
+{
+    EXPECT_EQ(whole_version({}, 16), 0);
+    EXPECT_EQ(whole_version({ { .end_layer = 16, .first_layer = 0, .model = "m", .version = 2 } }, 16), 2);
+    EXPECT_EQ(whole_version({ { .end_layer = 16, .first_layer = 1, .model = "m", .version = 2 } }, 16), 0);
+    EXPECT_EQ(whole_version({ { .end_layer = 8, .first_layer = 0, .model = "m", .version = 2 }, { .end_layer = 16, .first_layer = 8, .model = "m", .version = 3 } }, 16), 0);
+    EXPECT_EQ(whole_version({ { .end_layer = 16, .first_layer = 8, .model = "m", .version = 2 }, { .end_layer = 8, .first_layer = 0, .model = "m", .version = 2 } }, 16), 2);
+}
--- /dev/null
+++ b/Tests/LibDistribution/TestStagedLoad.cpp
@@ -0,0 +1,212 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibDistribution/StagedLoad.h>
+#include <LibDistribution/Transfer.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Distribution;
+
+static constexpr int64_t layers = 4;
+
+static Platform::EngineReport report(int64_t version, bool is_busy, int64_t sequence)
+{
+    Platform::EngineReport report;
+    if (version > 0)
+        report.held = { { .end_layer = layers, .first_layer = 0, .model = "m", .version = version } };
+    report.is_busy = is_busy;
+    report.order_sequence = sequence;
+    return report;
+}
+
+/// An engine with staged chunks that turn bad, whose answers are lost, and which restarts.
+struct FakeEngine {
+    std::vector<int> staged;
+    int64_t version { 0 };
+    int64_t sequence { 0 };
+    int64_t wrong_loads { 0 };
+
+    bool take(int64_t wanted, int64_t expected_sequence)
+    {
+        if (expected_sequence != sequence)
+            return false;
+        sequence += 1;
+        version = wanted;
+        bool const is_right = std::all_of(staged.begin(), staged.end(), [](int state) { return state == 1; });
+        if (!is_right)
+            wrong_loads += 1;
+        return true;
+    }
+};
+
+RC_GTEST_PROP(StagedLoad, AnOrderGoesOutOnlyForChunksReadBackRightJustBefore, ())
+{
+    static constexpr size_t chunks = 4;
+    StagedLoadSettings const settings;
+    StagedLoad load(2, chunks, settings);
+    FakeEngine engine { std::vector<int>(chunks, 0), 1, 0, 0 };
+    // When each chunk was last read back right.
+    std::vector<std::optional<Core::Time>> right(chunks);
+    Core::Time now(0);
+    for (size_t i = 0; i < chunks; ++i)
+        load.on_held(i);
+    for (int step = 0; step < 200; ++step) {
+        now += Core::Duration(*rc::gen::inRange(1, 60));
+        if (*rc::gen::inRange(0, 25) == 0) {
+            auto const bad = *rc::gen::inRange<size_t>(0, chunks);
+            engine.staged[bad] = 2;
+        }
+        if (*rc::gen::inRange(0, 40) == 0) {
+            engine.version = 0;
+            engine.sequence = 0;
+        }
+        if (*rc::gen::inRange(0, 10) == 0)
+            load.on_unreachable();
+        else
+            load.on_report(report(engine.version, false, engine.sequence), layers, now);
+        for (auto const& action : load.step(now)) {
+            if (auto const* stage = std::get_if<StageChunk>(&action)) {
+                bool const is_done = *rc::gen::inRange(0, 8) != 0;
+                if (is_done)
+                    engine.staged[stage->chunk] = 1;
+                load.on_staged(stage->chunk, is_done);
+            } else if (auto const* back = std::get_if<ReadBackChunk>(&action)) {
+                bool const is_right = engine.staged[back->chunk] == 1;
+                if (is_right)
+                    right[back->chunk] = now;
+                load.on_read_back(back->chunk, is_right, now);
+            } else if (auto const* order = std::get_if<OrderLoad>(&action)) {
+                for (auto const& at : right)
+                    RC_ASSERT(at && now - *at <= settings.read_back_holds);
+                bool const is_taken = engine.take(2, order->expected_sequence);
+                bool const is_answered = *rc::gen::inRange(0, 4) != 0;
+                load.on_ordered(!is_answered ? Platform::OrderOutcome::Unknown : is_taken ? Platform::OrderOutcome::Taken
+                                                                                          : Platform::OrderOutcome::Refused,
+                    now);
+            }
+        }
+    }
+}
+
+static void finish_calls(StagedLoad& load, Core::Time now, std::optional<OrderLoad>& order)
+{
+    for (int round = 0; round < 20; ++round) {
+        for (auto const& action : load.step(now)) {
+            if (auto const* stage = std::get_if<StageChunk>(&action))
+                load.on_staged(stage->chunk, true);
+            else if (auto const* back = std::get_if<ReadBackChunk>(&action))
+                load.on_read_back(back->chunk, true, now);
+            else if (auto const* due = std::get_if<OrderLoad>(&action))
+                order = *due;
+        }
+    }
+}
+
+TEST(StagedLoad, NothingIsOrderedWhileChunksAreMissing)
+{
+    StagedLoad load(2, 3, {});
+    load.on_report(report(1, false, 0), layers, Core::Time(0));
+    load.on_held(0);
+    load.on_held(2);
+    std::optional<OrderLoad> order;
+    finish_calls(load, Core::Time(1), order);
+    EXPECT_FALSE(order.has_value());
+    load.on_held(1);
+    finish_calls(load, Core::Time(2), order);
+    ASSERT_TRUE(order.has_value());
+    EXPECT_EQ(order->expected_sequence, 0);
+}
+
+TEST(StagedLoad, ARestartedEngineIsOrderedAgain)
+{
+    StagedLoad load(2, 1, {});
+    load.on_held(0);
+    load.on_report(report(2, false, 3), layers, Core::Time(0));
+    std::optional<OrderLoad> order;
+    finish_calls(load, Core::Time(1), order);
+    EXPECT_FALSE(order.has_value());
+    EXPECT_TRUE(load.is_serving());
+    load.on_report(report(0, false, 0), layers, Core::Time(5000));
+    finish_calls(load, Core::Time(5001), order);
+    ASSERT_TRUE(order.has_value());
+    EXPECT_EQ(order->expected_sequence, 0);
+}
+
+TEST(StagedLoad, AnOrderWithoutAnAnswerIsNotRepeatedUntilTheReportHasHadTimeToTell)
+{
+    StagedLoadSettings const settings;
+    StagedLoad load(2, 1, settings);
+    load.on_held(0);
+    load.on_report(report(1, false, 0), layers, Core::Time(0));
+    std::optional<OrderLoad> order;
+    finish_calls(load, Core::Time(1), order);
+    ASSERT_TRUE(order.has_value());
+    load.on_ordered(Platform::OrderOutcome::Unknown, Core::Time(2));
+    order.reset();
+    load.on_report(report(1, false, 0), layers, Core::Time(100));
+    finish_calls(load, Core::Time(101), order);
+    EXPECT_FALSE(order.has_value());
+    load.on_report(report(1, false, 0), layers, Core::Time(2) + settings.order_patience);
+    finish_calls(load, Core::Time(3) + settings.order_patience, order);
+    EXPECT_TRUE(order.has_value());
+}
+
+static Schema::VersionSpec spec_of(size_t chunks)
+{
+    Schema::VersionSpec version;
+    for (size_t i = 0; i < chunks; ++i)
+        version.chunks.push_back({ .bytes = 1, .digest = "digest-" + std::to_string(i) });
+    return version;
+}
+
+TEST(TransferDistance, WhatIsHeldNearByIsNeverReadFromFarAway)
+{
+    TransferSettings settings;
+    settings.origin_patience = Core::Duration(1000000);
+    settings.seeders = 1;
+    Transfer transfer(spec_of(8), "self", { "near", "far", "self" }, {}, settings, 1, Core::Time(0));
+    transfer.set_near({ "self", "near" });
+    transfer.on_peer_chunks("far", { 0, 1, 2, 3, 4, 5, 6, 7 });
+    transfer.on_peer_chunks("near", { 0, 1, 2, 3 });
+    for (int64_t now = 0; now < 200; ++now) {
+        for (auto const& action : transfer.step(Core::Time(now))) {
+            auto const& fetch = std::get<Fetch>(action);
+            if (fetch.chunk < 4) {
+                EXPECT_NE(fetch.source.peer, "far");
+            }
+            transfer.on_fetched(fetch.id, Core::Time(now));
+        }
+    }
+}
+
+TEST(TransferDistance, AChunkThatNobodyNearHoldsComesFromFarAwayInTheEnd)
+{
+    TransferSettings settings;
+    settings.origin_patience = Core::Duration(1000000);
+    settings.seeders = 1;
+    std::vector<std::string> const near { "self", "n1", "n2", "n3" };
+    Transfer transfer(spec_of(4), "self", { "far", "self", "n1", "n2", "n3" }, {}, settings, 1, Core::Time(0));
+    transfer.set_near(near);
+    transfer.on_peer_chunks("far", { 0, 1, 2, 3 });
+    for (int64_t now = 0; now < 10000 && !transfer.is_complete(); now += 10) {
+        for (auto const& action : transfer.step(Core::Time(now)))
+            if (auto const* fetch = std::get_if<Fetch>(&action))
+                transfer.on_fetched(fetch->id, Core::Time(now));
+    }
+    EXPECT_TRUE(transfer.is_complete());
+}
+
+TEST(TransferDistance, ASeederKeepsItsLinkForTheOriginsChunks)
+{
+    TransferSettings settings;
+    settings.fetches_in_flight = 6;
+    settings.origin_fetches_in_flight = 1;
+    settings.peer_fetches_while_seeding = 2;
+    Transfer transfer(spec_of(16), "self", { "self" }, {}, settings, 1, Core::Time(0));
+    transfer.on_peer_chunks("peer", { 0, 1, 2, 3, 4, 5, 6, 7 });
+    size_t from_origin = 0;
+    size_t from_peers = 0;
+    for (auto const& action : transfer.step(Core::Time(0)))
+        (std::get<Fetch>(action).source.is_origin() ? from_origin : from_peers) += 1;
+    EXPECT_EQ(from_origin, 1u);
+    EXPECT_EQ(from_peers, 2u);
+}
--- /dev/null
+++ b/Tests/LibRouting/TestDirectRouting.cpp
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/AttemptPolicy.h>
+#include <LibRouting/EventStream.h>
+#include <LibRouting/RetryShare.h>
+#include <LibRouting/RouteTable.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Routing;
+
+static Schema::Route route(std::string const& name, std::string const& host, std::string const& prefix)
+{
+    Schema::Route route {};
+    route.name = name;
+    route.host = host;
+    route.path_prefix = prefix;
+    route.targets = { { .service = "s", .weight = 1 } };
+    return route;
+}
+
+TEST(RouteTable, TheLongestPrefixOfTheHostWins)
+{
+    auto configuration = std::make_shared<Schema::RoutingConfiguration>();
+    configuration->routes = { route("short", "a", "/x/"), route("long", "a", "/x/y/"), route("other", "b", "/") };
+    RouteTable const table(configuration);
+    EXPECT_EQ(table.find("a", "/x/y/z")->name, "long");
+    EXPECT_EQ(table.find("a", "/x/q")->name, "short");
+    EXPECT_EQ(table.find("a", "/q"), nullptr);
+    EXPECT_EQ(table.find("c", "/x/"), nullptr);
+    EXPECT_EQ(table.find("b", "/anything")->name, "other");
+}
+
+TEST(RouteTable, SplitTargetsAreDrawnByWeight)
+{
+    auto split = route("r", "a", "/");
+    split.targets = { { .service = "most", .weight = 90 }, { .service = "few", .weight = 10 } };
+    EXPECT_EQ(RouteTable::pick_service(split, 0), "most");
+    EXPECT_EQ(RouteTable::pick_service(split, 0.89), "most");
+    EXPECT_EQ(RouteTable::pick_service(split, 0.91), "few");
+    EXPECT_EQ(RouteTable::pick_service(split, 0.9999999), "few");
+}
+
+TEST(RouteTable, AKeyBelongsToOneCustomer)
+{
+    auto configuration = std::make_shared<Schema::RoutingConfiguration>();
+    Schema::RoutedCustomer customer {};
+    customer.name = "c";
+    customer.keys = { "k1", "k2" };
+    configuration->customers = { customer };
+    RouteTable const table(configuration);
+    EXPECT_EQ(table.customer_of("k2")->name, "c");
+    EXPECT_EQ(table.customer_of("k3"), nullptr);
+}
+
+RC_GTEST_PROP(EventStream, WhereverTheBytesAreCutTheSameEventsComeOut, ())
+{
+    static std::vector<std::string> const events { "id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", ": note\n\n", "id: 3\ndata: c\ndata: d\n\n" };
+    std::string bytes;
+    for (auto const& event : events)
+        bytes += event;
+    bytes += "id: 4\ndata: cut";
+    EventStream stream;
+    std::vector<std::string> seen;
+    for (size_t begin = 0; begin < bytes.size();) {
+        auto const size = *rc::gen::inRange<size_t>(1, 12);
+        for (auto& event : stream.feed(std::string_view(bytes).substr(begin, size)))
+            seen.push_back(std::move(event));
+        begin += size;
+    }
+    RC_ASSERT(seen == events);
+    RC_ASSERT(stream.has_partial_event());
+}
+
+static AttemptState any_state()
+{
+    AttemptState state;
+    state.kind = *rc::gen::element(Schema::RouteKind::Once, Schema::RouteKind::Repeatable, Schema::RouteKind::Stream);
+    state.is_resumable = *rc::gen::arbitrary<bool>();
+    state.may_have_run = *rc::gen::arbitrary<bool>();
+    state.has_delivered = state.kind == Schema::RouteKind::Stream && *rc::gen::arbitrary<bool>();
+    state.sends = *rc::gen::inRange<int64_t>(0, 5);
+    state.max_attempts = *rc::gen::inRange<int64_t>(1, 4);
+    state.misses = *rc::gen::inRange<int64_t>(0, 6);
+    state.has_budget = *rc::gen::arbitrary<bool>();
+    state.remaining = Core::Duration(*rc::gen::inRange(-100, 5000));
+    return state;
+}
+
+static SendEnd any_end()
+{
+    return *rc::gen::element(SendEnd::NotConnected, SendEnd::NotRun, SendEnd::ServerFailure, SendEnd::BrokenOff, SendEnd::Silent);
+}
+
+static bool may_have_run_now(SendEnd end, AttemptState const& state)
+{
+    return state.may_have_run || (end != SendEnd::NotConnected && end != SendEnd::NotRun);
+}
+
+RC_GTEST_PROP(AttemptPolicy, WhatMayHaveRunAndMustNotRepeatIsNeverSentAgain, ())
+{
+    auto const state = any_state();
+    auto const end = any_end();
+    RC_PRE(!is_repeatable(state) && may_have_run_now(end, state));
+    auto const step = next_step(end, state);
+    RC_ASSERT(step != NextStep::SendAgain && step != NextStep::Resume);
+}
+
+RC_GTEST_PROP(AttemptPolicy, NotRunIsSaidOnlyIfNoSendMayHaveRun, ())
+{
+    auto const state = any_state();
+    auto const end = any_end();
+    RC_PRE(may_have_run_now(end, state));
+    RC_ASSERT(next_step(end, state) != NextStep::RefuseNotRun);
+}
+
+RC_GTEST_PROP(AttemptPolicy, AnAnswerThatHasBegunGoesOnOrIsBrokenOff, ())
+{
+    auto state = any_state();
+    state.kind = Schema::RouteKind::Stream;
+    state.has_delivered = true;
+    auto const step = next_step(any_end(), state);
+    RC_ASSERT(step == NextStep::Resume || step == NextStep::BreakOff);
+}
+
+RC_GTEST_PROP(AttemptPolicy, NeitherBudgetNorAttemptsNorTimeAreOverspent, ())
+{
+    auto state = any_state();
+    auto const end = any_end();
+    auto const step = next_step(end, state);
+    RC_PRE(step == NextStep::SendAgain || step == NextStep::Resume);
+    RC_ASSERT(state.has_budget);
+    RC_ASSERT(state.remaining.count() > 0);
+    RC_ASSERT(end == SendEnd::NotConnected || end == SendEnd::NotRun || state.sends < state.max_attempts);
+}
+
+RC_GTEST_PROP(RetryShare, AllEntriesTogetherStayWithinTheBoundInEveryWindow, ())
+{
+    RetryBound const bound { .ratio = 0.2, .window = Core::Duration(10000), .slack = 50 };
+    auto const entries = *rc::gen::inRange<size_t>(1, 6);
+    std::vector<RetryShare> shares;
+    for (size_t i = 0; i < entries; ++i) {
+        shares.emplace_back(bound, Core::Time(0));
+        shares.back().set_entries(entries);
+    }
+    std::vector<int64_t> requests;
+    std::vector<int64_t> retries;
+    for (int64_t now = 0; now < 40000; now += 50) {
+        auto& share = shares[*rc::gen::inRange<size_t>(0, entries)];
+        if (*rc::gen::inRange(0, 4) == 0) {
+            share.on_request("s", Core::Time(now));
+            requests.push_back(now);
+        }
+        while (share.try_spend("s", Core::Time(now)))
+            retries.push_back(now);
+    }
+    for (int64_t begin = 0; begin < 40000; begin += 500) {
+        auto in_window = [begin](int64_t time) { return time >= begin && time < begin + 10000; };
+        auto const asked = static_cast<double>(std::count_if(requests.begin(), requests.end(), in_window));
+        auto const before = static_cast<double>(std::count_if(requests.begin(), requests.end(), [begin](int64_t time) { return time >= begin - 10000 && time < begin; }));
+        auto const spent = static_cast<double>(std::count_if(retries.begin(), retries.end(), in_window));
+        RC_ASSERT(spent <= bound.ratio * std::max(asked, before) + bound.slack);
+    }
+}
+
+TEST(RetryShare, ServicesDoNotSpendEachOthersShare)
+{
+    RetryShare share({ .ratio = 0, .window = Core::Duration(10000), .slack = 10 }, Core::Time(0));
+    while (share.try_spend("a", Core::Time(0))) { }
+    EXPECT_FALSE(share.has_left("a", Core::Time(0)));
+    EXPECT_TRUE(share.has_left("b", Core::Time(0)));
+    EXPECT_TRUE(share.has_left("a", Core::Time(20000)));
+}
--- /dev/null
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/ServerTable.h>
+#include <gtest/gtest.h>
+
+using namespace Routing;
+
+static Schema::EngineTiming engine_timing()
+{
+    Schema::EngineTiming timing {};
+    timing.slots = 4;
+    timing.stride = 5;
+    timing.step_ms = 9;
+    timing.per_sequence_ms = 0.04;
+    timing.prompt_tokens_per_second = 19000;
+    timing.usual_prompt_tokens = 900;
+    timing.usual_answer_tokens = 90;
+    timing.model = "m";
+    timing.layers = 16;
+    return timing;
+}
+
+static Schema::BackendServer engine(std::string const& id, std::string const& domain, int64_t version = 1)
+{
+    Schema::BackendServer server {};
+    server.id = id;
+    server.service = "llm";
+    server.address = "10.0.0." + id + ":80";
+    server.failure_domain = domain;
+    server.slots = 4;
+    if (version > 0)
+        server.held = { { .end_layer = 16, .first_layer = 0, .model = "m", .version = version } };
+    return server;
+}
+
+class ServerTableTest : public testing::Test {
+protected:
+    ServerTableTest()
+        : m_table({ .failure_domain = "a", .region = "ra", .regions = { { "a", "ra" }, { "b", "rb" } } }, 1)
+    {
+        m_table.set_timing("llm", engine_timing());
+    }
+
+    tl::expected<ServerChoice, NoServer> choose(std::optional<int64_t> version = {}, std::set<std::string> excluded = {})
+    {
+        return m_table.choose({ .service = "llm", .required_version = version, .prompt_tokens = 900, .excluded = std::move(excluded) }, m_now);
+    }
+
+    ServerTable m_table;
+    Core::Time m_now { 1000 };
+};
+
+TEST_F(ServerTableTest, DrainingEmptyAndPartlyLoadedEnginesGetNoWork)
+{
+    auto draining = engine("1", "a");
+    draining.is_draining = true;
+    auto partly = engine("3", "a");
+    partly.held[0].end_layer = 15;
+    m_table.set_server(draining, m_now);
+    m_table.set_server(engine("2", "a", 0), m_now);
+    m_table.set_server(partly, m_now);
+    EXPECT_EQ(choose().error(), NoServer::NoneUsable);
+    m_table.set_server(engine("4", "b"), m_now);
+    EXPECT_EQ(choose()->id, "4");
+}
+
+TEST_F(ServerTableTest, AnOlderVersionThanRequiredGetsNoWork)
+{
+    m_table.set_server(engine("1", "a", 1), m_now);
+    EXPECT_EQ(choose(2).error(), NoServer::NoneUsable);
+    m_table.set_server(engine("1", "a", 3), m_now);
+    EXPECT_EQ(choose(2)->id, "1");
+}
+
+TEST_F(ServerTableTest, TheAgentsWordOnTheVersionGoesBeforeTheListUntilItIsOld)
+{
+    m_table.set_server(engine("1", "a", 1), m_now);
+    Schema::EngineState state {};
+    state.version = 2;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    EXPECT_TRUE(choose(2).has_value());
+    m_now += Core::Duration(10000);
+    EXPECT_FALSE(choose(2).has_value());
+}
+
+TEST_F(ServerTableTest, AnEngineWithAnOrderBeforeItGetsNoWork)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    Schema::EngineState state {};
+    state.version = 1;
+    state.is_busy = true;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    EXPECT_EQ(choose().error(), NoServer::NoneUsable);
+}
+
+TEST_F(ServerTableTest, OthersRequestsCountAndThoseOfThisEntryOnce)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.on_sent("1", "r1", 900);
+    Schema::EngineState state {};
+    state.version = 1;
+    state.running = 4;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    // Three of others and one of its own fill four slots and leave the one that may wait.
+    EXPECT_TRUE(choose().has_value());
+    m_table.on_sent("1", "r2", 900);
+    EXPECT_EQ(choose().error(), NoServer::AllFull);
+    m_table.on_ended("1", "r1", ServerOutcome::Success, m_now);
+    EXPECT_TRUE(choose().has_value());
+}
+
+TEST_F(ServerTableTest, WithoutAReportAnEntryTakesItsShareOnly)
+{
+    m_table.set_entries(2);
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.on_sent("1", "r1", 900);
+    EXPECT_TRUE(choose().has_value());
+    m_table.on_sent("1", "r2", 900);
+    EXPECT_EQ(choose().error(), NoServer::AllFull);
+}
+
+TEST_F(ServerTableTest, NearGoesBeforeFarUntilTheNearOneIsTheSlower)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.set_server(engine("2", "b"), m_now);
+    EXPECT_EQ(choose()->id, "1");
+    m_table.on_sent("1", "r1", 3000);
+    EXPECT_EQ(choose()->id, "2");
+    m_table.on_first_event("1", "r1");
+    EXPECT_EQ(choose()->id, "1");
+}
+
+TEST_F(ServerTableTest, AServerThatCannotBeReachedIsLeftAloneForAWhile)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.on_sent("1", "r1", 900);
+    m_table.on_ended("1", "r1", ServerOutcome::Unreachable, m_now);
+    EXPECT_EQ(choose().error(), NoServer::NoneUsable);
+    m_now += Core::Duration(5000);
+    EXPECT_TRUE(choose().has_value());
+}
+
+TEST_F(ServerTableTest, TheOneThatFailsOftenIsAvoidedWhileOthersAnswer)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.set_server(engine("2", "a"), m_now);
+    for (int i = 0; i < 6; ++i) {
+        m_table.on_ended("1", "r", ServerOutcome::Failure, m_now);
+        m_table.on_ended("1", "r", ServerOutcome::Success, m_now);
+    }
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(choose()->id, "2");
+    EXPECT_EQ(choose({}, { "2" })->id, "1");
+}
--- /dev/null
+++ b/Tests/LibTransport/TestIngressServer.cpp
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "LoopTest.h"
+#include <LibTransport/IngressServer.h>
+
+using namespace Transport;
+
+class IngressServerTest : public LoopTest {
+protected:
+    void SetUp() override
+    {
+        auto handler = [this](std::shared_ptr<IngressRequest> request) {
+            m_requests.push_back(request);
+            if (m_on_request)
+                m_on_request(*request);
+        };
+        auto fault_body = [this](IngressFault fault) {
+            m_faults.push_back(fault);
+            return std::string("{\"fault\":1}");
+        };
+        m_server = IngressServer::create(m_loop, "127.0.0.1", 0, handler, fault_body).value();
+    }
+
+    std::unique_ptr<IngressServer> m_server;
+    std::function<void(IngressRequest&)> m_on_request;
+    std::vector<std::shared_ptr<IngressRequest>> m_requests;
+    std::vector<IngressFault> m_faults;
+};
+
+TEST_F(IngressServerTest, PipelinedRequestsAreHandedOnOneAfterAnother)
+{
+    RawClient client(m_server->port());
+    client.send_text("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return m_requests.size() == 1; });
+    m_requests[0]->reply(200, {}, "first");
+    run_until([&] { return m_requests.size() == 2; });
+    EXPECT_EQ(m_requests[1]->head().target, "/2");
+    m_requests[1]->reply(200, {}, "second");
+    run_until([&] {
+        client.read_more();
+        return client.text().find("second") != std::string::npos;
+    });
+    EXPECT_LT(client.text().find("first"), client.text().find("second"));
+}
+
+TEST_F(IngressServerTest, TwoLengthsGetATypedAnswerAndNobodyActsOnTheRequest)
+{
+    RawClient client(m_server->port());
+    client.send_text("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd");
+    run_until([&] { return client.read_more(); });
+    EXPECT_TRUE(client.text().starts_with("HTTP/1.1 400 "));
+    EXPECT_NE(client.text().find("application/problem+json"), std::string::npos);
+    EXPECT_TRUE(m_requests.empty());
+    EXPECT_EQ(m_faults, std::vector<IngressFault> { IngressFault::Malformed });
+}
+
+TEST_F(IngressServerTest, ABodyOverTheLimitIsRefused)
+{
+    IngressLimits limits;
+    limits.max_body_bytes = 10;
+    m_server->set_limits(limits);
+    RawClient client(m_server->port());
+    client.send_text("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n" + std::string(20, 'a'));
+    run_until([&] { return client.read_more(); });
+    EXPECT_TRUE(client.text().starts_with("HTTP/1.1 413 "));
+    EXPECT_TRUE(m_requests.empty());
+}
+
+TEST_F(IngressServerTest, AHeadThatNeverEndsTimesOut)
+{
+    IngressLimits limits;
+    limits.head_timeout = Core::Duration(10);
+    m_server->set_limits(limits);
+    RawClient client(m_server->port());
+    client.send_text("GET / HTTP/1.1\r\nHost:");
+    run_until([&] { return client.read_more(); });
+    EXPECT_TRUE(client.text().starts_with("HTTP/1.1 408 "));
+}
+
+TEST_F(IngressServerTest, ACallerThatLeavesIsNoticedBeforeItIsAnswered)
+{
+    RawClient client(m_server->port());
+    client.send_text("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    bool is_gone = false;
+    m_on_request = [&](IngressRequest& request) { request.on_gone([&] { is_gone = true; }); };
+    run_until([&] { return m_requests.size() == 1; });
+    client.close_now();
+    run_until([&] { return is_gone; });
+    EXPECT_TRUE(m_requests[0]->is_over());
+}
+
+TEST_F(IngressServerTest, AnAnswerThatIsBrokenOffDoesNotLookWhole)
+{
+    RawClient client(m_server->port());
+    client.send_text("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return m_requests.size() == 1; });
+    m_requests[0]->start(200, {}, {});
+    m_requests[0]->part("part");
+    run_until([&] {
+        client.read_more();
+        return client.text().find("part") != std::string::npos;
+    });
+    m_requests[0]->abort();
+    run_until([&] { return client.read_more(); });
+    EXPECT_TRUE(client.was_reset());
+    EXPECT_EQ(client.text().find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(IngressServerTest, WhileConnectionsEndGentlyEachAnswerSaysSo)
+{
+    RawClient client(m_server->port());
+    client.send_text("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return m_requests.size() == 1; });
+    m_server->end_connections_gently();
+    m_requests[0]->reply(200, {}, "done");
+    run_until([&] { return client.read_more(); });
+    EXPECT_NE(client.text().find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(client.text().ends_with("done"));
+}
+
+TEST_F(IngressServerTest, StoppingLeavesTheRequestInHandItsAnswer)
+{
+    RawClient at_rest(m_server->port());
+    RawClient client(m_server->port());
+    client.send_text("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return m_requests.size() == 1 && m_server->connection_count() == 2; });
+    m_server->stop_accepting();
+    run_until([&] { return at_rest.read_more(); });
+    m_requests[0]->reply(200, {}, "done");
+    run_until([&] { return client.read_more(); });
+    EXPECT_TRUE(client.text().ends_with("done"));
+}
