--- a/Libraries/LibDistribution/StagedLoad.cpp
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -108,30 +108,58 @@
     return false;
 }
 
-bool StagedLoad::may_order(Core::Time now) const
+bool StagedLoad::is_read_back(Core::Time now) const
 {
-    return m_report && !m_report->is_busy && !m_is_ordering && !m_ordered_at && is_complete() && std::all_of(m_chunks.begin(), m_chunks.end(), [&](auto const& chunk) {
+    return std::all_of(m_chunks.begin(), m_chunks.end(), [&](auto const& chunk) {
         return chunk.right_at && now - *chunk.right_at < m_settings.read_back_holds;
     });
 }
 
-std::vector<LoadAction> StagedLoad::step(Core::Time now)
+std::optional<Platform::LoadManner> StagedLoad::manner(Core::Time now, SwitchTerms const& terms)
+{
+    bool const serves_something = !m_report->held.empty();
+    if (!serves_something)
+        return Platform::LoadManner::WaitForRunning;
+    if (!terms.may_switch && !m_draining_since)
+        return {};
+    if (!m_draining_since)
+        m_draining_since = now;
+    auto const drained_for = now - *m_draining_since;
+    // What entries sent before they heard of it is still on its way.
+    if (drained_for < m_settings.notice)
+        return {};
+    auto const left = m_report->running + m_report->waiting;
+    if (left == 0 || !terms.may_evict)
+        return Platform::LoadManner::WaitForRunning;
+    auto const patience = left <= m_settings.few_running ? m_settings.few_patience : m_settings.drain_patience;
+    if (drained_for < patience)
+        return {};
+    return Platform::LoadManner::EvictRunning;
+}
+
+std::vector<LoadAction> StagedLoad::step(Core::Time now, SwitchTerms terms)
 {
     std::vector<LoadAction> actions;
-    bool is_busy = true;
-    while (is_busy && m_calls < m_settings.calls_at_once)
-        is_busy = stage_next(actions);
-    bool const wants_load = m_report && !m_report->is_busy && !m_is_serving && !m_is_ordering && !m_ordered_at;
-    if (!wants_load || !is_complete())
+    bool has_more = true;
+    while (has_more && m_calls < m_settings.calls_at_once)
+        has_more = stage_next(actions);
+    bool const wants_load = m_report && !m_report->is_busy && !m_is_serving && !m_is_ordering && !m_ordered_at && is_complete();
+    if (!wants_load) {
+        if (m_is_serving)
+            m_draining_since.reset();
         return actions;
-    if (may_order(now)) {
+    }
+    auto const how = manner(now, terms);
+    bool const is_due = how.has_value() || m_draining_since.has_value();
+    if (how && is_read_back(now)) {
         m_is_ordering = true;
-        actions.emplace_back(OrderLoad { m_report->order_sequence });
+        m_draining_since.reset();
+        actions.emplace_back(OrderLoad { m_report->order_sequence, *how });
         return actions;
     }
-    is_busy = true;
-    while (is_busy && m_calls < m_settings.calls_at_once)
-        is_busy = read_back_next(now, actions);
+    has_more = is_due;
+    while (has_more && m_calls < m_settings.calls_at_once)
+        has_more = read_back_next(now, actions);
     return actions;
 }
 
--- a/Libraries/LibDistribution/StagedLoad.h
+++ b/Libraries/LibDistribution/StagedLoad.h
@@ -24,6 +24,7 @@
 /// Have the engine load what lies beside it.
 struct OrderLoad {
     int64_t expected_sequence { 0 };
+    Platform::LoadManner manner { Platform::LoadManner::WaitForRunning };
 };
 
 using LoadAction = std::variant<StageChunk, ReadBackChunk, OrderLoad>;
@@ -34,6 +35,19 @@
     Core::Duration read_back_holds { 1500 };
     /// Wait for a report that shows what became of an order.
     Core::Duration order_patience { 1500 };
+    /// Time that entries are given to hear that an engine takes no more.
+    Core::Duration notice { 150 };
+    /// Requests at an engine that takes no more may end by themselves for this long, where the rest may be cut.
+    Core::Duration drain_patience { 1200 };
+    /// With so few left, the rest is cut sooner.
+    int64_t few_running { 5 };
+    Core::Duration few_patience { 400 };
+};
+
+/// Whether and how an engine that serves may be taken out of service for a load.
+struct SwitchTerms {
+    bool may_switch { true };
+    bool may_evict { false };
 };
 
 /// Decides what is laid beside the engine and when the engine is ordered to take it.
@@ -57,11 +71,12 @@
     void on_ordered(Platform::OrderOutcome, Core::Time now);
 
     /// What to do now.
-    std::vector<LoadAction> step(Core::Time now);
+    std::vector<LoadAction> step(Core::Time now, SwitchTerms = {});
 
     /// The engine reports all layers of this version.
     bool is_serving() const { return m_is_serving; }
-    bool is_order_in_flight() const { return m_is_ordering; }
+    /// No new request should reach the engine: it is about to be ordered, or an order is under way.
+    bool is_switching() const { return m_draining_since.has_value() || m_is_ordering || m_ordered_at.has_value(); }
     size_t held_count() const;
     /// Chunks that were found bad when they were read back.
     uint64_t bad_count() const { return m_bad; }
@@ -77,7 +92,8 @@
     bool is_complete() const;
     bool stage_next(std::vector<LoadAction>&);
     bool read_back_next(Core::Time now, std::vector<LoadAction>&);
-    bool may_order(Core::Time now) const;
+    bool is_read_back(Core::Time now) const;
+    std::optional<Platform::LoadManner> manner(Core::Time now, SwitchTerms const&);
 
     int64_t m_version;
     StagedLoadSettings m_settings;
@@ -87,6 +103,7 @@
     bool m_is_serving { false };
     bool m_is_ordering { false };
     std::optional<Core::Time> m_ordered_at;
+    std::optional<Core::Time> m_draining_since;
     uint64_t m_bad { 0 };
 };
 
--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -184,7 +184,7 @@
         return;
     if (source.is_origin()) {
         auto const doublings = std::min(m_origin_faults++, most_fault_doublings);
-        m_origin_avoid_until = now + (failure == FetchFailure::Busy ? busy_wait : fault_wait * (1 << doublings));
+        m_origin_avoid_until = now + (failure == FetchFailure::Busy ? busy_wait : std::min(m_settings.longest_fault_wait, fault_wait * (1 << doublings)));
         return;
     }
     auto peer = m_peers.find(source.peer);
@@ -194,7 +194,7 @@
     if (is_corrupt)
         wait = corrupt_wait;
     else if (failure != FetchFailure::Busy)
-        wait = fault_wait * (1 << std::min(peer->second.faults++, most_fault_doublings));
+        wait = std::min(m_settings.longest_fault_wait, fault_wait * (1 << std::min(peer->second.faults++, most_fault_doublings)));
     peer->second.avoid_until = now + wait;
 }
 
@@ -271,23 +271,19 @@
 bool Transfer::start_from_peer(Core::Time now, std::vector<TransferAction>& actions)
 {
     std::vector<size_t> candidates;
-    size_t rarest = 0;
     for (size_t i = 0; i < m_chunks.size(); ++i) {
         auto const& chunk = m_chunks[i];
-        if (chunk.is_held || chunk.fetches > 0 || chunk.holders == 0)
-            continue;
-        if (choose_peer(i, now, {}).empty())
-            continue;
-        if (candidates.empty() || chunk.holders < rarest) {
-            candidates.clear();
-            rarest = chunk.holders;
-        }
-        if (chunk.holders == rarest)
+        bool const is_open = !chunk.is_held && chunk.fetches == 0 && chunk.holders > 0;
+        if (is_open && !choose_peer(i, now, {}).empty())
             candidates.push_back(i);
     }
     if (candidates.empty())
         return false;
-    auto const chunk = candidates[m_random() % candidates.size()];
+    // Among equals each has the same chance.
+    std::shuffle(candidates.begin(), candidates.end(), m_random);
+    if (m_settings.rarity_sample > 0 && candidates.size() > m_settings.rarity_sample)
+        candidates.resize(m_settings.rarity_sample);
+    auto const chunk = *std::min_element(candidates.begin(), candidates.end(), [&](auto a, auto b) { return m_chunks[a].holders < m_chunks[b].holders; });
     actions.push_back(begin(chunk, Source { choose_peer(chunk, now, {}) }, now));
     return true;
 }
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -58,8 +58,13 @@
     size_t seeders { 4 };
     /// Wait per rank before the origin is asked for a chunk that no neighbour holds.
     Core::Duration origin_patience { 2000 };
+    /// The rarest of this many chunks drawn at random is read next; 0 draws all of them. With all, everybody asks the
+    /// few holders of the newest chunk, and the other uplinks idle.
+    size_t rarity_sample { 0 };
     /// Wait per rank before a far peer is asked for a chunk that no near one holds.
     Core::Duration far_patience { 400 };
+    /// A source that keeps failing is left alone for twice as long each time, up to this.
+    Core::Duration longest_fault_wait { 16000 };
     /// Silence after which a read is given up and its source left alone for a while.
     Core::Duration stall { 2000 };
 };
--- a/Libraries/LibPlatform/EngineApi.h
+++ b/Libraries/LibPlatform/EngineApi.h
@@ -23,6 +23,14 @@
     double pace { 1 };
 };
 
+/// What an order does with requests that run on the engine.
+enum class LoadManner {
+    /// The engine takes nothing new and loads when they have ended.
+    WaitForRunning,
+    /// They are cut; streams that may be resumed go on elsewhere.
+    EvictRunning,
+};
+
 /// What became of an order.
 enum class OrderOutcome {
     /// It began, or is done already.
@@ -40,9 +48,9 @@
 
     virtual void read_report(std::function<void(Core::ErrorOr<EngineReport>)>) = 0;
 
-    /// Has the engine load what is staged for a model, once what runs has ended.
+    /// Has the engine load what is staged for a model.
     /// `expected_sequence`: the orders that the engine must have taken before.
-    virtual void start(std::string const& model, int64_t version, int64_t expected_sequence, std::function<void(OrderOutcome)>) = 0;
+    virtual void start(std::string const& model, int64_t version, LoadManner, int64_t expected_sequence, std::function<void(OrderOutcome)>) = 0;
 
     /// Lays a chunk beside the engine.
     virtual void stage(std::string const& model, size_t chunk, std::string const& bytes, std::function<void(bool)>) = 0;
--- /dev/null
+++ b/Libraries/LibRouting/EngineOwners.cpp
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/EngineOwners.h>
+
+#include <algorithm>
+
+namespace Routing {
+
+// A quiet entry still gets a part, so that it can serve at once when callers come.
+static constexpr double least_demand = 1;
+
+namespace {
+
+    struct Share {
+        SharingEntry const* entry;
+        // Engines that its demand calls for, less those that it has.
+        double lacks;
+    };
+
+    Share* neediest(std::vector<Share>& shares, std::string const* failure_domain)
+    {
+        Share* best = nullptr;
+        for (auto& share : shares) {
+            if (failure_domain && share.entry->failure_domain != *failure_domain)
+                continue;
+            if (!best || share.lacks > best->lacks)
+                best = &share;
+        }
+        return best;
+    }
+
+}
+
+std::map<std::string, std::string> engine_owners(std::vector<SharingEntry> entries, std::vector<SharedEngine> engines)
+{
+    std::map<std::string, std::string> owners;
+    if (entries.empty())
+        return owners;
+    std::sort(entries.begin(), entries.end(), [](auto const& a, auto const& b) { return a.identity < b.identity; });
+    std::sort(engines.begin(), engines.end(), [](auto const& a, auto const& b) { return a.id < b.id; });
+    double total = 0;
+    for (auto const& entry : entries)
+        total += std::max(least_demand, entry.demand);
+    std::vector<Share> shares;
+    for (auto const& entry : entries)
+        shares.push_back({ &entry, std::max(least_demand, entry.demand) / total * static_cast<double>(engines.size()) });
+    // Near engines first, to entries that lack more than half of one; what is left goes to whoever lacks most.
+    std::vector<SharedEngine const*> left;
+    for (auto const& engine : engines) {
+        auto* near = neediest(shares, &engine.failure_domain);
+        if (!near || near->lacks <= 0.5) {
+            left.push_back(&engine);
+            continue;
+        }
+        owners[engine.id] = near->entry->identity;
+        near->lacks -= 1;
+    }
+    for (auto const* engine : left) {
+        auto* share = neediest(shares, nullptr);
+        owners[engine->id] = share->entry->identity;
+        share->lacks -= 1;
+    }
+    return owners;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/EngineOwners.h
@@ -0,0 +1,30 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Routing {
+
+/// An entry that shares the engines of a service, and what callers ask of it.
+struct SharingEntry {
+    std::string identity;
+    std::string failure_domain;
+    /// Requests a second.
+    double demand { 0 };
+};
+
+struct SharedEngine {
+    std::string id;
+    std::string failure_domain;
+};
+
+/// Deals the engines of a service among the entries: each engine has one owner, each entry about as many as its part
+/// of the demand, and near ones first. All who hold the same facts come to the same result, so nobody has to agree.
+///
+/// An owner fills its engine; the others use it only while its agent reports room to spare. Without owners each entry
+/// would take the same free place, and the engine would hold a queue that no entry sees in time.
+std::map<std::string, std::string> engine_owners(std::vector<SharingEntry> entries, std::vector<SharedEngine> engines);
+
+}
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -113,19 +113,32 @@
     return std::max<int64_t>(0, report->state.running + report->state.waiting - report->own_in_flight);
 }
 
-bool ServerTable::has_room(Server const& server, Core::Time now) const
+void ServerTable::set_owned(std::set<std::string> ids)
+{
+    m_owned = std::move(ids);
+}
+
+int64_t ServerTable::room(Server const& server, Core::Time now) const
 {
-    if (now < server.full_until)
-        return false;
     auto const own = static_cast<int64_t>(server.pending.size());
     auto const slots = server.entry.slots;
     bool const is_engine = timing(server.entry.service) != nullptr;
     if (!is_engine)
-        return own < slots;
-    if (reported(server, now))
-        return own + others_in_flight(server, now) < slots + m_settings.allowed_queue;
-    // Nobody says what others have there: an equal share.
-    return own < std::max<int64_t>(1, slots / static_cast<int64_t>(m_entries));
+        return slots - own;
+    bool const is_owner = !m_owned || m_owned->contains(server.entry.id);
+    if (!reported(server, now)) {
+        // Nobody says what others have there: an equal share, and where engines have owners no more than what they leave.
+        if (!m_owned)
+            return std::max<int64_t>(1, slots / static_cast<int64_t>(m_entries)) - own;
+        return (is_owner ? slots - m_settings.reserve : 1) - own;
+    }
+    auto const taken = own + others_in_flight(server, now);
+    return (is_owner ? slots + m_settings.allowed_queue : slots - m_settings.reserve) - taken;
+}
+
+bool ServerTable::has_room(Server const& server, Core::Time now) const
+{
+    return now >= server.full_until && room(server, now) > 0;
 }
 
 double ServerTable::distance_ms(Server const& server) const
@@ -285,6 +298,13 @@
     return found == m_servers.end() ? nullptr : &found->second.entry;
 }
 
+bool ServerTable::is_switching(std::string const& id, Core::Time now) const
+{
+    auto const found = m_servers.find(id);
+    auto const* report = found == m_servers.end() ? nullptr : reported(found->second, now);
+    return report && report->state.is_busy;
+}
+
 size_t ServerTable::usable_count(std::string const& service, std::optional<int64_t> version, Core::Time now) const
 {
     return static_cast<size_t>(std::count_if(m_servers.begin(), m_servers.end(), [&](auto const& entry) {
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -55,8 +55,10 @@
     std::string failure_domain;
     std::string region;
     std::map<std::string, std::string> regions;
-    /// Requests that may wait inside a full backend server.
+    /// Requests that may wait inside a full engine of this entry's own.
     int64_t allowed_queue { 1 };
+    /// Places of another entry's engine that are left to its owner.
+    int64_t reserve { 4 };
 };
 
 /// What an entry knows of the backend servers that it sends requests to itself, and its choice among them.
@@ -75,6 +77,9 @@
     /// The number of entries that share the servers, this one included.
     void set_entries(size_t count) { m_entries = std::max<size_t>(1, count); }
 
+    /// The engines that this entry fills; see engine_owners(). Until it is called no engine has an owner.
+    void set_owned(std::set<std::string> ids);
+
     /// What the agent at an IP number read at its engine.
     void on_engine_state(std::string const& ip, Schema::EngineState const&, Core::Time now);
     void on_agent_gone(std::string const& ip);
@@ -91,6 +96,8 @@
     Schema::BackendServer const* find(std::string const& id) const;
     /// The whole version that the server holds; 0 if none, or if it serves no model.
     int64_t version_of(std::string const& id, Core::Time now) const;
+    /// An order is before the engine, or about to be: what it breaks off is no fault of its own.
+    bool is_switching(std::string const& id, Core::Time now) const;
     /// How many servers of a service could serve a version now.
     size_t usable_count(std::string const& service, std::optional<int64_t> version, Core::Time now) const;
     size_t own_in_flight(std::string const& id) const;
@@ -126,6 +133,7 @@
     int64_t version_of(Server const&, Core::Time now) const;
     bool is_usable(Server const&, std::optional<int64_t> required_version, Core::Time now) const;
     int64_t others_in_flight(Server const&, Core::Time now) const;
+    int64_t room(Server const&, Core::Time now) const;
     bool has_room(Server const&, Core::Time now) const;
     double predicted_ms(Server const&, ServerNeeds const&, Core::Time now) const;
     double distance_ms(Server const&) const;
@@ -138,6 +146,7 @@
     std::map<std::string, Schema::EngineTiming> m_timings;
     // By the IP number that agent and engine share.
     std::map<std::string, Reported> m_reported;
+    std::optional<std::set<std::string>> m_owned;
 };
 
 }
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -1267,6 +1267,34 @@
         int64_t waiting;
     };
 
+    /**
+     * Demand for one service at one entry.
+     */
+    struct ServiceDemand {
+        /**
+         * Requests a second.
+         */
+        double per_second;
+        /**
+         * Service.
+         */
+        std::string service;
+    };
+
+    /**
+     * What an entry tells the others, so that each knows which engines are its own.
+     */
+    struct EntryLoad {
+        /**
+         * Recent requests of callers by service.
+         */
+        std::vector<ServiceDemand> demand;
+        /**
+         * Failure domain of the entry.
+         */
+        std::string failure_domain;
+    };
+
     /**
      * Asks for all facts at or above two offsets.
      */
@@ -1722,6 +1750,10 @@
          * Time since the version was learned, milliseconds.
          */
         int64_t age_ms;
+        /**
+         * Time from the naming of the version within which it must be served, milliseconds.
+         */
+        int64_t bound_ms;
         /**
          * Chunks.
          */
@@ -1730,6 +1762,10 @@
          * Layers.
          */
         int64_t layers;
+        /**
+         * Every stream of the service may go on at another engine, so those that run may be cut.
+         */
+        bool may_evict;
         /**
          * Model.
          */
@@ -1772,6 +1808,10 @@
          * What an agent reads at its engine.
          */
         std::optional<EngineState> engine_state;
+        /**
+         * What an entry tells the others, so that each knows which engines are its own.
+         */
+        std::optional<EntryLoad> entry_load;
         /**
          * Asks for all facts at or above two offsets.
          */
@@ -2351,6 +2391,12 @@
     void from_json(const json & j, EngineState & x);
     void to_json(json & j, const EngineState & x);
 
+    void from_json(const json & j, ServiceDemand & x);
+    void to_json(json & j, const ServiceDemand & x);
+
+    void from_json(const json & j, EntryLoad & x);
+    void to_json(json & j, const EntryLoad & x);
+
     void from_json(const json & j, FactRequest & x);
     void to_json(json & j, const FactRequest & x);
 
@@ -3222,6 +3268,28 @@
         j["waiting"] = x.waiting;
     }
 
+    inline void from_json(const json & j, ServiceDemand& x) {
+        x.per_second = j.at("per_second").get<double>();
+        x.service = j.at("service").get<std::string>();
+    }
+
+    inline void to_json(json & j, const ServiceDemand & x) {
+        j = json::object();
+        j["per_second"] = x.per_second;
+        j["service"] = x.service;
+    }
+
+    inline void from_json(const json & j, EntryLoad& x) {
+        x.demand = j.at("demand").get<std::vector<ServiceDemand>>();
+        x.failure_domain = j.at("failure_domain").get<std::string>();
+    }
+
+    inline void to_json(json & j, const EntryLoad & x) {
+        j = json::object();
+        j["demand"] = x.demand;
+        j["failure_domain"] = x.failure_domain;
+    }
+
     inline void from_json(const json & j, FactRequest& x) {
         x.configuration_from = j.at("configuration_from").get<int64_t>();
         x.servers_from = j.at("servers_from").get<int64_t>();
@@ -3522,8 +3590,10 @@
 
     inline void from_json(const json & j, WeightsGoal& x) {
         x.age_ms = j.at("age_ms").get<int64_t>();
+        x.bound_ms = j.at("bound_ms").get<int64_t>();
         x.chunks = j.at("chunks").get<int64_t>();
         x.layers = j.at("layers").get<int64_t>();
+        x.may_evict = j.at("may_evict").get<bool>();
         x.model = j.at("model").get<std::string>();
         x.origin_address = j.at("origin_address").get<std::string>();
         x.peers = j.at("peers").get<std::vector<GoalPeer>>();
@@ -3534,8 +3604,10 @@
     inline void to_json(json & j, const WeightsGoal & x) {
         j = json::object();
         j["age_ms"] = x.age_ms;
+        j["bound_ms"] = x.bound_ms;
         j["chunks"] = x.chunks;
         j["layers"] = x.layers;
+        j["may_evict"] = x.may_evict;
         j["model"] = x.model;
         j["origin_address"] = x.origin_address;
         j["peers"] = x.peers;
@@ -3554,6 +3626,7 @@
         x.directory = get_stack_optional<EntryDirectory>(j, "directory");
         x.dispatch = get_stack_optional<Dispatch>(j, "dispatch");
         x.engine_state = get_stack_optional<EngineState>(j, "engine_state");
+        x.entry_load = get_stack_optional<EntryLoad>(j, "entry_load");
         x.fact_request = get_stack_optional<FactRequest>(j, "fact_request");
         x.facts = get_stack_optional<FactBatch>(j, "facts");
         x.hello = get_stack_optional<Hello>(j, "hello");
@@ -3583,6 +3656,7 @@
         j["directory"] = x.directory;
         j["dispatch"] = x.dispatch;
         j["engine_state"] = x.engine_state;
+        j["entry_load"] = x.entry_load;
         j["fact_request"] = x.fact_request;
         j["facts"] = x.facts;
         j["hello"] = x.hello;
--- a/Libraries/LibTransport/BackendCall.cpp
+++ b/Libraries/LibTransport/BackendCall.cpp
@@ -149,6 +149,11 @@
 
 void BackendCall::State::cancel()
 {
+    if (m_stream && m_is_connected && !m_is_over) {
+        // A backend server that stands still must find the request gone, not half closed, when it wakes.
+        linger hard { .l_onoff = 1, .l_linger = 0 };
+        setsockopt(bufferevent_getfd(m_stream), SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    }
     m_is_over = true;
     close();
     // One of the callbacks may be what dropped the call, so they live on until the next turn.
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Hash.h>
 #include <LibCore/Log.h>
+#include <LibRouting/EngineOwners.h>
 #include <LibSchema/Json.h>
 #include <LibTransport/SocketAddress.h>
 #include <algorithm>
@@ -13,11 +14,13 @@
 
 static constexpr Core::Duration tick_interval { 20 };
 static constexpr Core::Duration link_check_interval { 500 };
+static constexpr Core::Duration load_interval { 1000 };
+static constexpr double demand_memory = 0.7;
 static constexpr Core::Duration link_silence { 3000 };
 // Past this, what is denied may be allowed by a configuration that has not come yet.
 static constexpr Core::Duration stale_after { 2500 };
 // A version is required a little before its bound: what is sent just before still has to begin.
-static constexpr Core::Duration version_margin { 1500 };
+static constexpr Core::Duration version_margin { 1000 };
 // What a process finds at its start was named at a time that it cannot know: it is required soon.
 static constexpr Core::Duration first_versions_grace { 2000 };
 static constexpr Core::Duration least_drain { 3000 };
@@ -73,6 +76,7 @@
         .required_version = [this](std::string const& service) { return required_version(service); },
         .queue = [this](std::string const& service) -> Routing::RequestQueue& { return m_queues.try_emplace(service, queue_limit).first->second; },
         .place_freed = [this](std::string const& service) { m_services_with_places.insert(service); },
+        .asked = [this](std::string const& service) { m_asked[service] += 1; },
         .over = [this](uint64_t number) { m_loop.soon([this, number] { m_requests.erase(number); }); } }
     , m_started(Core::monotonic_now())
 {
@@ -85,6 +89,10 @@
     m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
     m_tick_timer = loop.every(tick_interval, [this] { tick(); });
     m_link_timer = loop.every(link_check_interval, [this] { check_links(); });
+    m_load_timer = loop.every(load_interval, [this] {
+        send_load();
+        share_engines();
+    });
 }
 
 DirectEntry::~DirectEntry()
@@ -145,7 +153,7 @@
     }
     for (auto& goal : goals()) {
         Schema::Message message;
-        message.weights_goal = std::move(goal);
+        message.weights_goal = with_age(std::move(goal));
         m_hub->send(hello.identity, message);
     }
 }
@@ -154,6 +162,7 @@
 {
     Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
     m_last_heard.erase(identity);
+    m_loads.erase(identity);
     m_servers.on_agent_gone(identity);
 }
 
@@ -167,6 +176,8 @@
             if (queue.size() > 0)
                 m_services_with_places.insert(service);
         }
+    } else if (message.entry_load) {
+        m_loads[from.identity] = *message.entry_load;
     } else if (message.directory) {
         for (auto const& entry : message.directory->entries) {
             if (entry != m_settings.identity)
@@ -215,6 +226,54 @@
     update_links();
 }
 
+void DirectEntry::send_load()
+{
+    Schema::Message message;
+    message.entry_load.emplace();
+    message.entry_load->failure_domain = m_settings.failure_domain;
+    auto const seconds = static_cast<double>(load_interval.count()) / milliseconds_per_second;
+    for (auto& [service, count] : m_asked) {
+        auto const rate = static_cast<double>(std::exchange(count, 0)) / seconds;
+        auto const [known, is_new] = m_demand.try_emplace(service, rate);
+        if (!is_new)
+            known->second = demand_memory * known->second + (1 - demand_memory) * rate;
+        message.entry_load->demand.push_back({ .per_second = known->second, .service = service });
+    }
+    for (auto const& peer : m_hub->peers(Schema::Role::Entry))
+        m_hub->send(peer, message);
+}
+
+void DirectEntry::share_engines()
+{
+    auto const& routes = m_context.routes;
+    if (!routes)
+        return;
+    auto const now = Core::monotonic_now();
+    std::set<std::string> owned;
+    for (auto const& service : routes->configuration().services) {
+        if (!service.timing)
+            continue;
+        std::vector<Routing::SharingEntry> entries { { m_settings.identity, m_settings.failure_domain, m_demand[service.name] } };
+        for (auto const& [identity, load] : m_loads) {
+            Routing::SharingEntry entry { identity, load.failure_domain, 0 };
+            for (auto const& demand : load.demand)
+                entry.demand = demand.service == service.name ? demand.per_second : entry.demand;
+            entries.push_back(std::move(entry));
+        }
+        std::vector<Routing::SharedEngine> engines;
+        for (auto const* server : m_replica.servers()) {
+            bool const is_shared = server->service == service.name && !server->is_draining && m_servers.version_of(server->id, now) > 0;
+            if (is_shared)
+                engines.push_back({ server->id, server->failure_domain });
+        }
+        for (auto const& [engine, owner] : Routing::engine_owners(std::move(entries), std::move(engines))) {
+            if (owner == m_settings.identity)
+                owned.insert(engine);
+        }
+    }
+    m_servers.set_owned(std::move(owned));
+}
+
 void DirectEntry::update_links()
 {
     std::map<std::string, Transport::LinkAddress> wanted;
@@ -335,6 +394,11 @@
         auto const named = m_replica.versions().find(goal.model);
         goal.version = named == m_replica.versions().end() ? 1 : named->second.newest();
         goal.origin_address = origin;
+        goal.bound_ms = m_settings.bounds.version_ms;
+        goal.may_evict = std::all_of(configuration->routes.begin(), configuration->routes.end(), [&](auto const& route) {
+            bool const leads_here = std::any_of(route.targets.begin(), route.targets.end(), [&](auto const& target) { return target.service == service.name; });
+            return !leads_here || route.is_resumable;
+        });
         goal.layers = service.timing->layers;
         goal.chunks = service.timing->chunks;
         for (auto const* server : m_replica.servers()) {
@@ -346,14 +410,23 @@
     return goals;
 }
 
+Schema::WeightsGoal DirectEntry::with_age(Schema::WeightsGoal goal) const
+{
+    auto const named = m_replica.versions().find(goal.model);
+    if (named != m_replica.versions().end() && !named->second.versions.empty())
+        goal.age_ms = (Core::monotonic_now() - named->second.versions.back().learned).count();
+    return goal;
+}
+
 void DirectEntry::send_goals()
 {
     std::string text;
     std::vector<Schema::Message> messages;
     for (auto& goal : goals()) {
+        // The age alone is no news.
         text += Schema::to_text(goal);
         Schema::Message message;
-        message.weights_goal = std::move(goal);
+        message.weights_goal = with_age(std::move(goal));
         messages.push_back(std::move(message));
     }
     if (text == m_sent_goals)
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -47,6 +47,8 @@
     void on_link_message(Schema::Hello const&, Schema::Message const&);
     void on_link_down(std::string const& identity);
     void check_links();
+    void send_load();
+    void share_engines();
     void update_links();
 
     void on_facts(Configuration::FactChanges const&);
@@ -54,6 +56,7 @@
     void on_log_failing(Platform::FactLogFault);
     void send_goals();
     std::vector<Schema::WeightsGoal> goals() const;
+    Schema::WeightsGoal with_age(Schema::WeightsGoal) const;
     std::optional<int64_t> required_version(std::string const& service) const;
     bool is_stale() const;
     bool is_ready() const;
@@ -75,6 +78,11 @@
 
     std::unique_ptr<Transport::LinkHub> m_hub;
     std::map<std::string, Core::Time> m_last_heard;
+    std::map<std::string, Schema::EntryLoad> m_loads;
+    // Requests since the last load was told, and the smoothed rates.
+    std::map<std::string, uint64_t> m_asked;
+    std::map<std::string, double> m_demand;
+    std::unique_ptr<Core::Timer> m_load_timer;
     std::set<std::string> m_known_entries;
     std::string m_sent_goals;
 
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -119,6 +119,7 @@
     if (!admit())
         return;
     m_context.retries.on_request(m_service, m_started);
+    m_context.asked(m_service);
     if (!try_send())
         wait_for_place();
 }
@@ -377,7 +378,7 @@
     if (failure == Transport::CallFailure::NotConnected)
         end_send(SendEnd::NotConnected, ServerOutcome::Unreachable);
     else
-        end_send(SendEnd::BrokenOff, ServerOutcome::Failure);
+        end_send(SendEnd::BrokenOff, m_context.servers.is_switching(m_server, Core::monotonic_now()) ? ServerOutcome::Neutral : ServerOutcome::Failure);
 }
 
 Routing::AttemptState ProxiedRequest::attempt_state(SendEnd, Core::Time now) const
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -19,6 +19,10 @@
 static constexpr Core::Duration manifest_retry { 700 };
 // SHA-256 in hexadecimal.
 static constexpr size_t digest_characters = 64;
+// A third of the engines may be out of service at once for a new version.
+static constexpr size_t switched_at_once = 3;
+// Time that a switch takes at the worst: draining, loading, and a report of it.
+static constexpr Core::Duration switch_reserve { 2800 };
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
 
@@ -49,7 +53,8 @@
 {
     std::vector<std::string> ids;
     for (auto const& peer : m_goal->peers) {
-        if (!m_not_seeking.contains(peer.identity))
+        auto const served = m_peer_versions.find(peer.identity);
+        if (served == m_peer_versions.end() || served->second < m_goal->version)
             ids.push_back(peer.identity);
     }
     if (std::find(ids.begin(), ids.end(), m_settings.identity) == ids.end())
@@ -75,13 +80,17 @@
     if (is_older || goal.chunks <= 0)
         return;
     bool const is_new_version = !m_goal || goal.version > m_goal->version || goal.model != m_goal->model;
-    m_goal = goal;
     if (!is_new_version) {
+        m_goal = goal;
         update_transfer_targets();
         return;
     }
+    keep_loading_older();
+    if (m_goal && serving_version() < m_goal->version && !m_unmet_since)
+        m_unmet_since = m_goal_at;
+    m_goal = goal;
     Core::log_event(Core::LogLevel::Info, "goal_changed", { { "model", goal.model }, { "version", std::to_string(goal.version) }, { "origin", goal.origin_address }, { "peers", std::to_string(goal.peers.size()) } });
-    m_goal_at = Core::monotonic_now();
+    m_goal_at = Core::monotonic_now() - Core::Duration(goal.age_ms);
     m_manifest.reset();
     m_manifest_text.clear();
     m_manifest_tries = 0;
@@ -92,33 +101,74 @@
     m_downloads.clear();
     m_fetch_chunks.clear();
     m_is_complete = false;
-    m_not_seeking.clear();
     turn();
 }
 
+void CopyKeeper::keep_loading_older()
+{
+    // Each version has a bound of its own: what is complete here may be served before the newer one can be.
+    bool const is_worth_it = m_load && m_is_complete && !m_older && serving_version() < m_goal->version;
+    if (!is_worth_it)
+        return;
+    m_older = LoadingCopy { std::move(*m_goal), m_goal_at, std::move(*m_manifest), std::move(*m_spec), std::move(m_load) };
+    Core::log_event(Core::LogLevel::Info, "older_load_goes_on", { { "version", std::to_string(m_older->goal.version) } });
+}
+
+bool CopyKeeper::is_older_load_over(Core::Time now) const
+{
+    if (serving_version() >= m_older->goal.version)
+        return true;
+    if (m_older->load->is_switching())
+        return false;
+    return m_is_complete || now >= m_older->goal_at + Core::Duration(m_older->goal.bound_ms);
+}
+
+Distribution::StagedLoad* CopyKeeper::load_of(int64_t version)
+{
+    if (m_older && m_older->load->version() == version)
+        return m_older->load.get();
+    return m_load && m_load->version() == version ? m_load.get() : nullptr;
+}
+
+Schema::VersionSpec const& CopyKeeper::spec_of(int64_t version) const
+{
+    return m_older && m_older->load->version() == version ? m_older->spec : *m_spec;
+}
+
 int64_t CopyKeeper::serving_version() const
 {
     return m_report && m_goal ? Configuration::whole_version(m_report->held, m_goal->layers) : 0;
 }
 
+bool CopyKeeper::is_busy() const
+{
+    bool const is_switching = (m_load && m_load->is_switching()) || (m_older && m_older->load->is_switching());
+    return (m_report && m_report->is_busy) || is_switching;
+}
+
+void CopyKeeper::tell_seeking()
+{
+    auto const version = serving_version();
+    Schema::PieceMap map;
+    map.model = m_goal->model;
+    map.version = version > 0 ? version : m_goal->version;
+    map.is_seeking = version == 0;
+    m_callbacks.announce(map);
+}
+
 void CopyKeeper::turn()
 {
     if (!m_goal)
         return;
     auto const now = Core::monotonic_now();
-    if (!m_manifest) {
-        if (m_report)
-            seek_manifest(now);
-        return;
-    }
-    if (m_adopting > 0)
-        return;
-    if (m_transfer && is_seeking()) {
+    if (!m_manifest && m_report)
+        seek_manifest(now);
+    if (m_adopting == 0 && m_transfer && is_seeking()) {
         run_transfer(now);
         log_progress(now);
     }
-    if (m_load)
-        run_load(now);
+    run_load(now);
+    tell_change();
 }
 
 void CopyKeeper::log_progress(Core::Time now)
@@ -235,7 +285,10 @@
 void CopyKeeper::begin_transfer()
 {
     auto const now = Core::monotonic_now();
-    m_store.keep_only({ &*m_spec });
+    std::vector<Schema::VersionSpec const*> wanted { &*m_spec };
+    if (m_older)
+        wanted.push_back(&m_older->spec);
+    m_store.keep_only(wanted);
     auto const held = m_store.held_of(*m_spec);
     m_transfer = std::make_unique<Distribution::Transfer>(*m_spec, m_settings.identity, target_ids(), held, m_settings.transfer, Core::stable_hash(m_settings.identity, m_spec->digest), now);
     m_transfer->set_near(near_ids());
@@ -264,13 +317,13 @@
     if (known.first != map.version)
         known = { map.version, {} };
     known.second.insert(map.chunks.begin(), map.chunks.end());
-    bool const is_wanted_version = m_goal && map.version == m_goal->version;
-    if (!is_wanted_version)
-        return;
-    bool const has_changed = map.is_seeking ? m_not_seeking.erase(peer) > 0 : m_not_seeking.insert(peer).second;
-    if (has_changed)
+    auto& served = m_peer_versions[peer];
+    auto const before = served;
+    served = map.is_seeking ? std::min(served, map.version - 1) : std::max(served, map.version);
+    if (served != before)
         update_transfer_targets();
-    if (m_transfer)
+    bool const is_wanted_version = m_goal && map.version == m_goal->version;
+    if (is_wanted_version && m_transfer)
         m_transfer->on_peer_chunks(peer, map.chunks);
     turn();
 }
@@ -278,6 +331,7 @@
 void CopyKeeper::on_peer_down(std::string const& peer)
 {
     m_peer_chunks.erase(peer);
+    m_peer_versions.erase(peer);
     if (m_transfer)
         m_transfer->on_peer_lost(peer);
 }
@@ -419,51 +473,87 @@
 
 void CopyKeeper::run_load(Core::Time now)
 {
-    for (auto const& action : m_load->step(now)) {
-        if (auto const* stage_chunk = std::get_if<Distribution::StageChunk>(&action))
-            stage(stage_chunk->chunk);
-        else if (auto const* read = std::get_if<Distribution::ReadBackChunk>(&action))
-            read_back(read->chunk);
-        else if (auto const* due = std::get_if<Distribution::OrderLoad>(&action))
-            order(due->expected_sequence);
+    if (m_older && is_older_load_over(now))
+        m_older.reset();
+    // Only one version lies beside the engine: the newer one waits here until the older one is taken.
+    if (m_older) {
+        for (auto const& action : m_older->load->step(now, { may_switch(m_older->goal, m_older->goal_at, now), m_older->goal.may_evict }))
+            perform(action, m_older->goal.version, now);
+        return;
     }
+    if (!m_load || m_adopting > 0)
+        return;
+    for (auto const& action : m_load->step(now, { may_switch(*m_goal, m_goal_at, now), m_goal->may_evict }))
+        perform(action, m_goal->version, now);
 }
 
-void CopyKeeper::stage(size_t chunk)
+void CopyKeeper::perform(Distribution::LoadAction const& action, int64_t version, Core::Time)
 {
-    auto const bytes = m_store.find(m_spec->chunks[chunk].digest);
-    auto const version = m_manifest->version;
-    m_engine.stage(m_manifest->model, chunk, bytes ? *bytes : std::string(), [this, chunk, version](bool is_done) {
-        if (!m_load || m_load->version() != version)
+    if (auto const* stage_chunk = std::get_if<Distribution::StageChunk>(&action))
+        stage(version, stage_chunk->chunk);
+    else if (auto const* read = std::get_if<Distribution::ReadBackChunk>(&action))
+        read_back(version, read->chunk);
+    else if (auto const* due = std::get_if<Distribution::OrderLoad>(&action))
+        order(version, *due);
+}
+
+void CopyKeeper::stage(int64_t version, size_t chunk)
+{
+    auto const bytes = m_store.find(spec_of(version).chunks[chunk].digest);
+    m_engine.stage(m_goal->model, chunk, bytes ? *bytes : std::string(), [this, version, chunk](bool is_done) {
+        auto* load = load_of(version);
+        if (!load)
             return;
-        m_load->on_staged(chunk, is_done);
+        load->on_staged(chunk, is_done);
         run_load(Core::monotonic_now());
     });
 }
 
-void CopyKeeper::read_back(size_t chunk)
+void CopyKeeper::read_back(int64_t version, size_t chunk)
 {
-    auto const version = m_manifest->version;
-    m_engine.read_staged(m_manifest->model, chunk, [this, chunk, version](std::shared_ptr<std::string const> const& bytes) {
-        if (!m_load || m_load->version() != version)
+    m_engine.read_staged(m_goal->model, chunk, [this, version, chunk](std::shared_ptr<std::string const> const& bytes) {
+        auto* load = load_of(version);
+        if (!load)
             return;
-        bool const is_right = bytes && Core::sha256(*bytes) == m_spec->chunks[chunk].digest;
+        bool const is_right = bytes && Core::sha256(*bytes) == spec_of(version).chunks[chunk].digest;
         if (!is_right)
             Core::log_event(Core::LogLevel::Warn, "staged_chunk_bad", { { "chunk", std::to_string(chunk) }, { "version", std::to_string(version) } });
-        m_load->on_read_back(chunk, is_right, Core::monotonic_now());
+        load->on_read_back(chunk, is_right, Core::monotonic_now());
         run_load(Core::monotonic_now());
     });
 }
 
-void CopyKeeper::order(int64_t expected_sequence)
+bool CopyKeeper::may_switch(Schema::WeightsGoal const& goal, Core::Time goal_at, Core::Time now) const
 {
-    auto const version = m_manifest->version;
-    Core::log_event(Core::LogLevel::Info, "load_ordered", { { "version", std::to_string(version) }, { "expected_sequence", std::to_string(expected_sequence) }, { "after_ms", std::to_string((Core::monotonic_now() - m_goal_at).count()) } });
+    // The bound comes before the capacity that others need: whoever is late goes at once. A version that was named
+    // before this one and never got here has the earlier bound.
+    auto const named_at = std::min(goal_at, m_unmet_since.value_or(goal_at));
+    if (now >= named_at + Core::Duration(goal.bound_ms) - switch_reserve)
+        return true;
+    std::vector<std::string> ids { m_settings.identity };
+    std::vector<std::string> ready;
+    for (auto const& peer : goal.peers) {
+        if (peer.identity == m_settings.identity)
+            continue;
+        ids.push_back(peer.identity);
+        auto const served = m_peer_versions.find(peer.identity);
+        if (served != m_peer_versions.end() && served->second >= goal.version)
+            ready.push_back(peer.identity);
+    }
+    auto const slack = std::max<size_t>(1, ids.size() / switched_at_once);
+    auto const ranked = Core::rendezvous_order(std::to_string(goal.version), std::move(ids));
+    return Distribution::may_switch(m_settings.identity, ranked, ready, slack);
+}
+
+void CopyKeeper::order(int64_t version, Distribution::OrderLoad const& due)
+{
+    auto const goal_at = m_older && m_older->goal.version == version ? m_older->goal_at : m_goal_at;
+    Core::log_event(Core::LogLevel::Info, "load_ordered", { { "version", std::to_string(version) }, { "expected_sequence", std::to_string(due.expected_sequence) }, { "manner", due.manner == Platform::LoadManner::EvictRunning ? "evict" : "wait" }, { "running", std::to_string(m_report ? m_report->running : 0) }, { "after_ms", std::to_string((Core::monotonic_now() - goal_at).count()) } });
     m_metrics.count("mountbarrow_load_orders_total");
-    m_engine.start(m_manifest->model, version, expected_sequence, [this, version](Platform::OrderOutcome outcome) {
+    m_engine.start(m_goal->model, version, due.manner, due.expected_sequence, [this, version](Platform::OrderOutcome outcome) {
         Core::log_event(Core::LogLevel::Info, "load_answered", { { "version", std::to_string(version) }, { "outcome", std::to_string(static_cast<int>(outcome)) } });
-        if (m_load && m_load->version() == version)
-            m_load->on_ordered(outcome, Core::monotonic_now());
+        if (auto* load = load_of(version))
+            load->on_ordered(outcome, Core::monotonic_now());
         poll_engine();
     });
 }
@@ -486,23 +576,33 @@
         m_report.reset();
         if (m_load)
             m_load->on_unreachable();
+        if (m_older)
+            m_older->load->on_unreachable();
     } else {
         m_report = *report;
-        if (m_load && m_goal)
-            m_load->on_report(*m_report, m_goal->layers, Core::monotonic_now());
+        auto const now = Core::monotonic_now();
+        if (m_load)
+            m_load->on_report(*m_report, m_goal->layers, now);
+        if (m_older)
+            m_older->load->on_report(*m_report, m_older->goal.layers, now);
     }
-    bool const is_busy = m_report && m_report->is_busy;
+    tell_change();
+}
+
+void CopyKeeper::tell_change()
+{
+    auto const is_busy = this->is_busy();
     auto const version = serving_version();
     if (version == m_last_version && is_busy == m_was_busy)
         return;
     Core::log_event(Core::LogLevel::Info, "engine_changed", { { "version", std::to_string(version) }, { "busy", is_busy ? "yes" : "no" }, { "reachable", m_report ? "yes" : "no" } });
-    bool const lost_its_copy = m_goal && m_last_version == m_goal->version && version != m_goal->version;
+    bool const is_other_version = version != m_last_version;
+    if (m_goal && version == m_goal->version)
+        m_unmet_since.reset();
     m_last_version = version;
-    if (lost_its_copy && m_transfer && !m_transfer->is_complete()) {
-        if (auto const map = held())
-            m_callbacks.announce(*map);
-    }
     m_was_busy = is_busy;
+    if (is_other_version && m_goal)
+        tell_seeking();
     m_callbacks.changed();
 }
 
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -4,6 +4,7 @@
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibDistribution/ChunkStore.h>
+#include <LibDistribution/EngineControl.h>
 #include <LibDistribution/StagedLoad.h>
 #include <LibDistribution/Transfer.h>
 #include <LibPlatform/EngineApi.h>
@@ -56,6 +57,8 @@
 
     /// The engine as last reported.
     std::optional<Platform::EngineReport> const& report() const { return m_report; }
+    /// The engine should get no new request: it loads, or is about to.
+    bool is_busy() const;
     /// Version of which the engine holds all layers; 0 for none, or while it is not known.
     int64_t serving_version() const;
 
@@ -66,9 +69,23 @@
         int status { 0 };
     };
 
+    /// A version whose chunks are all here, on its way into the engine while a newer one is fetched.
+    struct LoadingCopy {
+        Schema::WeightsGoal goal;
+        Core::Time goal_at { 0 };
+        Platform::Manifest manifest;
+        Schema::VersionSpec spec;
+        std::unique_ptr<Distribution::StagedLoad> load;
+    };
+
     void turn();
     void log_progress(Core::Time now);
     bool is_seeking() const;
+    void keep_loading_older();
+    bool is_older_load_over(Core::Time now) const;
+    /// The load of a version, or null if it was given up.
+    Distribution::StagedLoad* load_of(int64_t version);
+    Schema::VersionSpec const& spec_of(int64_t version) const;
     void poll_engine();
     void on_report(Core::ErrorOr<Platform::EngineReport> const&);
     void seek_manifest(Core::Time now);
@@ -85,9 +102,13 @@
     void on_fetch_failed(uint64_t fetch, Distribution::FetchFailure);
     void hold_chunk(size_t chunk);
     void run_load(Core::Time now);
-    void stage(size_t chunk);
-    void read_back(size_t chunk);
-    void order(int64_t expected_sequence);
+    void perform(Distribution::LoadAction const&, int64_t version, Core::Time now);
+    void stage(int64_t version, size_t chunk);
+    void read_back(int64_t version, size_t chunk);
+    void order(int64_t version, Distribution::OrderLoad const&);
+    bool may_switch(Schema::WeightsGoal const&, Core::Time goal_at, Core::Time now) const;
+    void tell_seeking();
+    void tell_change();
     std::vector<std::string> target_ids() const;
     std::vector<std::string> near_ids() const;
 
@@ -101,6 +122,8 @@
 
     std::optional<Schema::WeightsGoal> m_goal;
     Core::Time m_goal_at { 0 };
+    // When the oldest version was named that the engine has not reached, if the goal has moved on from it.
+    std::optional<Core::Time> m_unmet_since;
     std::optional<Platform::Manifest> m_manifest;
     std::string m_manifest_text;
     Core::Time m_manifest_asked_at { 0 };
@@ -111,8 +134,9 @@
     std::unique_ptr<Distribution::StagedLoad> m_load;
     // Chunks of peers, by peer and version.
     std::map<std::string, std::pair<int64_t, std::set<int64_t>>> m_peer_chunks;
-    // Peers that said that their engine serves the wanted version already.
-    std::set<std::string> m_not_seeking;
+    // The version that each peer said its engine serves.
+    std::map<std::string, int64_t> m_peer_versions;
+    std::optional<LoadingCopy> m_older;
     std::map<uint64_t, std::unique_ptr<Download>> m_downloads;
     std::map<uint64_t, size_t> m_fetch_chunks;
     // What lay beside the engine when this process started was looked at.
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -10,16 +10,18 @@
 static constexpr Core::Duration state_repeat { 1000 };
 static constexpr Core::Duration link_check_interval { 500 };
 static constexpr Core::Duration link_silence { 3000 };
-static constexpr size_t neighbours = 16;
+static constexpr size_t neighbours = 32;
 // The copy is small and the bound on it short, so what nobody holds is asked of the origin soon.
 static constexpr Core::Duration origin_patience { 400 };
-static constexpr size_t fetches_in_flight = 4;
+static constexpr size_t fetches_in_flight = 3;
 static constexpr size_t origin_fetches_in_flight = 1;
 static constexpr size_t peer_fetches_while_seeding = 3;
+static constexpr Core::Duration longest_fault_wait { 1000 };
+static constexpr size_t rarity_sample = 1;
 static constexpr size_t seeders = 8;
 static constexpr Core::Duration transfer_stall { 1200 };
-static constexpr size_t uploads_at_once = 1;
-static constexpr size_t waiting_uploads = 2;
+static constexpr size_t uploads_at_once = 2;
+static constexpr size_t waiting_uploads = 1;
 static constexpr double bytes_per_megabit = 125000;
 // Requests and their answers share the link with the chunks.
 static constexpr double upload_part_of_link = 0.95;
@@ -45,6 +47,8 @@
     result.transfer.origin_fetches_in_flight = origin_fetches_in_flight;
     result.transfer.peer_fetches_while_seeding = peer_fetches_while_seeding;
     result.transfer.seeders = seeders;
+    result.transfer.longest_fault_wait = longest_fault_wait;
+    result.transfer.rarity_sample = rarity_sample;
     result.transfer.stall = transfer_stall;
     result.chunk_port = static_cast<uint16_t>(settings.chunk_port);
     return result;
@@ -162,8 +166,8 @@
     Schema::EngineState state {};
     state.version = copy.serving_version();
     state.pace = 1;
+    state.is_busy = copy.is_busy();
     if (auto const& report = copy.report()) {
-        state.is_busy = report->is_busy;
         state.running = report->running;
         state.waiting = report->waiting;
         state.pace = report->pace;
--- a/Tests/LibDistribution/TestStagedLoad.cpp
+++ b/Tests/LibDistribution/TestStagedLoad.cpp
@@ -104,7 +104,8 @@
 TEST(StagedLoad, NothingIsOrderedWhileChunksAreMissing)
 {
     StagedLoad load(2, 3, {});
-    load.on_report(report(1, false, 0), layers, Core::Time(0));
+    // An empty engine: one that serves is drained first.
+    load.on_report(report(0, false, 0), layers, Core::Time(0));
     load.on_held(0);
     load.on_held(2);
     std::optional<OrderLoad> order;
@@ -136,16 +137,16 @@
     StagedLoadSettings const settings;
     StagedLoad load(2, 1, settings);
     load.on_held(0);
-    load.on_report(report(1, false, 0), layers, Core::Time(0));
+    load.on_report(report(0, false, 0), layers, Core::Time(0));
     std::optional<OrderLoad> order;
     finish_calls(load, Core::Time(1), order);
     ASSERT_TRUE(order.has_value());
     load.on_ordered(Platform::OrderOutcome::Unknown, Core::Time(2));
     order.reset();
-    load.on_report(report(1, false, 0), layers, Core::Time(100));
+    load.on_report(report(0, false, 0), layers, Core::Time(100));
     finish_calls(load, Core::Time(101), order);
     EXPECT_FALSE(order.has_value());
-    load.on_report(report(1, false, 0), layers, Core::Time(2) + settings.order_patience);
+    load.on_report(report(0, false, 0), layers, Core::Time(2) + settings.order_patience);
     finish_calls(load, Core::Time(3) + settings.order_patience, order);
     EXPECT_TRUE(order.has_value());
 }
@@ -210,3 +211,76 @@
     EXPECT_EQ(from_origin, 1u);
     EXPECT_EQ(from_peers, 2u);
 }
+
+TEST(TransferDistance, AnOriginThatWasDownIsAskedAgainWithinTheLongestWait)
+{
+    // Found by scale-1 of both sites: the origin was back for ten seconds before anybody asked it.
+    TransferSettings settings;
+    settings.longest_fault_wait = Core::Duration(1000);
+    Transfer transfer(spec_of(1), "self", { "self" }, {}, settings, 1, Core::Time(0));
+    int64_t last_ask = 0;
+    int64_t longest_gap = 0;
+    for (int64_t now = 0; now < 20000; now += 10) {
+        for (auto const& action : transfer.step(Core::Time(now))) {
+            longest_gap = std::max(longest_gap, now - last_ask);
+            last_ask = now;
+            transfer.on_failed(std::get<Fetch>(action).id, FetchFailure::Unreachable, Core::Time(now));
+        }
+    }
+    EXPECT_LE(longest_gap, 1010);
+}
+
+TEST(StagedLoad, AnEngineThatServesIsTakenOutOnlyWhenItMayAndIsDrainedFirst)
+{
+    StagedLoadSettings const settings;
+    StagedLoad load(2, 1, settings);
+    load.on_held(0);
+    auto busy_engine = report(1, false, 0);
+    busy_engine.running = 9;
+    load.on_report(busy_engine, layers, Core::Time(0));
+    std::optional<OrderLoad> order;
+    auto run = [&](int64_t now, SwitchTerms terms) {
+        for (int round = 0; round < 10; ++round) {
+            for (auto const& action : load.step(Core::Time(now), terms)) {
+                if (auto const* stage = std::get_if<StageChunk>(&action))
+                    load.on_staged(stage->chunk, true);
+                else if (auto const* back = std::get_if<ReadBackChunk>(&action))
+                    load.on_read_back(back->chunk, true, Core::Time(now));
+                else if (auto const* due = std::get_if<OrderLoad>(&action))
+                    order = *due;
+            }
+        }
+    };
+    run(10, { .may_switch = false, .may_evict = true });
+    EXPECT_FALSE(load.is_switching());
+    run(20, { .may_switch = true, .may_evict = true });
+    EXPECT_TRUE(load.is_switching());
+    EXPECT_FALSE(order.has_value());
+    run(20 + settings.drain_patience.count() - 1, { .may_switch = true, .may_evict = true });
+    EXPECT_FALSE(order.has_value());
+    run(20 + settings.drain_patience.count(), { .may_switch = true, .may_evict = true });
+    ASSERT_TRUE(order.has_value());
+    EXPECT_EQ(order->manner, Platform::LoadManner::EvictRunning);
+}
+
+TEST(StagedLoad, WhatMayNotGoOnElsewhereIsNeverCut)
+{
+    StagedLoad load(2, 1, {});
+    load.on_held(0);
+    auto busy_engine = report(1, false, 0);
+    busy_engine.running = 9;
+    load.on_report(busy_engine, layers, Core::Time(0));
+    std::optional<OrderLoad> order;
+    for (int64_t now = 0; now < 5000; now += 50) {
+        for (auto const& action : load.step(Core::Time(now), { .may_switch = true, .may_evict = false })) {
+            if (auto const* stage = std::get_if<StageChunk>(&action))
+                load.on_staged(stage->chunk, true);
+            else if (auto const* back = std::get_if<ReadBackChunk>(&action))
+                load.on_read_back(back->chunk, true, Core::Time(now));
+            else if (auto const* due = std::get_if<OrderLoad>(&action))
+                order = *due;
+        }
+    }
+    ASSERT_TRUE(order.has_value());
+    EXPECT_EQ(order->manner, Platform::LoadManner::WaitForRunning);
+}
