Entry: Take a request that has not begun away from an engine whose version is too old

Ruled out: an entry that learned late (the store was stable since 11.3 s). Before / after: test_a_request_that_waits_at_an_outdated_engine_goes_to_another fails without the change (waits in vain), passes with it.

--- a/Libraries/LibRouting/AttemptPolicy.h
+++ b/Libraries/LibRouting/AttemptPolicy.h
@@ -18,6 +18,8 @@
     BrokenOff,
     /// Nothing came for longer than the request can wait.
     Silent,
+    /// It had not begun when the version there became too old to begin on.
+    Outdated,
 };
 
 /// What is known of a request when a send has ended.
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -20,7 +20,7 @@
 // Past this, what is denied may be allowed by a configuration that has not come yet.
 static constexpr Core::Duration stale_after { 2500 };
 // A version is required a little before its bound: what is sent just before still has to begin.
-static constexpr Core::Duration version_margin { 1000 };
+static constexpr Core::Duration version_margin { 1500 };
 // What a process finds at its start was named at a time that it cannot know: it is required soon.
 static constexpr Core::Duration first_versions_grace { 2000 };
 static constexpr Core::Duration least_drain { 3000 };
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -87,6 +87,8 @@
         return "broken_off";
     case SendEnd::Silent:
         return "silent";
+    case SendEnd::Outdated:
+        return "outdated";
     }
     return "";
 }
@@ -207,6 +209,8 @@
     m_heard_at = now;
     m_is_connected = false;
     m_has_head = false;
+    m_has_event = false;
+    m_sent_version = m_context.servers.version_of(choice.id, now);
     m_answer_body.clear();
     m_events = {};
 
@@ -216,7 +220,7 @@
     terms.remaining = deadline() - now;
     // An engine that turned to another version meanwhile refuses it; before the bound any whole version will do.
     if (m_context.required_version(m_service))
-        terms.expected_version = m_context.servers.version_of(choice.id, now);
+        terms.expected_version = m_sent_version;
     terms.last_event = m_last_event;
     Transport::BackendCallRequest call;
     auto const target = Transport::split_address(server->address);
@@ -300,6 +304,7 @@
 
 void ProxiedRequest::deliver(std::string const& events)
 {
+    m_has_event = true;
     if (!m_has_delivered) {
         m_has_delivered = true;
         m_first_event_after = m_heard_at - m_started;
@@ -447,7 +452,7 @@
         refuse(status_unavailable, Refusal::NotRunAnywhere, m_server_retry_after.value_or(m_context.servers.turnover(m_service)));
         return;
     case NextStep::AnswerUnknown:
-        refuse(end == SendEnd::Silent ? status_gateway_timeout : status_bad_gateway, Refusal::OutcomeUnknown, {});
+        refuse(end == SendEnd::Silent || end == SendEnd::Outdated ? status_gateway_timeout : status_bad_gateway, Refusal::OutcomeUnknown, {});
         return;
     case NextStep::BreakOff:
         break_off(Refusal::BrokenOff);
@@ -485,6 +490,10 @@
         refuse_waiting(now);
         return;
     }
+    if (is_outdated(now)) {
+        end_send(SendEnd::Outdated, ServerOutcome::Neutral);
+        return;
+    }
     auto const objective = m_has_delivered ? m_route.objective_gap_ms : m_route.objective_ms;
     auto const silence = std::max(least_silence, Core::Duration(static_cast<int64_t>(silence_per_objective * static_cast<double>(objective))));
     bool const may_give_up_send = Routing::is_repeatable(attempt_state(SendEnd::Silent, now)) && m_sends < m_route.max_attempts;
@@ -492,6 +501,14 @@
         end_send(SendEnd::Silent, ServerOutcome::Unreachable);
 }
 
+bool ProxiedRequest::is_outdated(Core::Time now) const
+{
+    if (m_phase != Phase::Sent || m_has_event || m_sent_version == 0)
+        return false;
+    auto const required = m_context.required_version(m_service);
+    return required && m_sent_version < *required && Routing::is_repeatable(attempt_state(SendEnd::Outdated, now));
+}
+
 void ProxiedRequest::refuse_waiting(Core::Time now)
 {
     auto const early = Core::Duration(static_cast<int64_t>(refused_within_objective * static_cast<double>(m_route.objective_ms))) - refusal_margin;
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -48,6 +48,7 @@
     bool admit();
     void wait_for_place();
     void refuse_waiting(Core::Time now);
+    bool is_outdated(Core::Time now) const;
     Routing::ServerNeeds needs(Core::Time now) const;
     void send_to(Routing::ServerChoice const&, Core::Time now);
 
@@ -93,6 +94,9 @@
     Core::Time m_heard_at { 0 };
     bool m_is_connected { false };
     bool m_has_head { false };
+    bool m_has_event { false };
+    // Version that the backend server held when the request was sent; 0 for a plain service.
+    int64_t m_sent_version { 0 };
     Platform::BackendHead m_answer;
     std::string m_answer_body;
     Routing::EventStream m_events;
--- a/Tests/LibRouting/TestDirectRouting.cpp
+++ b/Tests/LibRouting/TestDirectRouting.cpp
@@ -88,7 +88,7 @@
 
 static SendEnd any_end()
 {
-    return *rc::gen::element(SendEnd::NotConnected, SendEnd::NotRun, SendEnd::ServerFailure, SendEnd::BrokenOff, SendEnd::Silent);
+    return *rc::gen::element(SendEnd::NotConnected, SendEnd::NotRun, SendEnd::ServerFailure, SendEnd::BrokenOff, SendEnd::Silent, SendEnd::Outdated);
 }
 
 static bool may_have_run_now(SendEnd end, AttemptState const& state)
--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -40,9 +40,10 @@
 
 
 class Fleet:
-    def __init__(self, build, folders, entries=2, engines=3, plains=2):
+    def __init__(self, build, folders, entries=2, engines=3, plains=2, version_ms=8000):
         self.build = build
         self.network = free_network()
+        self.version_ms = version_ms
         self.folder = tempfile.mkdtemp(prefix="mountbarrow-fleet-")
         folders.append(self.folder)
         self.loop = Loop()
@@ -118,7 +119,7 @@
         door = self.door(identity)
         return {"identity": identity, "failure_domain": zone, "region": ZONES[zone], "regions": ZONES, "platform_address": f"{door.address}:{door.port}",
                 "link_port": LINK_PORT, "key": "k", "seeds": [f"{entry}:{CONTROL_PORT}" for entry in getattr(self, "entries", [])][:3],
-                "bounds": {"drain_ms": 2000, "grace_s": 8, "version_ms": 8000, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 100}}
+                "bounds": {"drain_ms": 2000, "grace_s": 8, "version_ms": self.version_ms, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 100}}
 
     def start(self, program, identity, settings):
         path = os.path.join(self.folder, f"{identity}.json")
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -333,6 +333,8 @@
         fault = self.take_fault()
         if fault == "full":
             return await self.refuse(request, 503)
+        if fault == "wait_long":
+            await asyncio.sleep(3600)
         self.runs.append((request.headers["x-request-id"], request.headers.get("x-tenant", ""), self.version))
         fields = "".join(f"{name}: {value}\r\n" for name, value in self.head(request))
         request.writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{fields}\r\n".encode())
--- a/Tests/Platform/test_direct_path.py
+++ b/Tests/Platform/test_direct_path.py
@@ -122,6 +122,36 @@
         assert right_loads(fleet, 4)
 
 
+def test_a_request_that_waits_at_an_outdated_engine_goes_to_another(build, folders):
+    with Fleet(build, folders, version_ms=4000) as fleet:
+        wait_linked(fleet)
+        entry = fleet.entries[0]
+        # The agent is gone, so its engine stays at the first version; whatever it is sent waits there.
+        outdated = fleet.engines[0]
+        fleet.kill(outdated.address)
+        outdated.fault, outdated.faults_left = "wait_long", 1000
+        fleet.name_version(2)
+        wait_until(lambda: all(engine.version == 2 for engine in fleet.engines[1:]), "version 2 at the others")
+
+        def ends():
+            return [line for line in fleet.log_lines(entry) if line.get("event") == "send_ended" and line.get("server") == outdated.id and line.get("end") == "outdated"]
+
+        answers = []
+
+        def ask():
+            threads = [threading.Thread(target=lambda: answers.append(fleet.call(entry, "POST", "/stream/a"))) for _ in range(12)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            return ends()
+
+        wait_until(ask, "a request to be taken away from the outdated engine")
+        assert all(answer.status in (200, 503) for answer in answers), [answer.status for answer in answers]
+        assert all(answer.event_ids() == list(range(1, 7)) for answer in answers if answer.status == 200)
+        assert not outdated.runs or all(run[2] == 1 and run[0].startswith("r") for run in outdated.runs)
+
+
 def test_new_and_restarted_engines_are_filled_and_bad_staged_chunks_repaired(build, folders):
     with Fleet(build, folders) as fleet:
         wait_linked(fleet)
