--- a/Tests/Platform/test_direct_path.py
+++ b/Tests/Platform/test_direct_path.py
@@ -2,6 +2,7 @@
 """The whole path on the users' protocol, as real processes against the stand-ins."""
 
 import threading
+import time
 
 from fleet import CHUNKS, KEY, CUSTOMER, LLM, Fleet, Origin, wait_until
 from stand_ins import Engine  # noqa: F401
@@ -123,9 +124,11 @@
 
 
 def test_a_request_that_waits_at_an_outdated_engine_goes_to_another(build, folders):
-    with Fleet(build, folders, version_ms=4000) as fleet:
+    with Fleet(build, folders, version_ms=7000) as fleet:
         wait_linked(fleet)
         entry = fleet.entries[0]
+        # What is named right after an entry's start counts as named before it, and is required at once.
+        time.sleep(3)
         # The agent is gone, so its engine stays at the first version; whatever it is sent waits there.
         outdated = fleet.engines[0]
         fleet.kill(outdated.address)
@@ -139,11 +142,10 @@
         answers = []
 
         def ask():
-            threads = [threading.Thread(target=lambda: answers.append(fleet.call(entry, "POST", "/stream/a"))) for _ in range(12)]
-            for thread in threads:
-                thread.start()
-            for thread in threads:
-                thread.join()
+            # The others have no room at first, so that what is left is the outdated one.
+            for engine in fleet.engines[1:]:
+                engine.fault, engine.faults_left = "full", 1
+            answers.append(fleet.call(entry, "POST", "/stream/a"))
             return ends()
 
         wait_until(ask, "a request to be taken away from the outdated engine")
