--- a/Utilities/mountbarrow/Client.h
+++ b/Utilities/mountbarrow/Client.h
@@ -9,7 +9,7 @@
 
 namespace CommandLine {
 
-/// What the program ends with; documented in docs/OPERATING.md.
+/// What the program ends with; documented in docs/OPERATIONS.md.
 enum class ExitCode {
     Ok = 0,
     BadUsage = 1,
