Entry, Agent: Remove what nothing calls, and say once when to come back

Found by reading the diff as a newcomer: two unused methods of ServerTable, an unused argument, a bound on the queue that its own limit already keeps, numbers without names. Behaviour stays as it is.

--- a/Libraries/LibRouting/EngineOwners.cpp
+++ b/Libraries/LibRouting/EngineOwners.cpp
@@ -41,6 +41,7 @@
     for (auto const& entry : entries)
         total += std::max(least_demand, entry.demand);
     std::vector<Share> shares;
+    shares.reserve(entries.size());
     for (auto const& entry : entries)
         shares.push_back({ &entry, std::max(least_demand, entry.demand) / total * static_cast<double>(engines.size()) });
     // Near engines first, to entries that lack more than half of one; what is left goes to whoever lacks most.
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -305,17 +305,4 @@
     return report && report->state.is_busy;
 }
 
-size_t ServerTable::usable_count(std::string const& service, std::optional<int64_t> version, Core::Time now) const
-{
-    return static_cast<size_t>(std::count_if(m_servers.begin(), m_servers.end(), [&](auto const& entry) {
-        return entry.second.entry.service == service && is_usable(entry.second, version, now);
-    }));
-}
-
-size_t ServerTable::own_in_flight(std::string const& id) const
-{
-    auto const found = m_servers.find(id);
-    return found == m_servers.end() ? 0 : found->second.pending.size();
-}
-
 }
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -98,9 +98,6 @@
     int64_t version_of(std::string const& id, Core::Time now) const;
     /// An order is before the engine, or about to be: what it breaks off is no fault of its own.
     bool is_switching(std::string const& id, Core::Time now) const;
-    /// How many servers of a service could serve a version now.
-    size_t usable_count(std::string const& service, std::optional<int64_t> version, Core::Time now) const;
-    size_t own_in_flight(std::string const& id) const;
 
     /// Mean time between places that become free at one server of a service, when it is full.
     Core::Duration turnover(std::string const& service) const;
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -31,9 +31,10 @@
 static constexpr Core::Duration least_silence { 900 };
 static constexpr double silence_per_objective = 2.5;
 static constexpr Core::Duration retry_when_unready { 300 };
+static constexpr Core::Duration least_retry_after { 200 };
+static constexpr Core::Duration longest_retry_after { 1500 };
 static constexpr size_t most_unread_bytes = size_t { 1 } << 20;
 static constexpr size_t most_buffered_answer = size_t { 8 } << 20;
-static constexpr size_t queue_limit_per_place = 1;
 
 char const* refusal_name(Refusal refusal)
 {
@@ -386,7 +387,7 @@
         end_send(SendEnd::BrokenOff, m_context.servers.is_switching(m_server, Core::monotonic_now()) ? ServerOutcome::Neutral : ServerOutcome::Failure);
 }
 
-Routing::AttemptState ProxiedRequest::attempt_state(SendEnd, Core::Time now) const
+Routing::AttemptState ProxiedRequest::attempt_state(Core::Time now) const
 {
     Routing::AttemptState state;
     state.kind = m_route.kind;
@@ -415,7 +416,7 @@
         if (end == SendEnd::NotRun)
             m_sends -= 1;
     }
-    auto const step = Routing::next_step(end, attempt_state(end, now));
+    auto const step = Routing::next_step(end, attempt_state(now));
     if (!is_miss)
         m_may_have_run = true;
     m_context.metrics.count("mountbarrow_sends_ended_total", std::string("reason=\"") + send_end_name(end) + "\"");
@@ -440,7 +441,7 @@
         else if (m_may_have_run)
             refuse(status_bad_gateway, Refusal::OutcomeUnknown, {});
         else
-            refuse(status_unavailable, Refusal::NotRunAnywhere, m_server_retry_after.value_or(m_context.servers.turnover(m_service)));
+            refuse_not_run();
         return;
     case NextStep::PassFailure:
         if (promises_not_run(m_answer.status))
@@ -449,7 +450,7 @@
             pass_whole_answer();
         return;
     case NextStep::RefuseNotRun:
-        refuse(status_unavailable, Refusal::NotRunAnywhere, m_server_retry_after.value_or(m_context.servers.turnover(m_service)));
+        refuse_not_run();
         return;
     case NextStep::AnswerUnknown:
         refuse(end == SendEnd::Silent || end == SendEnd::Outdated ? status_gateway_timeout : status_bad_gateway, Refusal::OutcomeUnknown, {});
@@ -460,6 +461,11 @@
     }
 }
 
+void ProxiedRequest::refuse_not_run()
+{
+    refuse(status_unavailable, Refusal::NotRunAnywhere, m_server_retry_after.value_or(m_context.servers.turnover(m_service)));
+}
+
 void ProxiedRequest::send_again()
 {
     m_phase = Phase::Waiting;
@@ -496,7 +502,7 @@
     }
     auto const objective = m_has_delivered ? m_route.objective_gap_ms : m_route.objective_ms;
     auto const silence = std::max(least_silence, Core::Duration(static_cast<int64_t>(silence_per_objective * static_cast<double>(objective))));
-    bool const may_give_up_send = Routing::is_repeatable(attempt_state(SendEnd::Silent, now)) && m_sends < m_route.max_attempts;
+    bool const may_give_up_send = Routing::is_repeatable(attempt_state(now)) && m_sends < m_route.max_attempts;
     if (m_phase == Phase::Sent && m_is_connected && may_give_up_send && now - m_heard_at >= silence)
         end_send(SendEnd::Silent, ServerOutcome::Unreachable);
 }
@@ -506,7 +512,7 @@
     if (m_phase != Phase::Sent || m_has_event || m_sent_version == 0)
         return false;
     auto const required = m_context.required_version(m_service);
-    return required && m_sent_version < *required && Routing::is_repeatable(attempt_state(SendEnd::Outdated, now));
+    return required && m_sent_version < *required && Routing::is_repeatable(attempt_state(now));
 }
 
 void ProxiedRequest::refuse_waiting(Core::Time now)
@@ -517,7 +523,7 @@
     bool const has_run = m_may_have_run || m_has_delivered;
     auto const limit = has_run ? m_waiting_since + 2 * patience : std::max(m_started + patience, m_waiting_since + least_wait);
     auto& queue = m_context.queue(m_service);
-    if (now < limit && queue.size() <= queue_limit_per_place * 256)
+    if (now < limit)
         return;
     queue.remove(m_number);
     if (m_has_delivered) {
@@ -529,7 +535,7 @@
         return;
     }
     auto const wait = m_context.servers.turnover(m_service) * static_cast<int64_t>(1 + queue.size());
-    refuse(status_unavailable, Refusal::NoPlace, std::clamp(wait, Core::Duration(200), Core::Duration(1500)));
+    refuse(status_unavailable, Refusal::NoPlace, std::clamp(wait, least_retry_after, longest_retry_after));
 }
 
 void ProxiedRequest::refuse(int status, Refusal refusal, std::optional<Core::Duration> retry_after)
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -63,8 +63,9 @@
     void on_failure_status();
 
     void end_send(Routing::SendEnd, Routing::ServerOutcome);
-    Routing::AttemptState attempt_state(Routing::SendEnd, Core::Time now) const;
+    Routing::AttemptState attempt_state(Core::Time now) const;
     void take_step(Routing::NextStep, Routing::SendEnd);
+    void refuse_not_run();
     void send_again();
 
     void refuse(int status, Refusal, std::optional<Core::Duration> retry_after);
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -478,16 +478,16 @@
     // Only one version lies beside the engine: the newer one waits here until the older one is taken.
     if (m_older) {
         for (auto const& action : m_older->load->step(now, { may_switch(m_older->goal, m_older->goal_at, now), m_older->goal.may_evict }))
-            perform(action, m_older->goal.version, now);
+            perform(action, m_older->goal.version);
         return;
     }
     if (!m_load || m_adopting > 0)
         return;
     for (auto const& action : m_load->step(now, { may_switch(*m_goal, m_goal_at, now), m_goal->may_evict }))
-        perform(action, m_goal->version, now);
+        perform(action, m_goal->version);
 }
 
-void CopyKeeper::perform(Distribution::LoadAction const& action, int64_t version, Core::Time)
+void CopyKeeper::perform(Distribution::LoadAction const& action, int64_t version)
 {
     if (auto const* stage_chunk = std::get_if<Distribution::StageChunk>(&action))
         stage(version, stage_chunk->chunk);
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -102,7 +102,7 @@
     void on_fetch_failed(uint64_t fetch, Distribution::FetchFailure);
     void hold_chunk(size_t chunk);
     void run_load(Core::Time now);
-    void perform(Distribution::LoadAction const&, int64_t version, Core::Time now);
+    void perform(Distribution::LoadAction const&, int64_t version);
     void stage(int64_t version, size_t chunk);
     void read_back(int64_t version, size_t chunk);
     void order(int64_t version, Distribution::OrderLoad const&);
