Lint: Mend what clang-tidy found in the new path

Behaviour stays as it is, but for a caller whose body never ends: it is given the head's or the idle time as before, by one rule.

--- a/Libraries/LibTransport/IngressServer.cpp
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -239,8 +239,12 @@
     if (m_server && m_server->is_ending())
         m_closes = true;
     std::string head = "HTTP/1.1 " + std::to_string(status) + ' ' + reason_phrase(status) + "\r\n";
-    for (auto const& [name, value] : headers)
-        head += name + ": " + value + "\r\n";
+    for (auto const& [name, value] : headers) {
+        head += name;
+        head += ": ";
+        head += value;
+        head += "\r\n";
+    }
     bool const has_body = status != status_no_content && status != status_not_modified;
     if (is_chunked)
         head += "Transfer-Encoding: chunked\r\n";
@@ -330,9 +334,8 @@
             drop();
         return;
     }
-    if (m_reader.has_partial_head() && quiet >= limits.head_timeout)
-        refuse(IngressFault::HeadTimeout);
-    else if (quiet >= limits.idle_timeout)
+    auto const patience = m_reader.has_partial_head() ? limits.head_timeout : limits.idle_timeout;
+    if (quiet >= patience)
         refuse(IngressFault::HeadTimeout);
 }
 
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -110,7 +110,6 @@
     bool m_has_delivered { false };
     std::optional<int64_t> m_last_event;
     std::optional<Core::Duration> m_server_retry_after;
-    bool m_wants_resume { false };
     Core::Time m_waiting_since { 0 };
     std::optional<Core::Duration> m_first_event_after;
 };
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -564,7 +564,7 @@
 {
     if (std::exchange(m_is_polling, true))
         return;
-    m_engine.read_report([this](Core::ErrorOr<Platform::EngineReport> report) {
+    m_engine.read_report([this](Core::ErrorOr<Platform::EngineReport> const& report) {
         m_is_polling = false;
         on_report(report);
     });
--- a/Tests/LibRouting/TestEngineOwners.cpp
+++ b/Tests/LibRouting/TestEngineOwners.cpp
@@ -11,6 +11,7 @@
 {
     std::vector<SharingEntry> entries;
     auto const count = *rc::gen::inRange(1, 8);
+    entries.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i)
         entries.push_back({ "entry-" + std::to_string(i), "domain-" + std::to_string(*rc::gen::inRange(0, 3)), static_cast<double>(*rc::gen::inRange(0, 100)) });
     return entries;
@@ -20,6 +21,7 @@
 {
     std::vector<SharedEngine> engines;
     auto const count = *rc::gen::inRange(0, 40);
+    engines.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i)
         engines.push_back({ "engine-" + std::to_string(i), "domain-" + std::to_string(*rc::gen::inRange(0, 3)) });
     return engines;
--- a/Tests/LibTransport/LoopTest.h
+++ b/Tests/LibTransport/LoopTest.h
@@ -38,7 +38,7 @@
         : m_socket(socket(AF_INET, SOCK_STREAM, 0))
     {
         auto target = Transport::socket_address("127.0.0.1", port);
-        connect(m_socket, reinterpret_cast<sockaddr const*>(&target), sizeof(target));
+        EXPECT_EQ(connect(m_socket, reinterpret_cast<sockaddr const*>(&target), sizeof(target)), 0);
     }
 
     ~RawClient() { close_now(); }
--- a/Tests/LibTransport/TestIngressServer.cpp
+++ b/Tests/LibTransport/TestIngressServer.cpp
@@ -8,7 +8,7 @@
 protected:
     void SetUp() override
     {
-        auto handler = [this](std::shared_ptr<IngressRequest> request) {
+        auto handler = [this](std::shared_ptr<IngressRequest> const& request) {
             m_requests.push_back(request);
             if (m_on_request)
                 m_on_request(*request);
