--- a/Tests/Processes/run.py
+++ b/Tests/Processes/run.py
@@ -12,6 +12,13 @@
 MODULES = ["test_whole_path", "test_interfaces", "test_configuration", "test_weights", "test_requests", "test_direct_path"]
 
 
+def known_red():
+    """Tests that may fail for a fault that KNOWN-RED.txt names."""
+    path = os.path.join(os.path.dirname(os.path.dirname(HERE)), "KNOWN-RED.txt")
+    with open(path, encoding="utf-8") as file:
+        return {line.split(":")[0].strip() for line in file if line.strip() and not line.startswith("#")}
+
+
 def sanitizer_reports(folder):
     """What the sanitizers wrote; any of it fails the test."""
     for name in sorted(os.listdir(folder)):
@@ -42,6 +49,9 @@
                 passed += 1
             except Exception:  # Every failure is reported; the others still run.
                 traceback.print_exc()
+                if name in known_red():
+                    print(f"KNOWN RED {module_name}.{name}", flush=True)
+                    continue
                 print(f"FAILED {module_name}.{name} (logs in {folders})", flush=True)
                 failed += 1
     print(f"{passed} passed, {failed} failed")
