Entry: Offer places to all who wait at each tick, instead of remembering whose services may have some

Cause of the known red test, found by reading the change: a server that was full is left alone for 60 ms, and nothing offered the queue again when that time was over, until the next report of an agent, up to a second later. What waited was refused meanwhile, or got 502 after it may have run. Change: the set of services with places, its callback and its four callers go; each tick offers every queue that is not empty.

--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -75,7 +75,6 @@
         .is_stale = [this] { return is_stale(); },
         .required_version = [this](std::string const& service) { return required_version(service); },
         .queue = [this](std::string const& service) -> Routing::RequestQueue& { return m_queues.try_emplace(service, queue_limit).first->second; },
-        .place_freed = [this](std::string const& service) { m_services_with_places.insert(service); },
         .asked = [this](std::string const& service) { m_asked[service] += 1; },
         .over = [this](uint64_t number) { m_loop.soon([this, number] { m_requests.erase(number); }); } }
     , m_started(Core::monotonic_now())
@@ -172,10 +171,6 @@
     m_last_heard[from.identity] = now;
     if (message.engine_state) {
         m_servers.on_engine_state(from.identity, *message.engine_state, now);
-        for (auto const& [service, queue] : m_queues) {
-            if (queue.size() > 0)
-                m_services_with_places.insert(service);
-        }
     } else if (message.entry_load) {
         m_loads[from.identity] = *message.entry_load;
     } else if (message.directory) {
@@ -353,8 +348,6 @@
     if (!changes.servers.empty() || changes.has_configuration)
         update_links();
     send_goals();
-    for (auto const& [service, queue] : m_queues)
-        m_services_with_places.insert(service);
 }
 
 void DirectEntry::on_configuration()
@@ -477,23 +470,23 @@
     request->begin();
 }
 
-void DirectEntry::offer_places(std::string const& service)
+void DirectEntry::offer_places()
 {
-    auto const queue = m_queues.find(service);
-    if (queue == m_queues.end() || queue->second.size() == 0)
-        return;
-    queue->second.offer([this](uint64_t number) {
-        auto const found = m_requests.find(number);
-        return found == m_requests.end() || found->second->try_send();
-    });
+    // A place becomes free by an answer, a report, a new server, or by time alone.
+    for (auto& [service, queue] : m_queues) {
+        if (queue.size() == 0)
+            continue;
+        queue.offer([this](uint64_t number) {
+            auto const found = m_requests.find(number);
+            return found == m_requests.end() || found->second->try_send();
+        });
+    }
 }
 
 void DirectEntry::tick()
 {
     auto const now = Core::monotonic_now();
-    auto const services = std::exchange(m_services_with_places, {});
-    for (auto const& service : services)
-        offer_places(service);
+    offer_places();
     std::vector<std::shared_ptr<ProxiedRequest>> requests;
     requests.reserve(m_requests.size());
     for (auto const& [number, request] : m_requests)
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -62,7 +62,7 @@
     bool is_ready() const;
 
     void on_request(std::shared_ptr<Transport::IngressRequest>);
-    void offer_places(std::string const& service);
+    void offer_places();
     void tick();
     void finish_drain();
     void reply_metrics(Transport::HttpExchange&);
@@ -92,7 +92,6 @@
     RequestContext m_context;
     std::map<std::string, Routing::RequestQueue> m_queues;
     std::map<uint64_t, std::shared_ptr<ProxiedRequest>> m_requests;
-    std::set<std::string> m_services_with_places;
     uint64_t m_next_request { 1 };
 
     std::unique_ptr<Transport::IngressServer> m_callers;
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -423,7 +423,6 @@
     Core::log_event(Core::LogLevel::Info, "send_ended",
         { { "request", m_head.request_id }, { "server", m_server }, { "end", send_end_name(end) }, { "status", std::to_string(m_has_head ? m_answer.status : 0) }, { "after_ms", milliseconds(now - m_sent_at) }, { "next", std::to_string(static_cast<int>(step)) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
     take_step(step, end);
-    m_context.place_freed(m_service);
 }
 
 void ProxiedRequest::take_step(NextStep step, SendEnd end)
@@ -484,7 +483,6 @@
         if (m_phase == Phase::Sent) {
             m_call.reset();
             m_context.servers.on_ended(m_server, m_head.request_id, ServerOutcome::Neutral, now);
-            m_context.place_freed(m_service);
         }
         if (m_has_delivered)
             break_off(Refusal::DeadlinePassed);
@@ -580,7 +578,6 @@
     m_phase = Phase::Over;
     if (was_sent) {
         m_context.servers.on_ended(m_server, m_head.request_id, ServerOutcome::Neutral, now);
-        m_context.place_freed(m_service);
     }
     m_context.metrics.count("mountbarrow_requests_total", std::string("end=\"") + refusal_name(refusal) + "\"");
     m_context.metrics.observe_ms("mountbarrow_request_ms", static_cast<double>((now - m_started).count()));
--- a/Services/DirectEntry/RequestContext.h
+++ b/Services/DirectEntry/RequestContext.h
@@ -53,8 +53,6 @@
     std::function<std::optional<int64_t>(std::string const& service)> required_version;
     /// The queue of a service.
     std::function<Routing::RequestQueue&(std::string const& service)> queue;
-    /// A place became free at some backend server of the service.
-    std::function<void(std::string const& service)> place_freed;
     /// A caller asked for something of the service.
     std::function<void(std::string const& service)> asked;
     std::function<void(uint64_t number)> over;
