LibTransport: Refuse a message whose length is past all memory, instead of ending the process

Cause: nlohmann throws out_of_range for an array or map with a length past all memory, also when it is told not to throw; nothing caught it, so nine bytes on a link ended a process. Ruled out: the websocket layer (the bytes reach the decoder whole). Change: what the library throws becomes a discarded value where the library is called. Before / after: ALengthPastAllMemoryIsRefusedAndNotThrown fails with the library's exception before; passes after.

--- a/Libraries/LibTransport/MessageCodec.cpp
+++ b/Libraries/LibTransport/MessageCodec.cpp
@@ -14,9 +14,19 @@
     return bytes;
 }
 
+/// CBOR as a value; discarded if it is none. A length past all memory is thrown by the library, whatever it was told.
+static nlohmann::json value_of(std::string_view bytes)
+{
+    try {
+        return nlohmann::json::from_cbor(bytes, true, false);
+    } catch (std::exception const&) {
+        return nlohmann::json(nlohmann::json::value_t::discarded);
+    }
+}
+
 Core::ErrorOr<Schema::Message> decode_message(std::string_view bytes)
 {
-    auto value = nlohmann::json::from_cbor(bytes, true, false);
+    auto value = value_of(bytes);
     if (value.is_discarded() || !value.is_object())
         return Core::failure(Core::ErrorCode::MalformedMessage, "not a CBOR map");
     if (value.size() != 1)
--- a/Tests/LibTransport/TestDecoders.cpp
+++ b/Tests/LibTransport/TestDecoders.cpp
@@ -29,6 +29,19 @@
     RC_ASSERT(!decoded.has_value() || bytes.size() > 2);
 }
 
+TEST(MessageCodec, ALengthPastAllMemoryIsRefusedAndNotThrown)
+{
+    // An array, then a map, of 0x6161616161616161 elements.
+    for (std::string_view const bytes : { "\x9B"
+                                          "aaaaaaaa",
+             "\xBB"
+             "aaaaaaaa" }) {
+        auto const decoded = decode_message(bytes);
+        ASSERT_FALSE(decoded.has_value());
+        EXPECT_EQ(decoded.error().code, Core::ErrorCode::MalformedMessage);
+    }
+}
+
 RC_GTEST_PROP(MessageCodec, NoChangedByteOfARealMessageCrashesTheDecoder, (uint64_t seed))
 {
     Schema::Message message;
