LibRouting: Use an engine that has yet to reach the newest version only on its agent's word

Cause: once an agent had been silent for 2.5 s, its engine was chosen again by what the list says, which is the old version. Change: while a newer version is named, an engine without a fresh report of its agent is not used. Before / after: AnEngineThatHasYetToReachTheNewestVersionIsUsedOnlyOnItsAgentsWord passes; without the change its second choice is an engine.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -91,7 +91,7 @@
     return found == m_servers.end() ? 0 : version_of(found->second, now);
 }
 
-bool ServerTable::is_usable(Server const& server, std::optional<int64_t> required_version, Core::Time now) const
+bool ServerTable::is_usable(Server const& server, ServerNeeds const& needs, Core::Time now) const
 {
     if (server.entry.is_draining || now < server.suspended_until)
         return false;
@@ -102,7 +102,10 @@
     if (report && report->state.is_busy)
         return false;
     auto const version = version_of(server, now);
-    return version > 0 && (!required_version || version >= *required_version);
+    // What is sent to one that has fallen silent may begin when it wakes, long after its version had to be gone.
+    if (!report && version < needs.newest_version)
+        return false;
+    return version > 0 && (!needs.required_version || version >= *needs.required_version);
 }
 
 int64_t ServerTable::others_in_flight(Server const& server, Core::Time now) const
@@ -229,7 +232,7 @@
     for (auto const& [id, server] : m_servers) {
         if (server.entry.service != needs.service || needs.excluded.contains(id))
             continue;
-        if (!is_usable(server, needs.required_version, now))
+        if (!is_usable(server, needs, now))
             continue;
         if (!has_room(server, now)) {
             saw_full = true;
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -18,6 +18,9 @@
     std::string service;
     /// The oldest version that the engine may serve; nothing while any whole version will do.
     std::optional<int64_t> required_version;
+    /// The newest version that is named of the model; 0 if none is. While an engine has yet to reach it, only its agent
+    /// knows whether it is about to load, or is still there.
+    int64_t newest_version { 0 };
     int64_t prompt_tokens { 0 };
     /// Incarnations that were tried already.
     std::set<std::string> excluded;
@@ -128,7 +131,7 @@
     Reported const* reported(Server const&, Core::Time now) const;
     Schema::EngineTiming const* timing(std::string const& service) const;
     int64_t version_of(Server const&, Core::Time now) const;
-    bool is_usable(Server const&, std::optional<int64_t> required_version, Core::Time now) const;
+    bool is_usable(Server const&, ServerNeeds const&, Core::Time now) const;
     int64_t others_in_flight(Server const&, Core::Time now) const;
     int64_t room(Server const&, Core::Time now) const;
     bool has_room(Server const&, Core::Time now) const;
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -184,6 +184,7 @@
     Routing::ServerNeeds needs;
     needs.service = m_service;
     needs.required_version = m_context.required_version(m_service);
+    needs.newest_version = m_context.newest_version(m_service);
     needs.prompt_tokens = m_head.prompt_tokens;
     needs.excluded = m_tried;
     return needs;
--- a/Services/DirectEntry/RequestContext.h
+++ b/Services/DirectEntry/RequestContext.h
@@ -51,6 +51,8 @@
     std::function<bool()> is_stale;
     /// The version that an engine of the service must serve by now, if any.
     std::function<std::optional<int64_t>(std::string const& service)> required_version;
+    /// The newest version that is named of the model of a service; 0 if none is.
+    std::function<int64_t(std::string const& service)> newest_version;
     /// The queue of a service.
     std::function<Routing::RequestQueue&(std::string const& service)> queue;
     /// A caller asked for something of the service.
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -42,7 +42,7 @@
 
     tl::expected<ServerChoice, NoServer> choose(std::optional<int64_t> version = {}, std::set<std::string> excluded = {})
     {
-        return m_table.choose({ .service = "llm", .required_version = version, .prompt_tokens = 900, .excluded = std::move(excluded) }, m_now);
+        return m_table.choose({ .service = "llm", .required_version = version, .newest_version = 0, .prompt_tokens = 900, .excluded = std::move(excluded) }, m_now);
     }
 
     ServerTable m_table;
@@ -151,3 +151,25 @@
         EXPECT_EQ(choose()->id, "2");
     EXPECT_EQ(choose({}, { "2" })->id, "1");
 }
+
+TEST_F(ServerTableTest, AnEngineThatHasYetToReachTheNewestVersionIsUsedOnlyOnItsAgentsWord)
+{
+    m_table.set_server(engine("1", "a", 1), m_now);
+    ServerNeeds needs { .service = "llm", .required_version = {}, .newest_version = 1, .prompt_tokens = 900, .excluded = {} };
+    EXPECT_TRUE(m_table.choose(needs, m_now).has_value());
+    needs.newest_version = 2;
+    EXPECT_FALSE(m_table.choose(needs, m_now).has_value());
+
+    Schema::EngineState state {};
+    state.version = 1;
+    state.pace = 1;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    EXPECT_TRUE(m_table.choose(needs, m_now).has_value());
+
+    // The agent froze with its engine: what the list says of it is no reason to send it anything.
+    m_now += Core::Duration(5000);
+    EXPECT_FALSE(m_table.choose(needs, m_now).has_value());
+
+    m_table.set_server(engine("1", "a", 2), m_now);
+    EXPECT_TRUE(m_table.choose(needs, m_now).has_value());
+}
