LibPlatform: Call the platform's log less often, at rest and while it turns calls away

Change: a read of the configuration waits 3 s instead of 1 s; the list is read as often as the bound on draining wants (700 ms of it are left for the way), not each 0.8 s; tries that fail come after 150, 300 and then each 600 ms. Conclusion: peers are still asked at each failed try.

--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -5,6 +5,8 @@
 
 namespace Platform {
 
+static constexpr int most_retry_doublings = 8;
+
 FactFollower::FactFollower(Core::EventLoop& loop, FactLog& log, Configuration::FactReplica& replica, FactFollowerSettings settings, Callbacks callbacks)
     : m_loop(loop)
     , m_log(log)
@@ -64,11 +66,14 @@
     if (!page.has_value()) {
         bool const is_gone = page.error() == FactLogFault::HistoryGone;
         topic.needs_listing = topic.needs_listing || is_gone;
-        read_later(topic, is_gone ? Core::Duration(0) : m_settings.retry_interval);
-        if (!is_gone)
-            m_callbacks.failing(page.error());
+        read_later(topic, is_gone ? Core::Duration(0) : retry_wait(topic));
+        if (is_gone)
+            return;
+        topic.failures += 1;
+        m_callbacks.failing(page.error());
         return;
     }
+    topic.failures = 0;
     topic.needs_listing = false;
     topic.current_at = now;
     for (auto const& bad : page->bad)
@@ -80,6 +85,13 @@
         m_callbacks.changed(changes);
 }
 
+Core::Duration FactFollower::retry_wait(Topic const& topic) const
+{
+    // Each try is paid for, also one that is turned away.
+    auto const doublings = std::min(topic.failures, most_retry_doublings);
+    return std::min(m_settings.longest_retry_interval, m_settings.retry_interval * (1 << doublings));
+}
+
 void FactFollower::read_later(Topic& topic, Core::Duration wait)
 {
     topic.timer = m_loop.after(wait, [this, &topic] { read(topic); });
--- a/Libraries/LibPlatform/FactFollower.h
+++ b/Libraries/LibPlatform/FactFollower.h
@@ -10,11 +10,12 @@
 
 struct FactFollowerSettings {
     /// Longest time that one read of the configuration waits for a record.
-    Core::Duration configuration_wait { 1000 };
+    Core::Duration configuration_wait { 3000 };
     /// Time between two reads of the list of backend servers: each heartbeat is a record, so waiting for one is dear.
     Core::Duration servers_interval { 800 };
-    /// Time between two tries while the log does not answer.
+    /// Time before the first new try when the log does not answer; it doubles up to the longest.
     Core::Duration retry_interval { 150 };
+    Core::Duration longest_retry_interval { 600 };
 };
 
 /// Keeps a replica of the facts as new as the platform's log, and says when the log does not answer.
@@ -47,12 +48,15 @@
         bool needs_listing { true };
         bool is_reading { false };
         Core::Time current_at { 0 };
+        // Tries in a row that brought no answer.
+        int failures { 0 };
         std::unique_ptr<Core::Timer> timer;
     };
 
     void read(Topic&);
     void on_page(Topic&, tl::expected<FactPage, FactLogFault> const&, bool is_listing);
     void read_later(Topic&, Core::Duration);
+    Core::Duration retry_wait(Topic const&) const;
 
     Core::EventLoop& m_loop;
     FactLog& m_log;
@@ -60,8 +64,8 @@
     FactFollowerSettings m_settings;
     Callbacks m_callbacks;
     bool m_is_running { false };
-    Topic m_configuration { Configuration::FactTopic::Configuration, true, false, Core::Time(0), nullptr };
-    Topic m_servers { Configuration::FactTopic::BackendServers, true, false, Core::Time(0), nullptr };
+    Topic m_configuration { .topic = Configuration::FactTopic::Configuration, .timer = nullptr };
+    Topic m_servers { .topic = Configuration::FactTopic::BackendServers, .timer = nullptr };
 };
 
 }
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -18,13 +18,17 @@
 static constexpr double demand_memory = 0.7;
 static constexpr Core::Duration link_silence { 3000 };
 // Past this, what is denied may be allowed by a configuration that has not come yet.
-static constexpr Core::Duration stale_after { 2500 };
+static constexpr Core::Duration stale_after { 4000 };
 // A version is required a little before its bound: what is sent just before still has to begin.
 static constexpr Core::Duration version_margin { 1500 };
 // What a process finds at its start was named at a time that it cannot know: it is required soon.
 static constexpr Core::Duration first_versions_grace { 2000 };
 static constexpr Core::Duration least_drain { 3000 };
 static constexpr Core::Duration drain_margin { 500 };
+// What is left of the bound on draining for a read of the list, and for what was sent just before it.
+static constexpr Core::Duration drain_reaction { 700 };
+static constexpr Core::Duration shortest_list_interval { 400 };
+static constexpr Core::Duration longest_list_interval { 2000 };
 static constexpr size_t queue_limit = 256;
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
@@ -49,6 +53,13 @@
     return bound;
 }
 
+static Platform::FactFollowerSettings follower_settings(Schema::DirectEntrySettings const& settings)
+{
+    Platform::FactFollowerSettings result;
+    result.servers_interval = std::clamp(Core::Duration(settings.bounds.drain_ms) - drain_reaction, shortest_list_interval, longest_list_interval);
+    return result;
+}
+
 Core::ErrorOr<std::unique_ptr<DirectEntry>> DirectEntry::create(Core::EventLoop& loop, Schema::DirectEntrySettings const& settings, PlatformParts parts)
 {
     std::unique_ptr<DirectEntry> entry(new DirectEntry(loop, settings, std::move(parts)));
@@ -74,12 +85,13 @@
         .routes = nullptr,
         .is_stale = [this] { return is_stale(); },
         .required_version = [this](std::string const& service) { return required_version(service); },
+        .newest_version = [this](std::string const& service) { return newest_version(service); },
         .queue = [this](std::string const& service) -> Routing::RequestQueue& { return m_queues.try_emplace(service, queue_limit).first->second; },
         .asked = [this](std::string const& service) { m_asked[service] += 1; },
         .over = [this](uint64_t number) { m_loop.soon([this, number] { m_requests.erase(number); }); } }
     , m_started(Core::monotonic_now())
 {
-    m_follower = std::make_unique<Platform::FactFollower>(loop, *m_log, m_replica, Platform::FactFollowerSettings {}, fact_callbacks());
+    m_follower = std::make_unique<Platform::FactFollower>(loop, *m_log, m_replica, follower_settings(settings), fact_callbacks());
     Transport::LinkOptions options;
     options.identity = { settings.identity, Schema::Role::Entry, Core::wall_now().count() };
     options.keys = { settings.key };
@@ -431,20 +443,32 @@
     }
 }
 
-std::optional<int64_t> DirectEntry::required_version(std::string const& service) const
+Configuration::NamedVersions const* DirectEntry::named_versions(std::string const& service) const
 {
     auto const* routed = m_context.routes ? m_context.routes->service(service) : nullptr;
     if (!routed || !routed->timing)
-        return {};
+        return nullptr;
     auto const named = m_replica.versions().find(routed->timing->model);
-    if (named == m_replica.versions().end())
+    return named == m_replica.versions().end() ? nullptr : &named->second;
+}
+
+int64_t DirectEntry::newest_version(std::string const& service) const
+{
+    auto const* named = named_versions(service);
+    return named ? named->newest() : 0;
+}
+
+std::optional<int64_t> DirectEntry::required_version(std::string const& service) const
+{
+    auto const* named = named_versions(service);
+    if (!named)
         return {};
     auto const now = Core::monotonic_now();
     auto const bound = Core::Duration(m_settings.bounds.version_ms) - version_margin;
-    auto required = named->second.learned_by(now - bound);
+    auto required = named->learned_by(now - bound);
     // What was found at the start may have been named long before.
     if (now >= m_started + first_versions_grace)
-        required = std::max(required, named->second.learned_by(m_started + first_versions_grace));
+        required = std::max(required, named->learned_by(m_started + first_versions_grace));
     if (required == 0)
         return {};
     return required;
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -57,6 +57,9 @@
     void send_goals();
     std::vector<Schema::WeightsGoal> goals() const;
     Schema::WeightsGoal with_age(Schema::WeightsGoal) const;
+    /// The versions that were named of a service's model, or null.
+    Configuration::NamedVersions const* named_versions(std::string const& service) const;
+    int64_t newest_version(std::string const& service) const;
     std::optional<int64_t> required_version(std::string const& service) const;
     bool is_stale() const;
     bool is_ready() const;
