--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -16,6 +16,11 @@
 static constexpr size_t reads_per_chunk = 2;
 static constexpr double slow_read_factor = 2;
 
+static bool contains(std::vector<std::string> const& instances, std::string const& instance)
+{
+    return std::find(instances.begin(), instances.end(), instance) != instances.end();
+}
+
 Transfer::Transfer(Schema::VersionSpec const& version, std::string self, std::vector<std::string> targets, std::vector<int64_t> const& held, TransferSettings settings, uint64_t seed, Core::Time now)
     : m_self(std::move(self))
     , m_targets(std::move(targets))
@@ -45,16 +50,35 @@
 void Transfer::set_near(std::vector<std::string> near)
 {
     m_near = { near.begin(), near.end() };
-    for (size_t i = 0; i < m_chunks.size(); ++i) {
-        m_chunks[i].far_rank = rank_among(near, m_digests[i]);
-        m_chunks[i].near_holders = 0;
-    }
+    rank_far_reads();
+    for (auto& chunk : m_chunks)
+        chunk.near_holders = 0;
     for (auto const& [id, peer] : m_peers) {
         for (auto chunk : peer.chunks)
             m_chunks[chunk].near_holders += m_near.contains(id) ? 1 : 0;
     }
 }
 
+void Transfer::set_caches(std::vector<std::string> caches)
+{
+    if (caches == m_caches)
+        return;
+    m_caches = std::move(caches);
+    rank_chunks();
+    rank_far_reads();
+}
+
+void Transfer::rank_far_reads()
+{
+    std::vector<std::string> caches;
+    std::vector<std::string> others;
+    for (auto const& instance : m_near)
+        (contains(m_caches, instance) ? caches : others).push_back(instance);
+    bool const is_cache = contains(caches, m_self);
+    for (size_t i = 0; i < m_chunks.size(); ++i)
+        m_chunks[i].far_rank = is_cache ? rank_among(caches, m_digests[i]) : caches.size() + rank_among(others, m_digests[i]);
+}
+
 bool Transfer::may_ask_peer(ChunkState const& chunk, std::string const& peer, Core::Time now) const
 {
     if (m_near.empty() || m_near.contains(peer))
@@ -76,11 +100,13 @@
 
 void Transfer::rank_chunks()
 {
-    auto seeders = Core::rendezvous_order(m_version_digest, m_targets);
+    auto seeders = Core::rendezvous_order(m_version_digest, m_caches.empty() ? m_targets : m_caches);
     auto const seeder_count = std::min(std::max<size_t>(1, m_settings.seeders), seeders.size());
-    std::vector<std::string> const others(seeders.begin() + static_cast<ptrdiff_t>(seeder_count), seeders.end());
+    std::vector<std::string> others(seeders.begin() + static_cast<ptrdiff_t>(seeder_count), seeders.end());
+    if (!m_caches.empty())
+        others.insert(others.end(), m_targets.begin(), m_targets.end());
     seeders.resize(seeder_count);
-    bool const is_seeder = std::find(seeders.begin(), seeders.end(), m_self) != seeders.end();
+    bool const is_seeder = contains(seeders, m_self);
     for (size_t i = 0; i < m_chunks.size(); ++i) {
         auto const rank = rank_among(is_seeder ? seeders : others, m_digests[i]);
         m_chunks[i].origin_rank = is_seeder ? rank : seeder_count + rank;
@@ -248,21 +274,23 @@
 std::string Transfer::choose_peer(size_t chunk, Core::Time now, std::string const& except)
 {
     std::string best;
-    size_t best_fetches = 0;
+    // Whether it is no cache, then the reads that it has in hand for this instance.
+    std::pair<bool, size_t> best_load;
     uint64_t ties = 0;
     for (auto const& [id, peer] : m_peers) {
         if (id == except || now < peer.avoid_until || !peer.chunks.contains(chunk))
             continue;
         if (!may_ask_peer(m_chunks[chunk], id, now))
             continue;
-        if (!best.empty() && peer.fetches > best_fetches)
+        auto const load = std::pair(!contains(m_caches, id), peer.fetches);
+        if (!best.empty() && load > best_load)
             continue;
-        bool const is_better = best.empty() || peer.fetches < best_fetches;
+        bool const is_better = best.empty() || load < best_load;
         ties = is_better ? 1 : ties + 1;
         // Among equals each has the same chance.
         if (is_better || m_random() % ties == 0) {
             best = id;
-            best_fetches = peer.fetches;
+            best_load = load;
         }
     }
     return best;
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -87,6 +87,10 @@
     /// from far away and the others from near. Empty: all are near.
     void set_near(std::vector<std::string> near);
 
+    /// Instances that keep a copy for the others, with links to spare: they read from the origin before anybody else,
+    /// bring a region's one copy from far away, and are asked before other peers. Empty: there are none.
+    void set_caches(std::vector<std::string> caches);
+
     /// A neighbour says that it holds chunks, beyond those that it named before.
     void on_peer_chunks(std::string const& peer, std::vector<int64_t> const& chunks);
     /// A neighbour is gone, with all that it held.
@@ -141,6 +145,7 @@
     };
 
     void rank_chunks();
+    void rank_far_reads();
     size_t rank_among(std::vector<std::string> const&, std::string const& digest) const;
     void end_fetch(uint64_t id);
     void punish(Source const&, FetchFailure, Core::Time now);
@@ -159,6 +164,7 @@
     std::string m_self;
     std::vector<std::string> m_targets;
     std::set<std::string> m_near;
+    std::vector<std::string> m_caches;
     TransferSettings m_settings;
     std::mt19937_64 m_random;
     std::string m_version_digest;
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -394,6 +394,11 @@
          * Shared key of the links.
          */
         std::string key;
+        /**
+         * Bandwidth of the instance's link, megabits per second. Half of it may carry weights to
+         * agents; without it, or without a metrics port, the entry keeps no copies for them.
+         */
+        std::optional<double> link_megabits_per_second;
         /**
          * TCP port of the links between the project's processes, the same on every instance.
          */
@@ -2692,6 +2697,7 @@
         x.failure_domain = j.at("failure_domain").get<std::string>();
         x.identity = j.at("identity").get<std::string>();
         x.key = j.at("key").get<std::string>();
+        x.link_megabits_per_second = get_stack_optional<double>(j, "link_megabits_per_second");
         x.link_port = j.at("link_port").get<int64_t>();
         x.log_lines_per_second = get_stack_optional<int64_t>(j, "log_lines_per_second");
         x.metrics_port = get_stack_optional<int64_t>(j, "metrics_port");
@@ -2711,6 +2717,7 @@
         j["failure_domain"] = x.failure_domain;
         j["identity"] = x.identity;
         j["key"] = x.key;
+        j["link_megabits_per_second"] = x.link_megabits_per_second;
         j["link_port"] = x.link_port;
         j["log_lines_per_second"] = x.log_lines_per_second;
         j["metrics_port"] = x.metrics_port;
--- a/Services/Agent/WeightsRunner.h
+++ b/Services/Agent/WeightsRunner.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
-#include "ChunkServer.h"
+#include "../Weights/ChunkServer.h"
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibDistribution/ChunkStore.h>
@@ -31,7 +31,7 @@
     size_t neighbours { 16 };
     int64_t download_bytes_per_second { 0 };
     Distribution::TransferSettings transfer;
-    ChunkServerSettings uploads;
+    Weights::ChunkServerSettings uploads;
 };
 
 /// Holds the instance's weights: brings them here, passes them on, and has the engine load them.
@@ -60,7 +60,7 @@
     void on_chunk_map(std::string const& peer, Schema::ChunkMap const&);
 
     /// Serves the chunks held here.
-    ChunkServer& chunk_server() { return m_chunk_server; }
+    Weights::ChunkServer& chunk_server() { return m_chunk_server; }
 
     /// Weights that requests may be served with, and whether a switch is under way.
     std::optional<Schema::Weights> serving() const;
@@ -105,7 +105,7 @@
     uint16_t m_http_port { 0 };
 
     Distribution::ChunkStore m_store;
-    ChunkServer m_chunk_server;
+    Weights::ChunkServer m_chunk_server;
     std::unique_ptr<Distribution::Transfer> m_transfer;
     Distribution::EngineControl m_engine;
 
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -29,6 +29,9 @@
 static constexpr Core::Duration drain_reaction { 700 };
 static constexpr Core::Duration shortest_list_interval { 400 };
 static constexpr Core::Duration longest_list_interval { 2000 };
+static constexpr double bytes_per_megabit = 125000;
+// The rest is left to callers and backend servers.
+static constexpr double weights_part_of_link = 0.5;
 static constexpr size_t queue_limit = 256;
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
@@ -73,6 +76,7 @@
     , m_settings(settings)
     , m_log(std::move(parts.log))
     , m_heads(std::move(parts.heads))
+    , m_origin(std::move(parts.origin))
     , m_random(Core::stable_hash(settings.identity, std::to_string(Core::wall_now().count())))
     , m_servers(table_settings(settings), m_random())
     , m_retries(retry_bound(settings), Core::monotonic_now())
@@ -98,6 +102,7 @@
     options.offset = [this] { return m_replica.end(Configuration::FactTopic::Configuration); };
     options.list_version = [this] { return m_replica.end(Configuration::FactTopic::BackendServers); };
     m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
+    keep_weights();
     m_tick_timer = loop.every(tick_interval, [this] { tick(); });
     m_link_timer = loop.every(link_check_interval, [this] { check_links(); });
     m_load_timer = loop.every(load_interval, [this] {
@@ -134,7 +139,7 @@
         TRY(m_hub->listen(control.first, control.second));
     }
     if (m_settings.metrics_port) {
-        m_metrics_server = TRY(Transport::HttpServer::create(m_loop, m_settings.identity, static_cast<uint16_t>(*m_settings.metrics_port), {}, [this](auto const& exchange) { reply_metrics(*exchange); }));
+        m_metrics_server = TRY(Transport::HttpServer::create(m_loop, m_settings.identity, static_cast<uint16_t>(*m_settings.metrics_port), {}, [this](auto const& exchange) { on_internal_request(exchange); }));
     }
     Core::log_event(Core::LogLevel::Info, "started", { { "callers", m_settings.callers_address }, { "domain", m_settings.failure_domain } });
     return {};
@@ -160,8 +165,10 @@
         m_known_entries.insert(hello.identity);
         m_servers.set_entries(m_known_entries.size() + 1);
         m_retries.set_entries(m_known_entries.size() + 1);
+        tell_held_pieces(hello);
         return;
     }
+    tell_held_pieces(hello);
     for (auto& goal : goals()) {
         Schema::Message message;
         message.weights_goal = with_age(std::move(goal));
@@ -175,6 +182,8 @@
     m_last_heard.erase(identity);
     m_loads.erase(identity);
     m_servers.on_agent_gone(identity);
+    if (m_weights)
+        m_weights->on_peer_down(identity);
 }
 
 void DirectEntry::on_link_message(Schema::Hello const& from, Schema::Message const& message)
@@ -184,7 +193,13 @@
     if (message.engine_state) {
         m_servers.on_engine_state(from.identity, *message.engine_state, now);
     } else if (message.entry_load) {
+        bool const is_new = !m_loads.contains(from.identity);
         m_loads[from.identity] = *message.entry_load;
+        if (is_new && m_weights)
+            m_weights->update_sources();
+    } else if (message.pieces) {
+        if (m_weights)
+            m_weights->on_peer_pieces(from.identity, *message.pieces);
     } else if (message.directory) {
         for (auto const& entry : message.directory->entries) {
             if (entry != m_settings.identity)
@@ -381,6 +396,84 @@
     Core::log_event(Core::LogLevel::Info, "configuration_in_force", { { "version", std::to_string(configuration->version) }, { "routes", std::to_string(configuration->routes.size()) }, { "customers", std::to_string(configuration->customers.size()) } });
 }
 
+// Weights kept for agents.
+
+void DirectEntry::keep_weights()
+{
+    if (!m_origin || !m_settings.metrics_port || !m_settings.link_megabits_per_second)
+        return;
+    WeightsCacheSettings settings;
+    settings.identity = m_settings.identity;
+    settings.chunk_port = static_cast<uint16_t>(*m_settings.metrics_port);
+    settings.bytes_per_second = static_cast<int64_t>(*m_settings.link_megabits_per_second * bytes_per_megabit * weights_part_of_link);
+    WeightsCache::Callbacks callbacks {
+        .announce = [this](Schema::PieceMap const& map) { tell_pieces(map); },
+        .is_wanted = [this](Schema::WeightsGoal const& goal) { return is_wanted(goal); },
+        .sources = [this] { return weight_sources(); },
+    };
+    m_weights = std::make_unique<WeightsCache>(m_loop, settings, m_metrics, *m_origin, std::move(callbacks));
+}
+
+bool DirectEntry::is_in_region(std::string const& failure_domain) const
+{
+    auto const region = m_settings.regions.find(failure_domain);
+    return region != m_settings.regions.end() && region->second == m_settings.region;
+}
+
+bool DirectEntry::is_wanted(Schema::WeightsGoal const& goal) const
+{
+    auto const now = Core::monotonic_now();
+    auto const servers = m_replica.servers();
+    return std::any_of(servers.begin(), servers.end(), [&](auto const* server) {
+        return server->service == goal.service && !server->is_draining && m_servers.version_of(server->id, now) < goal.version;
+    });
+}
+
+Weights::CopySources DirectEntry::weight_sources() const
+{
+    Weights::CopySources sources;
+    sources.caches = { m_known_entries.begin(), m_known_entries.end() };
+    sources.caches.push_back(m_settings.identity);
+    sources.near.push_back(m_settings.identity);
+    for (auto const& [identity, load] : m_loads) {
+        if (is_in_region(load.failure_domain))
+            sources.near.push_back(identity);
+    }
+    return sources;
+}
+
+std::set<std::string> DirectEntry::near_agents() const
+{
+    std::set<std::string> agents;
+    for (auto const* server : m_replica.servers()) {
+        if (is_in_region(server->failure_domain))
+            agents.insert(Transport::split_address(server->address).first);
+    }
+    return agents;
+}
+
+void DirectEntry::tell_pieces(Schema::PieceMap const& map)
+{
+    Schema::Message message;
+    message.pieces = map;
+    for (auto const& entry : m_hub->peers(Schema::Role::Entry))
+        m_hub->send(entry, message);
+    for (auto const& agent : near_agents())
+        m_hub->send(agent, message);
+}
+
+void DirectEntry::tell_held_pieces(Schema::Hello const& peer)
+{
+    bool const is_told = peer.role == Schema::Role::Entry || near_agents().contains(peer.identity);
+    if (!m_weights || !is_told)
+        return;
+    for (auto const& map : m_weights->held()) {
+        Schema::Message message;
+        message.pieces = map;
+        m_hub->send(peer.identity, message);
+    }
+}
+
 std::vector<Schema::WeightsGoal> DirectEntry::goals() const
 {
     std::vector<Schema::WeightsGoal> goals;
@@ -428,6 +521,8 @@
     std::string text;
     std::vector<Schema::Message> messages;
     for (auto& goal : goals()) {
+        if (m_weights)
+            m_weights->set_goal(goal, Core::monotonic_now() - Core::Duration(with_age(goal).age_ms));
         // The age alone is no news.
         text += Schema::to_text(goal);
         Schema::Message message;
@@ -563,6 +658,12 @@
     Core::log_event(Core::LogLevel::Info, "reloaded", { { "needs_restart", is_fixed_same ? "" : "addresses" } });
 }
 
+void DirectEntry::on_internal_request(std::shared_ptr<Transport::HttpExchange> const& exchange)
+{
+    if (!m_weights || !m_weights->serve(exchange))
+        reply_metrics(*exchange);
+}
+
 void DirectEntry::reply_metrics(Transport::HttpExchange& exchange)
 {
     m_metrics.set("mountbarrow_in_hand", static_cast<double>(m_requests.size()));
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -3,6 +3,7 @@
 
 #include "ProxiedRequest.h"
 #include "RequestContext.h"
+#include "WeightsCache.h"
 #include <LibConfiguration/FactReplica.h>
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
@@ -24,6 +25,7 @@
     struct PlatformParts {
         std::unique_ptr<Platform::FactLog> log;
         std::unique_ptr<Platform::RequestHeads> heads;
+        std::unique_ptr<Platform::WeightOrigin> origin;
     };
 
     /// @return AddressInUse if a port cannot be bound.
@@ -55,6 +57,14 @@
     void on_configuration();
     void on_log_failing(Platform::FactLogFault);
     void send_goals();
+    void keep_weights();
+    void tell_pieces(Schema::PieceMap const&);
+    void tell_held_pieces(Schema::Hello const&);
+    bool is_wanted(Schema::WeightsGoal const&) const;
+    Weights::CopySources weight_sources() const;
+    /// Identities of the agents in this region.
+    std::set<std::string> near_agents() const;
+    bool is_in_region(std::string const& failure_domain) const;
     std::vector<Schema::WeightsGoal> goals() const;
     Schema::WeightsGoal with_age(Schema::WeightsGoal) const;
     /// The versions that were named of a service's model, or null.
@@ -68,6 +78,7 @@
     void offer_places();
     void tick();
     void finish_drain();
+    void on_internal_request(std::shared_ptr<Transport::HttpExchange> const&);
     void reply_metrics(Transport::HttpExchange&);
 
     Core::EventLoop& m_loop;
@@ -75,6 +86,7 @@
     Core::Metrics m_metrics;
     std::unique_ptr<Platform::FactLog> m_log;
     std::unique_ptr<Platform::RequestHeads> m_heads;
+    std::unique_ptr<Platform::WeightOrigin> m_origin;
     Configuration::FactReplica m_replica;
     std::unique_ptr<Platform::FactFollower> m_follower;
     bool m_is_log_failing { false };
@@ -88,6 +100,8 @@
     std::unique_ptr<Core::Timer> m_load_timer;
     std::set<std::string> m_known_entries;
     std::string m_sent_goals;
+    // Null where the settings give it no port or no bandwidth.
+    std::unique_ptr<WeightsCache> m_weights;
 
     std::mt19937_64 m_random;
     Routing::ServerTable m_servers;
--- /dev/null
+++ b/Services/DirectEntry/WeightsCache.cpp
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "WeightsCache.h"
+
+namespace DirectEntry {
+
+static constexpr Core::Duration turn_interval { 50 };
+static constexpr size_t fetches_in_flight = 6;
+static constexpr size_t origin_fetches_in_flight = 2;
+// Few read from the origin, so that each chunk comes early and whole.
+static constexpr size_t seeders = 4;
+static constexpr Core::Duration origin_patience { 400 };
+static constexpr Core::Duration longest_fault_wait { 1000 };
+static constexpr Core::Duration transfer_stall { 1200 };
+static constexpr size_t rarity_sample = 1;
+static constexpr size_t uploads_at_once = 4;
+static constexpr size_t waiting_uploads = 64;
+static constexpr int status_ok = 200;
+static constexpr int status_not_found = 404;
+
+static Weights::CopyFetcherSettings fetcher_settings(WeightsCacheSettings const& settings)
+{
+    Weights::CopyFetcherSettings result;
+    result.identity = settings.identity;
+    result.chunk_port = settings.chunk_port;
+    result.transfer.fetches_in_flight = fetches_in_flight;
+    result.transfer.origin_fetches_in_flight = origin_fetches_in_flight;
+    result.transfer.seeders = seeders;
+    result.transfer.origin_patience = origin_patience;
+    result.transfer.longest_fault_wait = longest_fault_wait;
+    result.transfer.stall = transfer_stall;
+    result.transfer.rarity_sample = rarity_sample;
+    return result;
+}
+
+WeightsCache::WeightsCache(Core::EventLoop& loop, WeightsCacheSettings settings, Core::Metrics& metrics, Platform::WeightOrigin& origin, Callbacks callbacks)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_metrics(metrics)
+    , m_origin(origin)
+    , m_callbacks(std::move(callbacks))
+    , m_turn_timer(loop.every(turn_interval, [this] {
+        for (auto& [model, copy] : m_copies) {
+            if (m_callbacks.is_wanted(copy.goal))
+                copy.fetcher->turn(Core::monotonic_now());
+        }
+    }))
+{
+}
+
+WeightsCache::~WeightsCache() = default;
+
+WeightsCache::Copy& WeightsCache::copy_of(std::string const& model)
+{
+    auto& copy = m_copies[model];
+    if (copy.fetcher)
+        return copy;
+    Weights::CopyFetcher::Callbacks callbacks {
+        .announce = m_callbacks.announce,
+        .manifest_taken = [&copy] { copy.fetcher->begin(nullptr); },
+        .chunk_held = [](size_t) {},
+        .is_seeking = [this, &copy] { return m_callbacks.is_wanted(copy.goal); },
+        .sources = m_callbacks.sources,
+    };
+    copy.fetcher = std::make_unique<Weights::CopyFetcher>(m_loop, fetcher_settings(m_settings), m_metrics, m_origin, std::move(callbacks));
+    Weights::ChunkServerSettings uploads;
+    uploads.bytes_per_second = m_settings.bytes_per_second;
+    uploads.at_once = uploads_at_once;
+    uploads.waiting = waiting_uploads;
+    copy.server = std::make_unique<Weights::ChunkServer>(m_loop, uploads, m_metrics, copy.fetcher->store());
+    return copy;
+}
+
+void WeightsCache::set_goal(Schema::WeightsGoal const& goal, Core::Time named_at)
+{
+    if (goal.chunks <= 0)
+        return;
+    auto& copy = copy_of(goal.model);
+    if (goal.version < copy.goal.version)
+        return;
+    copy.goal = goal;
+    copy.fetcher->set_goal(goal, named_at);
+}
+
+void WeightsCache::update_sources()
+{
+    for (auto& [model, copy] : m_copies)
+        copy.fetcher->update_sources();
+}
+
+void WeightsCache::on_peer_pieces(std::string const& peer, Schema::PieceMap const& map)
+{
+    copy_of(map.model).fetcher->on_peer_pieces(peer, map);
+}
+
+void WeightsCache::on_peer_down(std::string const& peer)
+{
+    for (auto& [model, copy] : m_copies)
+        copy.fetcher->on_peer_down(peer);
+}
+
+std::vector<Schema::PieceMap> WeightsCache::held() const
+{
+    std::vector<Schema::PieceMap> maps;
+    for (auto const& [model, copy] : m_copies) {
+        if (auto map = copy.fetcher->held())
+            maps.push_back(std::move(*map));
+    }
+    return maps;
+}
+
+bool WeightsCache::serve_chunk(std::shared_ptr<Transport::HttpExchange> const& exchange, std::string const& digest)
+{
+    for (auto& [model, copy] : m_copies) {
+        if (!copy.fetcher->store().holds(digest))
+            continue;
+        copy.server->serve(exchange, digest);
+        return true;
+    }
+    exchange->reply(status_not_found, {}, {});
+    return true;
+}
+
+bool WeightsCache::serve(std::shared_ptr<Transport::HttpExchange> const& exchange)
+{
+    static std::string const chunk_prefix = "/chunks/";
+    auto const& path = exchange->path();
+    if (path.starts_with(chunk_prefix))
+        return serve_chunk(exchange, path.substr(chunk_prefix.size()));
+    if (path != "/manifest")
+        return false;
+    auto const found = m_copies.find(exchange->query("model").value_or(""));
+    if (found == m_copies.end() || !found->second.fetcher->has_manifest())
+        exchange->reply(status_not_found, {}, {});
+    else
+        exchange->reply(status_ok, {}, found->second.fetcher->manifest_text());
+    return true;
+}
+
+}
--- a/Services/DirectEntry/main.cpp
+++ b/Services/DirectEntry/main.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "DirectEntry.h"
 
+#include "../../platform/HttpEngine.h"
 #include "../../platform/HttpFactLog.h"
 #include "../../platform/HttpRequestHeads.h"
 #include <LibCore/Log.h>
@@ -13,6 +14,7 @@
         DirectEntry::DirectEntry::PlatformParts parts;
         parts.log = std::make_unique<PlatformAdapter::HttpFactLog>(loop, settings.platform_address);
         parts.heads = std::make_unique<PlatformAdapter::HttpRequestHeads>();
+        parts.origin = std::make_unique<PlatformAdapter::HttpOrigin>(loop);
         return DirectEntry::DirectEntry::create(loop, settings, std::move(parts));
     });
 }
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "CopyKeeper.h"
 
-#include <LibConfiguration/Fold.h>
 #include <LibConfiguration/HeldVersion.h>
 #include <LibCore/Hash.h>
 #include <LibCore/Log.h>
@@ -11,29 +10,19 @@
 
 namespace EngineAgent {
 
-using Distribution::FetchFailure;
-
 static constexpr Core::Duration turn_interval { 50 };
 static constexpr Core::Duration poll_interval { 100 };
-static constexpr Core::Duration progress_interval { 500 };
-static constexpr Core::Duration manifest_retry { 700 };
-// SHA-256 in hexadecimal.
-static constexpr size_t digest_characters = 64;
 // A third of the engines may be out of service at once for a new version.
 static constexpr size_t switched_at_once = 3;
 // Time that a switch takes at the worst: draining, loading, and a report of it.
 static constexpr Core::Duration switch_reserve { 2800 };
-static constexpr int status_ok = 200;
-static constexpr int status_unavailable = 503;
 
 CopyKeeper::CopyKeeper(Core::EventLoop& loop, CopyKeeperSettings settings, Core::Metrics& metrics, Platform::EngineApi& engine, Platform::WeightOrigin& origin, Callbacks callbacks)
-    : m_loop(loop)
-    , m_settings(std::move(settings))
+    : m_settings(std::move(settings))
     , m_metrics(metrics)
     , m_engine(engine)
-    , m_origin(origin)
     , m_callbacks(std::move(callbacks))
-    , m_client(loop)
+    , m_fetcher(loop, m_settings.fetcher, metrics, origin, fetcher_callbacks())
     , m_turn_timer(loop.every(turn_interval, [this] { turn(); }))
     , m_poll_timer(loop.every(poll_interval, [this] { poll_engine(); }))
 {
@@ -41,6 +30,19 @@
 
 CopyKeeper::~CopyKeeper() = default;
 
+Weights::CopyFetcher::Callbacks CopyKeeper::fetcher_callbacks()
+{
+    return {
+        .announce = [this](Schema::PieceMap const& map) { m_callbacks.announce(map); },
+        .manifest_taken = [this] { on_manifest(); },
+        .chunk_held = [this](size_t chunk) {
+            m_load->on_held(chunk);
+            run_load(Core::monotonic_now()); },
+        .is_seeking = [this] { return is_seeking(); },
+        .sources = [this] { return sources(); },
+    };
+}
+
 // What is wanted.
 
 bool CopyKeeper::is_seeking() const
@@ -49,29 +51,24 @@
     return m_goal && serving_version() != m_goal->version;
 }
 
-std::vector<std::string> CopyKeeper::target_ids() const
+Weights::CopySources CopyKeeper::sources() const
 {
-    std::vector<std::string> ids;
+    Weights::CopySources sources;
+    sources.caches.assign(m_caches.begin(), m_caches.end());
+    sources.near.assign(m_near_caches.begin(), m_near_caches.end());
+    sources.targets.push_back(m_settings.fetcher.identity);
+    sources.near.push_back(m_settings.fetcher.identity);
     for (auto const& peer : m_goal->peers) {
+        if (peer.identity == m_settings.fetcher.identity)
+            continue;
         auto const served = m_peer_versions.find(peer.identity);
         if (served == m_peer_versions.end() || served->second < m_goal->version)
-            ids.push_back(peer.identity);
-    }
-    if (std::find(ids.begin(), ids.end(), m_settings.identity) == ids.end())
-        ids.push_back(m_settings.identity);
-    return ids;
-}
-
-std::vector<std::string> CopyKeeper::near_ids() const
-{
-    std::vector<std::string> ids { m_settings.identity };
-    for (auto const& peer : m_goal->peers) {
+            sources.targets.push_back(peer.identity);
         auto const region = m_settings.regions.find(peer.failure_domain);
-        bool const is_near = region != m_settings.regions.end() && region->second == m_settings.region;
-        if (is_near && peer.identity != m_settings.identity)
-            ids.push_back(peer.identity);
+        if (region != m_settings.regions.end() && region->second == m_settings.region)
+            sources.near.push_back(peer.identity);
     }
-    return ids;
+    return sources;
 }
 
 void CopyKeeper::set_goal(Schema::WeightsGoal const& goal)
@@ -82,35 +79,33 @@
     bool const is_new_version = !m_goal || goal.version > m_goal->version || goal.model != m_goal->model;
     if (!is_new_version) {
         m_goal = goal;
-        update_transfer_targets();
+        m_fetcher.set_goal(goal, m_goal_at);
         return;
     }
     keep_loading_older();
     if (m_goal && serving_version() < m_goal->version && !m_unmet_since)
         m_unmet_since = m_goal_at;
     m_goal = goal;
-    Core::log_event(Core::LogLevel::Info, "goal_changed", { { "model", goal.model }, { "version", std::to_string(goal.version) }, { "origin", goal.origin_address }, { "peers", std::to_string(goal.peers.size()) } });
     m_goal_at = Core::monotonic_now() - Core::Duration(goal.age_ms);
-    m_manifest.reset();
-    m_manifest_text.clear();
-    m_manifest_tries = 0;
-    m_manifest_asked_at = Core::Time(0);
-    m_spec.reset();
-    m_transfer.reset();
     m_load.reset();
-    m_downloads.clear();
-    m_fetch_chunks.clear();
-    m_is_complete = false;
+    m_fetcher.set_goal(goal, m_goal_at);
     turn();
 }
 
+void CopyKeeper::set_caches(std::set<std::string> caches)
+{
+    m_caches = std::move(caches);
+    std::erase_if(m_near_caches, [this](auto const& cache) { return !m_caches.contains(cache); });
+    m_fetcher.update_sources();
+}
+
 void CopyKeeper::keep_loading_older()
 {
     // Each version has a bound of its own: what is complete here may be served before the newer one can be.
-    bool const is_worth_it = m_load && m_is_complete && !m_older && serving_version() < m_goal->version;
+    bool const is_worth_it = m_load && m_fetcher.is_complete() && !m_older && serving_version() < m_goal->version;
     if (!is_worth_it)
         return;
-    m_older = LoadingCopy { std::move(*m_goal), m_goal_at, std::move(*m_manifest), std::move(*m_spec), std::move(m_load) };
+    m_older = LoadingCopy { std::move(*m_goal), m_goal_at, m_fetcher.spec(), std::move(m_load) };
     Core::log_event(Core::LogLevel::Info, "older_load_goes_on", { { "version", std::to_string(m_older->goal.version) } });
 }
 
@@ -120,7 +115,7 @@
         return true;
     if (m_older->load->is_switching())
         return false;
-    return m_is_complete || now >= m_older->goal_at + Core::Duration(m_older->goal.bound_ms);
+    return m_fetcher.is_complete() || now >= m_older->goal_at + Core::Duration(m_older->goal.bound_ms);
 }
 
 Distribution::StagedLoad* CopyKeeper::load_of(int64_t version)
@@ -132,7 +127,7 @@
 
 Schema::VersionSpec const& CopyKeeper::spec_of(int64_t version) const
 {
-    return m_older && m_older->load->version() == version ? m_older->spec : *m_spec;
+    return m_older && m_older->load->version() == version ? m_older->spec : m_fetcher.spec();
 }
 
 int64_t CopyKeeper::serving_version() const
@@ -161,94 +156,43 @@
     if (!m_goal)
         return;
     auto const now = Core::monotonic_now();
-    if (!m_manifest && m_report)
-        seek_manifest(now);
-    if (m_adopting == 0 && m_transfer && is_seeking()) {
-        run_transfer(now);
-        log_progress(now);
-    }
+    // An engine that does not answer wants nothing.
+    bool const is_engine_there = m_report.has_value() || m_fetcher.has_manifest();
+    if (is_engine_there && m_adopting == 0)
+        m_fetcher.turn(now);
     run_load(now);
     tell_change();
 }
 
-void CopyKeeper::log_progress(Core::Time now)
+void CopyKeeper::on_peer_pieces(std::string const& peer, Schema::PieceMap const& map)
 {
-    if (m_transfer->is_complete() || now - m_progress_told_at < progress_interval)
-        return;
-    m_progress_told_at = now;
-    Core::log_event(Core::LogLevel::Info, "transfer_progress", { { "version", std::to_string(m_manifest->version) }, { "held", std::to_string(m_transfer->held_count()) }, { "from_origin", std::to_string(m_metrics.counter("mountbarrow_chunks_total", "source=\"origin\"")) }, { "fetching", std::to_string(m_fetch_chunks.size()) }, { "busy", std::to_string(m_metrics.counter("mountbarrow_fetch_failures_total", "reason=\"0\"")) }, { "after_ms", std::to_string((now - m_goal_at).count()) } });
+    auto& served = m_peer_versions[peer];
+    auto const before = served;
+    served = map.is_seeking ? std::min(served, map.version - 1) : std::max(served, map.version);
+    if (served != before)
+        m_fetcher.update_sources();
+    m_fetcher.on_peer_pieces(peer, map);
+    turn();
 }
 
-// The manifest.
-
-void CopyKeeper::seek_manifest(Core::Time now)
+void CopyKeeper::on_cache_pieces(std::string const& cache, Schema::PieceMap const& map)
 {
-    if (now - m_manifest_asked_at < manifest_retry && m_manifest_tries > 0)
-        return;
-    m_manifest_asked_at = now;
-    m_manifest_tries += 1;
-    // A peer that holds chunks has the manifest; every other try goes to the origin.
-    std::vector<std::string> peers;
-    for (auto const& [peer, chunks] : m_peer_chunks) {
-        if (chunks.first == m_goal->version)
-            peers.push_back(peer);
-    }
-    if (!peers.empty() && m_manifest_tries % 2 == 0) {
-        read_manifest_from_peer(peers[m_manifest_tries / 2 % peers.size()]);
-        return;
-    }
-    if (m_goal->origin_address.empty())
-        return;
-    m_origin.read_manifest(m_goal->origin_address, m_goal->model, m_goal->version, [this](Core::ErrorOr<Platform::Manifest> manifest) {
-        if (manifest.has_value())
-            take_manifest(*manifest, "origin");
-        else
-            m_metrics.count("mountbarrow_manifest_failures_total", "source=\"origin\"");
-    });
+    // Caches tell only the agents of their own region.
+    if (m_near_caches.insert(cache).second)
+        m_fetcher.update_sources();
+    m_fetcher.on_peer_pieces(cache, map);
+    turn();
 }
 
-void CopyKeeper::read_manifest_from_peer(std::string const& peer)
+void CopyKeeper::on_peer_down(std::string const& peer)
 {
-    Transport::HttpCallRequest call;
-    call.address = peer;
-    call.port = m_settings.chunk_port;
-    call.path = "/manifest";
-    call.timeout = manifest_retry;
-    m_client.call(call, [this, peer](auto answer) {
-        if (!answer.has_value() || answer->status != status_ok)
-            return;
-        auto const value = nlohmann::json::parse(answer->body, nullptr, false);
-        if (!value.is_object())
-            return;
-        Platform::Manifest manifest;
-        manifest.model = value.value("model", "");
-        manifest.version = value.value("version", int64_t { 0 });
-        manifest.chunk_bytes = value.value("chunk_bytes", int64_t { 0 });
-        manifest.digests = value.value("digests", std::vector<std::string> {});
-        take_manifest(manifest, peer);
-    });
+    m_peer_versions.erase(peer);
+    m_fetcher.on_peer_down(peer);
 }
 
-void CopyKeeper::take_manifest(Platform::Manifest const& manifest, std::string const& source)
+void CopyKeeper::on_manifest()
 {
-    if (m_manifest || !m_goal)
-        return;
-    bool const is_wanted = manifest.model == m_goal->model && manifest.version == m_goal->version && manifest.digests.size() == static_cast<size_t>(m_goal->chunks);
-    bool const is_sound = std::all_of(manifest.digests.begin(), manifest.digests.end(), [](auto const& digest) { return digest.size() == digest_characters; });
-    if (!is_wanted || !is_sound) {
-        m_metrics.count("mountbarrow_manifest_failures_total", "source=\"spoilt\"");
-        Core::log_event(Core::LogLevel::Warn, "manifest_refused", { { "source", source }, { "version", std::to_string(manifest.version) }, { "digests", std::to_string(manifest.digests.size()) } });
-        return;
-    }
-    m_manifest = manifest;
-    nlohmann::json const text { { "model", manifest.model }, { "version", manifest.version }, { "chunk_bytes", manifest.chunk_bytes }, { "digests", manifest.digests } };
-    m_manifest_text = text.dump();
-    Schema::VersionSpec spec {};
-    for (auto const& digest : manifest.digests)
-        spec.chunks.push_back({ .bytes = manifest.chunk_bytes, .digest = digest });
-    spec.digest = Configuration::weights_digest(spec.chunks);
-    m_spec = spec;
-    Core::log_event(Core::LogLevel::Info, "manifest_taken", { { "source", source }, { "version", std::to_string(manifest.version) }, { "already_held", std::to_string(m_store.held_of(*m_spec).size()) } });
+    auto const& manifest = m_fetcher.manifest();
     m_load = std::make_unique<Distribution::StagedLoad>(manifest.version, manifest.digests.size(), Distribution::StagedLoadSettings {});
     if (m_report)
         m_load->on_report(*m_report, m_goal->layers, Core::monotonic_now());
@@ -258,217 +202,32 @@
         adopt_staged();
 }
 
+void CopyKeeper::begin_transfer()
+{
+    m_fetcher.begin(m_older ? &m_older->spec : nullptr);
+}
+
 // What an earlier life of this process left beside the engine.
 
 void CopyKeeper::adopt_staged()
 {
     m_has_adopted = true;
-    m_adopting = m_spec->chunks.size();
-    auto const version = m_manifest->version;
-    for (size_t i = 0; i < m_spec->chunks.size(); ++i) {
-        m_engine.read_staged(m_manifest->model, i, [this, i, version](std::shared_ptr<std::string const> const& bytes) {
-            if (bytes && m_spec && m_manifest->version == version) {
-                Distribution::IncomingChunk chunk;
-                chunk.append(*bytes);
-                if (m_store.add(m_spec->chunks[i].digest, chunk) == Distribution::ChunkStore::AddResult::Added)
-                    m_metrics.count("mountbarrow_chunks_adopted_total");
-            }
+    m_adopting = m_fetcher.spec().chunks.size();
+    auto const version = m_fetcher.manifest().version;
+    for (size_t i = 0; i < m_fetcher.spec().chunks.size(); ++i) {
+        m_engine.read_staged(m_goal->model, i, [this, i, version](std::shared_ptr<std::string const> const& bytes) {
+            bool const is_wanted = bytes && m_fetcher.has_manifest() && m_fetcher.manifest().version == version;
+            if (is_wanted && m_fetcher.adopt(i, *bytes))
+                m_metrics.count("mountbarrow_chunks_adopted_total");
             m_adopting -= 1;
-            if (m_adopting == 0 && m_spec)
+            // A newer version that was named meanwhile has begun by itself.
+            bool const is_still_wanted = m_fetcher.has_manifest() && m_fetcher.manifest().version == version;
+            if (m_adopting == 0 && is_still_wanted)
                 begin_transfer();
         });
     }
 }
 
-// Moving chunks.
-
-void CopyKeeper::begin_transfer()
-{
-    auto const now = Core::monotonic_now();
-    std::vector<Schema::VersionSpec const*> wanted { &*m_spec };
-    if (m_older)
-        wanted.push_back(&m_older->spec);
-    m_store.keep_only(wanted);
-    auto const held = m_store.held_of(*m_spec);
-    m_transfer = std::make_unique<Distribution::Transfer>(*m_spec, m_settings.identity, target_ids(), held, m_settings.transfer, Core::stable_hash(m_settings.identity, m_spec->digest), now);
-    m_transfer->set_near(near_ids());
-    for (auto const& [peer, chunks] : m_peer_chunks) {
-        if (chunks.first == m_manifest->version)
-            m_transfer->on_peer_chunks(peer, { chunks.second.begin(), chunks.second.end() });
-    }
-    for (auto chunk : held)
-        m_load->on_held(static_cast<size_t>(chunk));
-    if (auto const map = this->held())
-        m_callbacks.announce(*map);
-    turn();
-}
-
-void CopyKeeper::update_transfer_targets()
-{
-    if (!m_transfer)
-        return;
-    m_transfer->set_targets(target_ids());
-    m_transfer->set_near(near_ids());
-}
-
-void CopyKeeper::on_peer_pieces(std::string const& peer, Schema::PieceMap const& map)
-{
-    auto& known = m_peer_chunks[peer];
-    if (known.first != map.version)
-        known = { map.version, {} };
-    known.second.insert(map.chunks.begin(), map.chunks.end());
-    auto& served = m_peer_versions[peer];
-    auto const before = served;
-    served = map.is_seeking ? std::min(served, map.version - 1) : std::max(served, map.version);
-    if (served != before)
-        update_transfer_targets();
-    bool const is_wanted_version = m_goal && map.version == m_goal->version;
-    if (is_wanted_version && m_transfer)
-        m_transfer->on_peer_chunks(peer, map.chunks);
-    turn();
-}
-
-void CopyKeeper::on_peer_down(std::string const& peer)
-{
-    m_peer_chunks.erase(peer);
-    m_peer_versions.erase(peer);
-    if (m_transfer)
-        m_transfer->on_peer_lost(peer);
-}
-
-std::optional<Schema::PieceMap> CopyKeeper::held() const
-{
-    if (!m_spec || !m_manifest)
-        return {};
-    Schema::PieceMap map;
-    map.model = m_manifest->model;
-    map.version = m_manifest->version;
-    map.chunks = m_store.held_of(*m_spec);
-    map.is_seeking = is_seeking();
-    return map;
-}
-
-void CopyKeeper::run_transfer(Core::Time now)
-{
-    for (auto const& action : m_transfer->step(now)) {
-        if (auto const* fetch = std::get_if<Distribution::Fetch>(&action)) {
-            start_fetch(*fetch);
-        } else if (auto const* cancel = std::get_if<Distribution::CancelFetch>(&action)) {
-            m_downloads.erase(cancel->id);
-            m_fetch_chunks.erase(cancel->id);
-        }
-    }
-}
-
-void CopyKeeper::start_fetch(Distribution::Fetch const& fetch)
-{
-    m_fetch_chunks[fetch.id] = fetch.chunk;
-    if (fetch.source.is_origin())
-        fetch_from_origin(fetch);
-    else
-        fetch_from_peer(fetch);
-}
-
-void CopyKeeper::fetch_from_origin(Distribution::Fetch const& fetch)
-{
-    auto const version = m_manifest->version;
-    auto const id = fetch.id;
-    m_metrics.count("mountbarrow_fetches_total", "source=\"origin\"");
-    m_origin.read_chunk(m_goal->origin_address, m_manifest->model, version, fetch.chunk, [this, id, version](Core::ErrorOr<std::string> bytes) {
-        if (!m_manifest || m_manifest->version != version)
-            return;
-        if (!bytes.has_value()) {
-            on_fetch_failed(id, FetchFailure::Unreachable);
-            return;
-        }
-        Distribution::IncomingChunk chunk;
-        chunk.append(*bytes);
-        on_bytes(id, chunk, true);
-    });
-}
-
-void CopyKeeper::fetch_from_peer(Distribution::Fetch const& fetch)
-{
-    Transport::HttpCallRequest call;
-    call.address = fetch.source.peer;
-    call.port = m_settings.chunk_port;
-    call.path = "/chunks/" + m_spec->chunks[fetch.chunk].digest + "?held=" + std::to_string(m_transfer->held_count());
-    call.timeout = m_settings.transfer.stall;
-    auto download = std::make_unique<Download>();
-    auto* raw = download.get();
-    auto const id = fetch.id;
-    m_downloads[id] = std::move(download);
-    m_metrics.count("mountbarrow_fetches_total", "source=\"peer\"");
-    raw->call = Transport::HttpCall::start(m_loop, call,
-        { .head = [raw](int status, Transport::HttpHeaders const&) { raw->status = status; },
-            .data = [this, raw, id](std::string_view slice) {
-                if (raw->status == status_ok)
-                    raw->bytes.append(slice);
-                if (m_transfer)
-                    m_transfer->on_progress(id, Core::monotonic_now()); },
-            .done = [this, id] {
-                auto node = m_downloads.extract(id);
-                if (node.empty())
-                    return;
-                auto const& ended = node.mapped();
-                if (ended->status == status_ok)
-                    on_bytes(id, ended->bytes, false);
-                else
-                    on_fetch_failed(id, ended->status == status_unavailable ? FetchFailure::Busy : FetchFailure::Missing); },
-            .failed = [this, id](Transport::HttpFailure) {
-                m_downloads.erase(id);
-                on_fetch_failed(id, FetchFailure::Unreachable); } });
-}
-
-void CopyKeeper::on_bytes(uint64_t fetch, Distribution::IncomingChunk& bytes, bool is_from_origin)
-{
-    auto const found = m_fetch_chunks.extract(fetch);
-    if (found.empty() || !m_transfer)
-        return;
-    auto const chunk = found.mapped();
-    auto const now = Core::monotonic_now();
-    m_metrics.count("mountbarrow_weights_bytes_total", is_from_origin ? "source=\"origin\"" : "source=\"peer\"", bytes.size());
-    auto const added = m_store.add(m_spec->chunks[chunk].digest, bytes);
-    if (added == Distribution::ChunkStore::AddResult::Corrupt) {
-        m_metrics.count("mountbarrow_chunks_corrupt_total");
-        Core::log_event(Core::LogLevel::Warn, "chunk_corrupt", { { "chunk", std::to_string(chunk) }, { "version", std::to_string(m_manifest->version) }, { "source", is_from_origin ? "origin" : "peer" } });
-        m_transfer->on_failed(fetch, FetchFailure::Corrupt, now);
-        return;
-    }
-    m_metrics.count("mountbarrow_chunks_total", is_from_origin ? "source=\"origin\"" : "source=\"peer\"");
-    m_transfer->on_fetched(fetch, now);
-    hold_chunk(chunk);
-    run_transfer(now);
-}
-
-void CopyKeeper::on_fetch_failed(uint64_t fetch, FetchFailure failure)
-{
-    if (m_fetch_chunks.erase(fetch) == 0 || !m_transfer)
-        return;
-    m_metrics.count("mountbarrow_fetch_failures_total", "reason=\"" + std::to_string(static_cast<int>(failure)) + "\"");
-    m_transfer->on_failed(fetch, failure, Core::monotonic_now());
-}
-
-void CopyKeeper::hold_chunk(size_t chunk)
-{
-    Schema::PieceMap map;
-    map.model = m_manifest->model;
-    map.version = m_manifest->version;
-    map.is_seeking = is_seeking();
-    // The same bytes may stand at several places of a version.
-    auto const& digest = m_spec->chunks[chunk].digest;
-    for (size_t i = 0; i < m_spec->chunks.size(); ++i) {
-        if (m_spec->chunks[i].digest != digest)
-            continue;
-        m_load->on_held(i);
-        map.chunks.push_back(static_cast<int64_t>(i));
-    }
-    m_callbacks.announce(map);
-    run_load(Core::monotonic_now());
-    if (m_transfer->is_complete() && !std::exchange(m_is_complete, true))
-        Core::log_event(Core::LogLevel::Info, "copy_complete", { { "version", std::to_string(m_manifest->version) }, { "after_ms", std::to_string((Core::monotonic_now() - m_goal_at).count()) }, { "origin_bytes", std::to_string(m_metrics.counter("mountbarrow_weights_bytes_total", "source=\"origin\"")) }, { "peer_bytes", std::to_string(m_metrics.counter("mountbarrow_weights_bytes_total", "source=\"peer\"")) } });
-}
-
 // Laying chunks beside the engine, and ordering it.
 
 void CopyKeeper::run_load(Core::Time now)
@@ -499,7 +258,7 @@
 
 void CopyKeeper::stage(int64_t version, size_t chunk)
 {
-    auto const bytes = m_store.find(spec_of(version).chunks[chunk].digest);
+    auto const bytes = m_fetcher.store().find(spec_of(version).chunks[chunk].digest);
     m_engine.stage(m_goal->model, chunk, bytes ? *bytes : std::string(), [this, version, chunk](bool is_done) {
         auto* load = load_of(version);
         if (!load)
@@ -530,10 +289,10 @@
     auto const named_at = std::min(goal_at, m_unmet_since.value_or(goal_at));
     if (now >= named_at + Core::Duration(goal.bound_ms) - switch_reserve)
         return true;
-    std::vector<std::string> ids { m_settings.identity };
+    std::vector<std::string> ids { m_settings.fetcher.identity };
     std::vector<std::string> ready;
     for (auto const& peer : goal.peers) {
-        if (peer.identity == m_settings.identity)
+        if (peer.identity == m_settings.fetcher.identity)
             continue;
         ids.push_back(peer.identity);
         auto const served = m_peer_versions.find(peer.identity);
@@ -542,7 +301,7 @@
     }
     auto const slack = std::max<size_t>(1, ids.size() / switched_at_once);
     auto const ranked = Core::rendezvous_order(std::to_string(goal.version), std::move(ids));
-    return Distribution::may_switch(m_settings.identity, ranked, ready, slack);
+    return Distribution::may_switch(m_settings.fetcher.identity, ranked, ready, slack);
 }
 
 void CopyKeeper::order(int64_t version, Distribution::OrderLoad const& due)
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -13,7 +13,7 @@
 static constexpr size_t neighbours = 32;
 // The copy is small and the bound on it short, so what nobody holds is asked of the origin soon.
 static constexpr Core::Duration origin_patience { 400 };
-static constexpr size_t fetches_in_flight = 3;
+static constexpr size_t fetches_in_flight = 6;
 static constexpr size_t origin_fetches_in_flight = 1;
 static constexpr size_t peer_fetches_while_seeding = 3;
 static constexpr Core::Duration longest_fault_wait { 1000 };
@@ -21,7 +21,7 @@
 static constexpr size_t seeders = 8;
 static constexpr Core::Duration transfer_stall { 1200 };
 static constexpr size_t uploads_at_once = 2;
-static constexpr size_t waiting_uploads = 1;
+static constexpr size_t waiting_uploads = 4;
 static constexpr double bytes_per_megabit = 125000;
 // Requests and their answers share the link with the chunks.
 static constexpr double upload_part_of_link = 0.95;
@@ -38,19 +38,18 @@
 static CopyKeeperSettings copy_settings(Schema::EngineAgentSettings const& settings)
 {
     CopyKeeperSettings result;
-    result.identity = settings.identity;
-    result.failure_domain = settings.failure_domain;
     result.region = settings.region;
     result.regions = settings.regions;
-    result.transfer.origin_patience = origin_patience;
-    result.transfer.fetches_in_flight = fetches_in_flight;
-    result.transfer.origin_fetches_in_flight = origin_fetches_in_flight;
-    result.transfer.peer_fetches_while_seeding = peer_fetches_while_seeding;
-    result.transfer.seeders = seeders;
-    result.transfer.longest_fault_wait = longest_fault_wait;
-    result.transfer.rarity_sample = rarity_sample;
-    result.transfer.stall = transfer_stall;
-    result.chunk_port = static_cast<uint16_t>(settings.chunk_port);
+    result.fetcher.identity = settings.identity;
+    result.fetcher.transfer.origin_patience = origin_patience;
+    result.fetcher.transfer.fetches_in_flight = fetches_in_flight;
+    result.fetcher.transfer.origin_fetches_in_flight = origin_fetches_in_flight;
+    result.fetcher.transfer.peer_fetches_while_seeding = peer_fetches_while_seeding;
+    result.fetcher.transfer.seeders = seeders;
+    result.fetcher.transfer.longest_fault_wait = longest_fault_wait;
+    result.fetcher.transfer.rarity_sample = rarity_sample;
+    result.fetcher.transfer.stall = transfer_stall;
+    result.fetcher.chunk_port = static_cast<uint16_t>(settings.chunk_port);
     return result;
 }
 
@@ -73,11 +72,11 @@
             m_hub->send(peer, message);
     };
     m_copy = std::make_unique<CopyKeeper>(loop, copy_settings(settings), m_metrics, *m_engine, *m_origin, CopyKeeper::Callbacks { .announce = announce, .changed = [this] { send_state(); } });
-    Agent::ChunkServerSettings uploads;
+    Weights::ChunkServerSettings uploads;
     uploads.bytes_per_second = static_cast<int64_t>(settings.link_megabits_per_second * bytes_per_megabit * upload_part_of_link);
     uploads.at_once = uploads_at_once;
     uploads.waiting = waiting_uploads;
-    m_chunks = std::make_unique<Agent::ChunkServer>(loop, uploads, m_metrics, m_copy->store());
+    m_chunks = std::make_unique<Weights::ChunkServer>(loop, uploads, m_metrics, m_copy->store());
     m_state_timer = loop.every(state_interval, [this] { send_state_if_changed(); });
     m_link_timer = loop.every(link_check_interval, [this] { check_links(); });
 }
@@ -102,7 +101,8 @@
         .down = [this](std::string const& identity) {
             Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
             m_last_heard.erase(identity);
-            m_copy->on_peer_down(identity); },
+            m_copy->on_peer_down(identity);
+            tell_caches(); },
         .failed = [this](Core::ErrorCode code) { m_metrics.count("mountbarrow_link_failures_total", "reason=\"" + std::string(Core::error_name(code)) + "\""); },
     };
 }
@@ -114,6 +114,7 @@
     if (hello.role == Schema::Role::Entry) {
         send_directory();
         send_state();
+        tell_caches();
         return;
     }
     if (auto map = m_copy->held()) {
@@ -128,6 +129,8 @@
     m_last_heard[from.identity] = Core::monotonic_now();
     if (message.weights_goal)
         on_goal(*message.weights_goal);
+    else if (message.pieces && from.role == Schema::Role::Entry)
+        m_copy->on_cache_pieces(from.identity, *message.pieces);
     else if (message.pieces)
         m_copy->on_peer_pieces(from.identity, *message.pieces);
 }
@@ -152,6 +155,12 @@
     m_copy->set_goal(goal);
 }
 
+void EngineAgent::tell_caches()
+{
+    auto const entries = m_hub->peers(Schema::Role::Entry);
+    m_copy->set_caches({ entries.begin(), entries.end() });
+}
+
 void EngineAgent::send_directory()
 {
     Schema::Message message;
--- a/Services/EngineAgent/EngineAgent.h
+++ b/Services/EngineAgent/EngineAgent.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
-#include "../Agent/ChunkServer.h"
+#include "../Weights/ChunkServer.h"
 #include "CopyKeeper.h"
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
@@ -35,6 +35,7 @@
     void on_link_up(Schema::Hello const&);
     void on_link_message(Schema::Hello const&, Schema::Message const&);
     void on_goal(Schema::WeightsGoal const&);
+    void tell_caches();
     void send_directory();
     void send_state();
     void send_state_if_changed();
@@ -48,7 +49,7 @@
     std::unique_ptr<Platform::WeightOrigin> m_origin;
     std::unique_ptr<Transport::LinkHub> m_hub;
     std::unique_ptr<CopyKeeper> m_copy;
-    std::unique_ptr<Agent::ChunkServer> m_chunks;
+    std::unique_ptr<Weights::ChunkServer> m_chunks;
     std::unique_ptr<Transport::HttpServer> m_http;
     std::map<std::string, Core::Time> m_last_heard;
     Schema::EngineState m_sent_state {};
--- a/Services/Agent/ChunkServer.cpp
+++ b/Services/Weights/ChunkServer.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cstdlib>
 
-namespace Agent {
+namespace Weights {
 
 static constexpr int status_ok = 200;
 static constexpr int status_not_found = 404;
--- a/Services/Agent/ChunkServer.h
+++ b/Services/Weights/ChunkServer.h
@@ -10,7 +10,7 @@
 #include <memory>
 #include <string>
 
-namespace Agent {
+namespace Weights {
 
 struct ChunkServerSettings {
     /// Bytes a second to all peers together; 0 for no limit.
