Weights, Entry: Keep a copy of a named version at each entry, and let agents read it there

Cause: a new version took 4.7 s to 76 engines (3.7 s to 20), so of two named 4 s apart the first never came, and its bound passed with no engine to send to: all were refused for 2.7 s. An engine's link seems to carry what comes in and what goes out together (15 chunks a second each way, 7.9 Mbit/s, on a link of 7.6): spreading among engines alone costs each twice the copy, 4.4 s at the least. Ruled out: reads in flight (3 to 6: 4.7 to 5.0 s), the origin (its 64 chunks are out in 1.6 s), busy answers. Entries keep one of each named version while an engine lacks it: four of them read the origin, one a region brings a chunk from far away, reads of entries go before those of agents, and agents read from the entries of their region before their peers.

--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -395,7 +395,7 @@
          */
         std::string key;
         /**
-         * Bandwidth of the instance's link, megabits per second. Half of it may carry weights to
+         * Bandwidth of the instance's link, megabits per second. Three quarters of it may carry weights to
          * agents; without it, or without a metrics port, the entry keeps no copies for them.
          */
         std::optional<double> link_megabits_per_second;
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -31,7 +31,7 @@
 static constexpr Core::Duration longest_list_interval { 2000 };
 static constexpr double bytes_per_megabit = 125000;
 // The rest is left to callers and backend servers.
-static constexpr double weights_part_of_link = 0.5;
+static constexpr double weights_part_of_link = 0.75;
 static constexpr size_t queue_limit = 256;
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
@@ -521,7 +521,8 @@
     std::string text;
     std::vector<Schema::Message> messages;
     for (auto& goal : goals()) {
-        if (m_weights)
+        // The version of the start lies beside most engines already, and comes to new ones from their peers.
+        if (m_weights && m_replica.versions().contains(goal.model))
             m_weights->set_goal(goal, Core::monotonic_now() - Core::Duration(with_age(goal).age_ms));
         // The age alone is no news.
         text += Schema::to_text(goal);
--- a/Services/DirectEntry/WeightsCache.cpp
+++ b/Services/DirectEntry/WeightsCache.cpp
@@ -13,7 +13,7 @@
 static constexpr Core::Duration transfer_stall { 1200 };
 static constexpr size_t rarity_sample = 1;
 static constexpr size_t uploads_at_once = 4;
-static constexpr size_t waiting_uploads = 64;
+static constexpr size_t waiting_uploads = 128;
 static constexpr int status_ok = 200;
 static constexpr int status_not_found = 404;
 
@@ -22,6 +22,7 @@
     Weights::CopyFetcherSettings result;
     result.identity = settings.identity;
     result.chunk_port = settings.chunk_port;
+    result.is_cache = true;
     result.transfer.fetches_in_flight = fetches_in_flight;
     result.transfer.origin_fetches_in_flight = origin_fetches_in_flight;
     result.transfer.seeders = seeders;
--- a/Services/Weights/ChunkServer.cpp
+++ b/Services/Weights/ChunkServer.cpp
@@ -20,9 +20,9 @@
 {
 }
 
-bool ChunkServer::has_fewer_chunks(WaitingUpload const& first, WaitingUpload const& second)
+bool ChunkServer::goes_first(WaitingUpload const& first, WaitingUpload const& second)
 {
-    return first.held < second.held;
+    return std::pair(!first.is_for_cache, first.held) < std::pair(!second.is_for_cache, second.held);
 }
 
 void ChunkServer::serve(std::shared_ptr<Transport::HttpExchange> const& exchange, std::string const& digest)
@@ -43,12 +43,12 @@
         return;
     }
     auto const held = std::strtoul(exchange->query("held").value_or("0").c_str(), nullptr, 10);
-    m_waiting.push_back({ exchange, std::move(chunk), held });
+    m_waiting.push_back({ exchange, std::move(chunk), exchange->query("for") == "cache", held });
     std::erase_if(m_waiting, [](auto const& waiting) { return waiting.exchange->is_over(); });
     if (m_waiting.size() <= m_settings.waiting)
         return;
     // The peer that is furthest along can best find another source.
-    auto const furthest = std::max_element(m_waiting.begin(), m_waiting.end(), has_fewer_chunks);
+    auto const furthest = std::max_element(m_waiting.begin(), m_waiting.end(), goes_first);
     m_metrics.count("mountbarrow_agent_uploads_refused_total");
     furthest->exchange->reply(status_unavailable, { { "Retry-After", "1" } }, {});
     m_waiting.erase(furthest);
@@ -77,7 +77,7 @@
 {
     while (*m_uploads < m_settings.at_once && !m_waiting.empty()) {
         // The peer that is furthest behind goes first: the time to all replicas is the time of the last.
-        auto const furthest_behind = std::min_element(m_waiting.begin(), m_waiting.end(), has_fewer_chunks);
+        auto const furthest_behind = std::min_element(m_waiting.begin(), m_waiting.end(), goes_first);
         auto const next = std::move(*furthest_behind);
         m_waiting.erase(furthest_behind);
         if (!next.exchange->is_over())
--- a/Services/Weights/ChunkServer.h
+++ b/Services/Weights/ChunkServer.h
@@ -33,11 +33,13 @@
     struct WaitingUpload {
         std::shared_ptr<Transport::HttpExchange> exchange;
         std::shared_ptr<std::string const> chunk;
+        // It is for a cache, which passes it on to many.
+        bool is_for_cache { false };
         // Chunks that the requesting peer says it holds.
         size_t held { 0 };
     };
 
-    static bool has_fewer_chunks(WaitingUpload const&, WaitingUpload const&);
+    static bool goes_first(WaitingUpload const&, WaitingUpload const&);
     void upload(Transport::HttpExchange&, std::shared_ptr<std::string const> const& chunk);
     void upload_next();
 
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -91,9 +91,7 @@
 
 bool CopyFetcher::awaits_cache(Core::Time now) const
 {
-    auto const caches = m_callbacks.sources().caches;
-    bool const is_cache = std::find(caches.begin(), caches.end(), m_settings.identity) != caches.end();
-    return !caches.empty() && !is_cache && now - m_turned_at < cache_patience;
+    return !m_settings.is_cache && !m_callbacks.sources().caches.empty() && now - m_turned_at < cache_patience;
 }
 
 void CopyFetcher::seek_manifest(Core::Time now)
@@ -275,6 +273,8 @@
     call.address = fetch.source.peer;
     call.port = m_settings.chunk_port;
     call.path = "/chunks/" + m_spec->chunks[fetch.chunk].digest + "?held=" + std::to_string(m_transfer->held_count());
+    if (m_settings.is_cache)
+        call.path += "&for=cache";
     call.timeout = m_settings.transfer.stall;
     auto download = std::make_unique<Download>();
     auto* raw = download.get();
--- a/Services/Weights/CopyFetcher.h
+++ b/Services/Weights/CopyFetcher.h
@@ -21,6 +21,8 @@
     std::string identity;
     /// Port at which every instance serves chunks and manifests.
     uint16_t chunk_port { 0 };
+    /// This instance keeps the copy for others.
+    bool is_cache { false };
     Distribution::TransferSettings transfer;
 };
 
--- a/Tests/LibDistribution/TestTransfer.cpp
+++ b/Tests/LibDistribution/TestTransfer.cpp
@@ -265,3 +265,77 @@
     EXPECT_LT(swarm.slots_until_complete(), 4 * swarm.chunks);
     EXPECT_LE(swarm.origin_reads, 60u);
 }
+
+static std::vector<Fetch> fetches_of(std::vector<TransferAction> const& actions)
+{
+    std::vector<Fetch> fetches;
+    for (auto const& action : actions) {
+        if (auto const* fetch = std::get_if<Fetch>(&action))
+            fetches.push_back(*fetch);
+    }
+    return fetches;
+}
+
+TEST(Transfer, WithCachesNobodyElseReadsFromTheOriginAtOnce)
+{
+    size_t const chunks = 16;
+    std::vector<std::string> const engines { "e1", "e2", "e3", "e4" };
+    std::vector<std::string> const caches { "c1", "c2" };
+    TransferSettings settings;
+    settings.fetches_in_flight = chunks;
+    settings.origin_fetches_in_flight = chunks;
+    std::multiset<size_t> read;
+    for (auto const& self : { "e1", "e2", "e3", "e4", "c1", "c2" }) {
+        Transfer transfer(version_of(chunks), self, engines, {}, settings, 1, Core::Time(0));
+        transfer.set_caches(caches);
+        auto const fetches = fetches_of(transfer.step(Core::Time(0)));
+        bool const is_cache = std::string(self).front() == 'c';
+        EXPECT_EQ(fetches.empty(), !is_cache) << self;
+        for (auto const& fetch : fetches)
+            read.insert(fetch.chunk);
+    }
+    // Between them the caches read each chunk once.
+    EXPECT_EQ(read.size(), chunks);
+    EXPECT_EQ(std::set<size_t>(read.begin(), read.end()).size(), chunks);
+}
+
+TEST(Transfer, WithoutTheCachesTheEnginesTurnToTheOriginAfterAWhile)
+{
+    TransferSettings settings;
+    settings.fetches_in_flight = 4;
+    settings.origin_patience = Core::Duration(400);
+    Transfer transfer(version_of(4), "e1", { "e1", "e2" }, {}, settings, 1, Core::Time(0));
+    transfer.set_caches({ "c1", "c2" });
+    EXPECT_TRUE(fetches_of(transfer.step(Core::Time(0))).empty());
+    EXPECT_FALSE(fetches_of(transfer.step(Core::Time(2000))).empty());
+}
+
+TEST(Transfer, ACacheIsAskedBeforeOtherPeers)
+{
+    TransferSettings settings;
+    settings.fetches_in_flight = 8;
+    Transfer transfer(version_of(8), "e1", { "e1", "e2", "e3" }, {}, settings, 1, Core::Time(0));
+    transfer.set_caches({ "c1" });
+    std::vector<int64_t> const all { 0, 1, 2, 3, 4, 5, 6, 7 };
+    for (auto const* peer : { "e2", "c1", "e3" })
+        transfer.on_peer_chunks(peer, all);
+    auto const fetches = fetches_of(transfer.step(Core::Time(0)));
+    ASSERT_EQ(fetches.size(), 8u);
+    for (auto const& fetch : fetches)
+        EXPECT_EQ(fetch.source.peer, "c1");
+}
+
+TEST(Transfer, OneCacheOfARegionBringsAChunkFromFarAway)
+{
+    size_t readers = 0;
+    for (auto const& self : { "c1", "c2", "e1", "e2" }) {
+        Transfer transfer(version_of(1), self, { "e1", "e2" }, {}, {}, 1, Core::Time(0));
+        transfer.set_caches({ "c1", "c2", "far" });
+        transfer.set_near({ "c1", "c2", "e1", "e2" });
+        transfer.on_peer_chunks("far", { 0 });
+        bool const has_read = !fetches_of(transfer.step(Core::Time(0))).empty();
+        readers += has_read ? 1 : 0;
+        EXPECT_TRUE(!has_read || self[0] == 'c') << self;
+    }
+    EXPECT_EQ(readers, 1u);
+}
--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -130,7 +130,8 @@
 
     def start_entry(self, identity):
         self.start("mountbarrow-direct-entry", identity, {**self.common(identity, "zone-a"), "callers_address": f"{identity}:{CALLERS_PORT}",
-                   "readiness_address": f"{identity}:{READY_PORT}", "control_address": f"{identity}:{CONTROL_PORT}", "metrics_port": CHUNK_PORT})
+                   "readiness_address": f"{identity}:{READY_PORT}", "control_address": f"{identity}:{CONTROL_PORT}", "metrics_port": CHUNK_PORT,
+                   "link_megabits_per_second": 1000.0})
 
     def start_agent(self, engine):
         self.start("mountbarrow-engine-agent", engine.address, {**self.common(engine.address, engine.zone), "engine_address": f"{engine.address}:{engine.port}",
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -270,6 +270,7 @@
         self.order_sequence = 0
         # What each load took: (version, the staged bytes' digests in order).
         self.loads = []
+        self.refuses_staging = False
         self.lose_order_answers = 0
         self.events = 6
         self.event_seconds = 0.01
@@ -301,6 +302,8 @@
             body = {"Stage": "both", "Busy": False, "CallSeq": self.order_sequence, "Waiting": 0, "Running": self.running, "pace": 1.0, **self.held()}
             return await self.reply(request, 200, body=json.dumps(body).encode())
         if request.path.startswith("/stage-put/"):
+            if self.refuses_staging:
+                return await self.reply(request, 507)
             self.staged[int(request.query["Num"])] = request.body
             return await self.reply(request, 200)
         if request.path.startswith("/stage-get/"):
--- a/Tests/Platform/test_direct_path.py
+++ b/Tests/Platform/test_direct_path.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from fleet import CHUNKS, KEY, CUSTOMER, LLM, Fleet, Origin, wait_until
+from fleet import CHUNK_PORT, CHUNKS, KEY, CUSTOMER, LLM, Fleet, Origin, wait_until
 from stand_ins import Engine  # noqa: F401
 
 
@@ -129,9 +129,9 @@
         entry = fleet.entries[0]
         # What is named right after an entry's start counts as named before it, and is required at once.
         time.sleep(3)
-        # The agent is gone, so its engine stays at the first version; whatever it is sent waits there.
+        # Nothing can be laid beside the engine, so it stays at the first version; whatever it is sent waits there.
         outdated = fleet.engines[0]
-        fleet.kill(outdated.address)
+        outdated.refuses_staging = True
         outdated.fault, outdated.faults_left = "wait_long", 1000
         fleet.name_version(2)
         wait_until(lambda: all(engine.version == 2 for engine in fleet.engines[1:]), "version 2 at the others")
@@ -154,6 +154,39 @@
         assert not outdated.runs or all(run[2] == 1 and run[0].startswith("r") for run in outdated.runs)
 
 
+def test_an_engine_whose_agent_is_gone_gets_no_work_while_it_is_behind(build, folders):
+    with Fleet(build, folders) as fleet:
+        wait_linked(fleet)
+        entry = fleet.entries[0]
+        silent = fleet.engines[0]
+        fleet.kill(silent.address)
+        fleet.name_version(2)
+        wait_until(lambda: all(engine.version == 2 for engine in fleet.engines[1:]), "version 2 at the others")
+        before = len(silent.runs)
+        for _ in range(12):
+            assert_whole_stream(fleet.call(entry, "POST", "/stream/a"))
+        assert len(silent.runs) == before
+
+
+def test_entries_pass_a_named_version_on_to_agents(build, folders):
+    with Fleet(build, folders) as fleet:
+        wait_linked(fleet)
+        fleet.name_version(2)
+        wait_until(lambda: all(engine.version == 2 for engine in fleet.engines), "version 2 everywhere")
+        assert right_loads(fleet, 2)
+        uploads = [fleet.call(entry, "GET", "/metrics", port=CHUNK_PORT).body.decode() for entry in fleet.entries]
+        assert any("mountbarrow_agent_uploads_total" in text for text in uploads), uploads
+        # With only one entry left, a new engine is still filled.
+        for entry in fleet.entries[1:]:
+            fleet.kill(entry)
+        grown = fleet.add_engine(4, version=0)
+        fleet.engines.append(grown)
+        grown.enlist()
+        fleet.start_agent(grown)
+        wait_until(lambda: grown.version == 2, "the new engine to be filled")
+        assert right_loads(fleet, 2)
+
+
 def test_new_and_restarted_engines_are_filled_and_bad_staged_chunks_repaired(build, folders):
     with Fleet(build, folders) as fleet:
         wait_linked(fleet)
