LibDistribution: Read few chunks at once from entries, and one at a time on a narrow link

Change: two reads at once where entries are known, three from peers; one where a chunk's bytes take over 150 ms.

--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -145,8 +145,11 @@
 void Transfer::on_progress(uint64_t fetch, Core::Time now)
 {
     auto found = m_running.find(fetch);
-    if (found != m_running.end())
-        found->second.last_progress = now;
+    if (found == m_running.end())
+        return;
+    found->second.last_progress = now;
+    if (!found->second.first_bytes)
+        found->second.first_bytes = now;
 }
 
 void Transfer::end_fetch(uint64_t id)
@@ -159,6 +162,12 @@
     m_running.erase(found);
 }
 
+static double smoothed(double mean, double sample)
+{
+    static constexpr double memory = 0.8;
+    return mean == 0 ? sample : memory * mean + (1 - memory) * sample;
+}
+
 void Transfer::on_fetched(uint64_t fetch, Core::Time now)
 {
     auto found = m_running.find(fetch);
@@ -166,7 +175,9 @@
         return;
     auto const running = found->second;
     auto const took = static_cast<double>((now - running.started).count());
-    m_mean_fetch_ms = m_mean_fetch_ms == 0 ? took : 0.8 * m_mean_fetch_ms + 0.2 * took;
+    m_mean_fetch_ms = smoothed(m_mean_fetch_ms, took);
+    if (running.first_bytes)
+        m_mean_bytes_ms = smoothed(m_mean_bytes_ms, static_cast<double>((now - *running.first_bytes).count()));
     m_last_useful = now;
     auto peer = m_peers.find(running.source.peer);
     if (peer != m_peers.end())
@@ -255,6 +266,11 @@
 
 size_t Transfer::fetch_limit() const
 {
+    bool const is_link_slow = m_settings.slow_link.count() > 0 && m_mean_bytes_ms > static_cast<double>(m_settings.slow_link.count());
+    if (is_link_slow)
+        return 1;
+    if (m_settings.fetches_with_caches > 0 && !m_caches.empty())
+        return m_settings.fetches_with_caches;
     bool const is_seeding = m_settings.peer_fetches_while_seeding > 0 && owes_origin_chunks();
     if (!is_seeding)
         return m_settings.fetches_in_flight;
@@ -267,7 +283,7 @@
     m_chunks[chunk].fetches += 1;
     if (!source.is_origin())
         m_peers[source.peer].fetches += 1;
-    m_running[id] = { chunk, source, now, now };
+    m_running[id] = { chunk, source, now, now, {} };
     return { id, chunk, std::move(source) };
 }
 
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -51,6 +51,12 @@
     /// Chunks read at once, from peers and from the origin.
     size_t fetches_in_flight { 4 };
     size_t origin_fetches_in_flight { 1 };
+    /// Chunks read at once while caches are known: their links are wide, so few reads fill this instance's own, and
+    /// more would only queue there before its requests and answers. 0: as from peers.
+    size_t fetches_with_caches { 0 };
+    /// Where a chunk's bytes take longer than this from the first to the last, this instance's link is narrow, and one
+    /// read at a time fills it. 0 sets no such limit.
+    Core::Duration slow_link { 0 };
     /// Chunks read from peers at once while this instance still owes chunks of the origin to the others: these
     /// reads share its link with what everybody waits for. 0 sets no limit.
     size_t peer_fetches_while_seeding { 0 };
@@ -142,6 +148,7 @@
         Source source;
         Core::Time started { 0 };
         Core::Time last_progress { 0 };
+        std::optional<Core::Time> first_bytes;
     };
 
     void rank_chunks();
@@ -180,6 +187,8 @@
     Core::Time m_origin_avoid_until { 0 };
     // A running mean of how long a read takes, to tell a slow one.
     double m_mean_fetch_ms { 0 };
+    // A running mean of the time from a chunk's first bytes to its last.
+    double m_mean_bytes_ms { 0 };
 };
 
 /// The peers that an instance keeps a link to for a version: about half near (the same failure domain first),
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -13,7 +13,10 @@
 static constexpr size_t neighbours = 32;
 // The copy is small and the bound on it short, so what nobody holds is asked of the origin soon.
 static constexpr Core::Duration origin_patience { 400 };
-static constexpr size_t fetches_in_flight = 6;
+static constexpr size_t fetches_in_flight = 3;
+static constexpr size_t fetches_with_caches = 2;
+// A chunk alone takes some 35 ms of a link as the users' instances have it.
+static constexpr Core::Duration slow_link { 150 };
 static constexpr size_t origin_fetches_in_flight = 1;
 static constexpr size_t peer_fetches_while_seeding = 3;
 static constexpr Core::Duration longest_fault_wait { 1000 };
@@ -44,6 +47,8 @@
     result.fetcher.transfer.origin_patience = origin_patience;
     result.fetcher.transfer.fetches_in_flight = fetches_in_flight;
     result.fetcher.transfer.origin_fetches_in_flight = origin_fetches_in_flight;
+    result.fetcher.transfer.fetches_with_caches = fetches_with_caches;
+    result.fetcher.transfer.slow_link = slow_link;
     result.fetcher.transfer.peer_fetches_while_seeding = peer_fetches_while_seeding;
     result.fetcher.transfer.seeders = seeders;
     result.fetcher.transfer.longest_fault_wait = longest_fault_wait;
--- a/Tests/LibDistribution/TestTransfer.cpp
+++ b/Tests/LibDistribution/TestTransfer.cpp
@@ -339,3 +339,34 @@
     }
     EXPECT_EQ(readers, 1u);
 }
+
+TEST(Transfer, ANarrowLinkIsFilledByOneReadAtATime)
+{
+    TransferSettings settings;
+    settings.fetches_in_flight = 3;
+    settings.slow_link = Core::Duration(150);
+    Transfer transfer(version_of(16), "e1", { "e1", "e2" }, {}, settings, 1, Core::Time(0));
+    transfer.on_peer_chunks("e2", { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9 });
+    auto const first = fetches_of(transfer.step(Core::Time(0)));
+    ASSERT_EQ(first.size(), 3u);
+    for (auto const& fetch : first)
+        transfer.on_progress(fetch.id, Core::Time(20));
+    for (auto const& fetch : first)
+        transfer.on_fetched(fetch.id, Core::Time(900));
+    EXPECT_EQ(fetches_of(transfer.step(Core::Time(900))).size(), 1u);
+}
+
+TEST(Transfer, TheWaitAtABusySourceIsNoNarrowLink)
+{
+    TransferSettings settings;
+    settings.fetches_in_flight = 3;
+    settings.slow_link = Core::Duration(150);
+    Transfer transfer(version_of(16), "e1", { "e1", "e2" }, {}, settings, 1, Core::Time(0));
+    transfer.on_peer_chunks("e2", { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9 });
+    auto const first = fetches_of(transfer.step(Core::Time(0)));
+    for (auto const& fetch : first) {
+        transfer.on_progress(fetch.id, Core::Time(860));
+        transfer.on_fetched(fetch.id, Core::Time(900));
+    }
+    EXPECT_EQ(fetches_of(transfer.step(Core::Time(900))).size(), 3u);
+}
