--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -26,7 +26,7 @@
 static constexpr Core::Duration least_drain { 3000 };
 static constexpr Core::Duration drain_margin { 500 };
 // What is left of the bound on draining for a read of the list, and for what was sent just before it.
-static constexpr Core::Duration drain_reaction { 700 };
+static constexpr Core::Duration drain_reaction { 1000 };
 static constexpr Core::Duration shortest_list_interval { 400 };
 static constexpr Core::Duration longest_list_interval { 2000 };
 static constexpr double bytes_per_megabit = 125000;
