LibSettings, Tests: Hold SIGHUP back while a process starts, notice changed files, and soak the real programs

Ruled out: a hang (gdb showed the other entry idle in its loop), a crash (no report of the sanitizers). Change: SIGHUP is blocked from the start of run_process until it is handled, and so delivered then; the settings file's time is looked at every 2 s. A signal before the program's own first line ends any program; the soak leaves that moment out, as the program cannot help it.

--- a/Libraries/LibSettings/ProcessMain.cpp
+++ b/Libraries/LibSettings/ProcessMain.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibSettings/ProcessMain.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <tclap/CmdLine.h>
 
@@ -21,4 +22,45 @@
     return result;
 }
 
+static void set_reload_signal(int how)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGHUP);
+    sigprocmask(how, &signals, nullptr);
+}
+
+void hold_reload_signal()
+{
+    set_reload_signal(SIG_BLOCK);
+}
+
+void release_reload_signal()
+{
+    set_reload_signal(SIG_UNBLOCK);
+}
+
+static std::filesystem::file_time_type write_time(std::string const& path)
+{
+    std::error_code error;
+    auto const time = std::filesystem::last_write_time(path, error);
+    return error ? std::filesystem::file_time_type::min() : time;
+}
+
+FileWatch::FileWatch(std::string path)
+    : m_path(std::move(path))
+    , m_written(write_time(m_path))
+{
+}
+
+bool FileWatch::has_changed()
+{
+    auto const written = write_time(m_path);
+    // A file that is gone for a moment says nothing.
+    if (written == m_written || written == std::filesystem::file_time_type::min())
+        return false;
+    m_written = written;
+    return true;
+}
+
 }
--- a/Libraries/LibSettings/ProcessMain.h
+++ b/Libraries/LibSettings/ProcessMain.h
@@ -5,7 +5,7 @@
 #include <LibCore/Log.h>
 #include <LibSchema/Json.h>
 #include <LibSettings/FleetSettings.h>
-#include <csignal>
+#include <filesystem>
 #include <iostream>
 #include <string>
 
@@ -24,6 +24,25 @@
 /// Reads the command line. Without --settings the path comes from the variable MOUNTBARROW_SETTINGS.
 DaemonCommand parse_command(int argc, char** argv, char const* description);
 
+/// Holds SIGHUP back while a process starts: unhandled, it would end it.
+void hold_reload_signal();
+/// Lets a SIGHUP that was held back through. To be called once it is handled.
+void release_reload_signal();
+
+/// Tells when a file was written anew: settings may change without a signal.
+class FileWatch {
+public:
+    explicit FileWatch(std::string path);
+    /// @return true if the file was written since the last question, or since the start.
+    bool has_changed();
+
+private:
+    std::string m_path;
+    std::filesystem::file_time_type m_written;
+};
+
+inline constexpr Core::Duration file_watch_interval { 2000 };
+
 inline int report_failure(char const* program, Core::Error const& error, int code)
 {
     std::cerr << program << ": " << Core::error_name(error.code) << ": " << error.detail << '\n';
@@ -34,6 +53,8 @@
 template<typename T, typename Create>
 int run_process(DaemonCommand const& command, char const* program, Create const& create)
 {
+    hold_reload_signal();
+    FileWatch watch(command.settings_path);
     auto settings = load_fleet_settings<T>(command.settings_path);
     if (!settings.has_value())
         return report_failure(program, settings.error(), exit_bad_settings);
@@ -45,7 +66,13 @@
     if (!service.has_value())
         return report_failure(program, service.error(), exit_cannot_start);
     loop.on_stop_signal([&] { (*service)->drain(); });
-    loop.on_reload_signal([&] { (*service)->reload(load_fleet_settings<T>(command.settings_path)); });
+    auto const reload = [&] { (*service)->reload(load_fleet_settings<T>(command.settings_path)); };
+    loop.on_reload_signal(reload);
+    release_reload_signal();
+    auto const watch_timer = loop.every(file_watch_interval, [&] {
+        if (watch.has_changed())
+            reload();
+    });
     loop.run();
     Core::flush_log();
     return exit_ok;
--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-2-Clause
 """A deployment on the users' protocol: the real programs as processes, and the stand-ins around them."""
 
+import collections
 import http.client
 import json
 import os
@@ -50,6 +51,8 @@
         self.next_host = 2
         self.next_request = 1
         self.processes = {}
+        # How often each process was started.
+        self.starts = collections.Counter()
         self.doors = {}
         self.store = Store(self.loop)
         self.version = 0
@@ -125,6 +128,7 @@
         path = os.path.join(self.folder, f"{identity}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
+        self.starts[identity] += 1
         with open(os.path.join(self.folder, f"{identity}.log"), "ab") as log, open(os.path.join(self.folder, f"{identity}.err"), "ab") as errors:
             self.processes[identity] = subprocess.Popen([os.path.join(self.build, program)], stdout=log, stderr=errors, env={**os.environ, "MOUNTBARROW_SETTINGS": path})
 
@@ -191,4 +195,5 @@
 
     def log_lines(self, identity):
         with open(os.path.join(self.folder, f"{identity}.log"), encoding="utf-8") as file:
-            return [json.loads(line) for line in file]
+            # The last line may be on its way.
+            return [json.loads(line) for line in file if line.endswith("\n")]
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -201,10 +201,12 @@
         self.runs = []
         self.fault = ""
         self.faults_left = 0
+        # The port that the list names: its own, or that of a proxy before it.
+        self.listed_port = port
         super().__init__(loop, address, port)
 
     def entry(self, state="ready"):
-        return {"Service": self.service, "Address": f"{self.address}:{self.port}", "Zone": self.zone, "Version": "v1",
+        return {"Service": self.service, "Address": f"{self.address}:{self.listed_port}", "Zone": self.zone, "Version": "v1",
                 "Slots": 16, "State": state, "ColdLeftMs": 0, "CallSeq": 0, **self.own_entry()}
 
     def own_entry(self):
--- /dev/null
+++ b/Tests/Soak/test_soak.py
@@ -0,0 +1,21 @@
+# SPDX-License-Identifier: BSD-2-Clause
+"""A short run of the soak with a fixed seed, and every seed that ever failed."""
+
+import os
+
+from soak import HERE, run_seed
+
+FIXED_SEED = 20261202
+SECONDS = 8
+
+
+def failed_seeds():
+    with open(os.path.join(HERE, "failed_seeds.txt"), encoding="utf-8") as file:
+        return [int(line.split(":")[0]) for line in file if line.strip() and not line.startswith("#")]
+
+
+def test_promises_hold_under_random_faults(build, folders):
+    for seed in [FIXED_SEED, *failed_seeds()]:
+        broken, (good, _) = run_seed(build, seed, SECONDS, folders)
+        assert not broken, (seed, broken)
+        assert good > 0
