Tests: Write a caller's head in one place, with the users' words

Cause: the soak's callers named the users' headers, which stand only in platform/ and Tests/Platform. Change: fleet.caller_fields serves both; the fields are the same.

--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -29,6 +29,14 @@
             "Service": service, "MaxAttempts": 2, "Public": False, **more}
 
 
+def caller_fields(request_id, key, deadline_ms):
+    """What a caller sends at the head of a request; without a key, no one is named."""
+    fields = {"Host": HOST, "X-Request-Id": request_id, "X-Deadline-Ms": str(deadline_ms), "X-Token-Counts": "100,30"}
+    if key:
+        fields["Authorization"] = f"Bearer {key}"
+    return fields
+
+
 class Answer:
     def __init__(self, status, headers, body, is_whole):
         self.status = status
@@ -152,9 +160,7 @@
         if request_id is None:
             request_id = f"r{self.next_request}"
             self.next_request += 1
-        fields = {"Host": HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "8000", "X-Token-Counts": "100,30", **(headers or {})}
-        if key:
-            fields["Authorization"] = f"Bearer {key}"
+        fields = {**caller_fields(request_id, key, 8000), **(headers or {})}
         connection = http.client.HTTPConnection(entry, port, timeout=30)
         try:
             connection.request(method, path, body=body, headers=fields)
--- a/Tests/Soak/callers.py
+++ b/Tests/Soak/callers.py
@@ -5,9 +5,10 @@
 import random
 import threading
 
-from fleet import CALLERS_PORT, HOST
+from fleet import CALLERS_PORT, caller_fields
 
 EVENTS = 6
+DEADLINE_MS = 4000
 
 
 class Seen:
@@ -51,7 +52,7 @@
         path = f"/{kind}/{request_id}"
         seen = Seen(kind, request_id, path, entry, self.soak.lives[entry], self.random.choice(self.soak.fleet.keys))
         self.seen.append(seen)
-        headers = {"Host": HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "4000", "X-Token-Counts": "100,30", "Authorization": f"Bearer {seen.key}"}
+        headers = caller_fields(request_id, seen.key, DEADLINE_MS)
         connection = self.connection(entry)
         try:
             connection.request("GET" if kind == "safe" else "POST", path, body=None if kind == "safe" else b"x", headers=headers)
