--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -307,6 +307,9 @@
 void ProxiedRequest::deliver(std::string const& events)
 {
     m_has_event = true;
+    if (m_has_delivered)
+        m_longest_pause = std::max(m_longest_pause, m_heard_at - m_delivered_at);
+    m_delivered_at = m_heard_at;
     if (!m_has_delivered) {
         m_has_delivered = true;
         m_first_event_after = m_heard_at - m_started;
@@ -584,7 +587,7 @@
     m_context.metrics.observe_ms("mountbarrow_request_ms", static_cast<double>((now - m_started).count()));
     auto const level = refusal == Refusal::None ? Core::LogLevel::Info : Core::LogLevel::Warn;
     Core::log_event(level, "request_ended",
-        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "server", m_server }, { "sends", std::to_string(m_sends) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "longest_pause_ms", milliseconds(m_longest_pause) }, { "server", m_server }, { "sends", std::to_string(m_sends) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
     m_context.over(m_number);
 }
 
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -112,6 +112,9 @@
     std::optional<Core::Duration> m_server_retry_after;
     Core::Time m_waiting_since { 0 };
     std::optional<Core::Duration> m_first_event_after;
+    // When events went to the caller last, and the longest time between two of these moments.
+    Core::Time m_delivered_at { 0 };
+    Core::Duration m_longest_pause { 0 };
 };
 
 }
