LibDistribution, Agent: Fill a new engine before the list names it, and read six chunks at once from peers

Cause: a new engine's agent started at 5.1 s and heard its goal at 6.2 s, when the list named it and entries dialled; then it read two chunks at once, because caches were known, though they held nothing (3.1 s for a copy). Its first request for the manifest went to agents that were seeking themselves (404), and the next try came 0.7 s later. Ruled out: the peers' links (45 hold the version, 31 want it); the origin (not asked). Change: An agent without a goal dials the entries that its settings name, one more each 0.5 s; while the list does not name it, it dials all its neighbours. Few reads at once only while some cache holds chunks, and three instead of two. A narrow link is told by the time of a chunk divided by the reads beside it, so that six on a wide one are not taken for it. Manifests are asked of peers that named chunks first. Tests: ReadsThatShareAWideLink..., CachesThatHoldNothing..., test_a_new_engine_is_filled_before_the_list_names_it (failed before: never filled). Conclusion: capacity comes earlier where it is needed at once.

--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -176,8 +176,11 @@
     auto const running = found->second;
     auto const took = static_cast<double>((now - running.started).count());
     m_mean_fetch_ms = smoothed(m_mean_fetch_ms, took);
-    if (running.first_bytes)
-        m_mean_bytes_ms = smoothed(m_mean_bytes_ms, static_cast<double>((now - *running.first_bytes).count()));
+    if (running.first_bytes) {
+        // Reads at the same time share the link: what each took is divided by their number.
+        auto const lasted = static_cast<double>((now - *running.first_bytes).count());
+        m_mean_bytes_ms = smoothed(m_mean_bytes_ms, lasted / static_cast<double>(m_running.size()));
+    }
     m_last_useful = now;
     auto peer = m_peers.find(running.source.peer);
     if (peer != m_peers.end())
@@ -264,12 +267,20 @@
     });
 }
 
+bool Transfer::has_stocked_cache() const
+{
+    return std::any_of(m_caches.begin(), m_caches.end(), [&](auto const& cache) {
+        auto const peer = m_peers.find(cache);
+        return peer != m_peers.end() && !peer->second.chunks.empty();
+    });
+}
+
 size_t Transfer::fetch_limit() const
 {
     bool const is_link_slow = m_settings.slow_link.count() > 0 && m_mean_bytes_ms > static_cast<double>(m_settings.slow_link.count());
     if (is_link_slow)
         return 1;
-    if (m_settings.fetches_with_caches > 0 && !m_caches.empty())
+    if (m_settings.fetches_with_caches > 0 && has_stocked_cache())
         return m_settings.fetches_with_caches;
     bool const is_seeding = m_settings.peer_fetches_while_seeding > 0 && owes_origin_chunks();
     if (!is_seeding)
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -51,11 +51,11 @@
     /// Chunks read at once, from peers and from the origin.
     size_t fetches_in_flight { 4 };
     size_t origin_fetches_in_flight { 1 };
-    /// Chunks read at once while caches are known: their links are wide, so few reads fill this instance's own, and
+    /// Chunks read at once while some cache holds chunks: their links are wide, so few reads fill this instance's own, and
     /// more would only queue there before its requests and answers. 0: as from peers.
     size_t fetches_with_caches { 0 };
-    /// Where a chunk's bytes take longer than this from the first to the last, this instance's link is narrow, and one
-    /// read at a time fills it. 0 sets no such limit.
+    /// Where a chunk's bytes take longer than this from the first to the last, divided by the reads that share this
+    /// instance's link, the link is narrow, and one read at a time fills it. 0 sets no such limit.
     Core::Duration slow_link { 0 };
     /// Chunks read from peers at once while this instance still owes chunks of the origin to the others: these
     /// reads share its link with what everybody waits for. 0 sets no limit.
@@ -166,6 +166,7 @@
     bool may_ask_origin(ChunkState const&, Core::Time now) const;
     size_t running_from_origin() const;
     bool owes_origin_chunks() const;
+    bool has_stocked_cache() const;
     size_t fetch_limit() const;
 
     std::string m_self;
@@ -187,7 +188,7 @@
     Core::Time m_origin_avoid_until { 0 };
     // A running mean of how long a read takes, to tell a slow one.
     double m_mean_fetch_ms { 0 };
-    // A running mean of the time from a chunk's first bytes to its last.
+    // A running mean of the time from a chunk's first bytes to its last, for one read alone on this instance's link.
     double m_mean_bytes_ms { 0 };
 };
 
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "EngineAgent.h"
 
+#include <LibCore/Hash.h>
 #include <LibCore/Log.h>
 #include <LibSchema/Json.h>
+#include <LibTransport/SocketAddress.h>
+#include <algorithm>
 
 namespace EngineAgent {
 
@@ -13,8 +16,8 @@
 static constexpr size_t neighbours = 32;
 // The copy is small and the bound on it short, so what nobody holds is asked of the origin soon.
 static constexpr Core::Duration origin_patience { 400 };
-static constexpr size_t fetches_in_flight = 3;
-static constexpr size_t fetches_with_caches = 2;
+static constexpr size_t fetches_in_flight = 6;
+static constexpr size_t fetches_with_caches = 3;
 // A chunk alone takes some 35 ms of a link as the users' instances have it.
 static constexpr Core::Duration slow_link { 150 };
 static constexpr size_t origin_fetches_in_flight = 1;
@@ -91,6 +94,7 @@
 Core::ErrorOr<void> EngineAgent::listen()
 {
     TRY(m_hub->listen(m_settings.identity, static_cast<uint16_t>(m_settings.link_port)));
+    dial_wanted();
     m_http = TRY(Transport::HttpServer::create(m_loop, m_settings.identity, static_cast<uint16_t>(m_settings.chunk_port), {}, [this](auto const& exchange) { on_http(exchange); }));
     Core::log_event(Core::LogLevel::Info, "started", { { "engine", m_settings.engine_address }, { "domain", m_settings.failure_domain } });
     return {};
@@ -144,20 +148,54 @@
 {
     if (goal.service != m_settings.service)
         return;
+    m_goal = goal;
+    m_has_been_unlisted = m_has_been_unlisted || !is_listed();
+    dial_wanted();
+    m_copy->set_goal(goal);
+}
+
+// Who is dialled.
+
+bool EngineAgent::is_listed() const
+{
+    return m_goal && std::any_of(m_goal->peers.begin(), m_goal->peers.end(), [this](auto const& peer) { return peer.identity == m_settings.identity; });
+}
+
+void EngineAgent::dial_wanted()
+{
+    std::map<std::string, Transport::LinkAddress> wanted;
+    add_neighbours(wanted);
+    add_seeds(wanted);
+    m_hub->set_wanted(std::move(wanted));
+}
+
+void EngineAgent::add_neighbours(std::map<std::string, Transport::LinkAddress>& wanted) const
+{
+    if (!m_goal)
+        return;
     Distribution::NeighbourCandidate const self { m_settings.identity, m_settings.failure_domain, m_settings.region };
     std::vector<Distribution::NeighbourCandidate> others;
-    for (auto const& peer : goal.peers) {
+    for (auto const& peer : m_goal->peers) {
         auto const region = m_settings.regions.find(peer.failure_domain);
         others.push_back({ peer.identity, peer.failure_domain, region == m_settings.regions.end() ? "" : region->second });
     }
-    std::map<std::string, Transport::LinkAddress> wanted;
     for (auto const& id : Distribution::choose_neighbours(self, others, neighbours, 0)) {
-        // Of two agents the one with the lower identity dials, unless only this one chose the other.
-        if (id > m_settings.identity)
+        // Of two agents the one with the lower identity dials. One that is not on the list yet is dialled by nobody.
+        if (id > m_settings.identity || m_has_been_unlisted)
             wanted[id] = { id, static_cast<uint16_t>(m_settings.link_port) };
     }
-    m_hub->set_wanted(std::move(wanted));
-    m_copy->set_goal(goal);
+}
+
+void EngineAgent::add_seeds(std::map<std::string, Transport::LinkAddress>& wanted) const
+{
+    // Entries dial the agents that the list names; until the list names this one, it asks an entry itself.
+    if (is_listed())
+        return;
+    auto const seeds = Core::rendezvous_order(m_settings.identity, m_settings.seeds.value_or(std::vector<std::string> {}));
+    for (size_t i = 0; i < std::min(m_seeds_asked, seeds.size()); ++i) {
+        auto const address = Transport::split_address(seeds[i]);
+        wanted[address.first] = { address.first, address.second };
+    }
 }
 
 void EngineAgent::tell_caches()
@@ -217,6 +255,11 @@
     }
     for (auto const& identity : silent)
         m_hub->drop(identity);
+    if (!m_goal) {
+        // A seed may be stale or down: one more is asked each time.
+        m_seeds_asked += 1;
+        dial_wanted();
+    }
     Schema::Message ping;
     ping.ping.emplace();
     ping.ping->sent_at_ms = now.count();
--- a/Services/EngineAgent/EngineAgent.h
+++ b/Services/EngineAgent/EngineAgent.h
@@ -35,6 +35,11 @@
     void on_link_up(Schema::Hello const&);
     void on_link_message(Schema::Hello const&, Schema::Message const&);
     void on_goal(Schema::WeightsGoal const&);
+    /// The list that entries go by names this agent's engine.
+    bool is_listed() const;
+    void dial_wanted();
+    void add_neighbours(std::map<std::string, Transport::LinkAddress>&) const;
+    void add_seeds(std::map<std::string, Transport::LinkAddress>&) const;
     void tell_caches();
     void send_directory();
     void send_state();
@@ -52,6 +57,10 @@
     std::unique_ptr<Weights::ChunkServer> m_chunks;
     std::unique_ptr<Transport::HttpServer> m_http;
     std::map<std::string, Core::Time> m_last_heard;
+    std::optional<Schema::WeightsGoal> m_goal;
+    // Some goal came before the list named this agent's engine.
+    bool m_has_been_unlisted { false };
+    size_t m_seeds_asked { 1 };
     Schema::EngineState m_sent_state {};
     Core::Time m_sent_at { 0 };
     std::unique_ptr<Core::Timer> m_state_timer;
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -81,12 +81,14 @@
 
 std::vector<std::string> CopyFetcher::peers_with_manifest() const
 {
-    std::vector<std::string> peers;
+    std::vector<std::string> stocked;
+    std::vector<std::string> others;
     for (auto const& [peer, chunks] : m_peer_chunks) {
         if (chunks.first == m_goal->version)
-            peers.push_back(peer);
+            (chunks.second.empty() ? others : stocked).push_back(peer);
     }
-    return peers;
+    // One that named no chunk yet may only be seeking the version, as this one is.
+    return stocked.empty() ? others : stocked;
 }
 
 bool CopyFetcher::awaits_cache(Core::Time now) const
--- a/Tests/LibDistribution/TestTransfer.cpp
+++ b/Tests/LibDistribution/TestTransfer.cpp
@@ -370,3 +370,32 @@
     }
     EXPECT_EQ(fetches_of(transfer.step(Core::Time(900))).size(), 3u);
 }
+
+TEST(Transfer, ReadsThatShareAWideLinkAreNotTakenForANarrowOne)
+{
+    TransferSettings settings;
+    settings.fetches_in_flight = 6;
+    settings.slow_link = Core::Duration(150);
+    Transfer transfer(version_of(16), "e1", { "e1", "e2" }, {}, settings, 1, Core::Time(0));
+    transfer.on_peer_chunks("e2", { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11 });
+    auto const first = fetches_of(transfer.step(Core::Time(0)));
+    ASSERT_EQ(first.size(), 6u);
+    for (auto const& fetch : first)
+        transfer.on_progress(fetch.id, Core::Time(10));
+    // Six chunks of 35 ms each, one beside the other.
+    transfer.on_fetched(first[0].id, Core::Time(220));
+    EXPECT_FALSE(fetches_of(transfer.step(Core::Time(220))).empty());
+}
+
+TEST(Transfer, CachesThatHoldNothingLeaveTheReadsFromPeersAsTheyAre)
+{
+    TransferSettings settings;
+    settings.fetches_in_flight = 6;
+    settings.fetches_with_caches = 2;
+    Transfer transfer(version_of(16), "e1", { "e1", "e2" }, {}, settings, 1, Core::Time(0));
+    transfer.set_caches({ "c1", "c2" });
+    transfer.on_peer_chunks("e2", { 0, 1, 2, 3, 4, 5, 6, 7 });
+    EXPECT_EQ(fetches_of(transfer.step(Core::Time(0))).size(), 6u);
+    transfer.on_peer_chunks("c1", { 0, 1, 2, 3, 4, 5, 6, 7 });
+    EXPECT_TRUE(fetches_of(transfer.step(Core::Time(10))).empty());
+}
--- a/Tests/Platform/test_direct_path.py
+++ b/Tests/Platform/test_direct_path.py
@@ -228,6 +228,18 @@
         assert fleet.origin.pieces_sent == sent
 
 
+def test_a_new_engine_is_filled_before_the_list_names_it(build, folders):
+    with Fleet(build, folders) as fleet:
+        wait_linked(fleet)
+        unlisted = fleet.add_engine(2, version=0)
+        fleet.start_agent(unlisted)
+        wait_until(lambda: unlisted.version == 1, "the new engine to be filled")
+        assert fleet.origin.pieces_sent == 0, "peers held the version already"
+        unlisted.enlist()
+        fleet.engines.append(unlisted)
+        wait_until(lambda: fleet.call(fleet.entries[0], "POST", "/stream/a").status == 200 and unlisted.runs, "a stream at the new engine")
+
+
 def test_an_entry_that_the_store_turns_away_learns_from_its_peers(build, folders):
     with Fleet(build, folders) as fleet:
         wait_linked(fleet)
