LibDistribution, Agent: Let a version that was reached rush nobody to the next one

Change: UnmetGoals keeps each named version until the engine serves it or a newer one. The rush begins 1.7 s before the bound, when entries stop using an engine without the version anyway. Streams have 0.7 s instead of 1.2 s to end before a cut, 0.3 s where few are left.

--- a/Libraries/LibDistribution/StagedLoad.h
+++ b/Libraries/LibDistribution/StagedLoad.h
@@ -38,10 +38,10 @@
     /// Time that entries are given to hear that an engine takes no more.
     Core::Duration notice { 150 };
     /// Requests at an engine that takes no more may end by themselves for this long, where the rest may be cut.
-    Core::Duration drain_patience { 1200 };
+    Core::Duration drain_patience { 700 };
     /// With so few left, the rest is cut sooner.
     int64_t few_running { 5 };
-    Core::Duration few_patience { 400 };
+    Core::Duration few_patience { 300 };
 };
 
 /// Whether and how an engine that serves may be taken out of service for a load.
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -14,8 +14,9 @@
 static constexpr Core::Duration poll_interval { 100 };
 // A third of the engines may be out of service at once for a new version.
 static constexpr size_t switched_at_once = 3;
-// Time that a switch takes at the worst: draining, loading, and a report of it.
-static constexpr Core::Duration switch_reserve { 2800 };
+// Entries send nothing to an engine that lacks a version from 1.5 s before its bound: by then it is out of service in any
+// case, and before then it is wanted.
+static constexpr Core::Duration switch_reserve { 1700 };
 
 CopyKeeper::CopyKeeper(Core::EventLoop& loop, CopyKeeperSettings settings, Core::Metrics& metrics, Platform::EngineApi& engine, Platform::WeightOrigin& origin, Callbacks callbacks)
     : m_settings(std::move(settings))
@@ -83,10 +84,9 @@
         return;
     }
     keep_loading_older();
-    if (m_goal && serving_version() < m_goal->version && !m_unmet_since)
-        m_unmet_since = m_goal_at;
     m_goal = goal;
     m_goal_at = Core::monotonic_now() - Core::Duration(goal.age_ms);
+    m_unmet_goals.on_named(goal.version, m_goal_at);
     m_load.reset();
     m_fetcher.set_goal(goal, m_goal_at);
     turn();
@@ -284,9 +284,8 @@
 
 bool CopyKeeper::may_switch(Schema::WeightsGoal const& goal, Core::Time goal_at, Core::Time now) const
 {
-    // The bound comes before the capacity that others need: whoever is late goes at once. A version that was named
-    // before this one and never got here has the earlier bound.
-    auto const named_at = std::min(goal_at, m_unmet_since.value_or(goal_at));
+    // The bound comes before the capacity that others need: whoever is late goes at once.
+    auto const named_at = std::min(goal_at, m_unmet_goals.oldest_named_at().value_or(goal_at));
     if (now >= named_at + Core::Duration(goal.bound_ms) - switch_reserve)
         return true;
     std::vector<std::string> ids { m_settings.fetcher.identity };
@@ -356,8 +355,7 @@
         return;
     Core::log_event(Core::LogLevel::Info, "engine_changed", { { "version", std::to_string(version) }, { "busy", is_busy ? "yes" : "no" }, { "reachable", m_report ? "yes" : "no" } });
     bool const is_other_version = version != m_last_version;
-    if (m_goal && version == m_goal->version)
-        m_unmet_since.reset();
+    m_unmet_goals.on_serving(version);
     m_last_version = version;
     m_was_busy = is_busy;
     if (is_other_version && m_goal)
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -6,6 +6,7 @@
 #include <LibCore/Metrics.h>
 #include <LibDistribution/EngineControl.h>
 #include <LibDistribution/StagedLoad.h>
+#include <LibDistribution/UnmetGoals.h>
 #include <LibPlatform/EngineApi.h>
 #include <LibSchema/Generated.h>
 #include <functional>
@@ -100,8 +101,7 @@
 
     std::optional<Schema::WeightsGoal> m_goal;
     Core::Time m_goal_at { 0 };
-    // When the oldest version was named that the engine has not reached, if the goal has moved on from it.
-    std::optional<Core::Time> m_unmet_since;
+    Distribution::UnmetGoals m_unmet_goals;
     std::unique_ptr<Distribution::StagedLoad> m_load;
     Weights::CopyFetcher m_fetcher;
     // The entries, and those of them in this region.
