--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -3,7 +3,6 @@
 
 #include <LibCore/Hash.h>
 #include <LibCore/Log.h>
-#include <LibRouting/EngineOwners.h>
 #include <LibSchema/Json.h>
 #include <LibTransport/SocketAddress.h>
 #include <algorithm>
@@ -14,24 +13,15 @@
 
 static constexpr Core::Duration tick_interval { 20 };
 static constexpr Core::Duration link_check_interval { 500 };
-static constexpr Core::Duration load_interval { 1000 };
-static constexpr double demand_memory = 0.7;
 static constexpr Core::Duration link_silence { 3000 };
 // Past this, what is denied may be allowed by a configuration that has not come yet.
 static constexpr Core::Duration stale_after { 4000 };
-// A version is required a little before its bound: what is sent just before still has to begin.
-static constexpr Core::Duration version_margin { 1500 };
-// What a process finds at its start was named at a time that it cannot know: it is required soon.
-static constexpr Core::Duration first_versions_grace { 2000 };
 static constexpr Core::Duration least_drain { 3000 };
 static constexpr Core::Duration drain_margin { 500 };
 // What is left of the bound on draining for a read of the list, and for what was sent just before it.
 static constexpr Core::Duration drain_reaction { 1000 };
 static constexpr Core::Duration shortest_list_interval { 400 };
 static constexpr Core::Duration longest_list_interval { 2000 };
-static constexpr double bytes_per_megabit = 125000;
-// The rest is left to callers and backend servers.
-static constexpr double weights_part_of_link = 0.75;
 static constexpr size_t queue_limit = 256;
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
@@ -77,7 +67,9 @@
     , m_log(std::move(parts.log))
     , m_heads(std::move(parts.heads))
     , m_origin(std::move(parts.origin))
+    , m_goals(m_replica, Core::monotonic_now())
     , m_random(Core::stable_hash(settings.identity, std::to_string(Core::wall_now().count())))
+    , m_sharing(settings.identity, settings.failure_domain)
     , m_servers(table_settings(settings), m_random())
     , m_retries(retry_bound(settings), Core::monotonic_now())
     , m_context { .loop = loop,
@@ -88,12 +80,11 @@
         .random = m_random,
         .routes = nullptr,
         .is_stale = [this] { return is_stale(); },
-        .required_version = [this](std::string const& service) { return required_version(service); },
-        .newest_version = [this](std::string const& service) { return newest_version(service); },
+        .required_version = [this](std::string const& service) { return m_goals.required(service, version_bound(), Core::monotonic_now()); },
+        .newest_version = [this](std::string const& service) { return m_goals.newest(service); },
         .queue = [this](std::string const& service) -> Routing::RequestQueue& { return m_queues.try_emplace(service, queue_limit).first->second; },
-        .asked = [this](std::string const& service) { m_asked[service] += 1; },
+        .asked = [this](std::string const& service) { m_sharing.on_asked(service); },
         .over = [this](uint64_t number) { m_loop.soon([this, number] { m_requests.erase(number); }); } }
-    , m_started(Core::monotonic_now())
 {
     m_follower = std::make_unique<Platform::FactFollower>(loop, *m_log, m_replica, follower_settings(settings), fact_callbacks());
     Transport::LinkOptions options;
@@ -105,10 +96,7 @@
     keep_weights();
     m_tick_timer = loop.every(tick_interval, [this] { tick(); });
     m_link_timer = loop.every(link_check_interval, [this] { check_links(); });
-    m_load_timer = loop.every(load_interval, [this] {
-        send_load();
-        share_engines();
-    });
+    m_sharing_timer = loop.every(EngineSharing::interval, [this] { share_engines(); });
 }
 
 DirectEntry::~DirectEntry()
@@ -165,13 +153,15 @@
         m_known_entries.insert(hello.identity);
         m_servers.set_entries(m_known_entries.size() + 1);
         m_retries.set_entries(m_known_entries.size() + 1);
-        tell_held_pieces(hello);
+        if (m_weights)
+            m_weights->tell_held(hello);
         return;
     }
-    tell_held_pieces(hello);
-    for (auto& goal : goals()) {
+    if (m_weights)
+        m_weights->tell_held(hello);
+    for (auto& goal : m_goals.goals(version_bound(), Core::monotonic_now())) {
         Schema::Message message;
-        message.weights_goal = with_age(std::move(goal));
+        message.weights_goal = std::move(goal);
         m_hub->send(hello.identity, message);
     }
 }
@@ -180,7 +170,7 @@
 {
     Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
     m_last_heard.erase(identity);
-    m_loads.erase(identity);
+    m_sharing.on_peer_down(identity);
     m_servers.on_agent_gone(identity);
     if (m_weights)
         m_weights->on_peer_down(identity);
@@ -193,8 +183,7 @@
     if (message.engine_state) {
         m_servers.on_engine_state(from.identity, *message.engine_state, now);
     } else if (message.entry_load) {
-        bool const is_new = !m_loads.contains(from.identity);
-        m_loads[from.identity] = *message.entry_load;
+        bool const is_new = m_sharing.on_peer_load(from.identity, *message.entry_load);
         if (is_new && m_weights)
             m_weights->update_sources();
     } else if (message.pieces) {
@@ -248,49 +237,14 @@
     update_links();
 }
 
-void DirectEntry::send_load()
+void DirectEntry::share_engines()
 {
     Schema::Message message;
-    message.entry_load.emplace();
-    message.entry_load->failure_domain = m_settings.failure_domain;
-    auto const seconds = static_cast<double>(load_interval.count()) / milliseconds_per_second;
-    for (auto& [service, count] : m_asked) {
-        auto const rate = static_cast<double>(std::exchange(count, 0)) / seconds;
-        auto const [known, is_new] = m_demand.try_emplace(service, rate);
-        if (!is_new)
-            known->second = demand_memory * known->second + (1 - demand_memory) * rate;
-        message.entry_load->demand.push_back({ .per_second = known->second, .service = service });
-    }
+    message.entry_load = m_sharing.end_interval();
     for (auto const& peer : m_hub->peers(Schema::Role::Entry))
         m_hub->send(peer, message);
-}
-
-void DirectEntry::share_engines()
-{
-    auto const& routes = m_context.routes;
-    if (!routes)
-        return;
-    auto const now = Core::monotonic_now();
-    std::map<std::string, Routing::EngineRole> roles;
-    for (auto const& service : routes->configuration().services) {
-        if (!service.timing)
-            continue;
-        std::vector<Routing::SharingEntry> entries { { m_settings.identity, m_settings.failure_domain, m_demand[service.name] } };
-        for (auto const& [identity, load] : m_loads) {
-            Routing::SharingEntry entry { identity, load.failure_domain, 0 };
-            for (auto const& demand : load.demand)
-                entry.demand = demand.service == service.name ? demand.per_second : entry.demand;
-            entries.push_back(std::move(entry));
-        }
-        std::vector<Routing::SharedEngine> engines;
-        for (auto const* server : m_replica.servers()) {
-            bool const is_shared = server->service == service.name && !server->is_draining && m_servers.version_of(server->id, now) > 0;
-            if (is_shared)
-                engines.push_back({ server->id, server->failure_domain });
-        }
-        roles.merge(Routing::engine_roles(m_settings.identity, entries, engines));
-    }
-    m_servers.set_roles(std::move(roles));
+    if (m_context.routes)
+        m_servers.set_roles(m_sharing.roles(*m_context.routes, m_replica, m_servers, Core::monotonic_now()));
 }
 
 void DirectEntry::update_links()
@@ -393,139 +347,31 @@
     Core::log_event(Core::LogLevel::Info, "configuration_in_force", { { "version", std::to_string(configuration->version) }, { "routes", std::to_string(configuration->routes.size()) }, { "customers", std::to_string(configuration->customers.size()) } });
 }
 
-// Weights kept for agents.
+// Weights.
 
 void DirectEntry::keep_weights()
 {
     if (!m_origin || !m_settings.metrics_port || !m_settings.link_megabits_per_second)
         return;
-    WeightsCacheSettings settings;
-    settings.identity = m_settings.identity;
-    settings.chunk_port = static_cast<uint16_t>(*m_settings.metrics_port);
-    settings.bytes_per_second = static_cast<int64_t>(*m_settings.link_megabits_per_second * bytes_per_megabit * weights_part_of_link);
-    WeightsCache::Callbacks callbacks {
-        .announce = [this](Schema::PieceMap const& map) { tell_pieces(map); },
-        .is_wanted = [this](Schema::WeightsGoal const& goal) { return is_wanted(goal); },
-        .sources = [this] { return weight_sources(); },
-    };
-    m_weights = std::make_unique<WeightsCache>(m_loop, settings, m_metrics, *m_origin, std::move(callbacks));
-}
-
-bool DirectEntry::is_in_region(std::string const& failure_domain) const
-{
-    auto const region = m_settings.regions.find(failure_domain);
-    return region != m_settings.regions.end() && region->second == m_settings.region;
-}
-
-bool DirectEntry::is_wanted(Schema::WeightsGoal const& goal) const
-{
-    auto const now = Core::monotonic_now();
-    auto const servers = m_replica.servers();
-    return std::any_of(servers.begin(), servers.end(), [&](auto const* server) {
-        return server->service == goal.service && !server->is_draining && m_servers.version_of(server->id, now) < goal.version;
-    });
-}
-
-Weights::CopySources DirectEntry::weight_sources() const
-{
-    Weights::CopySources sources;
-    sources.caches = { m_known_entries.begin(), m_known_entries.end() };
-    sources.caches.push_back(m_settings.identity);
-    sources.near.push_back(m_settings.identity);
-    for (auto const& [identity, load] : m_loads) {
-        if (is_in_region(load.failure_domain))
-            sources.near.push_back(identity);
-    }
-    return sources;
-}
-
-std::set<std::string> DirectEntry::near_agents() const
-{
-    std::set<std::string> agents;
-    for (auto const* server : m_replica.servers()) {
-        if (is_in_region(server->failure_domain))
-            agents.insert(Transport::split_address(server->address).first);
-    }
-    return agents;
-}
-
-void DirectEntry::tell_pieces(Schema::PieceMap const& map)
-{
-    Schema::Message message;
-    message.pieces = map;
-    for (auto const& entry : m_hub->peers(Schema::Role::Entry))
-        m_hub->send(entry, message);
-    for (auto const& agent : near_agents())
-        m_hub->send(agent, message);
-}
-
-void DirectEntry::tell_held_pieces(Schema::Hello const& peer)
-{
-    bool const is_told = peer.role == Schema::Role::Entry || near_agents().contains(peer.identity);
-    if (!m_weights || !is_told)
-        return;
-    for (auto const& map : m_weights->held()) {
-        Schema::Message message;
-        message.pieces = map;
-        m_hub->send(peer.identity, message);
-    }
-}
-
-std::vector<Schema::WeightsGoal> DirectEntry::goals() const
-{
-    std::vector<Schema::WeightsGoal> goals;
-    auto const& configuration = m_replica.configuration();
-    if (!configuration)
-        return goals;
-    std::string origin;
-    for (auto const& service : configuration->services)
-        origin = service.origin_address.value_or(origin);
-    for (auto const& service : configuration->services) {
-        if (!service.timing)
-            continue;
-        Schema::WeightsGoal goal {};
-        goal.service = service.name;
-        goal.model = service.timing->model;
-        auto const named = m_replica.versions().find(goal.model);
-        goal.version = named == m_replica.versions().end() ? 1 : named->second.newest();
-        goal.origin_address = origin;
-        goal.bound_ms = m_settings.bounds.version_ms;
-        goal.may_evict = std::all_of(configuration->routes.begin(), configuration->routes.end(), [&](auto const& route) {
-            bool const leads_here = std::any_of(route.targets.begin(), route.targets.end(), [&](auto const& target) { return target.service == service.name; });
-            return !leads_here || route.is_resumable;
-        });
-        goal.layers = service.timing->layers;
-        goal.chunks = service.timing->chunks;
-        for (auto const* server : m_replica.servers()) {
-            if (server->service == service.name)
-                goal.peers.push_back({ .failure_domain = server->failure_domain, .identity = Transport::split_address(server->address).first });
-        }
-        goals.push_back(std::move(goal));
-    }
-    return goals;
-}
-
-Schema::WeightsGoal DirectEntry::with_age(Schema::WeightsGoal goal) const
-{
-    auto const named = m_replica.versions().find(goal.model);
-    if (named != m_replica.versions().end() && !named->second.versions.empty())
-        goal.age_ms = (Core::monotonic_now() - named->second.versions.back().learned).count();
-    return goal;
+    EntryWeightsContext const context { m_settings, *m_hub, m_replica, m_servers, m_sharing, m_known_entries };
+    m_weights = std::make_unique<EntryWeights>(m_loop, context, m_metrics, *m_origin);
 }
 
 void DirectEntry::send_goals()
 {
+    auto const now = Core::monotonic_now();
     std::string text;
     std::vector<Schema::Message> messages;
-    for (auto& goal : goals()) {
+    for (auto& goal : m_goals.goals(version_bound(), now)) {
         // The version of the start lies beside most engines already, and comes to new ones from their peers.
-        if (m_weights && m_replica.versions().contains(goal.model))
-            m_weights->set_goal(goal, Core::monotonic_now() - Core::Duration(with_age(goal).age_ms));
-        // The age alone is no news.
-        text += Schema::to_text(goal);
+        if (m_weights && m_goals.is_named(goal.model))
+            m_weights->set_goal(goal, now - Core::Duration(goal.age_ms));
         Schema::Message message;
-        message.weights_goal = with_age(std::move(goal));
+        message.weights_goal = goal;
         messages.push_back(std::move(message));
+        // The age alone is no news.
+        goal.age_ms = 0;
+        text += Schema::to_text(goal);
     }
     if (text == m_sent_goals)
         return;
@@ -536,37 +382,6 @@
     }
 }
 
-Configuration::NamedVersions const* DirectEntry::named_versions(std::string const& service) const
-{
-    auto const* routed = m_context.routes ? m_context.routes->service(service) : nullptr;
-    if (!routed || !routed->timing)
-        return nullptr;
-    auto const named = m_replica.versions().find(routed->timing->model);
-    return named == m_replica.versions().end() ? nullptr : &named->second;
-}
-
-int64_t DirectEntry::newest_version(std::string const& service) const
-{
-    auto const* named = named_versions(service);
-    return named ? named->newest() : 0;
-}
-
-std::optional<int64_t> DirectEntry::required_version(std::string const& service) const
-{
-    auto const* named = named_versions(service);
-    if (!named)
-        return {};
-    auto const now = Core::monotonic_now();
-    auto const bound = Core::Duration(m_settings.bounds.version_ms) - version_margin;
-    auto required = named->learned_by(now - bound);
-    // What was found at the start may have been named long before.
-    if (now >= m_started + first_versions_grace)
-        required = std::max(required, named->learned_by(m_started + first_versions_grace));
-    if (required == 0)
-        return {};
-    return required;
-}
-
 bool DirectEntry::is_stale() const
 {
     return m_follower->age(Core::monotonic_now()) > stale_after;
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -1,9 +1,11 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include "EngineSharing.h"
+#include "EntryWeights.h"
 #include "ProxiedRequest.h"
 #include "RequestContext.h"
-#include "WeightsCache.h"
+#include "VersionGoals.h"
 #include <LibConfiguration/FactReplica.h>
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
@@ -49,7 +51,6 @@
     void on_link_message(Schema::Hello const&, Schema::Message const&);
     void on_link_down(std::string const& identity);
     void check_links();
-    void send_load();
     void share_engines();
     void update_links();
 
@@ -58,19 +59,8 @@
     void on_log_failing(Platform::FactLogFault);
     void send_goals();
     void keep_weights();
-    void tell_pieces(Schema::PieceMap const&);
-    void tell_held_pieces(Schema::Hello const&);
-    bool is_wanted(Schema::WeightsGoal const&) const;
-    Weights::CopySources weight_sources() const;
-    /// Identities of the agents in this region.
-    std::set<std::string> near_agents() const;
-    bool is_in_region(std::string const& failure_domain) const;
-    std::vector<Schema::WeightsGoal> goals() const;
-    Schema::WeightsGoal with_age(Schema::WeightsGoal) const;
-    /// The versions that were named of a service's model, or null.
-    Configuration::NamedVersions const* named_versions(std::string const& service) const;
-    int64_t newest_version(std::string const& service) const;
-    std::optional<int64_t> required_version(std::string const& service) const;
+    /// Time from the naming of a version within which it must be served.
+    Core::Duration version_bound() const { return Core::Duration(m_settings.bounds.version_ms); }
     bool is_stale() const;
     bool is_ready() const;
 
@@ -93,19 +83,17 @@
 
     std::unique_ptr<Transport::LinkHub> m_hub;
     std::map<std::string, Core::Time> m_last_heard;
-    std::map<std::string, Schema::EntryLoad> m_loads;
-    // Requests since the last load was told, and the smoothed rates.
-    std::map<std::string, uint64_t> m_asked;
-    std::map<std::string, double> m_demand;
-    std::unique_ptr<Core::Timer> m_load_timer;
+    std::unique_ptr<Core::Timer> m_sharing_timer;
     std::set<std::string> m_known_entries;
+    VersionGoals m_goals;
     std::string m_sent_goals;
-    // Null where the settings give it no port or no bandwidth.
-    std::unique_ptr<WeightsCache> m_weights;
 
     std::mt19937_64 m_random;
+    EngineSharing m_sharing;
     Routing::ServerTable m_servers;
     Routing::RetryShare m_retries;
+    // Null where the settings give it no port or no bandwidth.
+    std::unique_ptr<EntryWeights> m_weights;
     RequestContext m_context;
     std::map<std::string, Routing::RequestQueue> m_queues;
     std::map<uint64_t, std::shared_ptr<ProxiedRequest>> m_requests;
@@ -116,7 +104,6 @@
     std::unique_ptr<Transport::HttpServer> m_metrics_server;
     std::unique_ptr<Core::Timer> m_tick_timer;
     std::unique_ptr<Core::Timer> m_link_timer;
-    Core::Time m_started;
     std::optional<Core::Time> m_drain_started;
 };
 
--- /dev/null
+++ b/Services/DirectEntry/EngineSharing.cpp
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "EngineSharing.h"
+
+#include <utility>
+
+namespace DirectEntry {
+
+static constexpr double demand_memory = 0.7;
+static constexpr double milliseconds_per_second = 1000;
+
+EngineSharing::EngineSharing(std::string identity, std::string failure_domain)
+    : m_identity(std::move(identity))
+    , m_failure_domain(std::move(failure_domain))
+{
+}
+
+bool EngineSharing::on_peer_load(std::string const& entry, Schema::EntryLoad const& load)
+{
+    return m_loads.insert_or_assign(entry, load).second;
+}
+
+Schema::EntryLoad EngineSharing::end_interval()
+{
+    Schema::EntryLoad load;
+    load.failure_domain = m_failure_domain;
+    auto const seconds = static_cast<double>(interval.count()) / milliseconds_per_second;
+    for (auto& [service, count] : m_asked) {
+        auto const rate = static_cast<double>(std::exchange(count, 0)) / seconds;
+        auto const [known, is_new] = m_demand.try_emplace(service, rate);
+        if (!is_new)
+            known->second = demand_memory * known->second + (1 - demand_memory) * rate;
+        load.demand.push_back({ .per_second = known->second, .service = service });
+    }
+    return load;
+}
+
+std::vector<Routing::SharingEntry> EngineSharing::entries_asked_for(std::string const& service) const
+{
+    auto const own = m_demand.find(service);
+    std::vector<Routing::SharingEntry> entries { { m_identity, m_failure_domain, own == m_demand.end() ? 0 : own->second } };
+    for (auto const& [identity, load] : m_loads) {
+        Routing::SharingEntry entry { identity, load.failure_domain, 0 };
+        for (auto const& demand : load.demand)
+            entry.demand = demand.service == service ? demand.per_second : entry.demand;
+        entries.push_back(std::move(entry));
+    }
+    return entries;
+}
+
+std::map<std::string, Routing::EngineRole> EngineSharing::roles(Routing::RouteTable const& routes, Configuration::FactReplica const& facts, Routing::ServerTable const& servers, Core::Time now) const
+{
+    std::map<std::string, Routing::EngineRole> roles;
+    for (auto const& service : routes.configuration().services) {
+        if (!service.timing)
+            continue;
+        std::vector<Routing::SharedEngine> engines;
+        for (auto const* server : facts.servers()) {
+            bool const is_shared = server->service == service.name && !server->is_draining && servers.version_of(server->id, now) > 0;
+            if (is_shared)
+                engines.push_back({ server->id, server->failure_domain });
+        }
+        roles.merge(Routing::engine_roles(m_identity, entries_asked_for(service.name), engines));
+    }
+    return roles;
+}
+
+}
--- /dev/null
+++ b/Services/DirectEntry/VersionGoals.cpp
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "VersionGoals.h"
+
+#include <LibTransport/SocketAddress.h>
+#include <algorithm>
+
+namespace DirectEntry {
+
+// A version is required a little before its bound: what is sent just before still has to begin.
+static constexpr Core::Duration version_margin { 1500 };
+// What a process finds at its start was named at a time that it cannot know: it is required soon.
+static constexpr Core::Duration first_versions_grace { 2000 };
+
+std::vector<Schema::WeightsGoal> VersionGoals::goals(Core::Duration version_bound, Core::Time now) const
+{
+    std::vector<Schema::WeightsGoal> goals;
+    auto const& configuration = m_facts.configuration();
+    if (!configuration)
+        return goals;
+    for (auto const& service : configuration->services) {
+        if (service.timing)
+            goals.push_back(goal(service, version_bound, now));
+    }
+    return goals;
+}
+
+Schema::WeightsGoal VersionGoals::goal(Schema::RoutedService const& service, Core::Duration version_bound, Core::Time now) const
+{
+    Schema::WeightsGoal goal {};
+    goal.service = service.name;
+    goal.model = service.timing->model;
+    goal.version = 1;
+    auto const found = m_facts.versions().find(goal.model);
+    if (found != m_facts.versions().end())
+        goal.version = found->second.newest();
+    if (found != m_facts.versions().end() && !found->second.versions.empty())
+        goal.age_ms = (now - found->second.versions.back().learned).count();
+    goal.origin_address = origin_address();
+    goal.bound_ms = version_bound.count();
+    goal.may_evict = may_evict(service.name);
+    goal.layers = service.timing->layers;
+    goal.chunks = service.timing->chunks;
+    goal.peers = peers(service.name);
+    return goal;
+}
+
+std::string VersionGoals::origin_address() const
+{
+    std::string origin;
+    for (auto const& service : m_facts.configuration()->services)
+        origin = service.origin_address.value_or(origin);
+    return origin;
+}
+
+/// Streams may be cut only where every route to the service allows that they go on elsewhere.
+bool VersionGoals::may_evict(std::string const& service) const
+{
+    auto const& routes = m_facts.configuration()->routes;
+    return std::all_of(routes.begin(), routes.end(), [&](auto const& route) {
+        bool const leads_here = std::any_of(route.targets.begin(), route.targets.end(), [&](auto const& target) { return target.service == service; });
+        return !leads_here || route.is_resumable;
+    });
+}
+
+std::vector<Schema::GoalPeer> VersionGoals::peers(std::string const& service) const
+{
+    std::vector<Schema::GoalPeer> peers;
+    for (auto const* server : m_facts.servers()) {
+        if (server->service == service)
+            peers.push_back({ .failure_domain = server->failure_domain, .identity = Transport::split_address(server->address).first });
+    }
+    return peers;
+}
+
+Configuration::NamedVersions const* VersionGoals::named(std::string const& service) const
+{
+    auto const& configuration = m_facts.configuration();
+    if (!configuration)
+        return nullptr;
+    auto const& services = configuration->services;
+    auto const routed = std::find_if(services.begin(), services.end(), [&](auto const& candidate) { return candidate.name == service; });
+    if (routed == services.end() || !routed->timing)
+        return nullptr;
+    auto const found = m_facts.versions().find(routed->timing->model);
+    return found == m_facts.versions().end() ? nullptr : &found->second;
+}
+
+int64_t VersionGoals::newest(std::string const& service) const
+{
+    auto const* versions = named(service);
+    return versions ? versions->newest() : 0;
+}
+
+std::optional<int64_t> VersionGoals::required(std::string const& service, Core::Duration version_bound, Core::Time now) const
+{
+    auto const* versions = named(service);
+    if (!versions)
+        return {};
+    auto required = versions->learned_by(now - (version_bound - version_margin));
+    // What was found at the start may have been named long before.
+    if (now >= m_started + first_versions_grace)
+        required = std::max(required, versions->learned_by(m_started + first_versions_grace));
+    if (required == 0)
+        return {};
+    return required;
+}
+
+}
--- /dev/null
+++ b/Services/DirectEntry/VersionGoals.h
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibConfiguration/FactReplica.h>
+#include <LibCore/Time.h>
+#include <LibSchema/Generated.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace DirectEntry {
+
+/// What engines are to hold, by the configuration and the named versions, and from when on requests insist on it.
+class VersionGoals {
+public:
+    VersionGoals(Configuration::FactReplica const& facts, Core::Time started)
+        : m_facts(facts)
+        , m_started(started)
+    {
+    }
+
+    /// The goal of each service whose engines serve a model, with the age of its version's name.
+    std::vector<Schema::WeightsGoal> goals(Core::Duration version_bound, Core::Time now) const;
+
+    /// True if the version of a model's goal was named, and is not just the one of the start.
+    bool is_named(std::string const& model) const { return m_facts.versions().contains(model); }
+
+    /// The newest version that is named of a service's model; 0 if none is.
+    int64_t newest(std::string const& service) const;
+
+    /// The version that an engine of the service must serve by now, if any.
+    std::optional<int64_t> required(std::string const& service, Core::Duration version_bound, Core::Time now) const;
+
+private:
+    Schema::WeightsGoal goal(Schema::RoutedService const&, Core::Duration version_bound, Core::Time now) const;
+    std::string origin_address() const;
+    bool may_evict(std::string const& service) const;
+    std::vector<Schema::GoalPeer> peers(std::string const& service) const;
+    Configuration::NamedVersions const* named(std::string const& service) const;
+
+    Configuration::FactReplica const& m_facts;
+    Core::Time m_started;
+};
+
+}
