LibDistribution, Agent, Entry: Finish the transfer of a version before that of the next begins

Ruled out: seeders that stopped (each asked the origin, and had no answer); chunks that turned bad. Change: is_worth_finishing: a transfer that has begun goes on to its end before a newer one begins, up to half of its bound; agents and entries keep the newer goal meanwhile. An entry keeps serving the chunks of the version before. Tests: GoalOrder.*, test_a_version_under_way_is_finished_when_the_origin_cannot_send_the_next (failed with the old order). Conclusion: what is nearly here is worth more than what is named last.

--- a/Services/DirectEntry/WeightsCache.cpp
+++ b/Services/DirectEntry/WeightsCache.cpp
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "WeightsCache.h"
 
+#include <LibDistribution/GoalOrder.h>
+#include <utility>
+
 namespace DirectEntry {
 
 static constexpr Core::Duration turn_interval { 50 };
@@ -39,17 +42,25 @@
     , m_metrics(metrics)
     , m_origin(origin)
     , m_callbacks(std::move(callbacks))
-    , m_turn_timer(loop.every(turn_interval, [this] {
-        for (auto& [model, copy] : m_copies) {
-            if (m_callbacks.is_wanted(copy.goal))
-                copy.fetcher->turn(Core::monotonic_now());
-        }
-    }))
+    , m_turn_timer(loop.every(turn_interval, [this] { turn(); }))
 {
 }
 
 WeightsCache::~WeightsCache() = default;
 
+void WeightsCache::turn()
+{
+    auto const now = Core::monotonic_now();
+    for (auto& [model, copy] : m_copies) {
+        if (copy.next && !is_finishing_first(copy)) {
+            auto const next = *std::exchange(copy.next, {});
+            take_goal(copy, next.goal, next.named_at);
+        }
+        if (m_callbacks.is_wanted(copy.goal))
+            copy.fetcher->turn(now);
+    }
+}
+
 WeightsCache::Copy& WeightsCache::copy_of(std::string const& model)
 {
     auto& copy = m_copies[model];
@@ -57,7 +68,7 @@
         return copy;
     Weights::CopyFetcher::Callbacks callbacks {
         .announce = m_callbacks.announce,
-        .manifest_taken = [&copy] { copy.fetcher->begin(nullptr); },
+        .manifest_taken = [&copy] { copy.fetcher->begin(copy.previous ? &*copy.previous : nullptr); },
         .chunk_held = [](size_t) {},
         .is_seeking = [this, &copy] { return m_callbacks.is_wanted(copy.goal); },
         .sources = m_callbacks.sources,
@@ -78,7 +89,30 @@
     auto& copy = copy_of(goal.model);
     if (goal.version < copy.goal.version)
         return;
+    if (goal.version > copy.goal.version && is_finishing_first(copy)) {
+        copy.next = NextGoal { goal, named_at };
+        return;
+    }
+    take_goal(copy, goal, named_at);
+}
+
+bool WeightsCache::is_finishing_first(Copy const& copy) const
+{
+    if (!m_callbacks.is_wanted(copy.goal))
+        return false;
+    return Distribution::is_worth_finishing({ .has_begun = copy.fetcher->has_manifest(),
+        .is_complete = copy.fetcher->is_complete(),
+        .since_named = Core::monotonic_now() - copy.named_at,
+        .bound = Core::Duration(copy.goal.bound_ms) });
+}
+
+void WeightsCache::take_goal(Copy& copy, Schema::WeightsGoal const& goal, Core::Time named_at)
+{
+    // Agents may still be reading the version before.
+    if (goal.version > copy.goal.version && copy.fetcher->has_manifest())
+        copy.previous = copy.fetcher->spec();
     copy.goal = goal;
+    copy.named_at = named_at;
     copy.fetcher->set_goal(goal, named_at);
 }
 
--- a/Services/DirectEntry/WeightsCache.h
+++ b/Services/DirectEntry/WeightsCache.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace DirectEntry {
@@ -54,13 +55,26 @@
     bool serve(std::shared_ptr<Transport::HttpExchange> const&);
 
 private:
+    struct NextGoal {
+        Schema::WeightsGoal goal;
+        Core::Time named_at { 0 };
+    };
+
     struct Copy {
         Schema::WeightsGoal goal;
+        Core::Time named_at { 0 };
+        // The newest version, while the transfer of the one before it goes on to its end.
+        std::optional<NextGoal> next;
+        // The version before, which agents may still be reading.
+        std::optional<Schema::VersionSpec> previous;
         std::unique_ptr<Weights::CopyFetcher> fetcher;
         std::unique_ptr<Weights::ChunkServer> server;
     };
 
+    void turn();
     Copy& copy_of(std::string const& model);
+    bool is_finishing_first(Copy const&) const;
+    static void take_goal(Copy&, Schema::WeightsGoal const&, Core::Time named_at);
     bool serve_chunk(std::shared_ptr<Transport::HttpExchange> const&, std::string const& digest);
 
     Core::EventLoop& m_loop;
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -4,9 +4,10 @@
 #include <LibConfiguration/HeldVersion.h>
 #include <LibCore/Hash.h>
 #include <LibCore/Log.h>
+#include <LibDistribution/GoalOrder.h>
 #include <LibSchema/Json.h>
 #include <algorithm>
-#include <cstdlib>
+#include <utility>
 
 namespace EngineAgent {
 
@@ -74,6 +75,7 @@
 
 void CopyKeeper::set_goal(Schema::WeightsGoal const& goal)
 {
+    auto const named_at = Core::monotonic_now() - Core::Duration(goal.age_ms);
     bool const is_older = m_goal && goal.version < m_goal->version;
     if (is_older || goal.chunks <= 0)
         return;
@@ -83,15 +85,42 @@
         m_fetcher.set_goal(goal, m_goal_at);
         return;
     }
+    if (is_finishing_first()) {
+        m_next = NextGoal { goal, named_at };
+        return;
+    }
+    take_goal(goal, named_at);
+}
+
+bool CopyKeeper::is_finishing_first() const
+{
+    if (!m_goal || !is_seeking())
+        return false;
+    return Distribution::is_worth_finishing({ .has_begun = m_fetcher.has_manifest(),
+        .is_complete = m_fetcher.is_complete(),
+        .since_named = Core::monotonic_now() - m_goal_at,
+        .bound = Core::Duration(m_goal->bound_ms) });
+}
+
+void CopyKeeper::take_goal(Schema::WeightsGoal const& goal, Core::Time named_at)
+{
     keep_loading_older();
     m_goal = goal;
-    m_goal_at = Core::monotonic_now() - Core::Duration(goal.age_ms);
-    m_unmet_goals.on_named(goal.version, m_goal_at);
+    m_goal_at = named_at;
+    m_unmet_goals.on_named(goal.version, named_at);
     m_load.reset();
-    m_fetcher.set_goal(goal, m_goal_at);
+    m_fetcher.set_goal(goal, named_at);
     turn();
 }
 
+void CopyKeeper::take_next_goal()
+{
+    if (!m_next || is_finishing_first())
+        return;
+    auto const next = *std::exchange(m_next, {});
+    take_goal(next.goal, next.named_at);
+}
+
 void CopyKeeper::set_caches(std::set<std::string> caches)
 {
     m_caches = std::move(caches);
@@ -155,6 +184,7 @@
 {
     if (!m_goal)
         return;
+    take_next_goal();
     auto const now = Core::monotonic_now();
     // An engine that does not answer wants nothing.
     bool const is_engine_there = m_report.has_value() || m_fetcher.has_manifest();
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -39,7 +39,8 @@
     CopyKeeper(Core::EventLoop&, CopyKeeperSettings, Core::Metrics&, Platform::EngineApi&, Platform::WeightOrigin&, Callbacks);
     ~CopyKeeper();
 
-    /// What the engine is to hold. An older version than the present one is ignored.
+    /// What the engine is to hold. An older version than the present one is ignored; a newer one may have to wait until
+    /// the transfer of the present one ends.
     void set_goal(Schema::WeightsGoal const&);
 
     void on_peer_pieces(std::string const& peer, Schema::PieceMap const&);
@@ -71,6 +72,14 @@
         std::unique_ptr<Distribution::StagedLoad> load;
     };
 
+    struct NextGoal {
+        Schema::WeightsGoal goal;
+        Core::Time named_at { 0 };
+    };
+
+    bool is_finishing_first() const;
+    void take_goal(Schema::WeightsGoal const&, Core::Time named_at);
+    void take_next_goal();
     Weights::CopyFetcher::Callbacks fetcher_callbacks();
     Weights::CopySources sources() const;
     void turn();
@@ -101,6 +110,8 @@
 
     std::optional<Schema::WeightsGoal> m_goal;
     Core::Time m_goal_at { 0 };
+    // The newest version, while the transfer of the one before it goes on to its end.
+    std::optional<NextGoal> m_next;
     Distribution::UnmetGoals m_unmet_goals;
     std::unique_ptr<Distribution::StagedLoad> m_load;
     Weights::CopyFetcher m_fetcher;
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -51,7 +51,7 @@
     m_downloads.clear();
     m_fetch_chunks.clear();
     m_unannounced.clear();
-    m_is_complete = false;
+    m_is_complete_told = false;
 }
 
 void CopyFetcher::update_sources()
@@ -343,7 +343,7 @@
         m_unannounced.push_back(static_cast<int64_t>(i));
         m_callbacks.chunk_held(i);
     }
-    if (m_transfer->is_complete() && !std::exchange(m_is_complete, true))
+    if (m_transfer->is_complete() && !std::exchange(m_is_complete_told, true))
         log_complete();
 }
 
--- a/Services/Weights/CopyFetcher.h
+++ b/Services/Weights/CopyFetcher.h
@@ -73,7 +73,7 @@
     /// What is held here of the version that is wanted; nothing before its manifest is known.
     std::optional<Schema::PieceMap> held() const;
     bool has_manifest() const { return m_manifest.has_value(); }
-    bool is_complete() const { return m_is_complete; }
+    bool is_complete() const { return m_transfer && m_transfer->is_complete(); }
     Platform::Manifest const& manifest() const { return *m_manifest; }
     Schema::VersionSpec const& spec() const { return *m_spec; }
     Distribution::ChunkStore const& store() const { return m_store; }
@@ -128,7 +128,7 @@
     std::map<uint64_t, size_t> m_fetch_chunks;
     // Chunks that peers have not been told of yet.
     std::vector<int64_t> m_unannounced;
-    bool m_is_complete { false };
+    bool m_is_complete_told { false };
     Core::Time m_progress_told_at { 0 };
 };
 
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -374,7 +374,11 @@
         self.chunks = chunks
         self.spoil_pieces = 0
         self.spoil_manifests = 0
+        self.manifests_sent = 0
         self.pieces_sent = 0
+        self.piece_seconds = 0
+        # Versions whose chunks it never sends.
+        self.silent_versions = set()
         super().__init__(loop, address, port)
 
     @staticmethod
@@ -388,11 +392,13 @@
     async def answer(self, request):
         version = int(request.query["Version"])
         if request.path.startswith("/manifest/"):
+            self.manifests_sent += 1
             body = json.dumps({"Model": self.model, "Version": version, "ChunkBytes": STAGED_CHUNK_BYTES, "layers": self.layers, "Digests": self.digests(version)})
             if self.spoil_manifests > 0:
                 self.spoil_manifests -= 1
                 body = body[:-9]
             return await self.reply(request, 200, body=body.encode())
+        await asyncio.sleep(3600 if version in self.silent_versions else self.piece_seconds)
         piece = self.chunk(version, int(request.query["Num"]))
         self.pieces_sent += 1
         if self.spoil_pieces > 0:
--- a/Tests/Platform/test_direct_path.py
+++ b/Tests/Platform/test_direct_path.py
@@ -123,6 +123,21 @@
         assert right_loads(fleet, 4)
 
 
+def test_a_version_under_way_is_finished_when_the_origin_cannot_send_the_next(build, folders):
+    with Fleet(build, folders) as fleet:
+        wait_linked(fleet)
+        fleet.origin.piece_seconds = 0.3
+        fleet.origin.silent_versions = {3}
+        fleet.name_version(2)
+        wait_until(lambda: fleet.origin.manifests_sent > 0, "version 2 to be under way")
+        fleet.name_version(3)
+        wait_until(lambda: all(engine.version == 2 for engine in fleet.engines), "version 2 everywhere")
+        assert right_loads(fleet, 2)
+        fleet.origin.silent_versions = set()
+        wait_until(lambda: all(engine.version == 3 for engine in fleet.engines), "version 3 everywhere")
+        assert right_loads(fleet, 3)
+
+
 def test_a_request_that_waits_at_an_outdated_engine_goes_to_another(build, folders):
     with Fleet(build, folders) as fleet:
         wait_linked(fleet)
