LibConfiguration: Of two incarnations at one address keep the later one

Cause: after all machines lost power the list named each engine twice for seconds: the incarnation that was gone, until its heartbeats lapsed, and the new one. Ruled out: versions (agents reported the named one from 37.5 s). Change: an incarnation that a later one at its address has superseded is not listed any more, and never again, whatever late heartbeat of its own comes. Tests: three in TestFactReplica; the first two fail without it.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -73,6 +73,22 @@
             changes.servers.push_back(fact.key);
     }
     m_facts[key] = fact;
+    if (auto const* server = std::get_if<Schema::BackendServer>(&fact.value))
+        supersede(*server, fact.revision, changes);
+}
+
+void FactReplica::supersede(Schema::BackendServer const& server, int64_t revision, FactChanges& changes)
+{
+    auto const first = m_first_listed.try_emplace(server.id, revision).first->second;
+    if (server.address.empty())
+        return;
+    for (auto const* other : servers()) {
+        if (other->id == server.id || other->address != server.address)
+            continue;
+        auto const& earlier = m_first_listed.at(other->id) < first ? other->id : server.id;
+        m_superseded.insert(earlier);
+        changes.servers.push_back(earlier);
+    }
 }
 
 FactChanges FactReplica::on_records(FactTopic topic, std::vector<Fact> const& facts, int64_t end, Core::Time now)
@@ -133,6 +149,8 @@
 
 Schema::BackendServer const* FactReplica::server(std::string const& id) const
 {
+    if (m_superseded.contains(id))
+        return nullptr;
     auto const found = m_facts.find({ Schema::FactKind::BackendServer, id });
     return found == m_facts.end() ? nullptr : std::get_if<Schema::BackendServer>(&found->second.value);
 }
@@ -141,7 +159,8 @@
 {
     std::vector<Schema::BackendServer const*> servers;
     for (auto const& [key, fact] : m_facts) {
-        if (auto const* server = std::get_if<Schema::BackendServer>(&fact.value))
+        auto const* server = std::get_if<Schema::BackendServer>(&fact.value);
+        if (server && !m_superseded.contains(server->id))
             servers.push_back(server);
     }
     return servers;
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -85,6 +86,8 @@
     /// Null until a configuration was read.
     std::shared_ptr<Schema::RoutingConfiguration const> const& configuration() const { return m_configuration; }
     std::map<std::string, NamedVersions> const& versions() const { return m_versions; }
+    /// Null for one that is not listed, or whose address a later incarnation has: what crashed stays listed for a while,
+    /// and of two incarnations at one address only the later one lives.
     Schema::BackendServer const* server(std::string const& id) const;
     std::vector<Schema::BackendServer const*> servers() const;
 
@@ -93,10 +96,16 @@
 
     void apply(Fact const&, Core::Time now, FactChanges&);
     bool take_value(Fact const&, Core::Time now, FactChanges&);
+    /// Of the servers at this one's address only the one that was listed last remains.
+    void supersede(Schema::BackendServer const&, int64_t revision, FactChanges&);
 
     std::map<Key, Fact> m_facts;
     std::shared_ptr<Schema::RoutingConfiguration const> m_configuration;
     std::map<std::string, NamedVersions> m_versions;
+    // Revision at which each incarnation was first seen. One that was superseded never lives again, whatever late
+    // heartbeat of its own comes.
+    std::map<std::string, int64_t> m_first_listed;
+    std::set<std::string> m_superseded;
     int64_t m_configuration_end { 0 };
     int64_t m_servers_end { 0 };
 };
--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -26,6 +26,21 @@
     return { Schema::FactKind::BackendServer, id, revision, server };
 }
 
+static Fact server_at(std::string const& address, std::string const& id, int64_t revision)
+{
+    auto fact = server_fact(id, false, revision);
+    std::get<Schema::BackendServer>(fact.value).address = address;
+    return fact;
+}
+
+static std::vector<std::string> ids(FactReplica const& replica)
+{
+    std::vector<std::string> ids;
+    for (auto const* server : replica.servers())
+        ids.push_back(server->id);
+    return ids;
+}
+
 static Fact removed_fact(std::string const& id, int64_t revision)
 {
     return { Schema::FactKind::BackendServer, id, revision, Removed {} };
@@ -132,3 +147,33 @@
     EXPECT_EQ(whole_version({ { .end_layer = 8, .first_layer = 0, .model = "m", .version = 2 }, { .end_layer = 16, .first_layer = 8, .model = "m", .version = 3 } }, 16), 0);
     EXPECT_EQ(whole_version({ { .end_layer = 16, .first_layer = 8, .model = "m", .version = 2 }, { .end_layer = 8, .first_layer = 0, .model = "m", .version = 2 } }, 16), 2);
 }
+
+TEST(FactReplica, OfTwoIncarnationsAtOneAddressOnlyTheLaterOneIsThere)
+{
+    FactReplica replica;
+    replica.on_records(FactTopic::BackendServers, { server_at("a:1", "z-old", 10), server_at("b:1", "other", 11) }, 12, Core::Time(0));
+    auto const changes = replica.on_records(FactTopic::BackendServers, { server_at("a:1", "new", 20) }, 21, Core::Time(0));
+    EXPECT_EQ(changes.servers, (std::vector<std::string> { "new", "z-old" }));
+    EXPECT_EQ(ids(replica), (std::vector<std::string> { "new", "other" }));
+    EXPECT_EQ(replica.server("z-old"), nullptr);
+    // A late heartbeat of the one that is gone, and then its end, change nothing.
+    replica.on_records(FactTopic::BackendServers, { server_at("a:1", "z-old", 30) }, 31, Core::Time(0));
+    EXPECT_EQ(ids(replica), (std::vector<std::string> { "new", "other" }));
+    replica.on_records(FactTopic::BackendServers, { removed_fact("z-old", 40) }, 41, Core::Time(0));
+    EXPECT_EQ(ids(replica), (std::vector<std::string> { "new", "other" }));
+}
+
+TEST(FactReplica, AListingThatNamesBothIncarnationsKeepsTheLaterOneWhateverItsKey)
+{
+    FactReplica replica;
+    replica.on_listing(FactTopic::BackendServers, { server_at("a:1", "a-new", 20), server_at("a:1", "z-old", 10) }, 30, Core::Time(0));
+    EXPECT_EQ(ids(replica), (std::vector<std::string> { "a-new" }));
+}
+
+TEST(FactReplica, AnIncarnationThatEndedBeforeItsAddressWasTakenDoesNotComeBackBesideTheNext)
+{
+    FactReplica replica;
+    replica.on_records(FactTopic::BackendServers, { server_at("a:1", "old", 10), removed_fact("old", 15), server_at("a:1", "new", 20) }, 21, Core::Time(0));
+    replica.on_records(FactTopic::BackendServers, { server_at("a:1", "old", 30) }, 31, Core::Time(0));
+    EXPECT_EQ(ids(replica), (std::vector<std::string> { "new" }));
+}
