Entry, LibPlatform: Doubt the list when servers are others than listed, and wait behind others at one that answers

Change: a server that answered 421 twice in a row is left alone for a second, and the list is read again, 0.4 s after the last time at the soonest. Without a configuration, or an engine that could serve, callers are told 1.5 s. A request at a server that answers others waits twice as long before it is sent elsewhere. Tests: TestServerTable, TestFactFollower.

--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -38,6 +38,16 @@
     m_servers.current_at = std::max(m_servers.current_at, current_at);
 }
 
+void FactFollower::on_servers_doubted()
+{
+    bool const may_hurry = m_is_running && !m_servers.is_reading && !m_servers.is_hurried && m_servers.failures == 0;
+    if (!may_hurry)
+        return;
+    m_servers.is_hurried = true;
+    auto const due = m_servers.current_at + m_settings.doubted_interval;
+    read_later(m_servers, std::max(Core::Duration(0), due - Core::monotonic_now()));
+}
+
 Core::Duration FactFollower::age(Core::Time now) const
 {
     return now - std::min(m_configuration.current_at, m_servers.current_at);
@@ -48,6 +58,7 @@
     if (!m_is_running || topic.is_reading)
         return;
     topic.is_reading = true;
+    topic.is_hurried = false;
     if (topic.needs_listing) {
         m_log.read_newest(topic.topic, [this, &topic](auto page) { on_page(topic, page, true); });
         return;
--- a/Libraries/LibPlatform/FactFollower.h
+++ b/Libraries/LibPlatform/FactFollower.h
@@ -13,6 +13,8 @@
     Core::Duration configuration_wait { 3000 };
     /// Time between two reads of the list of backend servers: each heartbeat is a record, so waiting for one is dear.
     Core::Duration servers_interval { 800 };
+    /// Least time between two reads of the list where something speaks against what was read.
+    Core::Duration doubted_interval { 400 };
     /// Time before the first new try when the log does not answer; it doubles up to the longest.
     Core::Duration retry_interval { 150 };
     Core::Duration longest_retry_interval { 600 };
@@ -38,6 +40,9 @@
     /// A peer's facts that were read from the log `age` ago were taken over.
     void on_peer_facts(Core::Duration age);
 
+    /// A backend server was found to be another than the list says: the list is read again soon.
+    void on_servers_doubted();
+
     /// Time since the older of both topics was known to be current.
     Core::Duration age(Core::Time now) const;
 
@@ -50,6 +55,8 @@
         Core::Time current_at { 0 };
         // Tries in a row that brought no answer.
         int failures { 0 };
+        // The next read was moved forward.
+        bool is_hurried { false };
         std::unique_ptr<Core::Timer> timer;
     };
 
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -13,6 +13,11 @@
 static constexpr Core::Duration longest_suspension { 4000 };
 static constexpr Core::Duration full_wait { 60 };
 static constexpr int64_t failures_to_suspend = 4;
+// A full engine writes to those it runs every few tens of milliseconds.
+static constexpr Core::Duration answering_within { 600 };
+// One may come of a version that changed just now; more in a row come of an incarnation that is gone.
+static constexpr int64_t misdirections_to_suspend = 2;
+static constexpr Core::Duration misdirected_suspension { 1000 };
 static constexpr double failure_memory = 0.9;
 // A server that fails everything costs as much as one that is this many milliseconds slower.
 static constexpr double failure_cost_ms = 400;
@@ -311,8 +316,12 @@
         server.failure_rate = failure_memory * server.failure_rate + (1 - failure_memory) * (is_fault ? 1 : 0);
     if (outcome == ServerOutcome::Full)
         server.full_until = now + full_wait;
-    if (outcome == ServerOutcome::Success)
+    if (outcome == ServerOutcome::Success) {
         server.faults_in_a_row = 0;
+        server.misdirected_in_a_row = 0;
+    }
+    if (outcome == ServerOutcome::Misdirected && ++server.misdirected_in_a_row >= misdirections_to_suspend)
+        server.suspended_until = now + misdirected_suspension;
     if (!is_fault)
         return;
     server.faults_in_a_row += 1;
@@ -329,6 +338,25 @@
     return found == m_servers.end() ? nullptr : &found->second.entry;
 }
 
+void ServerTable::on_heard(std::string const& id, Core::Time now)
+{
+    auto const found = m_servers.find(id);
+    if (found != m_servers.end())
+        found->second.heard_at = now;
+}
+
+bool ServerTable::is_answering(std::string const& id, Core::Time now) const
+{
+    auto const found = m_servers.find(id);
+    return found != m_servers.end() && found->second.heard_at && now - *found->second.heard_at < answering_within;
+}
+
+bool ServerTable::is_doubtful(std::string const& id) const
+{
+    auto const found = m_servers.find(id);
+    return found != m_servers.end() && found->second.misdirected_in_a_row >= misdirections_to_suspend;
+}
+
 bool ServerTable::is_switching(std::string const& id, Core::Time now) const
 {
     auto const found = m_servers.find(id);
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -50,6 +50,8 @@
     Failure,
     /// It had no room.
     Full,
+    /// It is another incarnation, or holds another version, than it was taken for.
+    Misdirected,
     /// Says nothing.
     Neutral,
 };
@@ -95,6 +97,10 @@
     /// Its first event came: the prompt is read.
     void on_first_event(std::string const& id, std::string const& request);
     void on_ended(std::string const& id, std::string const& request, ServerOutcome, Core::Time now);
+    /// Some bytes of an answer came from the server, to whichever request.
+    void on_heard(std::string const& id, Core::Time now);
+    /// The server has answered some request just now: one that hears nothing there waits behind others.
+    bool is_answering(std::string const& id, Core::Time now) const;
 
     /// The server, or null.
     Schema::BackendServer const* find(std::string const& id) const;
@@ -102,6 +108,8 @@
     int64_t version_of(std::string const& id, Core::Time now) const;
     /// An order is before the engine, or about to be: what it breaks off is no fault of its own.
     bool is_switching(std::string const& id, Core::Time now) const;
+    /// What is known of the server has been wrong more than once in a row: the list may be behind.
+    bool is_doubtful(std::string const& id) const;
 
     /// Mean time between places that become free at one server of a service, when it is full.
     Core::Duration turnover(std::string const& service) const;
@@ -123,9 +131,11 @@
         std::string ip;
         int64_t listed_version { 0 };
         std::map<std::string, Pending> pending;
+        std::optional<Core::Time> heard_at;
         Core::Time suspended_until { 0 };
         Core::Time full_until { 0 };
         int64_t faults_in_a_row { 0 };
+        int64_t misdirected_in_a_row { 0 };
         double failure_rate { 0 };
     };
 
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -84,6 +84,7 @@
         .newest_version = [this](std::string const& service) { return m_goals.newest(service); },
         .queue = [this](std::string const& service) -> Routing::RequestQueue& { return m_queues.try_emplace(service, queue_limit).first->second; },
         .asked = [this](std::string const& service) { m_sharing.on_asked(service); },
+        .list_doubted = [this] { m_follower->on_servers_doubted(); },
         .over = [this](uint64_t number) { m_loop.soon([this, number] { m_requests.erase(number); }); } }
 {
     m_follower = std::make_unique<Platform::FactFollower>(loop, *m_log, m_replica, follower_settings(settings), fact_callbacks());
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -30,6 +30,8 @@
 static constexpr Core::Duration connect_timeout { 300 };
 static constexpr Core::Duration least_silence { 900 };
 static constexpr double silence_per_objective = 2.5;
+// Where a backend server answers others, a request waits behind them: to send it elsewhere would only add to the load.
+static constexpr int64_t patience_with_answering = 2;
 static constexpr Core::Duration retry_when_unready { 300 };
 static constexpr Core::Duration least_retry_after { 200 };
 static constexpr Core::Duration longest_retry_after { 1500 };
@@ -131,7 +133,7 @@
 {
     auto const& routes = m_context.routes;
     if (!routes) {
-        refuse(status_unavailable, Refusal::NoConfiguration, retry_when_unready);
+        refuse(status_unavailable, Refusal::NoConfiguration, longest_retry_after);
         return false;
     }
     m_configuration_version = routes->version();
@@ -196,8 +198,10 @@
         return true;
     auto const now = Core::monotonic_now();
     auto const choice = m_context.servers.choose(needs(now), now);
-    if (!choice.has_value())
+    if (!choice.has_value()) {
+        m_no_server = choice.error();
         return false;
+    }
     send_to(*choice, now);
     return true;
 }
@@ -264,6 +268,7 @@
     if (is_over())
         return;
     m_heard_at = Core::monotonic_now();
+    m_context.servers.on_heard(m_server, m_heard_at);
     if (is_stream() && is_trusted_success()) {
         pass_events(data);
         return;
@@ -330,7 +335,7 @@
         return;
     if (m_answer.is_not_run) {
         m_server_retry_after = m_answer.retry_after;
-        end_send(SendEnd::NotRun, m_answer.status == status_misdirected ? ServerOutcome::Neutral : ServerOutcome::Full);
+        end_send(SendEnd::NotRun, m_answer.status == status_misdirected ? ServerOutcome::Misdirected : ServerOutcome::Full);
         return;
     }
     bool const is_other_answer = m_answer.request_id != m_head.request_id;
@@ -411,6 +416,8 @@
     auto const now = Core::monotonic_now();
     m_call.reset();
     m_context.servers.on_ended(m_server, m_head.request_id, outcome, now);
+    if (outcome == ServerOutcome::Misdirected && m_context.servers.is_doubtful(m_server))
+        m_context.list_doubted();
     bool const is_miss = end == SendEnd::NotConnected || end == SendEnd::NotRun;
     // One that was only full may have room by the time that another is wanted.
     if (outcome != ServerOutcome::Full)
@@ -505,7 +512,8 @@
     auto const objective = m_has_delivered ? m_route.objective_gap_ms : m_route.objective_ms;
     auto const silence = std::max(least_silence, Core::Duration(static_cast<int64_t>(silence_per_objective * static_cast<double>(objective))));
     bool const may_give_up_send = Routing::is_repeatable(attempt_state(now)) && m_sends < m_route.max_attempts;
-    if (m_phase == Phase::Sent && m_is_connected && may_give_up_send && now - m_heard_at >= silence)
+    auto const patience = m_context.servers.is_answering(m_server, now) ? silence * patience_with_answering : silence;
+    if (m_phase == Phase::Sent && m_is_connected && may_give_up_send && now - m_heard_at >= patience)
         end_send(SendEnd::Silent, ServerOutcome::Unreachable);
 }
 
@@ -536,6 +544,11 @@
         refuse(status_bad_gateway, Refusal::OutcomeUnknown, {});
         return;
     }
+    if (m_no_server == Routing::NoServer::NoneUsable) {
+        // No place becomes free: engines have to come, or to be loaded.
+        refuse(status_unavailable, Refusal::NoServer, longest_retry_after);
+        return;
+    }
     auto const wait = m_context.servers.turnover(m_service) * static_cast<int64_t>(1 + queue.size());
     refuse(status_unavailable, Refusal::NoPlace, std::clamp(wait, least_retry_after, longest_retry_after));
 }
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -111,6 +111,8 @@
     std::optional<int64_t> m_last_event;
     std::optional<Core::Duration> m_server_retry_after;
     Core::Time m_waiting_since { 0 };
+    // Why the last try found no backend server.
+    Routing::NoServer m_no_server { Routing::NoServer::NoneUsable };
     std::optional<Core::Duration> m_first_event_after;
     // When events went to the caller last, and the longest time between two of these moments.
     Core::Time m_delivered_at { 0 };
--- a/Services/DirectEntry/RequestContext.h
+++ b/Services/DirectEntry/RequestContext.h
@@ -57,6 +57,8 @@
     std::function<Routing::RequestQueue&(std::string const& service)> queue;
     /// A caller asked for something of the service.
     std::function<void(std::string const& service)> asked;
+    /// A backend server was not what the list says, and not for the first time.
+    std::function<void()> list_doubted;
     std::function<void(uint64_t number)> over;
 };
 
--- a/Tests/LibPlatform/TestFactFollower.cpp
+++ b/Tests/LibPlatform/TestFactFollower.cpp
@@ -22,6 +22,44 @@
     }
 };
 
+/// A log that answers with nothing new, and counts the reads of the list.
+class QuietLog final : public FactLog {
+public:
+    void read(Configuration::FactTopic topic, int64_t, Core::Duration, Callback callback) override { answer(topic, callback); }
+    void read_newest(Configuration::FactTopic topic, Callback callback) override { answer(topic, callback); }
+
+    int list_reads { 0 };
+
+private:
+    void answer(Configuration::FactTopic topic, Callback const& callback)
+    {
+        // A read of the configuration stays open.
+        if (topic == Configuration::FactTopic::Configuration)
+            return;
+        list_reads += 1;
+        callback(FactPage {});
+    }
+};
+
+}
+
+TEST(FactFollower, AListThatIsDoubtedIsReadAgainOnceAndNotTooOften)
+{
+    Core::EventLoop loop;
+    QuietLog log;
+    Configuration::FactReplica replica;
+    FactFollowerSettings settings;
+    settings.servers_interval = Core::Duration(60000);
+    settings.doubted_interval = Core::Duration(40);
+    FactFollower follower(loop, log, replica, settings, { .changed = [](auto const&) {}, .failing = [](auto) {}, .bad_record = [](auto const&) {} });
+    follower.start();
+    EXPECT_EQ(log.list_reads, 1);
+    for (int i = 0; i < 100; ++i)
+        follower.on_servers_doubted();
+    EXPECT_EQ(log.list_reads, 1);
+    auto const end = loop.after(Core::Duration(300), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(log.list_reads, 2);
 }
 
 TEST(FactFollower, ALogThatTurnsCallsAwayIsAskedLessAndLess)
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -193,3 +193,31 @@
     // One that is not there to be used leaves the others.
     EXPECT_EQ(choose({}, { "2", "3" })->id, "1");
 }
+
+TEST_F(ServerTableTest, AServerThatIsAnotherThanListedIsLeftAloneUntilTheListIsReadAgain)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    auto refuse = [&] {
+        m_table.on_sent("1", "r", 900);
+        m_table.on_ended("1", "r", ServerOutcome::Misdirected, m_now);
+    };
+    refuse();
+    // Once may come of a version that changed just now.
+    EXPECT_TRUE(choose().has_value());
+    EXPECT_FALSE(m_table.is_doubtful("1"));
+    refuse();
+    EXPECT_FALSE(choose().has_value());
+    EXPECT_TRUE(m_table.is_doubtful("1"));
+    m_table.on_sent("1", "r", 900);
+    m_table.on_ended("1", "r", ServerOutcome::Success, m_now);
+    EXPECT_FALSE(m_table.is_doubtful("1"));
+}
+
+TEST_F(ServerTableTest, AServerIsAnsweringWhileItsLastBytesAreRecent)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    EXPECT_FALSE(m_table.is_answering("1", m_now));
+    m_table.on_heard("1", m_now);
+    EXPECT_TRUE(m_table.is_answering("1", m_now + Core::Duration(500)));
+    EXPECT_FALSE(m_table.is_answering("1", m_now + Core::Duration(700)));
+}
