LibConfiguration: Compare addresses with the whole list only when a server takes one

Cause: read in the diff: each heartbeat record of each engine was held against all listed servers, though only one that is listed anew, or at another address, can supersede. Change: the comparison is made for those alone. Nothing else is decided otherwise.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -65,16 +65,19 @@
         return;
     if (!take_value(fact, now, changes))
         return;
+    bool is_at_new_address = false;
     if (is_server) {
         auto const* before = known == m_facts.end() ? nullptr : std::get_if<Schema::BackendServer>(&known->second.value);
         auto const* after = std::get_if<Schema::BackendServer>(&fact.value);
         bool const is_unchanged = before && after ? is_same(*before, *after) : before == after;
         if (!is_unchanged)
             changes.servers.push_back(fact.key);
+        is_at_new_address = after && (!before || before->address != after->address);
     }
     m_facts[key] = fact;
-    if (auto const* server = std::get_if<Schema::BackendServer>(&fact.value))
-        supersede(*server, fact.revision, changes);
+    // A heartbeat alone takes no address from anybody, and need not be held against the whole list.
+    if (is_at_new_address)
+        supersede(std::get<Schema::BackendServer>(fact.value), fact.revision, changes);
 }
 
 void FactReplica::supersede(Schema::BackendServer const& server, int64_t revision, FactChanges& changes)
