platform, LibRouting: Read each field by itself; what only sharpens a prediction may be absent

The rate was spelled otherwise on the new customer's deployments.

Ruled out: reading both spellings alone. The next name would have done the same.

Change: Fields reads each field strictly as its own type and notes what it cannot read. Needed are the version, the lists themselves, and of a route its host or path; a route, service or customer that lacks what it needs refuses its own requests as not run (unreadable_configuration); where a customer could not be read, an unknown key is refused, not denied. A configuration without customers is refused where the deployment must have some. Rates, sizes and layers are optional: EngineTimes takes an ordinary engine's and corrects it by the first events seen. What could not be read stands in the record that is in force, with a log line, a counter and a gauge.

--- a/Libraries/LibCore/Error.cpp
+++ b/Libraries/LibCore/Error.cpp
@@ -24,6 +24,8 @@
         return "platform_unavailable";
     case ErrorCode::UnknownKey:
         return "unknown_key";
+    case ErrorCode::UnreadableField:
+        return "unreadable_field";
     case ErrorCode::WrongType:
         return "wrong_type";
     case ErrorCode::WrongUnit:
--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -18,6 +18,7 @@
     MalformedMessage,
     PlatformUnavailable,
     UnknownKey,
+    UnreadableField,
     WrongType,
     WrongUnit,
 };
--- a/Libraries/LibDistribution/StagedLoad.cpp
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -43,7 +43,8 @@
 
 void StagedLoad::on_report(Platform::EngineReport const& report, int64_t layers, Core::Time now)
 {
-    bool const is_new_life = m_report && report.order_sequence < m_report->order_sequence;
+    bool const has_sequences = m_report && m_report->order_sequence && report.order_sequence;
+    bool const is_new_life = has_sequences && *report.order_sequence < *m_report->order_sequence;
     bool const has_answered = m_ordered_at && !report.is_busy && now - *m_ordered_at >= m_settings.order_patience;
     m_report = report;
     m_is_serving = Configuration::whole_version(report.held, layers) == m_version;
--- a/Libraries/LibDistribution/StagedLoad.h
+++ b/Libraries/LibDistribution/StagedLoad.h
@@ -23,7 +23,8 @@
 
 /// Have the engine load what lies beside it.
 struct OrderLoad {
-    int64_t expected_sequence { 0 };
+    /// Nothing if the engine does not tell its sequence.
+    std::optional<int64_t> expected_sequence;
     Platform::LoadManner manner { Platform::LoadManner::WaitForRunning };
 };
 
--- a/Libraries/LibPlatform/EngineApi.h
+++ b/Libraries/LibPlatform/EngineApi.h
@@ -5,6 +5,7 @@
 #include <LibSchema/Generated.h>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,12 +16,14 @@
     std::vector<Schema::HeldLayers> held;
     /// An order is under way.
     bool is_busy { false };
-    /// Orders taken since the engine's start.
-    int64_t order_sequence { 0 };
+    /// Orders taken since the engine's start; nothing if the engine does not say.
+    std::optional<int64_t> order_sequence;
     int64_t running { 0 };
     int64_t waiting { 0 };
     /// Above 1: slow.
     double pace { 1 };
+    /// Paths of the fields that could not be read.
+    std::vector<std::string> unreadable_fields;
 };
 
 /// What an order does with requests that run on the engine.
@@ -49,8 +52,8 @@
     virtual void read_report(std::function<void(Core::ErrorOr<EngineReport>)>) = 0;
 
     /// Has the engine load what is staged for a model.
-    /// `expected_sequence`: the orders that the engine must have taken before.
-    virtual void start(std::string const& model, int64_t version, LoadManner, int64_t expected_sequence, std::function<void(OrderOutcome)>) = 0;
+    /// `expected_sequence`: the orders that the engine must have taken before; nothing if that is unknown.
+    virtual void start(std::string const& model, int64_t version, LoadManner, std::optional<int64_t> expected_sequence, std::function<void(OrderOutcome)>) = 0;
 
     /// Lays a chunk beside the engine.
     virtual void stage(std::string const& model, size_t chunk, std::string const& bytes, std::function<void(bool)>) = 0;
--- a/Libraries/LibRouting/RouteTable.cpp
+++ b/Libraries/LibRouting/RouteTable.cpp
@@ -5,6 +5,9 @@
 
 namespace Routing {
 
+// A route whose host could not be read stands under this one.
+static std::string const any_host;
+
 RouteTable::RouteTable(std::shared_ptr<Schema::RoutingConfiguration const> configuration)
     : m_configuration(std::move(configuration))
 {
@@ -22,9 +25,21 @@
 
 Schema::Route const* RouteTable::find(std::string_view host, std::string_view path) const
 {
-    auto const routes = m_routes.find(std::string(host));
+    auto const* found = longest_match(std::string(host), path);
+    auto const* everywhere = longest_match(any_host, path);
+    bool const is_more_specific = everywhere && (!found || everywhere->path_prefix.size() >= found->path_prefix.size());
+    return is_more_specific ? everywhere : found;
+}
+
+Schema::Route const* RouteTable::longest_match(std::string const& host, std::string_view path) const
+{
+    auto const routes = m_routes.find(host);
     if (routes == m_routes.end())
         return nullptr;
+    auto const* shortest = routes->second.back();
+    // A route whose path could not be read may be the longest for any.
+    if (shortest->is_blocked && shortest->path_prefix.empty())
+        return shortest;
     for (auto const* route : routes->second) {
         if (path.starts_with(route->path_prefix))
             return route;
--- a/Libraries/LibRouting/RouteTable.h
+++ b/Libraries/LibRouting/RouteTable.h
@@ -18,7 +18,8 @@
     int64_t version() const { return m_configuration->version; }
     Schema::RoutingConfiguration const& configuration() const { return *m_configuration; }
 
-    /// The route of the host whose prefix begins the path and is longest; null if there is none.
+    /// The route of the host whose prefix begins the path and is longest; null if there is none. One that is blocked, as
+    /// too little of it could be read, covers whatever it might be meant for.
     Schema::Route const* find(std::string_view host, std::string_view path) const;
 
     /// Null if no customer holds the key.
@@ -31,6 +32,8 @@
     static std::string const& pick_service(Schema::Route const&, double draw);
 
 private:
+    Schema::Route const* longest_match(std::string const& host, std::string_view path) const;
+
     std::shared_ptr<Schema::RoutingConfiguration const> m_configuration;
     // Routes of a host, the longest prefix first.
     std::unordered_map<std::string, std::vector<Schema::Route const*>> m_routes;
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -2,8 +2,10 @@
 #include <LibRouting/ServerTable.h>
 
 #include <LibConfiguration/HeldVersion.h>
+#include <LibSchema/Json.h>
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Routing {
 
@@ -41,7 +43,7 @@
     auto& server = m_servers[entry.id];
     server.entry = entry;
     server.ip = entry.address.substr(0, entry.address.rfind(':'));
-    auto const* model = timing(entry.service);
+    auto const* model = engine_service(entry.service);
     server.listed_version = model ? Configuration::whole_version(entry.held, model->layers) : 0;
 }
 
@@ -52,10 +54,16 @@
 
 void ServerTable::set_timing(std::string const& service, Schema::EngineTiming const& timing)
 {
-    m_timings[service] = timing;
+    // What was observed is kept as long as the operator states the same.
+    auto const known = m_engine_services.find(service);
+    bool const is_same = known != m_engine_services.end() && Schema::to_value(known->second.timing) == Schema::to_value(timing);
+    if (is_same)
+        return;
+    auto const layers = timing.layers.value_or(0);
+    m_engine_services.insert_or_assign(service, EngineService { timing, EngineTimes(timing), layers });
     for (auto& [id, server] : m_servers) {
         if (server.entry.service == service)
-            server.listed_version = Configuration::whole_version(server.entry.held, timing.layers);
+            server.listed_version = Configuration::whole_version(server.entry.held, layers);
     }
 }
 
@@ -82,10 +90,10 @@
     return &found->second;
 }
 
-Schema::EngineTiming const* ServerTable::timing(std::string const& service) const
+ServerTable::EngineService const* ServerTable::engine_service(std::string const& service) const
 {
-    auto const found = m_timings.find(service);
-    return found == m_timings.end() ? nullptr : &found->second;
+    auto const found = m_engine_services.find(service);
+    return found == m_engine_services.end() ? nullptr : &found->second;
 }
 
 int64_t ServerTable::version_of(Server const& server, Core::Time now) const
@@ -104,8 +112,9 @@
 {
     if (server.entry.is_draining || now < server.suspended_until)
         return false;
-    if (!timing(server.entry.service))
-        return true;
+    // One that holds a model belongs to a service whose versions must be known.
+    if (!engine_service(server.entry.service))
+        return server.entry.held.empty();
     auto const* report = reported(server, now);
     // An engine with an order before it takes nothing new until it is done.
     if (report && report->state.is_busy)
@@ -143,7 +152,7 @@
 {
     auto const own = static_cast<int64_t>(server.pending.size());
     auto const slots = server.entry.slots;
-    bool const is_engine = timing(server.entry.service) != nullptr;
+    bool const is_engine = engine_service(server.entry.service) != nullptr;
     if (!is_engine)
         return slots - own;
     bool const is_owner = role(server) == EngineRole::Owner;
@@ -171,65 +180,43 @@
     return is_same_region ? other_domain_ms : other_region_ms;
 }
 
-static double read_ms(Schema::EngineTiming const& timing, double tokens)
-{
-    static constexpr double per_second = 1000;
-    static constexpr double million = 1e6;
-    return tokens * per_second / timing.prompt_tokens_per_second + timing.pairs_ms_per_million * tokens * tokens / 2 / million;
-}
-
-static double step_ms(Schema::EngineTiming const& timing, double running)
-{
-    static constexpr double thousand = 1000;
-    auto const context = timing.usual_prompt_tokens + timing.usual_answer_tokens / 2;
-    return timing.step_ms + running * (timing.per_sequence_ms + timing.context_ms_per_1000 * context / thousand);
-}
-
-/// Time a request takes at a full engine, the reading of others' prompts in between included.
-static double full_service_ms(Schema::EngineTiming const& timing)
-{
-    auto const slots = static_cast<double>(timing.slots);
-    return timing.usual_answer_tokens * step_ms(timing, slots) + slots * read_ms(timing, timing.usual_prompt_tokens);
-}
-
 Core::Duration ServerTable::turnover(std::string const& service) const
 {
-    auto const* model = timing(service);
-    if (!model || model->slots <= 0)
+    auto const* model = engine_service(service);
+    if (!model)
         return Core::Duration(static_cast<int64_t>(plain_answer_ms));
-    return Core::Duration(static_cast<int64_t>(std::ceil(full_service_ms(*model) / static_cast<double>(model->slots))));
+    return Core::Duration(static_cast<int64_t>(std::ceil(model->times.turnover_ms() * model->times.correction())));
 }
 
 double ServerTable::predicted_ms(Server const& server, ServerNeeds const& needs, Core::Time now) const
 {
-    auto const* model = timing(server.entry.service);
+    auto const* model = engine_service(server.entry.service);
     auto const own = static_cast<double>(server.pending.size());
     if (!model)
         return plain_answer_ms * (1 + own);
     auto const others = static_cast<double>(others_in_flight(server, now));
-    auto const slots = static_cast<double>(model->slots);
+    auto const& times = model->times;
     double unread = 0;
     for (auto const& [request, pending] : server.pending) {
         if (!pending.has_first_event)
-            unread += read_ms(*model, static_cast<double>(pending.prompt_tokens));
+            unread += times.read_ms(static_cast<double>(pending.prompt_tokens));
     }
     auto const* report = reported(server, now);
     if (report) {
         auto const waiting_of_others = std::min(others, static_cast<double>(report->state.waiting));
-        unread += waiting_of_others * read_ms(*model, model->usual_prompt_tokens);
+        unread += waiting_of_others * times.read_usual_ms();
     }
-    auto const running = std::min(slots, own + others);
-    auto const pass = static_cast<double>(model->stride) * step_ms(*model, running);
-    auto const ahead = std::max(0.0, own + others + 1 - slots);
-    auto const queue = ahead * full_service_ms(*model) / slots;
+    auto const running = std::min(times.slots(), own + others);
+    auto const ahead = std::max(0.0, own + others + 1 - times.slots());
+    auto const queue = ahead * times.turnover_ms();
     auto const pace = report ? std::max(1.0, report->state.pace) : 1.0;
     // Half of the pass under way, then one that reads what waits and this prompt, and writes the first event.
-    return pace * (pass * 1.5 + unread + read_ms(*model, static_cast<double>(needs.prompt_tokens)) + queue);
+    return times.correction() * pace * (times.pass_ms(running) * 1.5 + unread + times.read_ms(static_cast<double>(needs.prompt_tokens)) + queue);
 }
 
 double ServerTable::role_ms(Server const& server) const
 {
-    if (!timing(server.entry.service))
+    if (!engine_service(server.entry.service))
         return 0;
     switch (role(server)) {
     case EngineRole::Owner:
@@ -287,21 +274,26 @@
     return ServerChoice { best->entry.id, Core::Duration(static_cast<int64_t>(predicted_ms(*best, needs, now))) };
 }
 
-void ServerTable::on_sent(std::string const& id, std::string const& request, int64_t prompt_tokens)
+void ServerTable::on_sent(std::string const& request, ServerChoice const& choice, int64_t prompt_tokens, Core::Time now)
 {
-    auto const found = m_servers.find(id);
+    auto const found = m_servers.find(choice.id);
     if (found != m_servers.end())
-        found->second.pending[request] = { prompt_tokens, false };
+        found->second.pending[request] = { .prompt_tokens = prompt_tokens, .sent_at = now, .predicted = choice.predicted };
 }
 
-void ServerTable::on_first_event(std::string const& id, std::string const& request)
+void ServerTable::on_first_event(std::string const& id, std::string const& request, Core::Time now)
 {
     auto const found = m_servers.find(id);
     if (found == m_servers.end())
         return;
     auto const pending = found->second.pending.find(request);
-    if (pending != found->second.pending.end())
-        pending->second.has_first_event = true;
+    if (pending == found->second.pending.end() || std::exchange(pending->second.has_first_event, true))
+        return;
+    auto const service = m_engine_services.find(found->second.entry.service);
+    if (service == m_engine_services.end())
+        return;
+    auto const observed = now - pending->second.sent_at;
+    service->second.times.on_first_event(static_cast<double>(pending->second.predicted.count()), static_cast<double>(observed.count()));
 }
 
 void ServerTable::on_ended(std::string const& id, std::string const& request, ServerOutcome outcome, Core::Time now)
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -3,6 +3,7 @@
 
 #include <LibCore/Time.h>
 #include <LibRouting/EngineOwners.h>
+#include <LibRouting/EngineTimes.h>
 #include <LibSchema/Generated.h>
 #include <map>
 #include <optional>
@@ -93,9 +94,9 @@
     tl::expected<ServerChoice, NoServer> choose(ServerNeeds const&, Core::Time now);
 
     /// A request was sent; it holds a place until `on_ended`.
-    void on_sent(std::string const& id, std::string const& request, int64_t prompt_tokens);
+    void on_sent(std::string const& request, ServerChoice const&, int64_t prompt_tokens, Core::Time now);
     /// Its first event came: the prompt is read.
-    void on_first_event(std::string const& id, std::string const& request);
+    void on_first_event(std::string const& id, std::string const& request, Core::Time now);
     void on_ended(std::string const& id, std::string const& request, ServerOutcome, Core::Time now);
     /// Some bytes of an answer came from the server, to whichever request.
     void on_heard(std::string const& id, Core::Time now);
@@ -117,9 +118,19 @@
 private:
     struct Pending {
         int64_t prompt_tokens { 0 };
+        Core::Time sent_at { 0 };
+        Core::Duration predicted { 0 };
         bool has_first_event { false };
     };
 
+    /// A service whose backend servers are engines.
+    struct EngineService {
+        Schema::EngineTiming timing;
+        EngineTimes times;
+        /// Layers of the model; 0 if unknown.
+        int64_t layers { 0 };
+    };
+
     struct Reported {
         Schema::EngineState state;
         Core::Time at { 0 };
@@ -140,7 +151,8 @@
     };
 
     Reported const* reported(Server const&, Core::Time now) const;
-    Schema::EngineTiming const* timing(std::string const& service) const;
+    /// Null for a plain service.
+    EngineService const* engine_service(std::string const& service) const;
     int64_t version_of(Server const&, Core::Time now) const;
     bool is_usable(Server const&, ServerNeeds const&, Core::Time now) const;
     int64_t others_in_flight(Server const&, Core::Time now) const;
@@ -157,7 +169,7 @@
     std::mt19937_64 m_random;
     size_t m_entries { 1 };
     std::map<std::string, Server> m_servers;
-    std::map<std::string, Schema::EngineTiming> m_timings;
+    std::map<std::string, EngineService> m_engine_services;
     // By the IP number that agent and engine share.
     std::map<std::string, Reported> m_reported;
     std::optional<std::map<std::string, EngineRole>> m_roles;
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -325,6 +325,10 @@
          * Requests run at once.
          */
         int64_t slots;
+        /**
+         * Paths of the fields that could not be read.
+         */
+        std::vector<std::string> unreadable_fields;
     };
 
     /**
@@ -395,8 +399,9 @@
          */
         std::string key;
         /**
-         * Bandwidth of the instance's link, megabits per second. Three quarters of it may carry weights to
-         * agents; without it, or without a metrics port, the entry keeps no copies for them.
+         * Bandwidth of the instance's link, megabits per second. Three quarters of it may carry
+         * weights to agents; without it, or without a metrics port, the entry keeps no copies for
+         * them.
          */
         std::optional<double> link_megabits_per_second;
         /**
@@ -415,6 +420,11 @@
          * IP:PORT of the platform's store.
          */
         std::string platform_address;
+        /**
+         * Parts of the platform's interface that are in force on this deployment, by the platform's
+         * names. Without them no check rests on any.
+         */
+        std::optional<std::vector<std::string>> platform_features;
         /**
          * IP:PORT at which the balancer asks whether this entry is ready.
          */
@@ -2074,6 +2084,11 @@
          * Host that callers name.
          */
         std::string host;
+        /**
+         * Too little of it could be read: its requests are refused as not run. Without a host it
+         * covers every host.
+         */
+        bool is_blocked;
         /**
          * No key is needed.
          */
@@ -2127,19 +2142,19 @@
         /**
          * Bytes of a chunk.
          */
-        int64_t chunk_bytes;
+        std::optional<int64_t> chunk_bytes;
         /**
          * Chunks of a copy.
          */
-        int64_t chunks;
+        std::optional<int64_t> chunks;
         /**
          * More per 1,000 tokens of context, milliseconds.
          */
-        double context_ms_per_1000;
+        std::optional<double> context_ms_per_1000;
         /**
          * Layers of the model.
          */
-        int64_t layers;
+        std::optional<int64_t> layers;
         /**
          * Model that the engines serve.
          */
@@ -2147,35 +2162,35 @@
         /**
          * Cost of a million token pairs, milliseconds.
          */
-        double pairs_ms_per_million;
+        std::optional<double> pairs_ms_per_million;
         /**
          * More per running request, milliseconds.
          */
-        double per_sequence_ms;
+        std::optional<double> per_sequence_ms;
         /**
          * Rate of reading prompts.
          */
-        double prompt_tokens_per_second;
+        std::optional<double> prompt_tokens_per_second;
         /**
          * Requests run at once.
          */
-        int64_t slots;
+        std::optional<int64_t> slots;
         /**
          * Cost of a token step, milliseconds.
          */
-        double step_ms;
+        std::optional<double> step_ms;
         /**
          * Tokens of an event.
          */
-        int64_t stride;
+        std::optional<int64_t> stride;
         /**
          * Mean answer.
          */
-        double usual_answer_tokens;
+        std::optional<double> usual_answer_tokens;
         /**
          * Mean prompt.
          */
-        double usual_prompt_tokens;
+        std::optional<double> usual_prompt_tokens;
     };
 
     /**
@@ -2212,6 +2227,10 @@
          * Requests need a key.
          */
         bool has_customers;
+        /**
+         * Some customer or key could not be read: a key that is not known may be good.
+         */
+        bool has_unreadable_customers;
         /**
          * Longest time a caller may take for a head, milliseconds.
          */
@@ -2236,6 +2255,10 @@
          * Services.
          */
         std::vector<RoutedService> services;
+        /**
+         * Paths of the fields that could not be read; the rest is in force.
+         */
+        std::vector<std::string> unreadable_fields;
         /**
          * Version of the configuration.
          */
@@ -2656,6 +2679,7 @@
         x.is_draining = j.at("is_draining").get<bool>();
         x.service = j.at("service").get<std::string>();
         x.slots = j.at("slots").get<int64_t>();
+        x.unreadable_fields = j.at("unreadable_fields").get<std::vector<std::string>>();
     }
 
     inline void to_json(json & j, const BackendServer & x) {
@@ -2668,6 +2692,7 @@
         j["is_draining"] = x.is_draining;
         j["service"] = x.service;
         j["slots"] = x.slots;
+        j["unreadable_fields"] = x.unreadable_fields;
     }
 
     inline void from_json(const json & j, DirectEntrySettingsBounds& x) {
@@ -2702,6 +2727,7 @@
         x.log_lines_per_second = get_stack_optional<int64_t>(j, "log_lines_per_second");
         x.metrics_port = get_stack_optional<int64_t>(j, "metrics_port");
         x.platform_address = j.at("platform_address").get<std::string>();
+        x.platform_features = get_stack_optional<std::vector<std::string>>(j, "platform_features");
         x.readiness_address = j.at("readiness_address").get<std::string>();
         x.region = j.at("region").get<std::string>();
         x.regions = j.at("regions").get<std::map<std::string, std::string>>();
@@ -2722,6 +2748,7 @@
         j["log_lines_per_second"] = x.log_lines_per_second;
         j["metrics_port"] = x.metrics_port;
         j["platform_address"] = x.platform_address;
+        j["platform_features"] = x.platform_features;
         j["readiness_address"] = x.readiness_address;
         j["region"] = x.region;
         j["regions"] = x.regions;
@@ -3816,6 +3843,7 @@
 
     inline void from_json(const json & j, Route& x) {
         x.host = j.at("host").get<std::string>();
+        x.is_blocked = j.at("is_blocked").get<bool>();
         x.is_public = j.at("is_public").get<bool>();
         x.is_resumable = j.at("is_resumable").get<bool>();
         x.kind = j.at("kind").get<RouteKind>();
@@ -3832,6 +3860,7 @@
     inline void to_json(json & j, const Route & x) {
         j = json::object();
         j["host"] = x.host;
+        j["is_blocked"] = x.is_blocked;
         j["is_public"] = x.is_public;
         j["is_resumable"] = x.is_resumable;
         j["kind"] = x.kind;
@@ -3846,19 +3875,19 @@
     }
 
     inline void from_json(const json & j, EngineTiming& x) {
-        x.chunk_bytes = j.at("chunk_bytes").get<int64_t>();
-        x.chunks = j.at("chunks").get<int64_t>();
-        x.context_ms_per_1000 = j.at("context_ms_per_1000").get<double>();
-        x.layers = j.at("layers").get<int64_t>();
+        x.chunk_bytes = get_stack_optional<int64_t>(j, "chunk_bytes");
+        x.chunks = get_stack_optional<int64_t>(j, "chunks");
+        x.context_ms_per_1000 = get_stack_optional<double>(j, "context_ms_per_1000");
+        x.layers = get_stack_optional<int64_t>(j, "layers");
         x.model = j.at("model").get<std::string>();
-        x.pairs_ms_per_million = j.at("pairs_ms_per_million").get<double>();
-        x.per_sequence_ms = j.at("per_sequence_ms").get<double>();
-        x.prompt_tokens_per_second = j.at("prompt_tokens_per_second").get<double>();
-        x.slots = j.at("slots").get<int64_t>();
-        x.step_ms = j.at("step_ms").get<double>();
-        x.stride = j.at("stride").get<int64_t>();
-        x.usual_answer_tokens = j.at("usual_answer_tokens").get<double>();
-        x.usual_prompt_tokens = j.at("usual_prompt_tokens").get<double>();
+        x.pairs_ms_per_million = get_stack_optional<double>(j, "pairs_ms_per_million");
+        x.per_sequence_ms = get_stack_optional<double>(j, "per_sequence_ms");
+        x.prompt_tokens_per_second = get_stack_optional<double>(j, "prompt_tokens_per_second");
+        x.slots = get_stack_optional<int64_t>(j, "slots");
+        x.step_ms = get_stack_optional<double>(j, "step_ms");
+        x.stride = get_stack_optional<int64_t>(j, "stride");
+        x.usual_answer_tokens = get_stack_optional<double>(j, "usual_answer_tokens");
+        x.usual_prompt_tokens = get_stack_optional<double>(j, "usual_prompt_tokens");
     }
 
     inline void to_json(json & j, const EngineTiming & x) {
@@ -3896,12 +3925,14 @@
     inline void from_json(const json & j, RoutingConfiguration& x) {
         x.customers = j.at("customers").get<std::vector<RoutedCustomer>>();
         x.has_customers = j.at("has_customers").get<bool>();
+        x.has_unreadable_customers = j.at("has_unreadable_customers").get<bool>();
         x.header_timeout_ms = j.at("header_timeout_ms").get<int64_t>();
         x.idle_timeout_ms = j.at("idle_timeout_ms").get<int64_t>();
         x.max_body_bytes = j.at("max_body_bytes").get<int64_t>();
         x.max_header_bytes = j.at("max_header_bytes").get<int64_t>();
         x.routes = j.at("routes").get<std::vector<Route>>();
         x.services = j.at("services").get<std::vector<RoutedService>>();
+        x.unreadable_fields = j.at("unreadable_fields").get<std::vector<std::string>>();
         x.version = j.at("version").get<int64_t>();
     }
 
@@ -3909,12 +3940,14 @@
         j = json::object();
         j["customers"] = x.customers;
         j["has_customers"] = x.has_customers;
+        j["has_unreadable_customers"] = x.has_unreadable_customers;
         j["header_timeout_ms"] = x.header_timeout_ms;
         j["idle_timeout_ms"] = x.idle_timeout_ms;
         j["max_body_bytes"] = x.max_body_bytes;
         j["max_header_bytes"] = x.max_header_bytes;
         j["routes"] = x.routes;
         j["services"] = x.services;
+        j["unreadable_fields"] = x.unreadable_fields;
         j["version"] = x.version;
     }
 
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -318,7 +318,7 @@
             m_servers.remove_server(id);
         Core::log_event(Core::LogLevel::Info, "server_changed", { { "server", id }, { "state", !server ? "removed" : server->is_draining ? "draining"
                                                                                                                                          : "ready" },
-                                                                    { "service", server ? server->service : "" }, { "address", server ? server->address : "" }, { "version", std::to_string(m_servers.version_of(id, now)) } });
+                                                                    { "service", server ? server->service : "" }, { "address", server ? server->address : "" }, { "version", std::to_string(m_servers.version_of(id, now)) }, { "unreadable", server && !server->unreadable_fields.empty() ? server->unreadable_fields.front() : "" } });
     }
     if (changes.has_versions) {
         for (auto const& [model, named] : m_replica.versions())
@@ -345,6 +345,10 @@
         limits.idle_timeout = Core::Duration(configuration->idle_timeout_ms);
         m_callers->set_limits(limits);
     }
+    if (!configuration->unreadable_fields.empty()) {
+        m_metrics.count("mountbarrow_degraded_configurations_total");
+        Core::log_event(Core::LogLevel::Error, "configuration_degraded", { { "version", std::to_string(configuration->version) }, { "fields", std::to_string(configuration->unreadable_fields.size()) }, { "first", configuration->unreadable_fields.front() } });
+    }
     Core::log_event(Core::LogLevel::Info, "configuration_in_force", { { "version", std::to_string(configuration->version) }, { "routes", std::to_string(configuration->routes.size()) }, { "customers", std::to_string(configuration->customers.size()) } });
 }
 
@@ -478,11 +482,21 @@
         reply_metrics(*exchange);
 }
 
+size_t DirectEntry::unreadable_server_fields() const
+{
+    size_t count = 0;
+    for (auto const* server : m_replica.servers())
+        count += server->unreadable_fields.size();
+    return count;
+}
+
 void DirectEntry::reply_metrics(Transport::HttpExchange& exchange)
 {
     m_metrics.set("mountbarrow_in_hand", static_cast<double>(m_requests.size()));
     m_metrics.set("mountbarrow_fact_age_ms", static_cast<double>(m_follower->age(Core::monotonic_now()).count()));
     m_metrics.set("mountbarrow_configuration_version", m_context.routes ? static_cast<double>(m_context.routes->version()) : 0);
+    m_metrics.set("mountbarrow_unreadable_fields", m_context.routes ? static_cast<double>(m_context.routes->configuration().unreadable_fields.size()) : 0, "record=\"configuration\"");
+    m_metrics.set("mountbarrow_unreadable_fields", static_cast<double>(unreadable_server_fields()), "record=\"backend_server\"");
     m_metrics.set("mountbarrow_links", static_cast<double>(m_last_heard.size()));
     m_metrics.set("mountbarrow_link_bytes", static_cast<double>(m_hub->traffic().sent), "direction=\"sent\"");
     m_metrics.set("mountbarrow_link_bytes", static_cast<double>(m_hub->traffic().received), "direction=\"received\"");
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -69,6 +69,7 @@
     void tick();
     void finish_drain();
     void on_internal_request(std::shared_ptr<Transport::HttpExchange> const&);
+    size_t unreadable_server_fields() const;
     void reply_metrics(Transport::HttpExchange&);
 
     Core::EventLoop& m_loop;
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -51,6 +51,8 @@
         return "unknown_key";
     case Refusal::StaleConfiguration:
         return "stale_configuration";
+    case Refusal::UnreadableConfiguration:
+        return "unreadable_configuration";
     case Refusal::NoServer:
         return "no_server";
     case Refusal::NoPlace:
@@ -150,6 +152,11 @@
         refuse(status_not_found, Refusal::NoRoute, {});
         return false;
     }
+    bool const may_be_good = needs_key && !customer && routes->configuration().has_unreadable_customers;
+    if (route->is_blocked || may_be_good) {
+        refuse(status_unavailable, Refusal::UnreadableConfiguration, longest_retry_after);
+        return false;
+    }
     if (needs_key && !customer) {
         refuse(status_unauthorized, Refusal::UnknownKey, {});
         return false;
@@ -236,7 +243,7 @@
     call.connect_timeout = std::min(connect_timeout, terms.remaining);
     if (m_caller->head().method == "HEAD")
         call.body_expectation = Transport::BodyExpectation::None;
-    m_context.servers.on_sent(m_server, m_head.request_id, m_head.prompt_tokens);
+    m_context.servers.on_sent(m_head.request_id, choice, m_head.prompt_tokens, now);
     Core::log_event(Core::LogLevel::Info, "request_sent",
         { { "request", m_head.request_id }, { "route", m_route.name }, { "server", choice.id }, { "address", server->address }, { "domain", server->failure_domain }, { "predicted_ms", milliseconds(choice.predicted) }, { "attempt", std::to_string(m_sends + m_misses + 1) }, { "after_ms", milliseconds(now - m_started) }, { "remaining_ms", milliseconds(terms.remaining) }, { "configuration", std::to_string(m_configuration_version) }, { "expected_version", terms.expected_version ? std::to_string(*terms.expected_version) : "any" }, { "resume_after", m_last_event ? std::to_string(*m_last_event) : "" } });
     m_call = Transport::BackendCall::start(m_context.loop, std::move(call),
@@ -321,7 +328,7 @@
         m_context.metrics.observe_ms("mountbarrow_first_event_ms", static_cast<double>(m_first_event_after->count()));
         m_caller->start(m_answer.status, m_answer.headers, {});
     }
-    m_context.servers.on_first_event(m_server, m_head.request_id);
+    m_context.servers.on_first_event(m_server, m_head.request_id, m_heard_at);
     m_caller->part(events);
     if (m_caller->pending_bytes() > most_unread_bytes) {
         m_call.reset();
--- a/Services/DirectEntry/RequestContext.h
+++ b/Services/DirectEntry/RequestContext.h
@@ -22,6 +22,8 @@
     NoRoute,
     UnknownKey,
     StaleConfiguration,
+    /// What the configuration says of the route or of the customers could not be read.
+    UnreadableConfiguration,
     NoServer,
     NoPlace,
     QueueFull,
--- a/Services/DirectEntry/VersionGoals.cpp
+++ b/Services/DirectEntry/VersionGoals.cpp
@@ -38,8 +38,8 @@
     goal.origin_address = origin_address();
     goal.bound_ms = version_bound.count();
     goal.may_evict = may_evict(service.name);
-    goal.layers = service.timing->layers;
-    goal.chunks = service.timing->chunks;
+    goal.layers = service.timing->layers.value_or(0);
+    goal.chunks = service.timing->chunks.value_or(0);
     goal.peers = peers(service.name);
     return goal;
 }
--- a/Services/DirectEntry/WeightsCache.cpp
+++ b/Services/DirectEntry/WeightsCache.cpp
@@ -84,7 +84,7 @@
 
 void WeightsCache::set_goal(Schema::WeightsGoal const& goal, Core::Time named_at)
 {
-    if (goal.chunks <= 0)
+    if (goal.chunks <= 0 && goal.origin_address.empty())
         return;
     auto& copy = copy_of(goal.model);
     if (goal.version < copy.goal.version)
--- a/Services/DirectEntry/main.cpp
+++ b/Services/DirectEntry/main.cpp
@@ -12,7 +12,7 @@
     auto const command = Settings::parse_command(argc, argv, "The entry that callers reach: routes, limits and passes on their requests");
     return Settings::run_process<Schema::DirectEntrySettings>(command, "mountbarrow-direct-entry", [](Core::EventLoop& loop, Schema::DirectEntrySettings const& settings) {
         DirectEntry::DirectEntry::PlatformParts parts;
-        parts.log = std::make_unique<PlatformAdapter::HttpFactLog>(loop, settings.platform_address);
+        parts.log = std::make_unique<PlatformAdapter::HttpFactLog>(loop, settings.platform_address, PlatformAdapter::expected_customer_keys(settings.platform_features.value_or(std::vector<std::string> {})));
         parts.heads = std::make_unique<PlatformAdapter::HttpRequestHeads>();
         parts.origin = std::make_unique<PlatformAdapter::HttpOrigin>(loop);
         return DirectEntry::DirectEntry::create(loop, settings, std::move(parts));
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -77,7 +77,7 @@
 {
     auto const named_at = Core::monotonic_now() - Core::Duration(goal.age_ms);
     bool const is_older = m_goal && goal.version < m_goal->version;
-    if (is_older || goal.chunks <= 0)
+    if (is_older || (goal.chunks <= 0 && goal.origin_address.empty()))
         return;
     bool const is_new_version = !m_goal || goal.version > m_goal->version || goal.model != m_goal->model;
     if (!is_new_version) {
@@ -336,7 +336,7 @@
 void CopyKeeper::order(int64_t version, Distribution::OrderLoad const& due)
 {
     auto const goal_at = m_older && m_older->goal.version == version ? m_older->goal_at : m_goal_at;
-    Core::log_event(Core::LogLevel::Info, "load_ordered", { { "version", std::to_string(version) }, { "expected_sequence", std::to_string(due.expected_sequence) }, { "manner", due.manner == Platform::LoadManner::EvictRunning ? "evict" : "wait" }, { "running", std::to_string(m_report ? m_report->running : 0) }, { "after_ms", std::to_string((Core::monotonic_now() - goal_at).count()) } });
+    Core::log_event(Core::LogLevel::Info, "load_ordered", { { "version", std::to_string(version) }, { "expected_sequence", due.expected_sequence ? std::to_string(*due.expected_sequence) : "any" }, { "manner", due.manner == Platform::LoadManner::EvictRunning ? "evict" : "wait" }, { "running", std::to_string(m_report ? m_report->running : 0) }, { "after_ms", std::to_string((Core::monotonic_now() - goal_at).count()) } });
     m_metrics.count("mountbarrow_load_orders_total");
     m_engine.start(m_goal->model, version, due.manner, due.expected_sequence, [this, version](Platform::OrderOutcome outcome) {
         Core::log_event(Core::LogLevel::Info, "load_answered", { { "version", std::to_string(version) }, { "outcome", std::to_string(static_cast<int>(outcome)) } });
@@ -358,8 +358,23 @@
     });
 }
 
+void CopyKeeper::note_report(Core::ErrorOr<Platform::EngineReport> const& report)
+{
+    std::string fault;
+    if (!report.has_value())
+        fault = std::string(Core::error_name(report.error().code)) + " " + report.error().detail;
+    else if (!report->unreadable_fields.empty())
+        fault = std::string(Core::error_name(Core::ErrorCode::UnreadableField)) + " " + report->unreadable_fields.front();
+    if (!fault.empty())
+        m_metrics.count("mountbarrow_report_faults_total");
+    // The engine is asked ten times a second: only a change is worth a line.
+    if (fault != std::exchange(m_report_fault, fault))
+        Core::log_event(fault.empty() ? Core::LogLevel::Info : Core::LogLevel::Warn, "report_fault", { { "fault", fault.empty() ? "none" : fault } });
+}
+
 void CopyKeeper::on_report(Core::ErrorOr<Platform::EngineReport> const& report)
 {
+    note_report(report);
     if (!report.has_value()) {
         m_report.reset();
         if (m_load)
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -91,6 +91,7 @@
     Distribution::StagedLoad* load_of(int64_t version);
     Schema::VersionSpec const& spec_of(int64_t version) const;
     void poll_engine();
+    void note_report(Core::ErrorOr<Platform::EngineReport> const&);
     void on_report(Core::ErrorOr<Platform::EngineReport> const&);
     void adopt_staged();
     void begin_transfer();
@@ -126,6 +127,8 @@
     size_t m_adopting { 0 };
 
     std::optional<Platform::EngineReport> m_report;
+    // What was wrong with the last report; empty if nothing.
+    std::string m_report_fault;
     int64_t m_last_version { -1 };
     bool m_was_busy { false };
     bool m_is_polling { false };
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -149,9 +149,11 @@
 {
     if (m_manifest || !m_goal)
         return;
-    bool const is_wanted = manifest.model == m_goal->model && manifest.version == m_goal->version && manifest.digests.size() == static_cast<size_t>(m_goal->chunks);
+    bool const is_wanted = manifest.model == m_goal->model && manifest.version == m_goal->version;
+    // Where the configuration does not say how many chunks there are, the manifest does.
+    bool const is_whole = m_goal->chunks > 0 ? manifest.digests.size() == static_cast<size_t>(m_goal->chunks) : !manifest.digests.empty();
     bool const is_sound = std::all_of(manifest.digests.begin(), manifest.digests.end(), [](auto const& digest) { return digest.size() == digest_characters; });
-    if (!is_wanted || !is_sound) {
+    if (!is_wanted || !is_whole || !is_sound) {
         m_metrics.count("mountbarrow_manifest_failures_total", "source=\"spoilt\"");
         Core::log_event(Core::LogLevel::Warn, "manifest_refused", { { "source", source }, { "version", std::to_string(manifest.version) }, { "digests", std::to_string(manifest.digests.size()) } });
         return;
--- a/Tests/LibDistribution/TestStagedLoad.cpp
+++ b/Tests/LibDistribution/TestStagedLoad.cpp
@@ -77,7 +77,7 @@
             } else if (auto const* order = std::get_if<OrderLoad>(&action)) {
                 for (auto const& at : right)
                     RC_ASSERT(at && now - *at <= settings.read_back_holds);
-                bool const is_taken = engine.take(2, order->expected_sequence);
+                bool const is_taken = engine.take(2, order->expected_sequence.value());
                 bool const is_answered = *rc::gen::inRange(0, 4) != 0;
                 load.on_ordered(!is_answered ? Platform::OrderOutcome::Unknown : is_taken ? Platform::OrderOutcome::Taken
                                                                                           : Platform::OrderOutcome::Refused,
--- a/Tests/LibRouting/TestDirectRouting.cpp
+++ b/Tests/LibRouting/TestDirectRouting.cpp
@@ -30,6 +30,22 @@
     EXPECT_EQ(table.find("b", "/anything")->name, "other");
 }
 
+TEST(RouteTable, ABlockedRouteCoversWhateverItMayBeMeantFor)
+{
+    auto without_host = route("no-host", "", "/x/y/");
+    without_host.is_blocked = true;
+    auto without_path = route("no-path", "b", "");
+    without_path.is_blocked = true;
+    auto configuration = std::make_shared<Schema::RoutingConfiguration>();
+    configuration->routes = { route("short", "a", "/x/"), route("longer", "a", "/x/y/z/"), without_host, without_path, route("other", "b", "/p/") };
+    RouteTable const table(configuration);
+    EXPECT_EQ(table.find("a", "/x/1")->name, "short");
+    EXPECT_TRUE(table.find("a", "/x/y/1")->is_blocked);
+    EXPECT_EQ(table.find("a", "/x/y/z/1")->name, "longer");
+    EXPECT_TRUE(table.find("nowhere", "/x/y/1")->is_blocked);
+    EXPECT_TRUE(table.find("b", "/p/1")->is_blocked);
+}
+
 TEST(RouteTable, SplitTargetsAreDrawnByWeight)
 {
     auto split = route("r", "a", "/");
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -95,14 +95,14 @@
 TEST_F(ServerTableTest, OthersRequestsCountAndThoseOfThisEntryOnce)
 {
     m_table.set_server(engine("1", "a"), m_now);
-    m_table.on_sent("1", "r1", 900);
+    m_table.on_sent("r1", { .id = "1" }, 900, m_now);
     Schema::EngineState state {};
     state.version = 1;
     state.running = 4;
     m_table.on_engine_state("10.0.0.1", state, m_now);
     // Three of others and one of its own fill four slots and leave the one that may wait.
     EXPECT_TRUE(choose().has_value());
-    m_table.on_sent("1", "r2", 900);
+    m_table.on_sent("r2", { .id = "1" }, 900, m_now);
     EXPECT_EQ(choose().error(), NoServer::AllFull);
     m_table.on_ended("1", "r1", ServerOutcome::Success, m_now);
     EXPECT_TRUE(choose().has_value());
@@ -112,9 +112,9 @@
 {
     m_table.set_entries(2);
     m_table.set_server(engine("1", "a"), m_now);
-    m_table.on_sent("1", "r1", 900);
+    m_table.on_sent("r1", { .id = "1" }, 900, m_now);
     EXPECT_TRUE(choose().has_value());
-    m_table.on_sent("1", "r2", 900);
+    m_table.on_sent("r2", { .id = "1" }, 900, m_now);
     EXPECT_EQ(choose().error(), NoServer::AllFull);
 }
 
@@ -123,16 +123,16 @@
     m_table.set_server(engine("1", "a"), m_now);
     m_table.set_server(engine("2", "b"), m_now);
     EXPECT_EQ(choose()->id, "1");
-    m_table.on_sent("1", "r1", 3000);
+    m_table.on_sent("r1", { .id = "1" }, 3000, m_now);
     EXPECT_EQ(choose()->id, "2");
-    m_table.on_first_event("1", "r1");
+    m_table.on_first_event("1", "r1", m_now);
     EXPECT_EQ(choose()->id, "1");
 }
 
 TEST_F(ServerTableTest, AServerThatCannotBeReachedIsLeftAloneForAWhile)
 {
     m_table.set_server(engine("1", "a"), m_now);
-    m_table.on_sent("1", "r1", 900);
+    m_table.on_sent("r1", { .id = "1" }, 900, m_now);
     m_table.on_ended("1", "r1", ServerOutcome::Unreachable, m_now);
     EXPECT_EQ(choose().error(), NoServer::NoneUsable);
     m_now += Core::Duration(5000);
@@ -187,8 +187,8 @@
     m_table.set_roles({ { "2", EngineRole::Owner }, { "3", EngineRole::Helper } });
     for (int i = 0; i < 10; ++i)
         EXPECT_EQ(choose()->id, "2");
-    m_table.on_sent("2", "r1", 900);
-    m_table.on_sent("2", "r2", 900);
+    m_table.on_sent("r1", { .id = "2" }, 900, m_now);
+    m_table.on_sent("r2", { .id = "2" }, 900, m_now);
     EXPECT_EQ(choose()->id, "3");
     // One that is not there to be used leaves the others.
     EXPECT_EQ(choose({}, { "2", "3" })->id, "1");
@@ -198,7 +198,7 @@
 {
     m_table.set_server(engine("1", "a"), m_now);
     auto refuse = [&] {
-        m_table.on_sent("1", "r", 900);
+        m_table.on_sent("r", { .id = "1" }, 900, m_now);
         m_table.on_ended("1", "r", ServerOutcome::Misdirected, m_now);
     };
     refuse();
@@ -208,7 +208,7 @@
     refuse();
     EXPECT_FALSE(choose().has_value());
     EXPECT_TRUE(m_table.is_doubtful("1"));
-    m_table.on_sent("1", "r", 900);
+    m_table.on_sent("r", { .id = "1" }, 900, m_now);
     m_table.on_ended("1", "r", ServerOutcome::Success, m_now);
     EXPECT_FALSE(m_table.is_doubtful("1"));
 }
@@ -221,3 +221,26 @@
     EXPECT_TRUE(m_table.is_answering("1", m_now + Core::Duration(500)));
     EXPECT_FALSE(m_table.is_answering("1", m_now + Core::Duration(700)));
 }
+
+TEST_F(ServerTableTest, AServiceOfWhichNoRateIsStatedIsServed)
+{
+    Schema::EngineTiming bare {};
+    bare.model = "m";
+    m_table.set_timing("llm", bare);
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.set_server(engine("2", "a"), m_now);
+    m_table.on_sent("r1", { .id = "1" }, 900, m_now);
+    EXPECT_EQ(choose()->id, "2");
+    EXPECT_GT(choose()->predicted, Core::Duration(0));
+}
+
+TEST_F(ServerTableTest, AnEngineOfAServiceThatIsNotKnownToServeAModelGetsNoWork)
+{
+    // Without the service's model nobody knows which version must be served there.
+    auto stray = engine("1", "a");
+    stray.service = "unread";
+    m_table.set_server(stray, m_now);
+    ServerNeeds needs;
+    needs.service = "unread";
+    EXPECT_FALSE(m_table.choose(needs, m_now).has_value());
+}
