Weights: Finish a version that another instance has begun, too

Cause: an agent that had not read the manifest of a version when the next one was named turned to the next at once, though the others were fetching the first. Where the origin could not send the next, its engine stayed behind, and the engines ranked after it waited for it up to 6.5 s.

Change: a version counts as begun where any instance has told of it.

--- a/Libraries/LibDistribution/GoalOrder.h
+++ b/Libraries/LibDistribution/GoalOrder.h
@@ -7,7 +7,7 @@
 
 /// How far the transfer of a version is when a newer one is named.
 struct TransferStand {
-    /// The version's manifest is known.
+    /// The version's manifest is known here or at an instance that it can be had from.
     bool has_begun { false };
     bool is_complete { false };
     Core::Duration since_named { 0 };
--- a/Services/DirectEntry/WeightsCache.cpp
+++ b/Services/DirectEntry/WeightsCache.cpp
@@ -100,7 +100,7 @@
 {
     if (!m_callbacks.is_wanted(copy.goal))
         return false;
-    return Distribution::is_worth_finishing({ .has_begun = copy.fetcher->has_manifest(),
+    return Distribution::is_worth_finishing({ .has_begun = copy.fetcher->is_under_way(),
         .is_complete = copy.fetcher->is_complete(),
         .since_named = Core::monotonic_now() - copy.named_at,
         .bound = Core::Duration(copy.goal.bound_ms) });
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -96,7 +96,7 @@
 {
     if (!m_goal || !is_seeking())
         return false;
-    return Distribution::is_worth_finishing({ .has_begun = m_fetcher.has_manifest(),
+    return Distribution::is_worth_finishing({ .has_begun = m_fetcher.is_under_way(),
         .is_complete = m_fetcher.is_complete(),
         .since_named = Core::monotonic_now() - m_goal_at,
         .bound = Core::Duration(m_goal->bound_ms) });
--- a/Services/Weights/CopyFetcher.h
+++ b/Services/Weights/CopyFetcher.h
@@ -73,6 +73,8 @@
     /// What is held here of the version that is wanted; nothing before its manifest is known.
     std::optional<Schema::PieceMap> held() const;
     bool has_manifest() const { return m_manifest.has_value(); }
+    /// The version can be had: its manifest is here, or some instance has told of it.
+    bool is_under_way() const { return has_manifest() || (m_goal && !peers_with_manifest().empty()); }
     bool is_complete() const { return m_transfer && m_transfer->is_complete(); }
     Platform::Manifest const& manifest() const { return *m_manifest; }
     Schema::VersionSpec const& spec() const { return *m_spec; }
