LibRouting, DirectEntry: First tries that can be in time go first, late ones take what is left

And entries that did not know of each other filled the same free engine at once.

Ruled out: a window tied to the objective (a request was held a quarter of it and refused, though its place came a moment later); waiting for reports more often (each costs every entry a message).

Change: CallerDeadlines learns how long callers of a route wait from the start, so that a shorter deadline tells an earlier try. AnswerTerms says by when an answer is in time, late, or too late. Requests that can be in time are sent where they are predicted to begin in time, and wait as long as that can be; late ones stand behind all of them and take places only where nothing is being read and places are to spare (LeftoverPace tells how often that is); what cannot end before the caller leaves is refused at once. An engine is given no prompt that would make those it runs pause too long. Entries that do not fill an engine share the room that its last report showed. Engines are dealt within 0.1 s of an entry or an engine coming, so that a restarted fleet does not fill all engines from all entries for its first second.

--- a/Libraries/LibRouting/EngineOwners.cpp
+++ b/Libraries/LibRouting/EngineOwners.cpp
@@ -8,7 +8,6 @@
 
 // A quiet entry still gets a part, so that it can serve at once when callers come.
 static constexpr double least_demand = 1;
-static constexpr size_t helpers_per_engine = 2;
 
 namespace {
 
--- a/Libraries/LibRouting/EngineOwners.h
+++ b/Libraries/LibRouting/EngineOwners.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -30,6 +31,9 @@
     Other,
 };
 
+/// Entries that turn to an engine first when their own are loaded, beside its owner.
+inline constexpr size_t helpers_per_engine = 2;
+
 /// Deals the engines of a service among the entries: each engine has one owner, each entry about as many as its part
 /// of the demand, and near ones first. All who hold the same facts come to the same result, so nobody has to agree.
 ///
--- a/Libraries/LibRouting/EngineTimes.cpp
+++ b/Libraries/LibRouting/EngineTimes.cpp
@@ -53,6 +53,13 @@
     return m_usual_answer * step_ms(m_slots) + m_slots * read_usual_ms();
 }
 
+double EngineTimes::service_ms(double prompt_tokens, double answer_tokens) const
+{
+    // The reading of others' prompts slows each token by the same share.
+    auto const per_token = full_service_ms() / std::max(1.0, m_usual_answer);
+    return read_ms(prompt_tokens) + answer_tokens * per_token;
+}
+
 void EngineTimes::on_first_event(double predicted_ms, double observed_ms)
 {
     if (predicted_ms <= 0)
--- a/Libraries/LibRouting/EngineTimes.h
+++ b/Libraries/LibRouting/EngineTimes.h
@@ -24,6 +24,8 @@
     double pass_ms(double running) const { return m_stride * step_ms(running); }
     /// A request of the usual size at a full engine, the reading of others' prompts in between included.
     double full_service_ms() const;
+    /// A request of a size at a full engine, likewise.
+    double service_ms(double prompt_tokens, double answer_tokens) const;
     /// Mean time between two requests that end at a full engine.
     double turnover_ms() const { return full_service_ms() / m_slots; }
     /// Requests that run at once.
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -20,6 +20,10 @@
 // One may come of a version that changed just now; more in a row come of an incarnation that is gone.
 static constexpr int64_t misdirections_to_suspend = 2;
 static constexpr Core::Duration misdirected_suspension { 1000 };
+// From the order until an engine serves, and from an empty engine's first report, where its copy lies beside it already;
+// measured on engines that had lost power.
+static constexpr Core::Duration usual_load { 400 };
+static constexpr Core::Duration usual_refill { 700 };
 static constexpr double failure_memory = 0.9;
 // A server that fails everything costs as much as one that is this many milliseconds slower.
 static constexpr double failure_cost_ms = 400;
@@ -74,7 +78,7 @@
         if (server.ip == ip)
             own += static_cast<int64_t>(server.pending.size());
     }
-    m_reported[ip] = { state, now, own };
+    m_reported[ip] = { .state = state, .at = now, .own_in_flight = own, .own_sent = 0 };
 }
 
 void ServerTable::on_agent_gone(std::string const& ip)
@@ -108,6 +112,13 @@
     return found == m_servers.end() ? 0 : version_of(found->second, now);
 }
 
+int64_t ServerTable::version_at(std::string const& ip, Core::Time now) const
+{
+    auto const found = m_reported.find(ip);
+    bool const is_known = found != m_reported.end() && now - found->second.at <= report_is_fresh;
+    return is_known ? found->second.state.version : 0;
+}
+
 bool ServerTable::is_usable(Server const& server, ServerNeeds const& needs, Core::Time now) const
 {
     if (server.entry.is_draining || now < server.suspended_until)
@@ -166,9 +177,22 @@
     return (is_owner ? slots + m_settings.allowed_queue : slots - m_settings.reserve) - taken;
 }
 
+bool ServerTable::has_taken_its_part(Server const& server, Core::Time now) const
+{
+    auto const* report = reported(server, now);
+    auto const role = this->role(server);
+    if (!m_settings.shares_reported_room || !report || role == EngineRole::Owner)
+        return false;
+    auto const spare = server.entry.slots - m_settings.reserve - report->state.running - report->state.waiting;
+    // The owner goes on filling the engine meanwhile: it counts as one of those that share.
+    auto const sharers = role == EngineRole::Helper ? helpers_per_engine + 1 : std::max<size_t>(m_entries, helpers_per_engine + 1);
+    auto const part = spare / static_cast<int64_t>(sharers);
+    return report->own_sent >= std::max<int64_t>(role == EngineRole::Helper ? 1 : 0, part);
+}
+
 bool ServerTable::has_room(Server const& server, Core::Time now) const
 {
-    return now >= server.full_until && room(server, now) > 0;
+    return now >= server.full_until && room(server, now) > 0 && !has_taken_its_part(server, now);
 }
 
 double ServerTable::distance_ms(Server const& server) const
@@ -188,30 +212,106 @@
     return Core::Duration(static_cast<int64_t>(std::ceil(model->times.turnover_ms() * model->times.correction())));
 }
 
-double ServerTable::predicted_ms(Server const& server, ServerNeeds const& needs, Core::Time now) const
+Core::Duration ServerTable::place_interval(std::string const& service, Core::Time now) const
 {
-    auto const* model = engine_service(server.entry.service);
-    auto const own = static_cast<double>(server.pending.size());
+    auto const filled = std::count_if(m_servers.begin(), m_servers.end(), [&](auto const& entry) {
+        auto const& server = entry.second;
+        return server.entry.service == service && role(server) == EngineRole::Owner && is_usable(server, ServerNeeds { .service = service }, now);
+    });
+    return turnover(service) / std::max<int64_t>(1, filled);
+}
+
+Core::Duration ServerTable::least_first_event(std::string const& service, int64_t prompt_tokens) const
+{
+    auto const* model = engine_service(service);
     if (!model)
-        return plain_answer_ms * (1 + own);
-    auto const others = static_cast<double>(others_in_flight(server, now));
+        return Core::Duration(0);
     auto const& times = model->times;
-    double unread = 0;
+    return Core::Duration(static_cast<int64_t>(times.correction() * (times.pass_ms(times.slots()) + times.read_ms(static_cast<double>(prompt_tokens)))));
+}
+
+Core::Duration ServerTable::service_time(std::string const& service, int64_t prompt_tokens, int64_t answer_tokens) const
+{
+    auto const* model = engine_service(service);
+    if (!model)
+        return Core::Duration(0);
+    return Core::Duration(static_cast<int64_t>(model->times.correction() * model->times.service_ms(static_cast<double>(prompt_tokens), static_cast<double>(answer_tokens))));
+}
+
+std::optional<Core::Duration> ServerTable::next_engine(std::string const& service, Core::Time now) const
+{
+    std::optional<Core::Duration> next;
+    for (auto const& [id, server] : m_servers) {
+        auto const* report = reported(server, now);
+        if (server.entry.service != service || server.entry.is_draining || !report)
+            continue;
+        bool const is_empty = report->state.version == 0;
+        if (report->state.is_busy)
+            next = std::min(next.value_or(usual_load), usual_load);
+        else if (is_empty)
+            next = next.value_or(usual_refill);
+    }
+    return next;
+}
+
+ServerTable::Load ServerTable::load(Server const& server, EngineTimes const& times, Core::Time now) const
+{
+    auto const own = static_cast<double>(server.pending.size());
+    auto const others = static_cast<double>(others_in_flight(server, now));
+    Load load;
+    load.running = std::min(times.slots(), own + others);
+    load.ahead = std::max(0.0, own + others + 1 - times.slots());
     for (auto const& [request, pending] : server.pending) {
         if (!pending.has_first_event)
-            unread += times.read_ms(static_cast<double>(pending.prompt_tokens));
+            load.unread_ms += times.read_ms(static_cast<double>(pending.prompt_tokens));
     }
-    auto const* report = reported(server, now);
-    if (report) {
+    if (auto const* report = reported(server, now)) {
         auto const waiting_of_others = std::min(others, static_cast<double>(report->state.waiting));
-        unread += waiting_of_others * times.read_usual_ms();
+        load.unread_ms += waiting_of_others * times.read_usual_ms();
     }
-    auto const running = std::min(times.slots(), own + others);
-    auto const ahead = std::max(0.0, own + others + 1 - times.slots());
-    auto const queue = ahead * times.turnover_ms();
+    return load;
+}
+
+double ServerTable::predicted_ms(Server const& server, ServerNeeds const& needs, Core::Time now) const
+{
+    auto const* model = engine_service(server.entry.service);
+    if (!model)
+        return plain_answer_ms * (1 + static_cast<double>(server.pending.size()));
+    auto const& times = model->times;
+    auto const load = this->load(server, times, now);
+    auto const queue = load.ahead * times.turnover_ms();
+    auto const* report = reported(server, now);
     auto const pace = report ? std::max(1.0, report->state.pace) : 1.0;
     // Half of the pass under way, then one that reads what waits and this prompt, and writes the first event.
-    return times.correction() * pace * (times.pass_ms(running) * 1.5 + unread + times.read_ms(static_cast<double>(needs.prompt_tokens)) + queue);
+    return times.correction() * pace * (times.pass_ms(load.running) * 1.5 + load.unread_ms + times.read_ms(static_cast<double>(needs.prompt_tokens)) + queue);
+}
+
+bool ServerTable::would_stall(Server const& server, ServerNeeds const& needs, Core::Time now) const
+{
+    auto const* model = engine_service(server.entry.service);
+    if (!model || !m_settings.bounds_pauses || needs.longest_pause.count() <= 0)
+        return false;
+    auto const& times = model->times;
+    auto const load = this->load(server, times, now);
+    // A prompt that nothing else waits beside is read in any case: it may be longer than any pause.
+    if (load.unread_ms <= 0)
+        return false;
+    auto const pause = times.pass_ms(load.running) + load.unread_ms + times.read_ms(static_cast<double>(needs.prompt_tokens));
+    return times.correction() * pause > static_cast<double>(needs.longest_pause.count());
+}
+
+bool ServerTable::has_leftover(Server const& server, Core::Time now) const
+{
+    auto const* model = engine_service(server.entry.service);
+    if (!model)
+        return true;
+    if (load(server, model->times, now).unread_ms > m_settings.leftover_unread_ms)
+        return false;
+    auto const free = room(server, now);
+    if (role(server) == EngineRole::Owner)
+        return free > m_settings.leftover_reserve + m_settings.allowed_queue;
+    // What its owner sends there meanwhile is not known here.
+    return free > server.entry.slots / 2;
 }
 
 double ServerTable::role_ms(Server const& server) const
@@ -249,15 +349,22 @@
     double best_cost = 0;
     uint64_t ties = 0;
     bool saw_full = false;
+    bool saw_slow = false;
     for (auto const& [id, server] : m_servers) {
         if (server.entry.service != needs.service || needs.excluded.contains(id))
             continue;
         if (!is_usable(server, needs, now))
             continue;
-        if (!has_room(server, now)) {
+        bool const is_open = has_room(server, now) && !would_stall(server, needs, now) && (!needs.takes_leftover || has_leftover(server, now));
+        if (!is_open) {
             saw_full = true;
             continue;
         }
+        bool const is_slow = needs.begins_within && predicted_ms(server, needs, now) > static_cast<double>(needs.begins_within->count());
+        if (is_slow) {
+            saw_slow = true;
+            continue;
+        }
         auto const own_cost = cost(server, needs, now);
         if (best && own_cost > best_cost)
             continue;
@@ -270,15 +377,20 @@
         }
     }
     if (!best)
-        return tl::unexpected(saw_full ? NoServer::AllFull : NoServer::NoneUsable);
+        return tl::unexpected(saw_full ? NoServer::AllFull : saw_slow ? NoServer::NoneInTime
+                                                                      : NoServer::NoneUsable);
     return ServerChoice { best->entry.id, Core::Duration(static_cast<int64_t>(predicted_ms(*best, needs, now))) };
 }
 
 void ServerTable::on_sent(std::string const& request, ServerChoice const& choice, int64_t prompt_tokens, Core::Time now)
 {
     auto const found = m_servers.find(choice.id);
-    if (found != m_servers.end())
-        found->second.pending[request] = { .prompt_tokens = prompt_tokens, .sent_at = now, .predicted = choice.predicted };
+    if (found == m_servers.end())
+        return;
+    found->second.pending[request] = { .prompt_tokens = prompt_tokens, .sent_at = now, .predicted = choice.predicted };
+    auto const report = m_reported.find(found->second.ip);
+    if (report != m_reported.end())
+        report->second.own_sent += 1;
 }
 
 void ServerTable::on_first_event(std::string const& id, std::string const& request, Core::Time now)
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -19,13 +19,19 @@
 struct ServerNeeds {
     std::string service;
     /// The oldest version that the engine may serve; nothing while any whole version will do.
-    std::optional<int64_t> required_version;
+    std::optional<int64_t> required_version {};
     /// The newest version that is named of the model; 0 if none is. While an engine has yet to reach it, only its agent
     /// knows whether it is about to load, or is still there.
     int64_t newest_version { 0 };
     int64_t prompt_tokens { 0 };
     /// Incarnations that were tried already.
-    std::set<std::string> excluded;
+    std::set<std::string> excluded {};
+    /// The first event must be expected within this; nothing if it may come at any time.
+    std::optional<Core::Duration> begins_within {};
+    /// Longest pause between events that the streams of the service may see; 0 if there is no bound.
+    Core::Duration longest_pause { 0 };
+    /// Takes only places that no request which can still be in time is likely to need.
+    bool takes_leftover { false };
 };
 
 /// Why no backend server can be had now.
@@ -34,6 +40,8 @@
     NoneUsable,
     /// Those that could serve are full.
     AllFull,
+    /// Those that have room would begin later than asked.
+    NoneInTime,
 };
 
 struct ServerChoice {
@@ -66,6 +74,14 @@
     int64_t allowed_queue { 1 };
     /// Places of another entry's engine that are left to its owner.
     int64_t reserve { 4 };
+    /// Places of an engine that requests which are late already leave to others.
+    int64_t leftover_reserve { 2 };
+    /// Reading that may be due at an engine that is given such a request, milliseconds.
+    double leftover_unread_ms { 0 };
+    /// Entries that do not fill an engine share the places that its last report showed free.
+    bool shares_reported_room { true };
+    /// An engine is given no prompt that would make those it runs pause for longer than they may.
+    bool bounds_pauses { true };
 };
 
 /// What an entry knows of the backend servers that it sends requests to itself, and its choice among them.
@@ -107,6 +123,8 @@
     Schema::BackendServer const* find(std::string const& id) const;
     /// The whole version that the server holds; 0 if none, or if it serves no model.
     int64_t version_of(std::string const& id, Core::Time now) const;
+    /// The version that the agent at an IP number reports; 0 if none, or if it is silent.
+    int64_t version_at(std::string const& ip, Core::Time now) const;
     /// An order is before the engine, or about to be: what it breaks off is no fault of its own.
     bool is_switching(std::string const& id, Core::Time now) const;
     /// What is known of the server has been wrong more than once in a row: the list may be behind.
@@ -114,6 +132,14 @@
 
     /// Mean time between places that become free at one server of a service, when it is full.
     Core::Duration turnover(std::string const& service) const;
+    /// Mean time between places that become free at any of the engines that this entry fills, when they are full.
+    Core::Duration place_interval(std::string const& service, Core::Time now) const;
+    /// Least time to the first event of a prompt at an engine that is in use; 0 for a plain service.
+    Core::Duration least_first_event(std::string const& service, int64_t prompt_tokens) const;
+    /// Time that a request of a size takes at a full engine; 0 for a plain service.
+    Core::Duration service_time(std::string const& service, int64_t prompt_tokens, int64_t answer_tokens) const;
+    /// Time after which an engine that does not serve now may serve; nothing if none is about to.
+    std::optional<Core::Duration> next_engine(std::string const& service, Core::Time now) const;
 
 private:
     struct Pending {
@@ -135,6 +161,8 @@
         Schema::EngineState state;
         Core::Time at { 0 };
         int64_t own_in_flight { 0 };
+        /// Requests that this entry has sent there since.
+        int64_t own_sent { 0 };
     };
 
     struct Server {
@@ -150,6 +178,15 @@
         double failure_rate { 0 };
     };
 
+    /// What an engine has to do, as far as is known.
+    struct Load {
+        double running { 0 };
+        /// Requests that wait for a place in front of the next one.
+        double ahead { 0 };
+        /// Reading of the prompts whose first event has not come, milliseconds.
+        double unread_ms { 0 };
+    };
+
     Reported const* reported(Server const&, Core::Time now) const;
     /// Null for a plain service.
     EngineService const* engine_service(std::string const& service) const;
@@ -157,7 +194,13 @@
     bool is_usable(Server const&, ServerNeeds const&, Core::Time now) const;
     int64_t others_in_flight(Server const&, Core::Time now) const;
     int64_t room(Server const&, Core::Time now) const;
+    /// Whether this entry has taken its part of the places that the last report showed free at another's engine.
+    bool has_taken_its_part(Server const&, Core::Time now) const;
     bool has_room(Server const&, Core::Time now) const;
+    Load load(Server const&, EngineTimes const&, Core::Time now) const;
+    /// Whether those that run there would see a longer pause than they may, with one more prompt to read.
+    bool would_stall(Server const&, ServerNeeds const&, Core::Time now) const;
+    bool has_leftover(Server const&, Core::Time now) const;
     double predicted_ms(Server const&, ServerNeeds const&, Core::Time now) const;
     double distance_ms(Server const&) const;
     EngineRole role(Server const&) const;
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -366,6 +366,37 @@
      */
     enum class ServerChoice : int { LeastLoaded, Predicted, RandomPick };
 
+    /**
+     * How requests are ordered and engines chosen. Each member has a default; a deployment sets
+     * one only to compare.
+     */
+    struct RoutingPolicy {
+        /**
+         * An engine is given no prompt that would make those it runs pause for longer than they may.
+         */
+        std::optional<bool> bound_pauses;
+        /**
+         * How much rarer places for late requests are than places, until it was seen.
+         */
+        std::optional<double> leftover_factor;
+        /**
+         * Places of an engine that late requests leave to others.
+         */
+        std::optional<int64_t> leftover_reserve;
+        /**
+         * Reading that may be due at an engine that is given a late request, milliseconds.
+         */
+        std::optional<double> leftover_unread_ms;
+        /**
+         * Requests that can still be in time go before those that can only be late.
+         */
+        std::optional<bool> order_by_timeliness;
+        /**
+         * Entries that do not fill an engine share the places that its last report showed free.
+         */
+        std::optional<bool> share_reported_room;
+    };
+
     /**
      * Settings of mountbarrow-direct-entry.
      */
@@ -425,6 +456,11 @@
          * names. Without them no check rests on any.
          */
         std::optional<std::vector<std::string>> platform_features;
+        /**
+         * How requests are ordered and engines chosen. Each member has a default; a deployment sets
+         * one only to compare.
+         */
+        std::optional<RoutingPolicy> policy;
         /**
          * IP:PORT at which the balancer asks whether this entry is ready.
          */
@@ -2317,6 +2353,9 @@
     void from_json(const json & j, DirectEntrySettingsBounds & x);
     void to_json(json & j, const DirectEntrySettingsBounds & x);
 
+    void from_json(const json & j, RoutingPolicy & x);
+    void to_json(json & j, const RoutingPolicy & x);
+
     void from_json(const json & j, DirectEntrySettings & x);
     void to_json(json & j, const DirectEntrySettings & x);
 
@@ -2714,6 +2753,25 @@
         j["version_ms"] = x.version_ms;
     }
 
+    inline void from_json(const json & j, RoutingPolicy& x) {
+        x.bound_pauses = get_stack_optional<bool>(j, "bound_pauses");
+        x.leftover_factor = get_stack_optional<double>(j, "leftover_factor");
+        x.leftover_reserve = get_stack_optional<int64_t>(j, "leftover_reserve");
+        x.leftover_unread_ms = get_stack_optional<double>(j, "leftover_unread_ms");
+        x.order_by_timeliness = get_stack_optional<bool>(j, "order_by_timeliness");
+        x.share_reported_room = get_stack_optional<bool>(j, "share_reported_room");
+    }
+
+    inline void to_json(json & j, const RoutingPolicy & x) {
+        j = json::object();
+        j["bound_pauses"] = x.bound_pauses;
+        j["leftover_factor"] = x.leftover_factor;
+        j["leftover_reserve"] = x.leftover_reserve;
+        j["leftover_unread_ms"] = x.leftover_unread_ms;
+        j["order_by_timeliness"] = x.order_by_timeliness;
+        j["share_reported_room"] = x.share_reported_room;
+    }
+
     inline void from_json(const json & j, DirectEntrySettings& x) {
         x.bounds = j.at("bounds").get<DirectEntrySettingsBounds>();
         x.callers_address = j.at("callers_address").get<std::string>();
@@ -2728,6 +2786,7 @@
         x.metrics_port = get_stack_optional<int64_t>(j, "metrics_port");
         x.platform_address = j.at("platform_address").get<std::string>();
         x.platform_features = get_stack_optional<std::vector<std::string>>(j, "platform_features");
+        x.policy = get_stack_optional<RoutingPolicy>(j, "policy");
         x.readiness_address = j.at("readiness_address").get<std::string>();
         x.region = j.at("region").get<std::string>();
         x.regions = j.at("regions").get<std::map<std::string, std::string>>();
@@ -2749,6 +2808,7 @@
         j["metrics_port"] = x.metrics_port;
         j["platform_address"] = x.platform_address;
         j["platform_features"] = x.platform_features;
+        j["policy"] = x.policy;
         j["readiness_address"] = x.readiness_address;
         j["region"] = x.region;
         j["regions"] = x.regions;
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -22,6 +22,8 @@
 static constexpr Core::Duration drain_reaction { 1000 };
 static constexpr Core::Duration shortest_list_interval { 400 };
 static constexpr Core::Duration longest_list_interval { 2000 };
+// Engines are dealt anew soon after an entry or an engine comes, but not for each one that comes beside it.
+static constexpr Core::Duration least_roles_interval { 100 };
 static constexpr size_t queue_limit = 256;
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
@@ -34,6 +36,20 @@
     result.failure_domain = settings.failure_domain;
     result.region = settings.region;
     result.regions = settings.regions;
+    auto const policy = settings.policy.value_or(Schema::RoutingPolicy {});
+    result.leftover_reserve = policy.leftover_reserve.value_or(result.leftover_reserve);
+    result.leftover_unread_ms = policy.leftover_unread_ms.value_or(result.leftover_unread_ms);
+    result.shares_reported_room = policy.share_reported_room.value_or(result.shares_reported_room);
+    result.bounds_pauses = policy.bound_pauses.value_or(result.bounds_pauses);
+    return result;
+}
+
+static WaitingPolicy waiting_policy(Schema::DirectEntrySettings const& settings)
+{
+    auto const policy = settings.policy.value_or(Schema::RoutingPolicy {});
+    WaitingPolicy result;
+    result.orders_by_timeliness = policy.order_by_timeliness.value_or(result.orders_by_timeliness);
+    result.leftover_factor = policy.leftover_factor.value_or(result.leftover_factor);
     return result;
 }
 
@@ -78,11 +94,13 @@
         .servers = m_servers,
         .retries = m_retries,
         .random = m_random,
+        .waiting = waiting_policy(settings),
         .routes = nullptr,
         .is_stale = [this] { return is_stale(); },
         .required_version = [this](std::string const& service) { return m_goals.required(service, version_bound(), Core::monotonic_now()); },
         .newest_version = [this](std::string const& service) { return m_goals.newest(service); },
-        .queue = [this](std::string const& service) -> Routing::RequestQueue& { return m_queues.try_emplace(service, queue_limit).first->second; },
+        .deadlines = m_deadlines,
+        .line = [this](std::string const& service) -> ServiceLine& { return m_lines.try_emplace(service, queue_limit).first->second; },
         .asked = [this](std::string const& service) { m_sharing.on_asked(service); },
         .list_doubted = [this] { m_follower->on_servers_doubted(); },
         .over = [this](uint64_t number) { m_loop.soon([this, number] { m_requests.erase(number); }); } }
@@ -151,6 +169,9 @@
     Core::log_event(Core::LogLevel::Info, "link_up", { { "peer", hello.identity }, { "role", Schema::enumerator_name(hello.role) } });
     m_last_heard[hello.identity] = Core::monotonic_now();
     if (hello.role == Schema::Role::Entry) {
+        Schema::Message load;
+        load.entry_load = m_sharing.load();
+        m_hub->send(hello.identity, load);
         m_known_entries.insert(hello.identity);
         m_servers.set_entries(m_known_entries.size() + 1);
         m_retries.set_entries(m_known_entries.size() + 1);
@@ -182,9 +203,12 @@
     auto const now = Core::monotonic_now();
     m_last_heard[from.identity] = now;
     if (message.engine_state) {
+        auto const before = m_servers.version_at(from.identity, now);
         m_servers.on_engine_state(from.identity, *message.engine_state, now);
+        m_roles_changed = m_roles_changed || before != message.engine_state->version;
     } else if (message.entry_load) {
         bool const is_new = m_sharing.on_peer_load(from.identity, *message.entry_load);
+        m_roles_changed = m_roles_changed || is_new;
         if (is_new && m_weights)
             m_weights->update_sources();
     } else if (message.pieces) {
@@ -241,11 +265,20 @@
 void DirectEntry::share_engines()
 {
     Schema::Message message;
-    message.entry_load = m_sharing.end_interval();
+    m_sharing.end_interval();
+    message.entry_load = m_sharing.load();
     for (auto const& peer : m_hub->peers(Schema::Role::Entry))
         m_hub->send(peer, message);
-    if (m_context.routes)
-        m_servers.set_roles(m_sharing.roles(*m_context.routes, m_replica, m_servers, Core::monotonic_now()));
+    update_roles(Core::monotonic_now());
+}
+
+void DirectEntry::update_roles(Core::Time now)
+{
+    if (!m_context.routes)
+        return;
+    m_roles_changed = false;
+    m_roles_at = now;
+    m_servers.set_roles(m_sharing.roles(*m_context.routes, m_replica, m_servers, now));
 }
 
 void DirectEntry::update_links()
@@ -410,10 +443,10 @@
 void DirectEntry::offer_places()
 {
     // A place becomes free by an answer, a report, a new server, or by time alone.
-    for (auto& [service, queue] : m_queues) {
-        if (queue.size() == 0)
+    for (auto& [service, line] : m_lines) {
+        if (line.queue.size() == 0)
             continue;
-        queue.offer([this](uint64_t number) {
+        line.queue.offer([this](uint64_t number) {
             auto const found = m_requests.find(number);
             return found == m_requests.end() || found->second->try_send();
         });
@@ -423,6 +456,8 @@
 void DirectEntry::tick()
 {
     auto const now = Core::monotonic_now();
+    if (m_roles_changed && now - m_roles_at >= least_roles_interval)
+        update_roles(now);
     offer_places();
     std::vector<std::shared_ptr<ProxiedRequest>> requests;
     requests.reserve(m_requests.size());
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -52,6 +52,7 @@
     void on_link_down(std::string const& identity);
     void check_links();
     void share_engines();
+    void update_roles(Core::Time now);
     void update_links();
 
     void on_facts(Configuration::FactChanges const&);
@@ -91,12 +92,16 @@
 
     std::mt19937_64 m_random;
     EngineSharing m_sharing;
+    // Who shares the engines, or which engines there are, has changed since they were dealt.
+    bool m_roles_changed { false };
+    Core::Time m_roles_at { 0 };
     Routing::ServerTable m_servers;
     Routing::RetryShare m_retries;
     // Null where the settings give it no port or no bandwidth.
     std::unique_ptr<EntryWeights> m_weights;
+    Routing::CallerDeadlines m_deadlines;
     RequestContext m_context;
-    std::map<std::string, Routing::RequestQueue> m_queues;
+    std::map<std::string, ServiceLine> m_lines;
     std::map<uint64_t, std::shared_ptr<ProxiedRequest>> m_requests;
     uint64_t m_next_request { 1 };
 
--- a/Services/DirectEntry/EngineSharing.cpp
+++ b/Services/DirectEntry/EngineSharing.cpp
@@ -19,18 +19,23 @@
     return m_loads.insert_or_assign(entry, load).second;
 }
 
-Schema::EntryLoad EngineSharing::end_interval()
+void EngineSharing::end_interval()
 {
-    Schema::EntryLoad load;
-    load.failure_domain = m_failure_domain;
     auto const seconds = static_cast<double>(interval.count()) / milliseconds_per_second;
     for (auto& [service, count] : m_asked) {
         auto const rate = static_cast<double>(std::exchange(count, 0)) / seconds;
         auto const [known, is_new] = m_demand.try_emplace(service, rate);
         if (!is_new)
             known->second = demand_memory * known->second + (1 - demand_memory) * rate;
-        load.demand.push_back({ .per_second = known->second, .service = service });
     }
+}
+
+Schema::EntryLoad EngineSharing::load() const
+{
+    Schema::EntryLoad load;
+    load.failure_domain = m_failure_domain;
+    for (auto const& [service, rate] : m_demand)
+        load.demand.push_back({ .per_second = rate, .service = service });
     return load;
 }
 
--- a/Services/DirectEntry/EngineSharing.h
+++ b/Services/DirectEntry/EngineSharing.h
@@ -28,8 +28,10 @@
     bool on_peer_load(std::string const& entry, Schema::EntryLoad const&);
     void on_peer_down(std::string const& entry) { m_loads.erase(entry); }
 
-    /// What was asked since the last call, smoothed, to be told to the other entries. To be called once an interval.
-    Schema::EntryLoad end_interval();
+    /// Takes what was asked since the last call into the smoothed rates. To be called once an interval.
+    void end_interval();
+    /// What this entry is asked for, to be told to the other entries.
+    Schema::EntryLoad load() const;
 
     /// What this entry is to each engine that serves a whole version.
     std::map<std::string, Routing::EngineRole> roles(Routing::RouteTable const&, Configuration::FactReplica const&, Routing::ServerTable const&, Core::Time now) const;
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -5,6 +5,7 @@
 #include <LibSchema/Json.h>
 #include <LibTransport/SocketAddress.h>
 #include <algorithm>
+#include <utility>
 
 namespace DirectEntry {
 
@@ -23,10 +24,14 @@
 static constexpr int status_gateway_timeout = 504;
 
 static constexpr Core::Duration default_wait { 30000 };
-// A refusal counts as early within a quarter of the objective; its way to the caller takes a part of that.
-static constexpr double refused_within_objective = 0.25;
-static constexpr Core::Duration refusal_margin { 30 };
-static constexpr Core::Duration least_wait { 10 };
+// The way of a first event from here to the caller, and what a prediction misses in the middle.
+static constexpr Core::Duration answer_margin { 20 };
+// Those that can only be late stand behind all that can be in time, whatever their priority.
+static constexpr int late_rank = 1000;
+// Streams that were cut go on first: their callers wait in the middle of an answer.
+static constexpr int resumed_rank = -1;
+// Callers give up a stream that stands still for about this long.
+static constexpr Core::Duration resume_patience { 2000 };
 static constexpr Core::Duration connect_timeout { 300 };
 static constexpr Core::Duration least_silence { 900 };
 static constexpr double silence_per_objective = 2.5;
@@ -35,6 +40,7 @@
 static constexpr Core::Duration retry_when_unready { 300 };
 static constexpr Core::Duration least_retry_after { 200 };
 static constexpr Core::Duration longest_retry_after { 1500 };
+static constexpr double retry_after_spread = 2;
 static constexpr size_t most_unread_bytes = size_t { 1 } << 20;
 static constexpr size_t most_buffered_answer = size_t { 8 } << 20;
 
@@ -125,12 +131,21 @@
     });
     if (!admit())
         return;
+    set_terms();
     m_context.retries.on_request(m_service, m_started);
     m_context.asked(m_service);
     if (!try_send())
         wait_for_place();
 }
 
+void ProxiedRequest::set_terms()
+{
+    if (m_head.deadline)
+        m_asked_before = m_context.deadlines.on_request(m_route.name, *m_head.deadline);
+    m_terms.in_time_until = m_started - m_asked_before + Core::Duration(m_route.objective_ms) - answer_margin;
+    m_terms.deadline = deadline();
+}
+
 bool ProxiedRequest::admit()
 {
     auto const& routes = m_context.routes;
@@ -174,18 +189,85 @@
     return true;
 }
 
+// Waiting.
+
+Core::Duration ProxiedRequest::service_time() const
+{
+    auto const answer_tokens = m_head.answer_tokens_hint > 0 ? std::min(m_head.answer_tokens_hint, m_head.answer_tokens) : m_head.answer_tokens;
+    return m_context.servers.service_time(m_service, m_head.prompt_tokens, answer_tokens);
+}
+
+Routing::Timeliness ProxiedRequest::timeliness(Core::Time begins) const
+{
+    return m_terms.of(begins, begins + service_time());
+}
+
 void ProxiedRequest::wait_for_place()
 {
     if (is_over())
         return;
+    auto const now = Core::monotonic_now();
     m_phase = Phase::Waiting;
-    m_waiting_since = Core::monotonic_now();
-    auto& queue = m_context.queue(m_service);
-    auto const pushed = queue.push(m_number, m_customer.value_or(""), static_cast<int>(m_priority), deadline(), m_waiting_since);
-    if (pushed == Routing::RequestQueue::PushResult::Queued)
+    m_waits_late = !m_has_delivered && now > m_terms.in_time_until;
+    auto& line = m_context.line(m_service);
+    if (m_waits_late && line.late == 0)
+        line.leftover.on_first_waiting(now);
+    if (is_hopeless(now)) {
+        refuse_waiting(now);
+        return;
+    }
+    bool const is_behind = m_waits_late && m_context.waiting.orders_by_timeliness;
+    auto const rank = m_has_delivered ? resumed_rank : static_cast<int>(m_priority) + (is_behind ? late_rank : 0);
+    auto const pushed = line.queue.push(m_number, m_customer.value_or(""), rank, deadline(), now);
+    if (pushed != Routing::RequestQueue::PushResult::Queued) {
+        m_context.metrics.count("mountbarrow_queue_refusals_total");
+        refuse_waiting(now);
+        return;
+    }
+    line.late += m_waits_late ? 1 : 0;
+    m_is_in_line = true;
+}
+
+void ProxiedRequest::leave_line()
+{
+    if (!std::exchange(m_is_in_line, false))
+        return;
+    auto& line = m_context.line(m_service);
+    line.queue.remove(m_number);
+    if (m_waits_late)
+        line.late -= 1;
+}
+
+/// Whether it is known by now that no place will come while the answer is still worth something.
+bool ProxiedRequest::is_hopeless(Core::Time now) const
+{
+    if (m_has_delivered)
+        return now >= m_delivered_at + resume_patience;
+    if (m_no_server == Routing::NoServer::NoneUsable) {
+        auto const next = m_context.servers.next_engine(m_service, now);
+        return !next || timeliness(now + *next) == Routing::Timeliness::TooLate;
+    }
+    if (!m_waits_late)
+        return false;
+    auto& line = m_context.line(m_service);
+    auto const interval = m_context.servers.place_interval(m_service, now);
+    auto const usual = Core::Duration(static_cast<int64_t>(static_cast<double>(interval.count()) * m_context.waiting.leftover_factor));
+    auto const ahead = m_is_in_line ? 1 : line.late + 1;
+    auto const begins = now + line.leftover.gap(now, usual) * static_cast<int64_t>(ahead);
+    return timeliness(begins) == Routing::Timeliness::TooLate;
+}
+
+void ProxiedRequest::check_waiting(Core::Time now)
+{
+    bool const becomes_late = !m_has_delivered && !m_waits_late && now + m_context.servers.least_first_event(m_service, m_head.prompt_tokens) > m_terms.in_time_until;
+    if (becomes_late) {
+        leave_line();
+        m_terms.in_time_until = now - Core::Duration(1);
+        wait_for_place();
         return;
-    m_context.metrics.count("mountbarrow_queue_refusals_total");
-    refuse_waiting(m_waiting_since);
+    }
+    if (is_hopeless(now))
+        refuse_waiting(now);
 }
 
 Routing::ServerNeeds ProxiedRequest::needs(Core::Time) const
@@ -196,6 +278,7 @@
     needs.newest_version = m_context.newest_version(m_service);
     needs.prompt_tokens = m_head.prompt_tokens;
     needs.excluded = m_tried;
+    needs.longest_pause = Core::Duration(m_route.objective_gap_ms);
     return needs;
 }
 
@@ -204,11 +287,39 @@
     if (is_over())
         return true;
     auto const now = Core::monotonic_now();
-    auto const choice = m_context.servers.choose(needs(now), now);
+    if (m_has_delivered || now <= m_terms.in_time_until)
+        return try_send_in_time(now);
+    return try_send_late(now);
+}
+
+bool ProxiedRequest::try_send_in_time(Core::Time now)
+{
+    auto needs = this->needs(now);
+    if (!m_has_delivered)
+        needs.begins_within = m_terms.in_time_until - now;
+    auto const choice = m_context.servers.choose(needs, now);
+    if (choice.has_value()) {
+        send_to(*choice, now);
+        return true;
+    }
+    m_no_server = choice.error();
+    if (m_no_server != Routing::NoServer::NoneInTime)
+        return false;
+    m_terms.in_time_until = now - Core::Duration(1);
+    return try_send_late(now);
+}
+
+bool ProxiedRequest::try_send_late(Core::Time now)
+{
+    auto needs = this->needs(now);
+    needs.takes_leftover = m_context.waiting.orders_by_timeliness;
+    auto const choice = m_context.servers.choose(needs, now);
     if (!choice.has_value()) {
         m_no_server = choice.error();
         return false;
     }
+    if (m_is_in_line && m_waits_late)
+        m_context.line(m_service).leftover.on_sent(now);
     send_to(*choice, now);
     return true;
 }
@@ -216,6 +327,7 @@
 void ProxiedRequest::send_to(Routing::ServerChoice const& choice, Core::Time now)
 {
     auto const* server = m_context.servers.find(choice.id);
+    leave_line();
     m_phase = Phase::Sent;
     m_server = choice.id;
     m_sent_at = now;
@@ -245,7 +357,7 @@
         call.body_expectation = Transport::BodyExpectation::None;
     m_context.servers.on_sent(m_head.request_id, choice, m_head.prompt_tokens, now);
     Core::log_event(Core::LogLevel::Info, "request_sent",
-        { { "request", m_head.request_id }, { "route", m_route.name }, { "server", choice.id }, { "address", server->address }, { "domain", server->failure_domain }, { "predicted_ms", milliseconds(choice.predicted) }, { "attempt", std::to_string(m_sends + m_misses + 1) }, { "after_ms", milliseconds(now - m_started) }, { "remaining_ms", milliseconds(terms.remaining) }, { "configuration", std::to_string(m_configuration_version) }, { "expected_version", terms.expected_version ? std::to_string(*terms.expected_version) : "any" }, { "resume_after", m_last_event ? std::to_string(*m_last_event) : "" } });
+        { { "request", m_head.request_id }, { "route", m_route.name }, { "server", choice.id }, { "address", server->address }, { "domain", server->failure_domain }, { "predicted_ms", milliseconds(choice.predicted) }, { "in_time_for_ms", milliseconds(m_terms.in_time_until - now) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "answer_tokens", std::to_string(m_head.answer_tokens) }, { "attempt", std::to_string(m_sends + m_misses + 1) }, { "after_ms", milliseconds(now - m_started) }, { "remaining_ms", milliseconds(terms.remaining) }, { "configuration", std::to_string(m_configuration_version) }, { "expected_version", terms.expected_version ? std::to_string(*terms.expected_version) : "any" }, { "resume_after", m_last_event ? std::to_string(*m_last_event) : "" } });
     m_call = Transport::BackendCall::start(m_context.loop, std::move(call),
         { .connected = [this] {
              m_is_connected = true;
@@ -509,7 +621,7 @@
         return;
     }
     if (m_phase == Phase::Waiting) {
-        refuse_waiting(now);
+        check_waiting(now);
         return;
     }
     if (is_outdated(now)) {
@@ -534,15 +646,10 @@
 
 void ProxiedRequest::refuse_waiting(Core::Time now)
 {
-    auto const early = Core::Duration(static_cast<int64_t>(refused_within_objective * static_cast<double>(m_route.objective_ms))) - refusal_margin;
-    auto const patience = std::max(least_wait, early);
-    // What has run somewhere is worth a longer wait for a place to go on.
-    bool const has_run = m_may_have_run || m_has_delivered;
-    auto const limit = has_run ? m_waiting_since + 2 * patience : std::max(m_started + patience, m_waiting_since + least_wait);
-    auto& queue = m_context.queue(m_service);
-    if (now < limit)
-        return;
-    queue.remove(m_number);
+    auto& line = m_context.line(m_service);
+    auto const interval = m_context.servers.place_interval(m_service, now);
+    Core::log_event(Core::LogLevel::Info, "no_place_in_time", { { "request", m_head.request_id }, { "in_line", m_is_in_line ? "yes" : "no" }, { "late", m_waits_late ? "yes" : "no" }, { "late_waiting", std::to_string(line.late) }, { "waiting", std::to_string(line.queue.size()) }, { "late_interval_ms", milliseconds(line.leftover.gap(now, interval)) }, { "place_interval_ms", milliseconds(interval) }, { "left_ms", milliseconds(m_terms.deadline - now) }, { "service_ms", milliseconds(service_time()) } });
+    leave_line();
     if (m_has_delivered) {
         break_off(Refusal::NoPlace);
         return;
@@ -556,8 +663,18 @@
         refuse(status_unavailable, Refusal::NoServer, longest_retry_after);
         return;
     }
-    auto const wait = m_context.servers.turnover(m_service) * static_cast<int64_t>(1 + queue.size());
-    refuse(status_unavailable, Refusal::NoPlace, std::clamp(wait, least_retry_after, longest_retry_after));
+    refuse(status_unavailable, Refusal::NoPlace, retry_after(now));
+}
+
+/// When those that wait in front will have had their places, spread so that callers refused together come back apart.
+Core::Duration ProxiedRequest::retry_after(Core::Time now) const
+{
+    auto& line = m_context.line(m_service);
+    auto const interval = m_context.servers.place_interval(m_service, now);
+    auto const wait = interval * static_cast<int64_t>(1 + line.queue.size());
+    std::uniform_real_distribution<double> spread(1, retry_after_spread);
+    auto const spread_wait = Core::Duration(static_cast<int64_t>(static_cast<double>(wait.count()) * spread(m_context.random)));
+    return std::clamp(spread_wait, least_retry_after, longest_retry_after);
 }
 
 void ProxiedRequest::refuse(int status, Refusal refusal, std::optional<Core::Duration> retry_after)
@@ -596,8 +713,7 @@
 void ProxiedRequest::finish(Refusal refusal, int status)
 {
     auto const now = Core::monotonic_now();
-    if (m_phase == Phase::Waiting)
-        m_context.queue(m_service).remove(m_number);
+    leave_line();
     bool const was_sent = m_phase == Phase::Sent;
     m_phase = Phase::Over;
     if (was_sent) {
@@ -607,7 +723,7 @@
     m_context.metrics.observe_ms("mountbarrow_request_ms", static_cast<double>((now - m_started).count()));
     auto const level = refusal == Refusal::None ? Core::LogLevel::Info : Core::LogLevel::Warn;
     Core::log_event(level, "request_ended",
-        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "longest_pause_ms", milliseconds(m_longest_pause) }, { "server", m_server }, { "sends", std::to_string(m_sends) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "longest_pause_ms", milliseconds(m_longest_pause) }, { "objective_ms", std::to_string(m_route.objective_ms) }, { "pause_objective_ms", std::to_string(m_route.objective_gap_ms) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "asked_before_ms", milliseconds(m_asked_before) }, { "server", m_server }, { "sends", std::to_string(m_sends) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
     m_context.over(m_number);
 }
 
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -3,6 +3,7 @@
 
 #include "RequestContext.h"
 #include <LibPlatform/RequestHeads.h>
+#include <LibRouting/AnswerTerms.h>
 #include <LibRouting/AttemptPolicy.h>
 #include <LibRouting/EventStream.h>
 #include <LibTransport/BackendCall.h>
@@ -46,8 +47,18 @@
     };
 
     bool admit();
+    void set_terms();
+    /// How long the answer takes at a full engine, by what the caller expects of it.
+    Core::Duration service_time() const;
+    Routing::Timeliness timeliness(Core::Time begins) const;
+    bool try_send_in_time(Core::Time now);
+    bool try_send_late(Core::Time now);
     void wait_for_place();
+    void leave_line();
+    void check_waiting(Core::Time now);
+    bool is_hopeless(Core::Time now) const;
     void refuse_waiting(Core::Time now);
+    Core::Duration retry_after(Core::Time now) const;
     bool is_outdated(Core::Time now) const;
     Routing::ServerNeeds needs(Core::Time now) const;
     void send_to(Routing::ServerChoice const&, Core::Time now);
@@ -110,7 +121,12 @@
     bool m_has_delivered { false };
     std::optional<int64_t> m_last_event;
     std::optional<Core::Duration> m_server_retry_after;
-    Core::Time m_waiting_since { 0 };
+    // How long before this try the caller first asked.
+    Core::Duration m_asked_before { 0 };
+    Routing::AnswerTerms m_terms;
+    // It waits among those that can only be late.
+    bool m_waits_late { false };
+    bool m_is_in_line { false };
     // Why the last try found no backend server.
     Routing::NoServer m_no_server { Routing::NoServer::NoneUsable };
     std::optional<Core::Duration> m_first_event_after;
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -244,3 +244,105 @@
     needs.service = "unread";
     EXPECT_FALSE(m_table.choose(needs, m_now).has_value());
 }
+
+TEST_F(ServerTableTest, WhatMustBeginSoonIsNotSentWhereItWouldBeginLate)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    for (auto const* request : { "r1", "r2", "r3" })
+        m_table.on_sent(request, { .id = "1" }, 3000, m_now);
+    ServerNeeds needs;
+    needs.service = "llm";
+    needs.prompt_tokens = 900;
+    auto const whenever = m_table.choose(needs, m_now);
+    ASSERT_TRUE(whenever.has_value());
+    needs.begins_within = whenever->predicted - Core::Duration(1);
+    EXPECT_EQ(m_table.choose(needs, m_now).error(), NoServer::NoneInTime);
+    needs.begins_within = whenever->predicted + Core::Duration(1);
+    EXPECT_TRUE(m_table.choose(needs, m_now).has_value());
+}
+
+TEST_F(ServerTableTest, APromptThatWouldMakeRunningStreamsPauseTooLongWaits)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    ServerNeeds needs;
+    needs.service = "llm";
+    needs.prompt_tokens = 3000;
+    // Alone, a prompt is read however long it is.
+    needs.longest_pause = Core::Duration(100);
+    EXPECT_TRUE(m_table.choose(needs, m_now).has_value());
+    m_table.on_sent("r1", { .id = "1" }, 3000, m_now);
+    needs.longest_pause = Core::Duration(300);
+    EXPECT_EQ(m_table.choose(needs, m_now).error(), NoServer::AllFull);
+    m_table.on_first_event("1", "r1", m_now);
+    EXPECT_TRUE(m_table.choose(needs, m_now).has_value());
+}
+
+TEST_F(ServerTableTest, WhatIsLateAlreadyTakesOnlyPlacesThatOthersAreNotLikelyToNeed)
+{
+    auto spacious = engine("1", "a");
+    spacious.slots = 6;
+    m_table.set_server(spacious, m_now);
+    ServerNeeds late;
+    late.service = "llm";
+    late.takes_leftover = true;
+    EXPECT_TRUE(m_table.choose(late, m_now).has_value());
+    // A prompt that is still being read comes first.
+    m_table.on_sent("r1", { .id = "1" }, 900, m_now);
+    EXPECT_FALSE(m_table.choose(late, m_now).has_value());
+    m_table.on_first_event("1", "r1", m_now);
+    EXPECT_TRUE(m_table.choose(late, m_now).has_value());
+    // So do the last places.
+    for (auto const* request : { "r2", "r3", "r4" }) {
+        m_table.on_sent(request, { .id = "1" }, 900, m_now);
+        m_table.on_first_event("1", request, m_now);
+    }
+    EXPECT_FALSE(m_table.choose(late, m_now).has_value());
+    EXPECT_TRUE(choose().has_value());
+}
+
+TEST_F(ServerTableTest, EntriesThatDoNotFillAnEngineShareTheRoomThatItsReportShows)
+{
+    auto spacious = engine("1", "a");
+    spacious.slots = 16;
+    m_table.set_server(spacious, m_now);
+    m_table.set_entries(5);
+    m_table.set_roles({ { "1", EngineRole::Helper } });
+    Schema::EngineState state {};
+    state.version = 1;
+    state.running = 3;
+    auto sent_until_full = [&] {
+        m_table.on_engine_state("10.0.0.1", state, m_now);
+        int64_t sent = 0;
+        while (sent < 20 && choose().has_value()) {
+            auto const request = "r" + std::to_string(sent++);
+            m_table.on_sent(request, { .id = "1" }, 10, m_now);
+            m_table.on_first_event("1", request, m_now);
+        }
+        return sent;
+    };
+    // Of nine places beside the reserve, two helpers and the owner take three each.
+    EXPECT_EQ(sent_until_full(), 3);
+    m_table.set_roles({});
+    state.running += 3;
+    EXPECT_EQ(sent_until_full(), 1);
+    state.running = 12;
+    EXPECT_EQ(sent_until_full(), 0);
+}
+
+TEST_F(ServerTableTest, AnEngineThatLoadsOrIsEmptyIsExpectedSoon)
+{
+    m_table.set_server(engine("1", "a", 0), m_now);
+    EXPECT_EQ(m_table.next_engine("llm", m_now), std::nullopt);
+    Schema::EngineState state {};
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    auto const empty = m_table.next_engine("llm", m_now);
+    state.is_busy = true;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    auto const loading = m_table.next_engine("llm", m_now);
+    ASSERT_TRUE(empty.has_value() && loading.has_value());
+    EXPECT_LT(*loading, *empty);
+    state.is_busy = false;
+    state.version = 1;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    EXPECT_EQ(m_table.next_engine("llm", m_now), std::nullopt);
+}
