Weights: Log when the origin is lost and regained

Cause: a rollout that stood still for the origin left no line that said so; the fetcher counted the failure and asked again. Ruled out: a line a failed read, which is up to six a second an agent. Change: CopyFetcher notes the outcome of each origin read and logs only its change.

--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -261,6 +261,7 @@
     m_origin.read_chunk(m_goal->origin_address, m_manifest->model, version, fetch.chunk, [this, id, version](Core::ErrorOr<std::string> bytes) {
         if (!m_manifest || m_manifest->version != version)
             return;
+        note_origin(bytes);
         if (!bytes.has_value()) {
             on_fetch_failed(id, FetchFailure::Unreachable);
             return;
@@ -363,6 +364,16 @@
 
 // What the log says of it.
 
+void CopyFetcher::note_origin(Core::ErrorOr<std::string> const& answer)
+{
+    // While it fails it is asked again and again: only a change is worth a line.
+    bool const was_failing = std::exchange(m_is_origin_failing, !answer.has_value());
+    if (!answer.has_value() && !was_failing)
+        Core::log_event(Core::LogLevel::Warn, "origin_lost", { { "origin", m_goal->origin_address }, { "reason", answer.error().detail } });
+    else if (answer.has_value() && was_failing)
+        Core::log_event(Core::LogLevel::Info, "origin_regained", { { "origin", m_goal->origin_address } });
+}
+
 void CopyFetcher::log_complete() const
 {
     Core::log_event(Core::LogLevel::Info, "copy_complete", { { "version", std::to_string(m_manifest->version) }, { "after_ms", std::to_string((Core::monotonic_now() - m_named_at).count()) }, { "origin_bytes", std::to_string(m_metrics.counter("mountbarrow_weights_bytes_total", "source=\"origin\"")) }, { "peer_bytes", std::to_string(m_metrics.counter("mountbarrow_weights_bytes_total", "source=\"peer\"")) } });
--- a/Services/Weights/CopyFetcher.h
+++ b/Services/Weights/CopyFetcher.h
@@ -103,6 +103,7 @@
     void on_fetch_failed(uint64_t fetch, Distribution::FetchFailure);
     void hold_chunk(size_t chunk);
     void announce_news();
+    void note_origin(Core::ErrorOr<std::string> const& answer);
     void log_progress(Core::Time now);
     void log_complete() const;
 
@@ -131,6 +132,7 @@
     // Chunks that peers have not been told of yet.
     std::vector<int64_t> m_unannounced;
     bool m_is_complete_told { false };
+    bool m_is_origin_failing { false };
     Core::Time m_progress_told_at { 0 };
 };
 
