Tests: Show requests that begin on the old version after a named one came late, known red

Cause: a read of the operator's records waits up to 3 s and is given up after 3.6 s. Where its connection has fallen silent for good while new ones work, an entry learns of a named version up to 3.8 s late, and counts the version's bound from then. Timeline, from this test on the landed code: 0 s the open reads fall silent and version 2 is named; 3.6 s the read is given up; 3.8 s version_named; until 10.2 s streams go to engines at version 1; the bound is 8 s. Change: a stand-in store whose open reads fall silent, and the test. It fails first: 0 passed, 1 failed.

--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -203,6 +203,10 @@
     def runs(self, request_id, servers=None):
         return sum(1 for server in servers or self.engines + self.plains for run in server.runs if run[0] == request_id)
 
+    def old_runs(self, version):
+        """How many requests engines began on a version older than this one."""
+        return sum(1 for engine in self.engines for run in engine.runs if run[2] < version)
+
     def terminate(self, identity):
         self.processes[identity].send_signal(signal.SIGTERM)
 
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -116,10 +116,19 @@
         self.store = store
         # "", "busy", "many", "reset" or "silent".
         self.mode = ""
+        # Reads that were taken up to this call are never answered; their connections stay open.
+        self.silent_up_to = 0
+        self.taken = 0
         super().__init__(loop, address, port)
 
+    def silence_open_reads(self):
+        """All connections of now fall silent without a reset; new ones work."""
+        self.silent_up_to = self.taken
+
     async def answer(self, request):
         self.store.calls += 1
+        self.taken += 1
+        request.number = self.taken
         if self.mode == "silent":
             await asyncio.sleep(3600)
         if self.mode == "reset":
@@ -172,6 +181,8 @@
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
                 break
+        if request.number <= door.silent_up_to:
+            await asyncio.sleep(3600)
         body = struct.pack(">QQ", len(self.topics[topic]), self.first[topic])
         for key, value in self.topics[topic][start:]:
             record = bytes([len(key)]) + key.encode() + value
--- /dev/null
+++ b/Tests/Platform/test_silent_store.py
@@ -0,0 +1,49 @@
+# SPDX-License-Identifier: BSD-2-Clause
+"""What an entry does with what it believes while its reads of the store hang and nothing says so."""
+
+import time
+
+from fleet import Fleet, wait_until
+from test_direct_path import wait_linked
+
+# What is named right after an entry's start counts as named before it, and is required at once.
+START_GRACE_SECONDS = 3
+# The bound of the fleet's settings, from the naming of a version to the last request that begins on an older one.
+VERSION_BOUND_SECONDS = 8
+# Past the bound, for as long as a read of the store used to hang.
+WATCHED_SECONDS = 3
+
+
+def test_no_request_begins_on_the_old_version_past_its_bound_when_the_name_came_late(build, folders):
+    """
+    Seen: a request began on the old version seconds after the bound of the new one, amid connections that had fallen
+    silent for good while new ones worked.
+    How: the read that waits for the operator's records was on such a connection. It was given up after 3.6 s, and the
+    version was then read as if it had been named at that moment.
+    Cause: a version's bound ran from when the entry learned of it, not from when it can have been named.
+    Proof: engines that stay at the old version ran requests until 10 s after the naming; the bound is 8 s.
+    """
+    with Fleet(build, folders) as fleet:
+        wait_linked(fleet)
+        entry = fleet.entries[0]
+        time.sleep(START_GRACE_SECONDS)
+        # Agents go on telling that their engines serve the old version, since the new one cannot be had.
+        fleet.origin.silent_versions = {2}
+        # A new configuration ends all open reads, so the next ones have just begun.
+        fleet.configure()
+        wait_until(lambda: all(fleet.configuration_in_force(each) == fleet.version for each in fleet.entries), "the configuration everywhere")
+        for door in fleet.doors.values():
+            door.silence_open_reads()
+        named = time.monotonic()
+        fleet.name_version(2)
+
+        def ask():
+            fleet.call(entry, "POST", "/stream/a", headers={"X-Deadline-Ms": "1000"})
+
+        while time.monotonic() < named + VERSION_BOUND_SECONDS:
+            ask()
+        begun = fleet.old_runs(2)
+        assert begun, "nothing was served before the bound"
+        while time.monotonic() < named + VERSION_BOUND_SECONDS + WATCHED_SECONDS:
+            ask()
+        assert fleet.old_runs(2) == begun
