LibPlatform, LibConfiguration, Entry: Date a named version by the read that can have missed it, and find a dead read sooner

Cause: one for both findings. A process took an open read for proof that nothing new was there. The read waits up to 3 s and was given up after 3.6 s, so on a connection that fell silent, or begun while the store was silent, it hid what was written meanwhile; and a version's bound ran from when it was learned. Peers passed versions on dated by when they did so. Change: FactFollower counts what a read brings after one that brought nothing as written when that one began; the wait of a read follows from contact_ms of the settings (3000: 1.7 s); a read that broke is tried again at once on a new connection, and until one is answered none waits. A peer's facts say when a version can have been named; a ping between entries says how far the sender has read, and who is behind asks. What the first read finds has no date and is required after 2 s, as before. log_lost and log_regained name the topic, version_named says how long ago it can have been at most.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -20,17 +20,27 @@
     return Schema::to_value(a) == Schema::to_value(b);
 }
 
-int64_t NamedVersions::learned_by(Core::Time time) const
+int64_t NamedVersions::named_by(Core::Time time) const
 {
     int64_t newest = 0;
-    for (auto const& named : versions) {
-        if (named.learned <= time)
-            newest = std::max(newest, named.version);
+    for (auto const& known : versions) {
+        if (known.named && *known.named <= time)
+            newest = std::max(newest, known.version);
     }
     return newest;
 }
 
-bool FactReplica::take_value(Fact const& fact, Core::Time now, FactChanges& changes)
+int64_t NamedVersions::undated_by(Core::Time time) const
+{
+    int64_t newest = 0;
+    for (auto const& known : versions) {
+        if (!known.named && known.found <= time)
+            newest = std::max(newest, known.version);
+    }
+    return newest;
+}
+
+bool FactReplica::take_value(Fact const& fact, ReadTime const& read, FactChanges& changes)
 {
     if (auto const* configuration = std::get_if<std::shared_ptr<Schema::RoutingConfiguration const>>(&fact.value)) {
         // A record with a lower version than the one in force is never a step forward.
@@ -44,7 +54,7 @@
         auto& known = m_versions[named->model];
         if (named->version <= known.newest())
             return false;
-        known.versions.push_back({ named->version, now });
+        known.versions.push_back({ named->version, read.now, read.written_after });
         if (known.versions.size() > versions_remembered)
             known.versions.erase(known.versions.begin());
         changes.has_versions = true;
@@ -53,7 +63,7 @@
     return true;
 }
 
-void FactReplica::apply(Fact const& fact, Core::Time now, FactChanges& changes)
+void FactReplica::apply(Fact const& fact, ReadTime const& read, FactChanges& changes)
 {
     auto const key = Key(fact.kind, fact.key);
     auto const known = m_facts.find(key);
@@ -63,7 +73,7 @@
     // The configuration and named versions are never taken back.
     if (!is_server && std::holds_alternative<Removed>(fact.value))
         return;
-    if (!take_value(fact, now, changes))
+    if (!take_value(fact, read, changes))
         return;
     bool is_at_new_address = false;
     if (is_server) {
@@ -94,19 +104,19 @@
     }
 }
 
-FactChanges FactReplica::on_records(FactTopic topic, std::vector<Fact> const& facts, int64_t end, Core::Time now)
+FactChanges FactReplica::on_records(FactTopic topic, std::vector<Fact> const& facts, int64_t end, ReadTime const& read)
 {
     FactChanges changes;
     for (auto const& fact : facts)
-        apply(fact, now, changes);
+        apply(fact, read, changes);
     auto& known_end = topic == FactTopic::Configuration ? m_configuration_end : m_servers_end;
     known_end = std::max(known_end, end);
     return changes;
 }
 
-FactChanges FactReplica::on_listing(FactTopic topic, std::vector<Fact> const& facts, int64_t end, Core::Time now)
+FactChanges FactReplica::on_listing(FactTopic topic, std::vector<Fact> const& facts, int64_t end, ReadTime const& read)
 {
-    auto changes = on_records(topic, facts, end, now);
+    auto changes = on_records(topic, facts, end, read);
     if (topic != FactTopic::BackendServers)
         return changes;
     std::set<std::string> listed;
@@ -119,7 +129,7 @@
             removed.push_back({ key.first, key.second, fact.revision + 1, Removed {} });
     }
     for (auto const& fact : removed)
-        apply(fact, now, changes);
+        apply(fact, read, changes);
     return changes;
 }
 
@@ -128,15 +138,31 @@
     FactChanges changes;
     for (auto const& message : batch.facts) {
         auto fact = from_message(message);
-        if (fact.has_value())
-            apply(*fact, now, changes);
+        if (!fact.has_value())
+            continue;
+        std::optional<Core::Time> named;
+        if (message.named_ms_ago)
+            named = now - Core::Duration(*message.named_ms_ago);
+        apply(*fact, { now, named }, changes);
     }
     m_configuration_end = std::max(m_configuration_end, batch.configuration_end);
     m_servers_end = std::max(m_servers_end, batch.servers_end);
     return changes;
 }
 
-Schema::FactBatch FactReplica::facts_since(Schema::FactRequest const& request, Core::Duration age) const
+std::optional<int64_t> FactReplica::named_ms_ago(Fact const& fact, Core::Time now) const
+{
+    auto const* version = std::get_if<Schema::ModelVersion>(&fact.value);
+    if (!version)
+        return {};
+    for (auto const& known : m_versions.at(version->model).versions) {
+        if (known.version == version->version && known.named)
+            return (now - *known.named).count();
+    }
+    return {};
+}
+
+Schema::FactBatch FactReplica::facts_since(Schema::FactRequest const& request, Core::Duration age, Core::Time now) const
 {
     Schema::FactBatch batch {};
     batch.age_ms = age.count();
@@ -144,8 +170,10 @@
     batch.servers_end = m_servers_end;
     for (auto const& [key, fact] : m_facts) {
         auto const from = topic_of(key.first) == FactTopic::Configuration ? request.configuration_from : request.servers_from;
-        if (fact.revision >= from)
-            batch.facts.push_back(to_message(fact));
+        if (fact.revision < from)
+            continue;
+        batch.facts.push_back(to_message(fact));
+        batch.facts.back().named_ms_ago = named_ms_ago(fact, now);
     }
     return batch;
 }
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -45,10 +45,33 @@
     bool has_any() const { return has_configuration || has_versions || !servers.empty(); }
 };
 
-/// A version that the operator named, and when this process learned of it.
+/// A version that the operator named, and when.
 struct NamedVersion {
     int64_t version { 0 };
-    Core::Time learned { 0 };
+    /// When this process came to know of it.
+    Core::Time found { 0 };
+    /// The earliest time at which it can have been named; nothing where that cannot be told. A bound on the version runs
+    /// from here: what came late, because a read hung or a peer passed it on, has used up a part of it.
+    std::optional<Core::Time> named;
+};
+
+/// When records were read, and since when what is new among them can have been written.
+struct ReadTime {
+    /// The reads before this one brought all there was, so what is new was written just now.
+    ReadTime(Core::Time read_at)
+        : now(read_at)
+        , written_after(read_at)
+    {
+    }
+    ReadTime(Core::Time read_at, std::optional<Core::Time> written)
+        : now(read_at)
+        , written_after(written)
+    {
+    }
+
+    Core::Time now;
+    /// Nothing if it cannot be told.
+    std::optional<Core::Time> written_after;
 };
 
 /// The versions that were named of one model, oldest first. Each has a bound of its own, so a newer one does not
@@ -57,8 +80,10 @@
     std::vector<NamedVersion> versions;
 
     int64_t newest() const { return versions.empty() ? 0 : versions.back().version; }
-    /// The newest version learned at or before a time; 0 if there is none.
-    int64_t learned_by(Core::Time) const;
+    /// The newest version that can have been named at or before a time; 0 if there is none.
+    int64_t named_by(Core::Time) const;
+    /// The newest version that was found at or before a time and whose naming cannot be dated; 0 if there is none.
+    int64_t undated_by(Core::Time) const;
 };
 
 /// A process's copy of what the operator and the platform's list say.
@@ -68,11 +93,11 @@
 class FactReplica {
 public:
     /// Takes records read at `end(topic)`; `end` is the offset behind the last of them.
-    FactChanges on_records(FactTopic, std::vector<Fact> const&, int64_t end, Core::Time now);
+    FactChanges on_records(FactTopic, std::vector<Fact> const&, int64_t end, ReadTime const&);
 
     /// Takes the newest record of every key, read because the records from `end(topic)` on are gone.
     /// Keys that are not among them were removed.
-    FactChanges on_listing(FactTopic, std::vector<Fact> const&, int64_t end, Core::Time now);
+    FactChanges on_listing(FactTopic, std::vector<Fact> const&, int64_t end, ReadTime const&);
 
     /// Takes what a peer sent. Facts that cannot be read change nothing.
     FactChanges on_peer(Schema::FactBatch const&, Core::Time now);
@@ -81,7 +106,7 @@
     int64_t end(FactTopic topic) const { return topic == FactTopic::Configuration ? m_configuration_end : m_servers_end; }
 
     /// What a peer lacks that has read this far.
-    Schema::FactBatch facts_since(Schema::FactRequest const&, Core::Duration age) const;
+    Schema::FactBatch facts_since(Schema::FactRequest const&, Core::Duration age, Core::Time now) const;
 
     /// Null until a configuration was read.
     std::shared_ptr<Schema::RoutingConfiguration const> const& configuration() const { return m_configuration; }
@@ -94,8 +119,9 @@
 private:
     using Key = std::pair<Schema::FactKind, std::string>;
 
-    void apply(Fact const&, Core::Time now, FactChanges&);
-    bool take_value(Fact const&, Core::Time now, FactChanges&);
+    void apply(Fact const&, ReadTime const&, FactChanges&);
+    bool take_value(Fact const&, ReadTime const&, FactChanges&);
+    std::optional<int64_t> named_ms_ago(Fact const&, Core::Time now) const;
     /// Of the servers at this one's address only the one that was listed last remains.
     void supersede(Schema::BackendServer const&, int64_t revision, FactChanges&);
 
--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -59,13 +59,20 @@
         return;
     topic.is_reading = true;
     topic.is_hurried = false;
-    if (topic.needs_listing) {
-        m_log.read_newest(topic.topic, [this, &topic](auto page) { on_page(topic, page, true); });
-        return;
-    }
-    bool const is_configuration = topic.topic == Configuration::FactTopic::Configuration;
-    auto const wait = is_configuration ? m_settings.configuration_wait : Core::Duration(0);
-    m_log.read(topic.topic, m_replica.end(topic.topic), wait, [this, &topic](auto page) { on_page(topic, page, false); });
+    topic.read_began_at = Core::monotonic_now();
+    if (topic.needs_listing)
+        m_log.read_newest(topic.topic, patience(topic), [this, &topic](auto page) { on_page(topic, page, true); });
+    else
+        m_log.read(topic.topic, m_replica.end(topic.topic), patience(topic), [this, &topic](auto page) { on_page(topic, page, false); });
+}
+
+ReadPatience FactFollower::patience(Topic const& topic) const
+{
+    bool const may_wait = topic.topic == Configuration::FactTopic::Configuration && topic.failures == 0;
+    ReadPatience patience;
+    patience.wait = may_wait ? m_settings.configuration_wait : Core::Duration(0);
+    patience.answer = topic.failures > 1 ? m_settings.longest_answer_patience : m_settings.answer_patience;
+    return patience;
 }
 
 void FactFollower::on_page(Topic& topic, tl::expected<FactPage, FactLogFault> const& page, bool is_listing)
@@ -73,31 +80,54 @@
     topic.is_reading = false;
     if (!m_is_running)
         return;
-    auto const now = Core::monotonic_now();
-    if (!page.has_value()) {
-        bool const is_gone = page.error() == FactLogFault::HistoryGone;
-        topic.needs_listing = topic.needs_listing || is_gone;
-        read_later(topic, is_gone ? Core::Duration(0) : retry_wait(topic));
-        if (is_gone)
-            return;
-        topic.failures += 1;
-        m_callbacks.failing(page.error());
+    if (page.has_value())
+        take(topic, *page, is_listing);
+    else
+        on_failed(topic, page.error());
+}
+
+void FactFollower::on_failed(Topic& topic, FactLogFault fault)
+{
+    topic.blind_since = topic.read_began_at;
+    if (fault == FactLogFault::HistoryGone) {
+        topic.needs_listing = true;
+        read_later(topic, Core::Duration(0));
         return;
     }
+    read_later(topic, retry_wait(topic, fault));
+    if (topic.failures == 0)
+        topic.failing_since = topic.read_began_at;
+    topic.failures += 1;
+    m_callbacks.failing(topic.topic, fault);
+}
+
+void FactFollower::take(Topic& topic, FactPage const& page, bool is_listing)
+{
+    auto const now = Core::monotonic_now();
+    Configuration::ReadTime read(now);
+    read.written_after = topic.has_been_read ? topic.blind_since.value_or(now) : std::optional<Core::Time>();
+    bool const is_regained = topic.failures > 0;
     topic.failures = 0;
+    topic.blind_since.reset();
+    topic.has_been_read = true;
     topic.needs_listing = false;
     topic.current_at = now;
-    for (auto const& bad : page->bad)
+    if (is_regained)
+        m_callbacks.regained(topic.topic, now - topic.failing_since);
+    for (auto const& bad : page.bad)
         m_callbacks.bad_record(bad);
-    auto const changes = is_listing ? m_replica.on_listing(topic.topic, page->facts, page->end, now) : m_replica.on_records(topic.topic, page->facts, page->end, now);
+    auto const changes = is_listing ? m_replica.on_listing(topic.topic, page.facts, page.end, read) : m_replica.on_records(topic.topic, page.facts, page.end, read);
     bool const is_configuration = topic.topic == Configuration::FactTopic::Configuration;
     read_later(topic, is_configuration ? Core::Duration(0) : m_settings.servers_interval);
     if (changes.has_any())
         m_callbacks.changed(changes);
 }
 
-Core::Duration FactFollower::retry_wait(Topic const& topic) const
+Core::Duration FactFollower::retry_wait(Topic const& topic, FactLogFault fault) const
 {
+    // One silent or broken connection says nothing of the log: a new one is tried at once.
+    if (topic.failures == 0 && fault == FactLogFault::Unavailable)
+        return Core::Duration(0);
     // Each try is paid for, also one that is turned away.
     auto const doublings = std::min(topic.failures, most_retry_doublings);
     return std::min(m_settings.longest_retry_interval, m_settings.retry_interval * (1 << doublings));
--- a/Libraries/LibPlatform/FactFollower.h
+++ b/Libraries/LibPlatform/FactFollower.h
@@ -5,6 +5,7 @@
 #include <LibPlatform/FactLog.h>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace Platform {
 
@@ -15,18 +16,28 @@
     Core::Duration servers_interval { 800 };
     /// Least time between two reads of the list where something speaks against what was read.
     Core::Duration doubted_interval { 400 };
-    /// Time before the first new try when the log does not answer; it doubles up to the longest.
+    /// How long an answer may be on its way. The log answers within a few milliseconds; this is found to be lost.
+    Core::Duration answer_patience { 600 };
+    /// The same, where reads before were given up: a log that is only slow is heard in the end.
+    Core::Duration longest_answer_patience { 1200 };
+    /// Time before the second new try when the log does not answer; it doubles up to the longest.
     Core::Duration retry_interval { 150 };
     Core::Duration longest_retry_interval { 600 };
 };
 
 /// Keeps a replica of the facts as new as the platform's log, and says when the log does not answer.
+///
+/// A connection can fall silent without a word, so a read that waits may be dead. What that costs is bounded in two ways:
+/// a read is given up soon enough for the next one to be answered within the time that the platform allows, and until one
+/// is answered the next ones wait for nothing. What is found after such a read counts as written when that read began.
 class FactFollower {
 public:
     struct Callbacks {
         std::function<void(Configuration::FactChanges const&)> changed;
         /// The log did not answer, or turned the call away: peers may know more. Called at each failed try.
-        std::function<void(FactLogFault)> failing;
+        std::function<void(Configuration::FactTopic, FactLogFault)> failing;
+        /// The log answers again, this long after the first try that brought nothing began.
+        std::function<void(Configuration::FactTopic, Core::Duration)> regained;
         std::function<void(BadRecord const&)> bad_record;
     };
 
@@ -52,9 +63,14 @@
         // Nothing was read yet, or what should be read next is gone.
         bool needs_listing { true };
         bool is_reading { false };
+        bool has_been_read { false };
         Core::Time current_at { 0 };
+        Core::Time read_began_at { 0 };
         // Tries in a row that brought no answer.
         int failures { 0 };
+        // When the first of these tries began, and the last: a record may have been written since.
+        Core::Time failing_since { 0 };
+        std::optional<Core::Time> blind_since;
         // The next read was moved forward.
         bool is_hurried { false };
         std::unique_ptr<Core::Timer> timer;
@@ -62,8 +78,11 @@
 
     void read(Topic&);
     void on_page(Topic&, tl::expected<FactPage, FactLogFault> const&, bool is_listing);
+    void on_failed(Topic&, FactLogFault);
+    void take(Topic&, FactPage const&, bool is_listing);
     void read_later(Topic&, Core::Duration);
-    Core::Duration retry_wait(Topic const&) const;
+    ReadPatience patience(Topic const&) const;
+    Core::Duration retry_wait(Topic const&, FactLogFault) const;
 
     Core::EventLoop& m_loop;
     FactLog& m_log;
@@ -71,8 +90,8 @@
     FactFollowerSettings m_settings;
     Callbacks m_callbacks;
     bool m_is_running { false };
-    Topic m_configuration { .topic = Configuration::FactTopic::Configuration, .timer = nullptr };
-    Topic m_servers { .topic = Configuration::FactTopic::BackendServers, .timer = nullptr };
+    Topic m_configuration { .topic = Configuration::FactTopic::Configuration, .blind_since = {}, .timer = nullptr };
+    Topic m_servers { .topic = Configuration::FactTopic::BackendServers, .blind_since = {}, .timer = nullptr };
 };
 
 }
--- a/Libraries/LibPlatform/FactLog.h
+++ b/Libraries/LibPlatform/FactLog.h
@@ -33,6 +33,14 @@
     int64_t end { 0 };
 };
 
+/// How long a read may take.
+struct ReadPatience {
+    /// How long the log may hold the answer back for want of a record.
+    Core::Duration wait { 0 };
+    /// What the way there and back may take beside that; past it the connection is taken to be dead.
+    Core::Duration answer { 0 };
+};
+
 /// The platform's log of what the operator and the backend servers say. Answers come later, on the loop.
 class FactLog {
 public:
@@ -40,11 +48,11 @@
 
     using Callback = std::function<void(tl::expected<FactPage, FactLogFault>)>;
 
-    /// Reads the records from an offset on, waiting up to `wait` for one.
-    virtual void read(Configuration::FactTopic, int64_t from, Core::Duration wait, Callback) = 0;
+    /// Reads the records from an offset on.
+    virtual void read(Configuration::FactTopic, int64_t from, ReadPatience, Callback) = 0;
 
-    /// Reads the newest record of every key.
-    virtual void read_newest(Configuration::FactTopic, Callback) = 0;
+    /// Reads the newest record of every key, at once.
+    virtual void read_newest(Configuration::FactTopic, ReadPatience, Callback) = 0;
 };
 
 }
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -335,6 +335,11 @@
      * The platform's time bounds, as its settings give them.
      */
     struct DirectEntrySettingsBounds {
+        /**
+         * An instance is to be in touch with the platform again this long after trouble has ended,
+         * milliseconds.
+         */
+        std::optional<int64_t> contact_ms;
         /**
          * A leaving backend server gets nothing new after this, milliseconds.
          */
@@ -483,6 +488,11 @@
      * The platform's time bounds, as its settings give them.
      */
     struct EngineAgentSettingsBounds {
+        /**
+         * An instance is to be in touch with the platform again this long after trouble has ended,
+         * milliseconds.
+         */
+        std::optional<int64_t> contact_ms;
         /**
          * A leaving backend server gets nothing new after this, milliseconds.
          */
@@ -1381,6 +1391,11 @@
          * What it is about.
          */
         FactKind kind;
+        /**
+         * For a model version: time since it can have been named at the earliest, milliseconds.
+         * Absent where the sender cannot tell.
+         */
+        std::optional<int64_t> named_ms_ago;
         /**
          * Offset of its record.
          */
@@ -1563,6 +1578,11 @@
      * Lease request of an agent.
      */
     struct Ping {
+        /**
+         * From an entry that follows the platform's log: it holds all configuration records below
+         * this offset.
+         */
+        std::optional<int64_t> configuration_end;
         /**
          * Version of the list the agent holds.
          */
@@ -2735,6 +2755,7 @@
     }
 
     inline void from_json(const json & j, DirectEntrySettingsBounds& x) {
+        x.contact_ms = get_stack_optional<int64_t>(j, "contact_ms");
         x.drain_ms = j.at("drain_ms").get<int64_t>();
         x.grace_s = j.at("grace_s").get<double>();
         x.retry_ratio = j.at("retry_ratio").get<double>();
@@ -2745,6 +2766,7 @@
 
     inline void to_json(json & j, const DirectEntrySettingsBounds & x) {
         j = json::object();
+        j["contact_ms"] = x.contact_ms;
         j["drain_ms"] = x.drain_ms;
         j["grace_s"] = x.grace_s;
         j["retry_ratio"] = x.retry_ratio;
@@ -2816,6 +2838,7 @@
     }
 
     inline void from_json(const json & j, EngineAgentSettingsBounds& x) {
+        x.contact_ms = get_stack_optional<int64_t>(j, "contact_ms");
         x.drain_ms = j.at("drain_ms").get<int64_t>();
         x.grace_s = j.at("grace_s").get<double>();
         x.retry_ratio = j.at("retry_ratio").get<double>();
@@ -2826,6 +2849,7 @@
 
     inline void to_json(json & j, const EngineAgentSettingsBounds & x) {
         j = json::object();
+        j["contact_ms"] = x.contact_ms;
         j["drain_ms"] = x.drain_ms;
         j["grace_s"] = x.grace_s;
         j["retry_ratio"] = x.retry_ratio;
@@ -3399,6 +3423,7 @@
         x.body = j.at("body").get<std::string>();
         x.key = j.at("key").get<std::string>();
         x.kind = j.at("kind").get<FactKind>();
+        x.named_ms_ago = get_stack_optional<int64_t>(j, "named_ms_ago");
         x.revision = j.at("revision").get<int64_t>();
     }
 
@@ -3407,6 +3432,7 @@
         j["body"] = x.body;
         j["key"] = x.key;
         j["kind"] = x.kind;
+        j["named_ms_ago"] = x.named_ms_ago;
         j["revision"] = x.revision;
     }
 
@@ -3515,12 +3541,14 @@
     }
 
     inline void from_json(const json & j, Ping& x) {
+        x.configuration_end = get_stack_optional<int64_t>(j, "configuration_end");
         x.list_version = j.at("list_version").get<int64_t>();
         x.sent_at_ms = j.at("sent_at_ms").get<int64_t>();
     }
 
     inline void to_json(json & j, const Ping & x) {
         j = json::object();
+        j["configuration_end"] = x.configuration_end;
         j["list_version"] = x.list_version;
         j["sent_at_ms"] = x.sent_at_ms;
     }
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -22,6 +22,10 @@
 static constexpr Core::Duration drain_reaction { 1000 };
 static constexpr Core::Duration shortest_list_interval { 400 };
 static constexpr Core::Duration longest_list_interval { 2000 };
+// What is left of the time to be in touch again, past a read that waited on a dead connection: a second try where the first
+// fails too, and what the change then needs to be in force.
+static constexpr Core::Duration read_again_reserve { 700 };
+static constexpr Core::Duration shortest_configuration_wait { 600 };
 // Engines are dealt anew soon after an entry or an engine comes, but not for each one that comes beside it.
 static constexpr Core::Duration least_roles_interval { 100 };
 static constexpr size_t queue_limit = 256;
@@ -65,6 +69,10 @@
 static Platform::FactFollowerSettings follower_settings(Schema::DirectEntrySettings const& settings)
 {
     Platform::FactFollowerSettings result;
+    if (settings.bounds.contact_ms) {
+        auto const wait = Core::Duration(*settings.bounds.contact_ms) - result.answer_patience - read_again_reserve;
+        result.configuration_wait = std::clamp(wait, shortest_configuration_wait, result.configuration_wait);
+    }
     result.servers_interval = std::clamp(Core::Duration(settings.bounds.drain_ms) - drain_reaction, shortest_list_interval, longest_list_interval);
     return result;
 }
@@ -83,7 +91,7 @@
     , m_log(std::move(parts.log))
     , m_heads(std::move(parts.heads))
     , m_origin(std::move(parts.origin))
-    , m_goals(m_replica, Core::monotonic_now())
+    , m_goals(m_replica)
     , m_random(Core::stable_hash(settings.identity, std::to_string(Core::wall_now().count())))
     , m_sharing(settings.identity, settings.failure_domain)
     , m_servers(table_settings(settings), m_random())
@@ -224,18 +232,22 @@
         update_links();
     } else if (message.fact_request) {
         Schema::Message answer;
-        answer.facts = m_replica.facts_since(*message.fact_request, m_follower->age(now));
+        answer.facts = m_replica.facts_since(*message.fact_request, m_follower->age(now), now);
         m_hub->send(from.identity, answer);
     } else if (message.facts) {
         auto const age = Core::Duration(message.facts->age_ms);
         // A peer that is itself behind must not make this one believe that it is current.
         if (age < m_follower->age(now))
             m_follower->on_peer_facts(age);
-        auto const changes = m_replica.on_peer(*message.facts, now - age);
+        auto const changes = m_replica.on_peer(*message.facts, now);
         if (changes.has_any()) {
             Core::log_event(Core::LogLevel::Info, "facts_from_peer", { { "peer", from.identity }, { "age_ms", std::to_string(age.count()) }, { "facts", std::to_string(message.facts->facts.size()) } });
             on_facts(changes);
         }
+    } else if (message.ping && message.ping->configuration_end) {
+        // A peer's read brought what this one's has not: perhaps it waits on a dead connection.
+        if (*message.ping->configuration_end > m_replica.end(Configuration::FactTopic::Configuration))
+            m_hub->send(from.identity, fact_request());
     }
 }
 
@@ -255,6 +267,7 @@
     ping.ping.emplace();
     ping.ping->sent_at_ms = now.count();
     ping.ping->list_version = m_replica.end(Configuration::FactTopic::BackendServers);
+    ping.ping->configuration_end = m_replica.end(Configuration::FactTopic::Configuration);
     for (auto role : { Schema::Role::Entry, Schema::Role::Agent }) {
         for (auto const& identity : m_hub->peers(role))
             m_hub->send(identity, ping);
@@ -311,31 +324,49 @@
 
 // Facts.
 
+static char const* topic_name(Configuration::FactTopic topic)
+{
+    return topic == Configuration::FactTopic::Configuration ? "configuration" : "backend_servers";
+}
+
+static void log_named(std::string const& model, Configuration::NamedVersion const& named, Core::Time now)
+{
+    Core::log_event(Core::LogLevel::Info, "version_named", { { "model", model }, { "version", std::to_string(named.version) }, { "at_most_ms_ago", named.named ? std::to_string((now - *named.named).count()) : "unknown" } });
+}
+
 Platform::FactFollower::Callbacks DirectEntry::fact_callbacks()
 {
     return {
-        .changed = [this](FactChanges const& changes) {
-            if (std::exchange(m_is_log_failing, false))
-                Core::log_event(Core::LogLevel::Info, "log_regained");
-            on_facts(changes); },
-        .failing = [this](Platform::FactLogFault fault) { on_log_failing(fault); },
+        .changed = [this](FactChanges const& changes) { on_facts(changes); },
+        .failing = [this](Configuration::FactTopic topic, Platform::FactLogFault fault) { on_log_failing(topic, fault); },
+        .regained = [this](Configuration::FactTopic topic, Core::Duration lost_for) {
+            m_failing_topics.erase(topic);
+            Core::log_event(Core::LogLevel::Info, "log_regained", { { "topic", topic_name(topic) }, { "lost_for_ms", std::to_string(lost_for.count()) } }); },
         .bad_record = [this](Platform::BadRecord const& bad) {
             m_metrics.count("mountbarrow_bad_records_total", "reason=\"" + std::string(Core::error_name(bad.error.code)) + "\"");
             Core::log_event(Core::LogLevel::Error, "bad_record", { { "key", bad.key }, { "revision", std::to_string(bad.revision) }, { "reason", Core::error_name(bad.error.code) }, { "detail", bad.error.detail } }); },
     };
 }
 
-void DirectEntry::on_log_failing(Platform::FactLogFault fault)
+void DirectEntry::on_log_failing(Configuration::FactTopic topic, Platform::FactLogFault fault)
+{
+    char const* const reason = fault == Platform::FactLogFault::Refused ? "refused" : "unavailable";
+    m_metrics.count("mountbarrow_log_failures_total", "reason=\"" + std::string(reason) + "\"");
+    if (m_failing_topics.insert(topic).second)
+        Core::log_event(Core::LogLevel::Warn, "log_lost", { { "topic", topic_name(topic) }, { "reason", reason }, { "age_ms", std::to_string(m_follower->age(Core::monotonic_now()).count()) } });
+    auto const request = fact_request();
+    for (auto const& peer : m_hub->peers(Schema::Role::Entry))
+        m_hub->send(peer, request);
+}
+
+/// Asks a peer for whatever it has and this one lacks.
+Schema::Message DirectEntry::fact_request() const
 {
-    m_metrics.count("mountbarrow_log_failures_total", fault == Platform::FactLogFault::Refused ? "reason=\"refused\"" : "reason=\"unavailable\"");
-    if (!std::exchange(m_is_log_failing, true))
-        Core::log_event(Core::LogLevel::Warn, "log_lost", { { "age_ms", std::to_string(m_follower->age(Core::monotonic_now()).count()) } });
     Schema::Message message;
     message.fact_request.emplace();
     message.fact_request->configuration_from = m_replica.end(Configuration::FactTopic::Configuration);
     message.fact_request->servers_from = m_replica.end(Configuration::FactTopic::BackendServers);
-    for (auto const& peer : m_hub->peers(Schema::Role::Entry))
-        m_hub->send(peer, message);
+    return message;
 }
 
 void DirectEntry::on_facts(FactChanges const& changes)
@@ -355,7 +386,7 @@
     }
     if (changes.has_versions) {
         for (auto const& [model, named] : m_replica.versions())
-            Core::log_event(Core::LogLevel::Info, "version_named", { { "model", model }, { "version", std::to_string(named.newest()) } });
+            log_named(model, named.versions.back(), now);
     }
     if (!changes.servers.empty() || changes.has_configuration)
         update_links();
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -57,7 +57,8 @@
 
     void on_facts(Configuration::FactChanges const&);
     void on_configuration();
-    void on_log_failing(Platform::FactLogFault);
+    void on_log_failing(Configuration::FactTopic, Platform::FactLogFault);
+    Schema::Message fact_request() const;
     void send_goals();
     void keep_weights();
     /// Time from the naming of a version within which it must be served.
@@ -81,7 +82,7 @@
     std::unique_ptr<Platform::WeightOrigin> m_origin;
     Configuration::FactReplica m_replica;
     std::unique_ptr<Platform::FactFollower> m_follower;
-    bool m_is_log_failing { false };
+    std::set<Configuration::FactTopic> m_failing_topics;
 
     std::unique_ptr<Transport::LinkHub> m_hub;
     std::map<std::string, Core::Time> m_last_heard;
--- a/Services/DirectEntry/VersionGoals.cpp
+++ b/Services/DirectEntry/VersionGoals.cpp
@@ -8,8 +8,9 @@
 
 // A version is required a little before its bound: what is sent just before still has to begin.
 static constexpr Core::Duration version_margin { 1500 };
-// What a process finds at its start was named at a time that it cannot know: it is required soon.
-static constexpr Core::Duration first_versions_grace { 2000 };
+// What a process finds at its start was named at a time that it cannot know: it is required soon, but engines that are
+// about to load it get this long.
+static constexpr Core::Duration undated_grace { 2000 };
 
 std::vector<Schema::WeightsGoal> VersionGoals::goals(Core::Duration version_bound, Core::Time now) const
 {
@@ -33,8 +34,10 @@
     auto const found = m_facts.versions().find(goal.model);
     if (found != m_facts.versions().end())
         goal.version = found->second.newest();
-    if (found != m_facts.versions().end() && !found->second.versions.empty())
-        goal.age_ms = (now - found->second.versions.back().learned).count();
+    if (found != m_facts.versions().end() && !found->second.versions.empty()) {
+        auto const& newest = found->second.versions.back();
+        goal.age_ms = (now - newest.named.value_or(newest.found)).count();
+    }
     goal.origin_address = origin_address();
     goal.bound_ms = version_bound.count();
     goal.may_evict = may_evict(service.name);
@@ -96,10 +99,8 @@
     auto const* versions = named(service);
     if (!versions)
         return {};
-    auto required = versions->learned_by(now - (version_bound - version_margin));
-    // What was found at the start may have been named long before.
-    if (now >= m_started + first_versions_grace)
-        required = std::max(required, versions->learned_by(m_started + first_versions_grace));
+    auto const due = versions->named_by(now - (version_bound - version_margin));
+    auto const required = std::max(due, versions->undated_by(now - undated_grace));
     if (required == 0)
         return {};
     return required;
--- a/Services/DirectEntry/VersionGoals.h
+++ b/Services/DirectEntry/VersionGoals.h
@@ -14,9 +14,8 @@
 /// What engines are to hold, by the configuration and the named versions, and from when on requests insist on it.
 class VersionGoals {
 public:
-    VersionGoals(Configuration::FactReplica const& facts, Core::Time started)
+    explicit VersionGoals(Configuration::FactReplica const& facts)
         : m_facts(facts)
-        , m_started(started)
     {
     }
 
@@ -40,7 +39,6 @@
     Configuration::NamedVersions const* named(std::string const& service) const;
 
     Configuration::FactReplica const& m_facts;
-    Core::Time m_started;
 };
 
 }
--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -88,7 +88,7 @@
     Schema::FactRequest request {};
     request.servers_from = behind.end(FactTopic::BackendServers);
     request.configuration_from = behind.end(FactTopic::Configuration);
-    behind.on_peer(ahead.facts_since(request, Core::Duration(0)), Core::Time(100));
+    behind.on_peer(ahead.facts_since(request, Core::Duration(0), Core::Time(100)), Core::Time(100));
     RC_ASSERT(behind.end(FactTopic::BackendServers) == end);
     auto names = [](FactReplica const& replica) {
         std::map<std::string, bool> result;
@@ -123,10 +123,31 @@
     replica.on_records(FactTopic::Configuration, { version_fact(2, 0) }, 1, Core::Time(1000));
     replica.on_records(FactTopic::Configuration, { version_fact(3, 1) }, 2, Core::Time(5000));
     auto const& versions = replica.versions().at("m");
-    EXPECT_EQ(versions.learned_by(Core::Time(999)), 0);
-    EXPECT_EQ(versions.learned_by(Core::Time(1000)), 2);
-    EXPECT_EQ(versions.learned_by(Core::Time(4999)), 2);
-    EXPECT_EQ(versions.learned_by(Core::Time(5000)), 3);
+    EXPECT_EQ(versions.named_by(Core::Time(999)), 0);
+    EXPECT_EQ(versions.named_by(Core::Time(1000)), 2);
+    EXPECT_EQ(versions.named_by(Core::Time(4999)), 2);
+    EXPECT_EQ(versions.named_by(Core::Time(5000)), 3);
+}
+
+TEST(FactReplica, APeerTellsWhenAVersionWasNamedNotWhenItPassesItOn)
+{
+    FactReplica peer;
+    peer.on_records(FactTopic::Configuration, { version_fact(2, 0) }, 1, Core::Time(1000));
+    FactReplica replica;
+    replica.on_peer(peer.facts_since({ .configuration_from = 0, .servers_from = 0 }, Core::Duration(0), Core::Time(6000)), Core::Time(6010));
+    EXPECT_EQ(replica.versions().at("m").named_by(Core::Time(1010)), 2);
+    EXPECT_EQ(replica.versions().at("m").named_by(Core::Time(1009)), 0);
+}
+
+TEST(FactReplica, APeerThatCannotDateAVersionDoesNotDateItForOthers)
+{
+    FactReplica peer;
+    peer.on_records(FactTopic::Configuration, { version_fact(2, 0) }, 1, ReadTime(Core::Time(1000), {}));
+    FactReplica replica;
+    replica.on_peer(peer.facts_since({ .configuration_from = 0, .servers_from = 0 }, Core::Duration(0), Core::Time(6000)), Core::Time(6010));
+    EXPECT_EQ(replica.versions().at("m").named_by(Core::Time(9000)), 0);
+    EXPECT_EQ(replica.versions().at("m").undated_by(Core::Time(6009)), 0);
+    EXPECT_EQ(replica.versions().at("m").undated_by(Core::Time(6010)), 2);
 }
 
 TEST(FactReplica, AFactThatCannotBeReadChangesNothing)
@@ -134,7 +155,7 @@
     FactReplica replica;
     replica.on_records(FactTopic::Configuration, { configuration_fact(3, 0) }, 1, Core::Time(0));
     Schema::FactBatch batch {};
-    batch.facts = { { .body = "{\"version\":9}", .key = "config", .kind = Schema::FactKind::Configuration, .revision = 9 } };
+    batch.facts = { { .body = "{\"version\":9}", .key = "config", .kind = Schema::FactKind::Configuration, .named_ms_ago = {}, .revision = 9 } };
     EXPECT_FALSE(replica.on_peer(batch, Core::Time(1)).has_any());
     EXPECT_EQ(replica.configuration()->version, 3);
 }
--- a/Tests/LibPlatform/TestFactFollower.cpp
+++ b/Tests/LibPlatform/TestFactFollower.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibPlatform/FactFollower.h>
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using namespace Platform;
@@ -9,8 +10,8 @@
 /// A log that turns every call away, and counts them.
 class RefusingLog final : public FactLog {
 public:
-    void read(Configuration::FactTopic, int64_t, Core::Duration, Callback callback) override { refuse(callback); }
-    void read_newest(Configuration::FactTopic, Callback callback) override { refuse(callback); }
+    void read(Configuration::FactTopic, int64_t, ReadPatience, Callback callback) override { refuse(callback); }
+    void read_newest(Configuration::FactTopic, ReadPatience, Callback callback) override { refuse(callback); }
 
     int calls { 0 };
 
@@ -25,8 +26,8 @@
 /// A log that answers with nothing new, and counts the reads of the list.
 class QuietLog final : public FactLog {
 public:
-    void read(Configuration::FactTopic topic, int64_t, Core::Duration, Callback callback) override { answer(topic, callback); }
-    void read_newest(Configuration::FactTopic topic, Callback callback) override { answer(topic, callback); }
+    void read(Configuration::FactTopic topic, int64_t, ReadPatience, Callback callback) override { answer(topic, callback); }
+    void read_newest(Configuration::FactTopic topic, ReadPatience, Callback callback) override { answer(topic, callback); }
 
     int list_reads { 0 };
 
@@ -51,7 +52,7 @@
     FactFollowerSettings settings;
     settings.servers_interval = Core::Duration(60000);
     settings.doubted_interval = Core::Duration(40);
-    FactFollower follower(loop, log, replica, settings, { .changed = [](auto const&) {}, .failing = [](auto) {}, .bad_record = [](auto const&) {} });
+    FactFollower follower(loop, log, replica, settings, { .changed = [](auto const&) {}, .failing = [](auto, auto) {}, .regained = [](auto, auto) {}, .bad_record = [](auto const&) {} });
     follower.start();
     EXPECT_EQ(log.list_reads, 1);
     for (int i = 0; i < 100; ++i)
@@ -71,7 +72,7 @@
     FactFollowerSettings settings;
     settings.retry_interval = Core::Duration(10);
     settings.longest_retry_interval = Core::Duration(80);
-    FactFollower follower(loop, log, replica, settings, { .changed = [](auto const&) {}, .failing = [&](auto) { told += 1; }, .bad_record = [](auto const&) {} });
+    FactFollower follower(loop, log, replica, settings, { .changed = [](auto const&) {}, .failing = [&](auto, auto) { told += 1; }, .regained = [](auto, auto) {}, .bad_record = [](auto const&) {} });
     follower.start();
     auto const end = loop.after(Core::Duration(400), [&] { loop.stop(); });
     loop.run();
@@ -80,3 +81,123 @@
     EXPECT_GE(log.calls, 2);
     EXPECT_EQ(told, log.calls);
 }
+
+namespace {
+
+/// A log that answers when the test says so.
+class HeldLog final : public FactLog {
+public:
+    struct Read {
+        Configuration::FactTopic topic;
+        ReadPatience patience;
+        Callback callback;
+    };
+
+    void read(Configuration::FactTopic topic, int64_t, ReadPatience patience, Callback callback) override { reads.push_back({ topic, patience, std::move(callback) }); }
+    void read_newest(Configuration::FactTopic topic, ReadPatience patience, Callback callback) override { reads.push_back({ topic, patience, std::move(callback) }); }
+
+    /// The open read of the operator's records.
+    Read take_configuration_read()
+    {
+        auto const found = std::find_if(reads.begin(), reads.end(), [](auto const& read) { return read.topic == Configuration::FactTopic::Configuration; });
+        auto read = std::move(*found);
+        reads.erase(found);
+        return read;
+    }
+
+    bool has_configuration_read() const
+    {
+        return std::any_of(reads.begin(), reads.end(), [](auto const& read) { return read.topic == Configuration::FactTopic::Configuration; });
+    }
+
+    std::vector<Read> reads;
+};
+
+/// A follower of a held log, and what it told.
+class HeldFollower {
+public:
+    HeldFollower()
+    {
+        m_follower.start();
+        m_log.take_configuration_read().callback(FactPage {});
+    }
+
+    /// The next read of the operator's records.
+    HeldLog::Read next_read()
+    {
+        m_poll = m_loop.every(Core::Duration(1), [this] {
+            if (m_log.has_configuration_read())
+                m_loop.stop();
+        });
+        m_loop.run();
+        m_poll.reset();
+        return m_log.take_configuration_read();
+    }
+
+    static FactPage naming(int64_t version, int64_t offset)
+    {
+        FactPage page;
+        page.facts = { { Schema::FactKind::ModelVersion, "version/m", offset, Schema::ModelVersion { .model = "m", .version = version } } };
+        page.end = offset + 1;
+        return page;
+    }
+
+    Configuration::NamedVersion const& newest() const { return m_replica.versions().at("m").versions.back(); }
+
+    int regained { 0 };
+
+private:
+    Core::EventLoop m_loop;
+    HeldLog m_log;
+    Configuration::FactReplica m_replica;
+    FactFollower m_follower { m_loop, m_log, m_replica, {}, { .changed = [](auto const&) {}, .failing = [](auto, auto) {}, .regained = [this](auto, auto) { regained += 1; }, .bad_record = [](auto const&) {} } };
+    std::unique_ptr<Core::Timer> m_poll;
+};
+
+}
+
+TEST(FactFollower, AVersionReadPastASilentReadCountsFromThatReadsBeginning)
+{
+    HeldFollower follower;
+    auto const silent = follower.next_read();
+    auto const begun_by = Core::monotonic_now();
+    EXPECT_GT(silent.patience.wait.count(), 0);
+    silent.callback(tl::unexpected(FactLogFault::Unavailable));
+    follower.next_read().callback(HeldFollower::naming(2, 0));
+    EXPECT_TRUE(follower.newest().named);
+    EXPECT_LE(*follower.newest().named, begun_by);
+    // Reads follow the log without a gap again.
+    follower.next_read().callback(FactPage {});
+    auto const followed_from = Core::monotonic_now();
+    follower.next_read().callback(HeldFollower::naming(3, 1));
+    EXPECT_GE(*follower.newest().named, followed_from);
+}
+
+TEST(FactFollower, AfterAReadThatBroughtNothingTheNextOnesWaitForNothing)
+{
+    HeldFollower follower;
+    for (int i = 0; i < 3; ++i) {
+        auto const read = follower.next_read();
+        EXPECT_EQ(read.patience.wait.count() > 0, i == 0);
+        read.callback(tl::unexpected(FactLogFault::Unavailable));
+    }
+    EXPECT_EQ(follower.regained, 0);
+    auto const probe = follower.next_read();
+    EXPECT_EQ(probe.patience.wait.count(), 0);
+    probe.callback(FactPage {});
+    EXPECT_EQ(follower.regained, 1);
+    EXPECT_GT(follower.next_read().patience.wait.count(), 0);
+}
+
+TEST(FactFollower, AVersionOfTheFirstReadHasNoDate)
+{
+    Core::EventLoop loop;
+    HeldLog log;
+    Configuration::FactReplica replica;
+    FactFollower follower(loop, log, replica, {}, { .changed = [](auto const&) {}, .failing = [](auto, auto) {}, .regained = [](auto, auto) {}, .bad_record = [](auto const&) {} });
+    follower.start();
+    log.take_configuration_read().callback(HeldFollower::naming(2, 0));
+    EXPECT_FALSE(replica.versions().at("m").versions.back().named);
+    EXPECT_EQ(replica.versions().at("m").named_by(Core::monotonic_now()), 0);
+    EXPECT_EQ(replica.versions().at("m").undated_by(Core::monotonic_now()), 2);
+}
