Tests: Give each run a loopback network that no other can take

Ruled out: a stand-in left over; the bind that failed was of the run that came second. Change: a port of the network stays bound as long as the process lives, and claims it.

--- a/Tests/Processes/cluster.py
+++ b/Tests/Processes/cluster.py
@@ -12,6 +12,9 @@
 import urllib.error
 import urllib.request
 
+# Nothing else binds it; its sockets are kept to the end of the process.
+CLAIM_PORT = 64999
+CLAIMS = []
 HTTP_PORT = 8001
 LINK_PORT = 8002
 BACKEND_PORT = 8003
@@ -20,16 +23,17 @@
 
 
 def free_network():
-    """A 127.X network in which nothing listens yet."""
+    """A 127.X network of this process's own: the port that claims it stays bound, so runs beside each other never share one."""
     while True:
         network = f"127.{random.SystemRandom().randint(10, 250)}"
+        claim = socket.socket()
         try:
-            with socket.socket() as probe:
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                probe.bind((f"{network}.0.1", HTTP_PORT))
-                return network
+            claim.bind((f"{network}.0.1", CLAIM_PORT))
         except OSError:
+            claim.close()
             continue
+        CLAIMS.append(claim)
+        return network
 
 
 def wait_until(condition, what, seconds=HANG_SECONDS):
