LibCore, LibPlatform, Entry: What is read after a pause may have come while the process stood still

Cause: an entry that is stopped, or on an instance that froze, finds a version's record in its socket when it goes on, and dated it by that moment; its engines went on with the old version for as long past the bound as it had stood still. Ruled out: the read's own time-out, which a pause shorter than the wait does not reach. Change: PauseWatch notices that the loop did not turn for half a second; FactFollower dates what an open read brings by the beginning of a pause within it, and facts of peers alike while a link may still bring what was sent before.

--- /dev/null
+++ b/Libraries/LibCore/PauseWatch.h
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/EventLoop.h>
+#include <LibCore/Time.h>
+#include <memory>
+#include <optional>
+
+namespace Core {
+
+/// Notices that the whole process stood still: stopped by a signal, on an instance that froze, or short of processor time.
+///
+/// What such a process finds in its sockets when it goes on may have been there for as long as it stood still, so nothing
+/// that was read then is as new as the clock says.
+class PauseWatch {
+public:
+    struct Pause {
+        Time began;
+        Time ended;
+    };
+
+    explicit PauseWatch(EventLoop&);
+
+    /// The last pause that is over, also one that ended just now.
+    std::optional<Pause> last(Time now) const;
+
+    /// The earliest time at which something can have come that is read now and was waited for since `waited_since`: now, or
+    /// the beginning of a pause within that wait.
+    Time earliest_arrival(Time waited_since, Time now) const;
+
+private:
+    void on_turn();
+
+    Time m_awake_at;
+    std::optional<Pause> m_last;
+    std::unique_ptr<Timer> m_timer;
+};
+
+}
--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -7,8 +7,9 @@
 
 static constexpr int most_retry_doublings = 8;
 
-FactFollower::FactFollower(Core::EventLoop& loop, FactLog& log, Configuration::FactReplica& replica, FactFollowerSettings settings, Callbacks callbacks)
+FactFollower::FactFollower(Core::EventLoop& loop, Core::PauseWatch const& pauses, FactLog& log, Configuration::FactReplica& replica, FactFollowerSettings settings, Callbacks callbacks)
     : m_loop(loop)
+    , m_pauses(pauses)
     , m_log(log)
     , m_replica(replica)
     , m_settings(settings)
@@ -104,8 +105,7 @@
 void FactFollower::take(Topic& topic, FactPage const& page, bool is_listing)
 {
     auto const now = Core::monotonic_now();
-    Configuration::ReadTime read(now);
-    read.written_after = topic.has_been_read ? topic.blind_since.value_or(now) : std::optional<Core::Time>();
+    Configuration::ReadTime const read(now, written_after(topic, now));
     bool const is_regained = topic.failures > 0;
     topic.failures = 0;
     topic.blind_since.reset();
@@ -123,6 +123,13 @@
         m_callbacks.changed(changes);
 }
 
+std::optional<Core::Time> FactFollower::written_after(Topic const& topic, Core::Time now) const
+{
+    if (!topic.has_been_read)
+        return {};
+    return std::min(topic.blind_since.value_or(now), m_pauses.earliest_arrival(topic.read_began_at, now));
+}
+
 Core::Duration FactFollower::retry_wait(Topic const& topic, FactLogFault fault) const
 {
     // One silent or broken connection says nothing of the log: a new one is tried at once.
--- a/Libraries/LibPlatform/FactFollower.h
+++ b/Libraries/LibPlatform/FactFollower.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <LibCore/EventLoop.h>
+#include <LibCore/PauseWatch.h>
 #include <LibPlatform/FactLog.h>
 #include <functional>
 #include <memory>
@@ -29,7 +30,8 @@
 ///
 /// A connection can fall silent without a word, so a read that waits may be dead. What that costs is bounded in two ways:
 /// a read is given up soon enough for the next one to be answered within the time that the platform allows, and until one
-/// is answered the next ones wait for nothing. What is found after such a read counts as written when that read began.
+/// is answered the next ones wait for nothing. What is found after such a read counts as written when that read began, and
+/// what is found after a pause of this process as written when the pause began.
 class FactFollower {
 public:
     struct Callbacks {
@@ -41,7 +43,7 @@
         std::function<void(BadRecord const&)> bad_record;
     };
 
-    FactFollower(Core::EventLoop&, FactLog&, Configuration::FactReplica&, FactFollowerSettings, Callbacks);
+    FactFollower(Core::EventLoop&, Core::PauseWatch const&, FactLog&, Configuration::FactReplica&, FactFollowerSettings, Callbacks);
 
     void start();
     /// Makes no more calls until it is started again.
@@ -81,10 +83,12 @@
     void on_failed(Topic&, FactLogFault);
     void take(Topic&, FactPage const&, bool is_listing);
     void read_later(Topic&, Core::Duration);
+    std::optional<Core::Time> written_after(Topic const&, Core::Time now) const;
     ReadPatience patience(Topic const&) const;
     Core::Duration retry_wait(Topic const&, FactLogFault) const;
 
     Core::EventLoop& m_loop;
+    Core::PauseWatch const& m_pauses;
     FactLog& m_log;
     Configuration::FactReplica& m_replica;
     FactFollowerSettings m_settings;
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -91,6 +91,7 @@
     , m_log(std::move(parts.log))
     , m_heads(std::move(parts.heads))
     , m_origin(std::move(parts.origin))
+    , m_pauses(loop)
     , m_goals(m_replica)
     , m_random(Core::stable_hash(settings.identity, std::to_string(Core::wall_now().count())))
     , m_sharing(settings.identity, settings.failure_domain)
@@ -113,7 +114,7 @@
         .list_doubted = [this] { m_follower->on_servers_doubted(); },
         .over = [this](uint64_t number) { m_loop.soon([this, number] { m_requests.erase(number); }); } }
 {
-    m_follower = std::make_unique<Platform::FactFollower>(loop, *m_log, m_replica, follower_settings(settings), fact_callbacks());
+    m_follower = std::make_unique<Platform::FactFollower>(loop, m_pauses, *m_log, m_replica, follower_settings(settings), fact_callbacks());
     Transport::LinkOptions options;
     options.identity = { settings.identity, Schema::Role::Entry, Core::wall_now().count() };
     options.keys = { settings.key };
@@ -239,7 +240,9 @@
         // A peer that is itself behind must not make this one believe that it is current.
         if (age < m_follower->age(now))
             m_follower->on_peer_facts(age);
-        auto const changes = m_replica.on_peer(*message.facts, now);
+        // A link that fell silent in a pause is dropped after this; until then it may bring what was sent before or amid it.
+        auto const sent_at = m_pauses.earliest_arrival(now - link_silence, now);
+        auto const changes = m_replica.on_peer(*message.facts, sent_at);
         if (changes.has_any()) {
             Core::log_event(Core::LogLevel::Info, "facts_from_peer", { { "peer", from.identity }, { "age_ms", std::to_string(age.count()) }, { "facts", std::to_string(message.facts->facts.size()) } });
             on_facts(changes);
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -9,6 +9,7 @@
 #include <LibConfiguration/FactReplica.h>
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
+#include <LibCore/PauseWatch.h>
 #include <LibPlatform/FactFollower.h>
 #include <LibPlatform/FactLog.h>
 #include <LibPlatform/RequestHeads.h>
@@ -80,6 +81,7 @@
     std::unique_ptr<Platform::FactLog> m_log;
     std::unique_ptr<Platform::RequestHeads> m_heads;
     std::unique_ptr<Platform::WeightOrigin> m_origin;
+    Core::PauseWatch m_pauses;
     Configuration::FactReplica m_replica;
     std::unique_ptr<Platform::FactFollower> m_follower;
     std::set<Configuration::FactTopic> m_failing_topics;
--- a/Tests/LibPlatform/TestFactFollower.cpp
+++ b/Tests/LibPlatform/TestFactFollower.cpp
@@ -2,6 +2,7 @@
 #include <LibPlatform/FactFollower.h>
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <thread>
 
 using namespace Platform;
 
@@ -52,7 +53,8 @@
     FactFollowerSettings settings;
     settings.servers_interval = Core::Duration(60000);
     settings.doubted_interval = Core::Duration(40);
-    FactFollower follower(loop, log, replica, settings, { .changed = [](auto const&) {}, .failing = [](auto, auto) {}, .regained = [](auto, auto) {}, .bad_record = [](auto const&) {} });
+    Core::PauseWatch const pauses(loop);
+    FactFollower follower(loop, pauses, log, replica, settings, { .changed = [](auto const&) {}, .failing = [](auto, auto) {}, .regained = [](auto, auto) {}, .bad_record = [](auto const&) {} });
     follower.start();
     EXPECT_EQ(log.list_reads, 1);
     for (int i = 0; i < 100; ++i)
@@ -72,7 +74,8 @@
     FactFollowerSettings settings;
     settings.retry_interval = Core::Duration(10);
     settings.longest_retry_interval = Core::Duration(80);
-    FactFollower follower(loop, log, replica, settings, { .changed = [](auto const&) {}, .failing = [&](auto, auto) { told += 1; }, .regained = [](auto, auto) {}, .bad_record = [](auto const&) {} });
+    Core::PauseWatch const pauses(loop);
+    FactFollower follower(loop, pauses, log, replica, settings, { .changed = [](auto const&) {}, .failing = [&](auto, auto) { told += 1; }, .regained = [](auto, auto) {}, .bad_record = [](auto const&) {} });
     follower.start();
     auto const end = loop.after(Core::Duration(400), [&] { loop.stop(); });
     loop.run();
@@ -148,9 +151,10 @@
 
 private:
     Core::EventLoop m_loop;
+    Core::PauseWatch m_pauses { m_loop };
     HeldLog m_log;
     Configuration::FactReplica m_replica;
-    FactFollower m_follower { m_loop, m_log, m_replica, {}, { .changed = [](auto const&) {}, .failing = [](auto, auto) {}, .regained = [this](auto, auto) { regained += 1; }, .bad_record = [](auto const&) {} } };
+    FactFollower m_follower { m_loop, m_pauses, m_log, m_replica, {}, { .changed = [](auto const&) {}, .failing = [](auto, auto) {}, .regained = [this](auto, auto) { regained += 1; }, .bad_record = [](auto const&) {} } };
     std::unique_ptr<Core::Timer> m_poll;
 };
 
@@ -194,10 +198,21 @@
     Core::EventLoop loop;
     HeldLog log;
     Configuration::FactReplica replica;
-    FactFollower follower(loop, log, replica, {}, { .changed = [](auto const&) {}, .failing = [](auto, auto) {}, .regained = [](auto, auto) {}, .bad_record = [](auto const&) {} });
+    Core::PauseWatch const pauses(loop);
+    FactFollower follower(loop, pauses, log, replica, {}, { .changed = [](auto const&) {}, .failing = [](auto, auto) {}, .regained = [](auto, auto) {}, .bad_record = [](auto const&) {} });
     follower.start();
     log.take_configuration_read().callback(HeldFollower::naming(2, 0));
     EXPECT_FALSE(replica.versions().at("m").versions.back().named);
     EXPECT_EQ(replica.versions().at("m").named_by(Core::monotonic_now()), 0);
     EXPECT_EQ(replica.versions().at("m").undated_by(Core::monotonic_now()), 2);
 }
+
+TEST(FactFollower, AVersionReadAfterAPauseCountsFromThePausesBeginning)
+{
+    HeldFollower follower;
+    auto const parked = follower.next_read();
+    auto const paused_at = Core::monotonic_now();
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    parked.callback(HeldFollower::naming(2, 0));
+    EXPECT_LE(*follower.newest().named, paused_at);
+}
