Tests: A change comes into force wherever the read that brings it falls silent

Change: the stand-in store falls silent at rest, within the head and within the body of an answer, while new connections work; the test looks at what each entry asked: the first read after the one that hung waits for nothing, and no read waits longer than the platform's bound on being in touch.

--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -17,6 +17,8 @@
 
 CALLERS_PORT, READY_PORT, CONTROL_PORT, LINK_PORT, CHUNK_PORT = 8005, 8002, 8000, 7700, 7715
 BACKEND_PORT, STORE_PORT = 8001, 8007
+# The platform's bound on being in touch again after trouble, milliseconds.
+CONTACT_MS = 3000
 LLM, LEDGER, ORIGIN = "llm-1", "ledger-1", "origin-1"
 MODEL, LAYERS, CHUNKS = "model-1", 4, 8
 HOST = "host.example"
@@ -134,7 +136,7 @@
         door = self.door(identity)
         return {"identity": identity, "failure_domain": zone, "region": ZONES[zone], "regions": ZONES, "platform_address": f"{door.address}:{door.port}",
                 "link_port": LINK_PORT, "key": "k", "seeds": [f"{entry}:{CONTROL_PORT}" for entry in getattr(self, "entries", [])][:3],
-                "bounds": {"drain_ms": 2000, "grace_s": 8, "version_ms": 8000, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 100}}
+                "bounds": {"drain_ms": 2000, "grace_s": 8, "version_ms": 8000, "contact_ms": CONTACT_MS, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 100}}
 
     def start(self, program, identity, settings):
         path = os.path.join(self.folder, f"{identity}.json")
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -119,12 +119,25 @@
         # Reads that were taken up to this call are never answered; their connections stay open.
         self.silent_up_to = 0
         self.taken = 0
+        # Where the next answer that brings the operator's records falls silent: "", "head" or "body".
+        self.silent_within = ""
+        # Queries of the reads of the operator's records, in order.
+        self.operator_reads = []
         super().__init__(loop, address, port)
 
     def silence_open_reads(self):
         """All connections of now fall silent without a reset; new ones work."""
         self.silent_up_to = self.taken
 
+    async def fall_silent_within(self, request, body):
+        """Sends a part of an answer and then nothing, without an end or a reset."""
+        head = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        sent = head[:9] if self.silent_within == "head" else head + body[:20]
+        self.silent_within = ""
+        request.writer.write(sent)
+        await request.writer.drain()
+        await asyncio.sleep(3600)
+
     async def answer(self, request):
         self.store.calls += 1
         self.taken += 1
@@ -136,6 +149,8 @@
             return False
         if self.mode:
             return await self.reply(request, 503 if self.mode == "busy" else 429)
+        if request.path == "/log-read" and request.query["topic"] == "keyed.op":
+            self.operator_reads.append(request.query)
         if request.path == "/log-read":
             return await self.store.log_read(self, request)
         if request.path == "/log-newest":
@@ -187,6 +202,9 @@
         for key, value in self.topics[topic][start:]:
             record = bytes([len(key)]) + key.encode() + value
             body += struct.pack(">I", len(record)) + record
+        is_news = topic == "keyed.op" and len(self.topics[topic]) > start
+        if is_news and door.silent_within:
+            await door.fall_silent_within(request, body)
         return await door.reply(request, 200, body=body)
 
     async def log_newest(self, door, request):
--- a/Tests/Platform/test_silent_store.py
+++ b/Tests/Platform/test_silent_store.py
@@ -3,7 +3,7 @@
 
 import time
 
-from fleet import Fleet, wait_until
+from fleet import CONTACT_MS, Fleet, wait_until
 from test_direct_path import wait_linked
 
 # What is named right after an entry's start counts as named before it, and is required at once.
@@ -76,3 +76,29 @@
         time.sleep(PAUSE_SECONDS)
         fleet.resume(entry)
         watch_past_the_bound(fleet, entry, named)
+
+
+def test_a_change_comes_into_force_wherever_the_read_that_brings_it_falls_silent(build, folders):
+    """
+    Seen: a revoked key was let in 3.1 s after its removal was acknowledged, the store having been silent before.
+    How: the read that waits was begun while the store was silent, and hung past its return until it was given up.
+    Cause: a read may wait longer than an instance may be out of touch, and after one that hung the next one waited again.
+    Proof: second by second in the entries' lines; no read waits past the bound, and none waits before one was answered.
+    """
+    with Fleet(build, folders) as fleet:
+        wait_linked(fleet)
+        for moment in ("rest", "head", "body"):
+            before = {identity: len(door.operator_reads) for identity, door in fleet.doors.items()}
+            for door in fleet.doors.values():
+                door.silent_within = "" if moment == "rest" else moment
+                if moment == "rest":
+                    door.silence_open_reads()
+            fleet.configure()
+            wait_until(lambda: all(fleet.configuration_in_force(each) == fleet.version for each in fleet.entries), f"a change past a read that fell silent at {moment}")
+            for entry in fleet.entries:
+                # The first read after the one that hung brought the change, so it waited for nothing.
+                first = fleet.doors[entry].operator_reads[before[entry]]
+                assert "WaitMs" not in first, (moment, first)
+        for entry in fleet.entries:
+            waits = [int(read["WaitMs"]) for read in fleet.doors[entry].operator_reads if "WaitMs" in read]
+            assert waits and max(waits) < CONTACT_MS, waits
