--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -18,14 +18,6 @@
 static constexpr Core::Duration stale_after { 4000 };
 static constexpr Core::Duration least_drain { 3000 };
 static constexpr Core::Duration drain_margin { 500 };
-// What is left of the bound on draining for a read of the list, and for what was sent just before it.
-static constexpr Core::Duration drain_reaction { 1000 };
-static constexpr Core::Duration shortest_list_interval { 400 };
-static constexpr Core::Duration longest_list_interval { 2000 };
-// What is left of the time to be in touch again, past a read that waited on a dead connection: a second try where the first
-// fails too, and what the change then needs to be in force.
-static constexpr Core::Duration read_again_reserve { 700 };
-static constexpr Core::Duration shortest_configuration_wait { 600 };
 // Engines are dealt anew soon after an entry or an engine comes, but not for each one that comes beside it.
 static constexpr Core::Duration least_roles_interval { 100 };
 static constexpr size_t queue_limit = 256;
@@ -66,33 +58,21 @@
     return bound;
 }
 
-static Platform::FactFollowerSettings follower_settings(Schema::DirectEntrySettings const& settings)
-{
-    Platform::FactFollowerSettings result;
-    if (settings.bounds.contact_ms) {
-        auto const wait = Core::Duration(*settings.bounds.contact_ms) - result.answer_patience - read_again_reserve;
-        result.configuration_wait = std::clamp(wait, shortest_configuration_wait, result.configuration_wait);
-    }
-    result.servers_interval = std::clamp(Core::Duration(settings.bounds.drain_ms) - drain_reaction, shortest_list_interval, longest_list_interval);
-    return result;
-}
-
 Core::ErrorOr<std::unique_ptr<DirectEntry>> DirectEntry::create(Core::EventLoop& loop, Schema::DirectEntrySettings const& settings, PlatformParts parts)
 {
     std::unique_ptr<DirectEntry> entry(new DirectEntry(loop, settings, std::move(parts)));
     TRY(entry->listen());
-    entry->m_follower->start();
+    entry->m_facts.start();
     return entry;
 }
 
 DirectEntry::DirectEntry(Core::EventLoop& loop, Schema::DirectEntrySettings const& settings, PlatformParts parts)
     : m_loop(loop)
     , m_settings(settings)
-    , m_log(std::move(parts.log))
     , m_heads(std::move(parts.heads))
     , m_origin(std::move(parts.origin))
-    , m_pauses(loop)
-    , m_goals(m_replica)
+    , m_facts(loop, std::move(parts.log), follower_settings(settings.bounds), m_metrics, fact_callbacks())
+    , m_goals(m_facts.replica())
     , m_random(Core::stable_hash(settings.identity, std::to_string(Core::wall_now().count())))
     , m_sharing(settings.identity, settings.failure_domain)
     , m_servers(table_settings(settings), m_random())
@@ -111,15 +91,14 @@
         .deadlines = m_deadlines,
         .line = [this](std::string const& service) -> ServiceLine& { return m_lines.try_emplace(service, queue_limit).first->second; },
         .asked = [this](std::string const& service) { m_sharing.on_asked(service); },
-        .list_doubted = [this] { m_follower->on_servers_doubted(); },
+        .list_doubted = [this] { m_facts.on_servers_doubted(); },
         .over = [this](uint64_t number) { m_loop.soon([this, number] { m_requests.erase(number); }); } }
 {
-    m_follower = std::make_unique<Platform::FactFollower>(loop, m_pauses, *m_log, m_replica, follower_settings(settings), fact_callbacks());
     Transport::LinkOptions options;
     options.identity = { settings.identity, Schema::Role::Entry, Core::wall_now().count() };
     options.keys = { settings.key };
-    options.offset = [this] { return m_replica.end(Configuration::FactTopic::Configuration); };
-    options.list_version = [this] { return m_replica.end(Configuration::FactTopic::BackendServers); };
+    options.offset = [this] { return m_facts.replica().end(Configuration::FactTopic::Configuration); };
+    options.list_version = [this] { return m_facts.replica().end(Configuration::FactTopic::BackendServers); };
     m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
     keep_weights();
     m_tick_timer = loop.every(tick_interval, [this] { tick(); });
@@ -232,25 +211,11 @@
         m_retries.set_entries(m_known_entries.size() + 1);
         update_links();
     } else if (message.fact_request) {
-        Schema::Message answer;
-        answer.facts = m_replica.facts_since(*message.fact_request, m_follower->age(now), now);
-        m_hub->send(from.identity, answer);
+        m_facts.on_request(from.identity, *message.fact_request);
     } else if (message.facts) {
-        auto const age = Core::Duration(message.facts->age_ms);
-        // A peer that is itself behind must not make this one believe that it is current.
-        if (age < m_follower->age(now))
-            m_follower->on_peer_facts(age);
-        // A link that fell silent in a pause is dropped after this; until then it may bring what was sent before or amid it.
-        auto const sent_at = m_pauses.earliest_arrival(now - link_silence, now);
-        auto const changes = m_replica.on_peer(*message.facts, sent_at);
-        if (changes.has_any()) {
-            Core::log_event(Core::LogLevel::Info, "facts_from_peer", { { "peer", from.identity }, { "age_ms", std::to_string(age.count()) }, { "facts", std::to_string(message.facts->facts.size()) } });
-            on_facts(changes);
-        }
+        m_facts.on_batch(from.identity, *message.facts);
     } else if (message.ping && message.ping->configuration_end) {
-        // A peer's read brought what this one's has not: perhaps it waits on a dead connection.
-        if (*message.ping->configuration_end > m_replica.end(Configuration::FactTopic::Configuration))
-            m_hub->send(from.identity, fact_request());
+        m_facts.on_peer_end(from.identity, *message.ping->configuration_end);
     }
 }
 
@@ -269,8 +234,8 @@
     Schema::Message ping;
     ping.ping.emplace();
     ping.ping->sent_at_ms = now.count();
-    ping.ping->list_version = m_replica.end(Configuration::FactTopic::BackendServers);
-    ping.ping->configuration_end = m_replica.end(Configuration::FactTopic::Configuration);
+    ping.ping->list_version = m_facts.replica().end(Configuration::FactTopic::BackendServers);
+    ping.ping->configuration_end = m_facts.replica().end(Configuration::FactTopic::Configuration);
     for (auto role : { Schema::Role::Entry, Schema::Role::Agent }) {
         for (auto const& identity : m_hub->peers(role))
             m_hub->send(identity, ping);
@@ -294,7 +259,7 @@
         return;
     m_roles_changed = false;
     m_roles_at = now;
-    m_servers.set_roles(m_sharing.roles(*m_context.routes, m_replica, m_servers, now));
+    m_servers.set_roles(m_sharing.roles(*m_context.routes, m_facts.replica(), m_servers, now));
 }
 
 void DirectEntry::update_links()
@@ -302,7 +267,7 @@
     std::map<std::string, Transport::LinkAddress> wanted;
     auto const link_port = static_cast<uint16_t>(m_settings.link_port);
     if (auto const& routes = m_context.routes) {
-        for (auto const* server : m_replica.servers()) {
+        for (auto const* server : m_facts.replica().servers()) {
             auto const* service = routes->service(server->service);
             if (service && service->timing) {
                 auto const ip = Transport::split_address(server->address).first;
@@ -327,58 +292,27 @@
 
 // Facts.
 
-static char const* topic_name(Configuration::FactTopic topic)
-{
-    return topic == Configuration::FactTopic::Configuration ? "configuration" : "backend_servers";
-}
-
 static void log_named(std::string const& model, Configuration::NamedVersion const& named, Core::Time now)
 {
     Core::log_event(Core::LogLevel::Info, "version_named", { { "model", model }, { "version", std::to_string(named.version) }, { "at_most_ms_ago", named.named ? std::to_string((now - *named.named).count()) : "unknown" } });
 }
 
-Platform::FactFollower::Callbacks DirectEntry::fact_callbacks()
+EntryFacts::Callbacks DirectEntry::fact_callbacks()
 {
     return {
         .changed = [this](FactChanges const& changes) { on_facts(changes); },
-        .failing = [this](Configuration::FactTopic topic, Platform::FactLogFault fault) { on_log_failing(topic, fault); },
-        .regained = [this](Configuration::FactTopic topic, Core::Duration lost_for) {
-            m_failing_topics.erase(topic);
-            Core::log_event(Core::LogLevel::Info, "log_regained", { { "topic", topic_name(topic) }, { "lost_for_ms", std::to_string(lost_for.count()) } }); },
-        .bad_record = [this](Platform::BadRecord const& bad) {
-            m_metrics.count("mountbarrow_bad_records_total", "reason=\"" + std::string(Core::error_name(bad.error.code)) + "\"");
-            Core::log_event(Core::LogLevel::Error, "bad_record", { { "key", bad.key }, { "revision", std::to_string(bad.revision) }, { "reason", Core::error_name(bad.error.code) }, { "detail", bad.error.detail } }); },
+        .send = [this](std::string const& entry, Schema::Message const& message) { m_hub->send(entry, message); },
+        .entries = [this] { return m_hub->peers(Schema::Role::Entry); },
     };
 }
 
-void DirectEntry::on_log_failing(Configuration::FactTopic topic, Platform::FactLogFault fault)
-{
-    char const* const reason = fault == Platform::FactLogFault::Refused ? "refused" : "unavailable";
-    m_metrics.count("mountbarrow_log_failures_total", "reason=\"" + std::string(reason) + "\"");
-    if (m_failing_topics.insert(topic).second)
-        Core::log_event(Core::LogLevel::Warn, "log_lost", { { "topic", topic_name(topic) }, { "reason", reason }, { "age_ms", std::to_string(m_follower->age(Core::monotonic_now()).count()) } });
-    auto const request = fact_request();
-    for (auto const& peer : m_hub->peers(Schema::Role::Entry))
-        m_hub->send(peer, request);
-}
-
-/// Asks a peer for whatever it has and this one lacks.
-Schema::Message DirectEntry::fact_request() const
-{
-    Schema::Message message;
-    message.fact_request.emplace();
-    message.fact_request->configuration_from = m_replica.end(Configuration::FactTopic::Configuration);
-    message.fact_request->servers_from = m_replica.end(Configuration::FactTopic::BackendServers);
-    return message;
-}
-
 void DirectEntry::on_facts(FactChanges const& changes)
 {
     auto const now = Core::monotonic_now();
     if (changes.has_configuration)
         on_configuration();
     for (auto const& id : changes.servers) {
-        auto const* server = m_replica.server(id);
+        auto const* server = m_facts.replica().server(id);
         if (server)
             m_servers.set_server(*server, now);
         else
@@ -388,7 +322,7 @@
                                                                     { "service", server ? server->service : "" }, { "address", server ? server->address : "" }, { "version", std::to_string(m_servers.version_of(id, now)) }, { "unreadable", server && !server->unreadable_fields.empty() ? server->unreadable_fields.front() : "" } });
     }
     if (changes.has_versions) {
-        for (auto const& [model, named] : m_replica.versions())
+        for (auto const& [model, named] : m_facts.replica().versions())
             log_named(model, named.versions.back(), now);
     }
     if (!changes.servers.empty() || changes.has_configuration)
@@ -398,7 +332,7 @@
 
 void DirectEntry::on_configuration()
 {
-    auto const& configuration = m_replica.configuration();
+    auto const& configuration = m_facts.replica().configuration();
     m_context.routes = std::make_shared<Routing::RouteTable const>(configuration);
     for (auto const& service : configuration->services) {
         if (service.timing)
@@ -425,7 +359,7 @@
 {
     if (!m_origin || !m_settings.metrics_port || !m_settings.link_megabits_per_second)
         return;
-    EntryWeightsContext const context { m_settings, *m_hub, m_replica, m_servers, m_sharing, m_known_entries };
+    EntryWeightsContext const context { m_settings, *m_hub, m_facts.replica(), m_servers, m_sharing, m_known_entries };
     m_weights = std::make_unique<EntryWeights>(m_loop, context, m_metrics, *m_origin);
 }
 
@@ -456,7 +390,7 @@
 
 bool DirectEntry::is_stale() const
 {
-    return m_follower->age(Core::monotonic_now()) > stale_after;
+    return m_facts.age(Core::monotonic_now()) > stale_after;
 }
 
 bool DirectEntry::is_ready() const
@@ -554,7 +488,7 @@
 size_t DirectEntry::unreadable_server_fields() const
 {
     size_t count = 0;
-    for (auto const* server : m_replica.servers())
+    for (auto const* server : m_facts.replica().servers())
         count += server->unreadable_fields.size();
     return count;
 }
@@ -562,7 +496,7 @@
 void DirectEntry::reply_metrics(Transport::HttpExchange& exchange)
 {
     m_metrics.set("mountbarrow_in_hand", static_cast<double>(m_requests.size()));
-    m_metrics.set("mountbarrow_fact_age_ms", static_cast<double>(m_follower->age(Core::monotonic_now()).count()));
+    m_metrics.set("mountbarrow_fact_age_ms", static_cast<double>(m_facts.age(Core::monotonic_now()).count()));
     m_metrics.set("mountbarrow_configuration_version", m_context.routes ? static_cast<double>(m_context.routes->version()) : 0);
     m_metrics.set("mountbarrow_unreadable_fields", m_context.routes ? static_cast<double>(m_context.routes->configuration().unreadable_fields.size()) : 0, "record=\"configuration\"");
     m_metrics.set("mountbarrow_unreadable_fields", static_cast<double>(unreadable_server_fields()), "record=\"backend_server\"");
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -2,15 +2,13 @@
 #pragma once
 
 #include "EngineSharing.h"
+#include "EntryFacts.h"
 #include "EntryWeights.h"
 #include "ProxiedRequest.h"
 #include "RequestContext.h"
 #include "VersionGoals.h"
-#include <LibConfiguration/FactReplica.h>
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
-#include <LibCore/PauseWatch.h>
-#include <LibPlatform/FactFollower.h>
 #include <LibPlatform/FactLog.h>
 #include <LibPlatform/RequestHeads.h>
 #include <LibTransport/HttpServer.h>
@@ -46,7 +44,7 @@
 
     Core::ErrorOr<void> listen();
     Transport::LinkHub::Callbacks link_callbacks();
-    Platform::FactFollower::Callbacks fact_callbacks();
+    EntryFacts::Callbacks fact_callbacks();
 
     void on_link_up(Schema::Hello const&);
     void on_link_message(Schema::Hello const&, Schema::Message const&);
@@ -58,8 +56,6 @@
 
     void on_facts(Configuration::FactChanges const&);
     void on_configuration();
-    void on_log_failing(Configuration::FactTopic, Platform::FactLogFault);
-    Schema::Message fact_request() const;
     void send_goals();
     void keep_weights();
     /// Time from the naming of a version within which it must be served.
@@ -78,13 +74,9 @@
     Core::EventLoop& m_loop;
     Schema::DirectEntrySettings m_settings;
     Core::Metrics m_metrics;
-    std::unique_ptr<Platform::FactLog> m_log;
     std::unique_ptr<Platform::RequestHeads> m_heads;
     std::unique_ptr<Platform::WeightOrigin> m_origin;
-    Core::PauseWatch m_pauses;
-    Configuration::FactReplica m_replica;
-    std::unique_ptr<Platform::FactFollower> m_follower;
-    std::set<Configuration::FactTopic> m_failing_topics;
+    EntryFacts m_facts;
 
     std::unique_ptr<Transport::LinkHub> m_hub;
     std::map<std::string, Core::Time> m_last_heard;
--- /dev/null
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "EntryFacts.h"
+
+#include <LibCore/Log.h>
+#include <algorithm>
+
+namespace DirectEntry {
+
+// What is left of the bound on draining for a read of the list, and for what was sent just before it.
+static constexpr Core::Duration drain_reaction { 1000 };
+static constexpr Core::Duration shortest_list_interval { 400 };
+static constexpr Core::Duration longest_list_interval { 2000 };
+// What is left of the time to be in touch again, past a read that waited on a dead connection: a second try where the first
+// fails too, and what the change then needs to be in force.
+static constexpr Core::Duration read_again_reserve { 700 };
+static constexpr Core::Duration shortest_configuration_wait { 600 };
+// What a link still brings this long after a pause may have been sent before it; a link that is silent longer is dropped.
+static constexpr Core::Duration late_on_link { 3000 };
+
+Platform::FactFollowerSettings follower_settings(Schema::DirectEntrySettingsBounds const& bounds)
+{
+    Platform::FactFollowerSettings result;
+    if (bounds.contact_ms) {
+        auto const wait = Core::Duration(*bounds.contact_ms) - result.answer_patience - read_again_reserve;
+        result.configuration_wait = std::clamp(wait, shortest_configuration_wait, result.configuration_wait);
+    }
+    result.servers_interval = std::clamp(Core::Duration(bounds.drain_ms) - drain_reaction, shortest_list_interval, longest_list_interval);
+    return result;
+}
+
+static char const* topic_name(Configuration::FactTopic topic)
+{
+    return topic == Configuration::FactTopic::Configuration ? "configuration" : "backend_servers";
+}
+
+EntryFacts::EntryFacts(Core::EventLoop& loop, std::unique_ptr<Platform::FactLog> log, Platform::FactFollowerSettings settings, Core::Metrics& metrics, Callbacks callbacks)
+    : m_log(std::move(log))
+    , m_metrics(metrics)
+    , m_callbacks(std::move(callbacks))
+    , m_pauses(loop)
+    , m_follower(loop, m_pauses, *m_log, m_replica, settings, follower_callbacks())
+{
+}
+
+Platform::FactFollower::Callbacks EntryFacts::follower_callbacks()
+{
+    return {
+        .changed = [this](Configuration::FactChanges const& changes) { m_callbacks.changed(changes); },
+        .failing = [this](Configuration::FactTopic topic, Platform::FactLogFault fault) { on_failing(topic, fault); },
+        .regained = [this](Configuration::FactTopic topic, Core::Duration lost_for) { on_regained(topic, lost_for); },
+        .bad_record = [this](Platform::BadRecord const& bad) { on_bad_record(bad); },
+    };
+}
+
+// The platform's log.
+
+void EntryFacts::on_failing(Configuration::FactTopic topic, Platform::FactLogFault fault)
+{
+    char const* const reason = fault == Platform::FactLogFault::Refused ? "refused" : "unavailable";
+    m_metrics.count("mountbarrow_log_failures_total", "reason=\"" + std::string(reason) + "\"");
+    if (m_failing.insert(topic).second)
+        Core::log_event(Core::LogLevel::Warn, "log_lost", { { "topic", topic_name(topic) }, { "reason", reason }, { "age_ms", std::to_string(age(Core::monotonic_now()).count()) } });
+    auto const message = request();
+    for (auto const& entry : m_callbacks.entries())
+        m_callbacks.send(entry, message);
+}
+
+void EntryFacts::on_regained(Configuration::FactTopic topic, Core::Duration lost_for)
+{
+    m_failing.erase(topic);
+    Core::log_event(Core::LogLevel::Info, "log_regained", { { "topic", topic_name(topic) }, { "lost_for_ms", std::to_string(lost_for.count()) } });
+}
+
+void EntryFacts::on_bad_record(Platform::BadRecord const& bad)
+{
+    m_metrics.count("mountbarrow_bad_records_total", "reason=\"" + std::string(Core::error_name(bad.error.code)) + "\"");
+    Core::log_event(Core::LogLevel::Error, "bad_record", { { "key", bad.key }, { "revision", std::to_string(bad.revision) }, { "reason", Core::error_name(bad.error.code) }, { "detail", bad.error.detail } });
+}
+
+// Other entries.
+
+/// Asks for whatever the receiver has and this entry lacks.
+Schema::Message EntryFacts::request() const
+{
+    Schema::Message message;
+    message.fact_request.emplace();
+    message.fact_request->configuration_from = m_replica.end(Configuration::FactTopic::Configuration);
+    message.fact_request->servers_from = m_replica.end(Configuration::FactTopic::BackendServers);
+    return message;
+}
+
+void EntryFacts::on_peer_end(std::string const& entry, int64_t configuration_end)
+{
+    // Its read brought what this one's has not: perhaps this one waits on a dead connection.
+    if (configuration_end > m_replica.end(Configuration::FactTopic::Configuration))
+        m_callbacks.send(entry, request());
+}
+
+void EntryFacts::on_request(std::string const& entry, Schema::FactRequest const& request)
+{
+    auto const now = Core::monotonic_now();
+    Schema::Message answer;
+    answer.facts = m_replica.facts_since(request, age(now), now);
+    m_callbacks.send(entry, answer);
+}
+
+void EntryFacts::on_batch(std::string const& entry, Schema::FactBatch const& batch)
+{
+    auto const now = Core::monotonic_now();
+    auto const batch_age = Core::Duration(batch.age_ms);
+    // A peer that is itself behind must not make this one believe that it is current.
+    if (batch_age < age(now))
+        m_follower.on_peer_facts(batch_age);
+    auto const sent_at = m_pauses.earliest_arrival(now - late_on_link, now);
+    auto const changes = m_replica.on_peer(batch, sent_at);
+    if (!changes.has_any())
+        return;
+    Core::log_event(Core::LogLevel::Info, "facts_from_peer", { { "peer", entry }, { "age_ms", std::to_string(batch_age.count()) }, { "facts", std::to_string(batch.facts.size()) } });
+    m_callbacks.changed(changes);
+}
+
+}
--- /dev/null
+++ b/Services/DirectEntry/EntryFacts.h
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibConfiguration/FactReplica.h>
+#include <LibCore/EventLoop.h>
+#include <LibCore/Metrics.h>
+#include <LibCore/PauseWatch.h>
+#include <LibPlatform/FactFollower.h>
+#include <LibPlatform/FactLog.h>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace DirectEntry {
+
+/// What the follower's settings are for an entry with these bounds.
+Platform::FactFollowerSettings follower_settings(Schema::DirectEntrySettingsBounds const&);
+
+/// What an entry knows of the configuration, the named versions and the backend servers: read from the platform's log, and
+/// from other entries where the log brings this one nothing.
+class EntryFacts {
+public:
+    struct Callbacks {
+        std::function<void(Configuration::FactChanges const&)> changed;
+        /// Sends a message to another entry.
+        std::function<void(std::string const& entry, Schema::Message const&)> send;
+        /// The other entries that a message can be sent to.
+        std::function<std::vector<std::string>()> entries;
+    };
+
+    /// Reads nothing before it is started.
+    EntryFacts(Core::EventLoop&, std::unique_ptr<Platform::FactLog>, Platform::FactFollowerSettings, Core::Metrics&, Callbacks);
+
+    void start() { m_follower.start(); }
+
+    Configuration::FactReplica const& replica() const { return m_replica; }
+    /// Time since the older of both topics was known to be current.
+    Core::Duration age(Core::Time now) const { return m_follower.age(now); }
+
+    /// A backend server was found to be another than the list says: the list is read again soon.
+    void on_servers_doubted() { m_follower.on_servers_doubted(); }
+
+    void on_request(std::string const& entry, Schema::FactRequest const&);
+    void on_batch(std::string const& entry, Schema::FactBatch const&);
+    /// Another entry has read the operator's records up to this offset.
+    void on_peer_end(std::string const& entry, int64_t configuration_end);
+
+private:
+    Platform::FactFollower::Callbacks follower_callbacks();
+    void on_failing(Configuration::FactTopic, Platform::FactLogFault);
+    void on_regained(Configuration::FactTopic, Core::Duration lost_for);
+    void on_bad_record(Platform::BadRecord const&);
+    Schema::Message request() const;
+
+    std::unique_ptr<Platform::FactLog> m_log;
+    Core::Metrics& m_metrics;
+    Callbacks m_callbacks;
+    Core::PauseWatch m_pauses;
+    Configuration::FactReplica m_replica;
+    Platform::FactFollower m_follower;
+    std::set<Configuration::FactTopic> m_failing;
+};
+
+}
