--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -49,8 +49,10 @@
 
 
 class Fleet:
-    def __init__(self, build, folders, entries=2, engines=3, plains=2):
+    def __init__(self, build, folders, entries=2, engines=3, plains=2, version_bound_ms=8000):
         self.build = build
+        # Time from the naming of a version within which engines must serve it.
+        self.version_bound_ms = version_bound_ms
         self.network = free_network()
         self.folder = tempfile.mkdtemp(prefix="mountbarrow-fleet-")
         folders.append(self.folder)
@@ -134,7 +136,7 @@
         door = self.door(identity)
         return {"identity": identity, "failure_domain": zone, "region": ZONES[zone], "regions": ZONES, "platform_address": f"{door.address}:{door.port}",
                 "link_port": LINK_PORT, "key": "k", "seeds": [f"{entry}:{CONTROL_PORT}" for entry in getattr(self, "entries", [])][:3],
-                "bounds": {"drain_ms": 2000, "grace_s": 8, "version_ms": 8000, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 100}}
+                "bounds": {"drain_ms": 2000, "grace_s": 8, "version_ms": self.version_bound_ms, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 100}}
 
     def start(self, program, identity, settings):
         path = os.path.join(self.folder, f"{identity}.json")
@@ -207,6 +209,12 @@
         """How many requests engines began on a version older than this one."""
         return sum(1 for engine in self.engines for run in engine.runs if run[2] < version)
 
+    def pause(self, identity):
+        self.processes[identity].send_signal(signal.SIGSTOP)
+
+    def go_on(self, identity):
+        self.processes[identity].send_signal(signal.SIGCONT)
+
     def terminate(self, identity):
         self.processes[identity].send_signal(signal.SIGTERM)
 
@@ -218,3 +226,6 @@
         with open(os.path.join(self.folder, f"{identity}.log"), encoding="utf-8") as file:
             # The last line may be on its way.
             return [json.loads(line) for line in file if line.endswith("\n")]
+
+    def times_logged(self, identity, event, **fields):
+        return sum(line.get("event") == event and all(line.get(name) == value for name, value in fields.items()) for line in self.log_lines(identity))
--- a/Tests/Platform/test_direct_path.py
+++ b/Tests/Platform/test_direct_path.py
@@ -138,6 +138,34 @@
         assert right_loads(fleet, 3)
 
 
+def test_a_straggler_gets_an_older_version_from_those_that_have_moved_on(build, folders):
+    """The others hold all of version 2 and are after version 3 when the last agent, which lacks most of version 2, is back."""
+    # A wide bound: how long the machine takes must not decide whether version 2 is still worth having.
+    with Fleet(build, folders, version_bound_ms=40000) as fleet:
+        wait_linked(fleet)
+        fleet.origin.piece_seconds = 0.6
+        fleet.origin.silent_versions = {3}
+        *others, straggler = fleet.engines
+        fleet.name_version(2)
+        wait_until(lambda: fleet.times_logged(straggler.address, "manifest_taken", version="2"), "the straggler to begin version 2")
+        moved_on = [*fleet.entries, *(engine.address for engine in others)]
+
+        def links_dropped(identity):
+            return fleet.times_logged(identity, "link_down", peer=straggler.address)
+
+        dropped_before = {identity: links_dropped(identity) for identity in moved_on}
+        fleet.pause(straggler.address)
+        fleet.name_version(3)
+        wait_until(lambda: all(fleet.times_logged(identity, "goal_changed", version="3") for identity in moved_on), "the others to turn to version 3")
+        wait_until(lambda: all(engine.version == 2 for engine in others), "version 2 at the others")
+        # What it heard of chunks before is gone with its links.
+        wait_until(lambda: all(links_dropped(identity) > dropped_before[identity] for identity in moved_on), "the straggler's links to be dropped")
+        fleet.origin.silent_versions = {2, 3}
+        fleet.go_on(straggler.address)
+        wait_until(lambda: straggler.version == 2, "version 2 at the straggler")
+        assert right_loads(fleet, 2)
+
+
 def test_a_request_that_waits_at_an_outdated_engine_goes_to_another(build, folders):
     with Fleet(build, folders) as fleet:
         wait_linked(fleet)
