Weights: Keep a whole older version, and tell of it, while an engine lacks it

Cause: the word on chunks was about one version a peer. At the turn to a newer version the chunks that had come since the last turn were never announced, a peer that links again was told of the newer version only, each receiver let the older word go with the first on the newer, and agents dropped the chunks at the newer manifest. A straggler was left with the origin.

Ruled out: asking on trust those that once said they held a chunk: what came last was never said. Keeping every older version: an engine that never takes one would hold them all in memory, so only the newest whole one stays.

Change: CopyFetcher announces what came before it turns, keeps the newest whole older version while an instance lacks it (agents: a peer's engine; entries: an engine of the service), tells of both at a new link, and serves the manifest of either by version. Messages are as they were. The cache's own list of the version before is gone: it is the same thing.

Conclusion: whoever is behind has all that hold the older version to read from.

--- a/Services/DirectEntry/EntryWeights.cpp
+++ b/Services/DirectEntry/EntryWeights.cpp
@@ -29,7 +29,7 @@
 {
     return {
         .announce = [this](Schema::PieceMap const& map) { announce(map); },
-        .is_wanted = [this](Schema::WeightsGoal const& goal) { return is_wanted(goal); },
+        .is_wanted = [this](std::string const& service, int64_t version) { return is_wanted(service, version); },
         .sources = [this] { return sources(); },
     };
 }
@@ -41,12 +41,12 @@
     return region != regions.end() && region->second == m_context.settings.region;
 }
 
-bool EntryWeights::is_wanted(Schema::WeightsGoal const& goal) const
+bool EntryWeights::is_wanted(std::string const& service, int64_t version) const
 {
     auto const now = Core::monotonic_now();
     auto const servers = m_context.facts.servers();
     return std::any_of(servers.begin(), servers.end(), [&](auto const* server) {
-        return server->service == goal.service && !server->is_draining && m_context.servers.version_of(server->id, now) < goal.version;
+        return server->service == service && !server->is_draining && m_context.servers.version_of(server->id, now) < version;
     });
 }
 
--- a/Services/DirectEntry/EntryWeights.h
+++ b/Services/DirectEntry/EntryWeights.h
@@ -40,7 +40,7 @@
 private:
     WeightsCache::Callbacks callbacks();
     bool is_in_region(std::string const& failure_domain) const;
-    bool is_wanted(Schema::WeightsGoal const&) const;
+    bool is_wanted(std::string const& service, int64_t version) const;
     Weights::CopySources sources() const;
     /// Identities of the agents in this region.
     std::set<std::string> near_agents() const;
--- a/Services/DirectEntry/WeightsCache.cpp
+++ b/Services/DirectEntry/WeightsCache.cpp
@@ -2,6 +2,8 @@
 #include "WeightsCache.h"
 
 #include <LibDistribution/GoalOrder.h>
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace DirectEntry {
@@ -17,7 +19,6 @@
 static constexpr size_t rarity_sample = 1;
 static constexpr size_t uploads_at_once = 4;
 static constexpr size_t waiting_uploads = 128;
-static constexpr int status_ok = 200;
 static constexpr int status_not_found = 404;
 
 static Weights::CopyFetcherSettings fetcher_settings(WeightsCacheSettings const& settings)
@@ -56,8 +57,10 @@
             auto const next = *std::exchange(copy.next, {});
             take_goal(copy, next.goal, next.named_at);
         }
-        if (m_callbacks.is_wanted(copy.goal))
+        if (m_callbacks.is_wanted(copy.goal.service, copy.goal.version))
             copy.fetcher->turn(now);
+        else
+            copy.fetcher->drop_older_if_unneeded();
     }
 }
 
@@ -68,9 +71,11 @@
         return copy;
     Weights::CopyFetcher::Callbacks callbacks {
         .announce = m_callbacks.announce,
-        .manifest_taken = [&copy] { copy.fetcher->begin(copy.previous ? &*copy.previous : nullptr); },
+        .manifest_taken = [&copy] { copy.fetcher->begin(); },
         .chunk_held = [](size_t) {},
-        .is_seeking = [this, &copy] { return m_callbacks.is_wanted(copy.goal); },
+        .is_seeking = [this, &copy](int64_t version) { return m_callbacks.is_wanted(copy.goal.service, version); },
+        .is_lacked = [this, &copy](int64_t version) { return m_callbacks.is_wanted(copy.goal.service, version); },
+        .also_used = [] { return nullptr; },
         .sources = m_callbacks.sources,
     };
     copy.fetcher = std::make_unique<Weights::CopyFetcher>(m_loop, fetcher_settings(m_settings), m_metrics, m_origin, std::move(callbacks));
@@ -98,7 +103,7 @@
 
 bool WeightsCache::is_finishing_first(Copy const& copy) const
 {
-    if (!m_callbacks.is_wanted(copy.goal))
+    if (!m_callbacks.is_wanted(copy.goal.service, copy.goal.version))
         return false;
     return Distribution::is_worth_finishing({ .has_begun = copy.fetcher->is_under_way(),
         .is_complete = copy.fetcher->is_complete(),
@@ -108,9 +113,6 @@
 
 void WeightsCache::take_goal(Copy& copy, Schema::WeightsGoal const& goal, Core::Time named_at)
 {
-    // Agents may still be reading the version before.
-    if (goal.version > copy.goal.version && copy.fetcher->has_manifest())
-        copy.previous = copy.fetcher->spec();
     copy.goal = goal;
     copy.named_at = named_at;
     copy.fetcher->set_goal(goal, named_at);
@@ -137,8 +139,8 @@
 {
     std::vector<Schema::PieceMap> maps;
     for (auto const& [model, copy] : m_copies) {
-        if (auto map = copy.fetcher->held())
-            maps.push_back(std::move(*map));
+        auto held = copy.fetcher->held();
+        std::move(held.begin(), held.end(), std::back_inserter(maps));
     }
     return maps;
 }
@@ -164,10 +166,10 @@
     if (path != "/manifest")
         return false;
     auto const found = m_copies.find(exchange->query("model").value_or(""));
-    if (found == m_copies.end() || !found->second.fetcher->has_manifest())
+    if (found == m_copies.end())
         exchange->reply(status_not_found, {}, {});
     else
-        exchange->reply(status_ok, {}, found->second.fetcher->manifest_text());
+        found->second.fetcher->serve_manifest(*exchange);
     return true;
 }
 
--- a/Services/DirectEntry/WeightsCache.h
+++ b/Services/DirectEntry/WeightsCache.h
@@ -24,7 +24,8 @@
     int64_t bytes_per_second { 0 };
 };
 
-/// A copy of each model's newest version, held by an entry while engines still want it.
+/// A copy of each model's newest version, held by an entry while engines still want it, and of the one before it while
+/// some engine lacks that.
 ///
 /// An engine's link carries what it receives and what it passes on to peers, so among engines alone a version takes
 /// twice the time that one copy needs on a link. An entry's link is wider: with a copy at each entry, one read from the
@@ -34,8 +35,8 @@
     struct Callbacks {
         /// To be told to the other entries and to the agents of this region.
         std::function<void(Schema::PieceMap const&)> announce;
-        /// Whether some engine of the service does not serve the version yet.
-        std::function<bool(Schema::WeightsGoal const&)> is_wanted;
+        /// Whether some engine of a service does not serve a version yet.
+        std::function<bool(std::string const& service, int64_t version)> is_wanted;
         /// All entries that are known, this one included, and those of this region.
         std::function<Weights::CopySources()> sources;
     };
@@ -65,8 +66,6 @@
         Core::Time named_at { 0 };
         // The newest version, while the transfer of the one before it goes on to its end.
         std::optional<NextGoal> next;
-        // The version before, which agents may still be reading.
-        std::optional<Schema::VersionSpec> previous;
         std::unique_ptr<Weights::CopyFetcher> fetcher;
         std::unique_ptr<Weights::ChunkServer> server;
     };
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -40,17 +40,34 @@
         .chunk_held = [this](size_t chunk) {
             m_load->on_held(chunk);
             run_load(Core::monotonic_now()); },
-        .is_seeking = [this] { return is_seeking(); },
+        .is_seeking = [this](int64_t version) { return is_seeking(version); },
+        .is_lacked = [this](int64_t version) { return is_lacked(version); },
+        .also_used = [this] { return m_older ? &m_older->spec : nullptr; },
         .sources = [this] { return sources(); },
     };
 }
 
 // What is wanted.
 
-bool CopyKeeper::is_seeking() const
+bool CopyKeeper::is_seeking(int64_t version) const
 {
     // An engine that holds what is wanted needs no more chunks, until it is restarted.
-    return m_goal && serving_version() != m_goal->version;
+    if (m_goal && version < m_goal->version)
+        return serving_version() < version;
+    return m_goal && serving_version() != version;
+}
+
+bool CopyKeeper::is_lacked(int64_t version) const
+{
+    return m_goal && std::any_of(m_goal->peers.begin(), m_goal->peers.end(), [&](auto const& peer) {
+        return peer.identity != m_settings.fetcher.identity && !does_peer_serve(peer.identity, version);
+    });
+}
+
+bool CopyKeeper::does_peer_serve(std::string const& peer, int64_t version) const
+{
+    auto const served = m_peer_versions.find(peer);
+    return served != m_peer_versions.end() && served->second >= version;
 }
 
 Weights::CopySources CopyKeeper::sources() const
@@ -63,8 +80,7 @@
     for (auto const& peer : m_goal->peers) {
         if (peer.identity == m_settings.fetcher.identity)
             continue;
-        auto const served = m_peer_versions.find(peer.identity);
-        if (served == m_peer_versions.end() || served->second < m_goal->version)
+        if (!does_peer_serve(peer.identity, m_goal->version))
             sources.targets.push_back(peer.identity);
         auto const region = m_settings.regions.find(peer.failure_domain);
         if (region != m_settings.regions.end() && region->second == m_settings.region)
@@ -94,7 +110,7 @@
 
 bool CopyKeeper::is_finishing_first() const
 {
-    if (!m_goal || !is_seeking())
+    if (!m_goal || !is_seeking(m_goal->version))
         return false;
     return Distribution::is_worth_finishing({ .has_begun = m_fetcher.is_under_way(),
         .is_complete = m_fetcher.is_complete(),
@@ -234,7 +250,7 @@
 
 void CopyKeeper::begin_transfer()
 {
-    m_fetcher.begin(m_older ? &m_older->spec : nullptr);
+    m_fetcher.begin();
 }
 
 // What an earlier life of this process left beside the engine.
@@ -324,8 +340,7 @@
         if (peer.identity == m_settings.fetcher.identity)
             continue;
         ids.push_back(peer.identity);
-        auto const served = m_peer_versions.find(peer.identity);
-        if (served != m_peer_versions.end() && served->second >= goal.version)
+        if (does_peer_serve(peer.identity, goal.version))
             ready.push_back(peer.identity);
     }
     auto const slack = std::max<size_t>(1, ids.size() / switched_at_once);
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace EngineAgent {
 
@@ -49,12 +50,12 @@
     void on_cache_pieces(std::string const& cache, Schema::PieceMap const&);
     /// The entries, which keep copies for agents.
     void set_caches(std::set<std::string> caches);
-    /// What is held here of the version that is wanted.
-    std::optional<Schema::PieceMap> held() const { return m_fetcher.held(); }
+    /// What is held here of the version that is wanted, and of an older one that is kept for others.
+    std::vector<Schema::PieceMap> held() const { return m_fetcher.held(); }
 
     Distribution::ChunkStore const& store() const { return m_fetcher.store(); }
-    /// The manifest as text, for peers; empty while there is none.
-    std::string const& manifest_text() const { return m_fetcher.manifest_text(); }
+    /// Answers a peer's request for a manifest.
+    void serve_manifest(Transport::HttpExchange& exchange) const { m_fetcher.serve_manifest(exchange); }
 
     /// The engine as last reported.
     std::optional<Platform::EngineReport> const& report() const { return m_report; }
@@ -84,7 +85,11 @@
     Weights::CopySources sources() const;
     void turn();
     void on_manifest();
-    bool is_seeking() const;
+    /// Whether the engine does not serve a version yet.
+    bool is_seeking(int64_t version) const;
+    /// Whether some peer's engine does not serve a version yet.
+    bool is_lacked(int64_t version) const;
+    bool does_peer_serve(std::string const& peer, int64_t version) const;
     void keep_loading_older();
     bool is_older_load_over(Core::Time now) const;
     /// The load of a version, or null if it was given up.
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -126,9 +126,9 @@
         tell_caches();
         return;
     }
-    if (auto map = m_copy->held()) {
+    for (auto const& map : m_copy->held()) {
         Schema::Message message;
-        message.pieces = std::move(*map);
+        message.pieces = map;
         m_hub->send(hello.identity, message);
     }
 }
@@ -273,8 +273,8 @@
     auto const& path = exchange->path();
     if (path.starts_with(chunk_prefix))
         m_chunks->serve(exchange, path.substr(chunk_prefix.size()));
-    else if (path == "/manifest" && !m_copy->manifest_text().empty())
-        exchange->reply(status_ok, {}, m_copy->manifest_text());
+    else if (path == "/manifest")
+        m_copy->serve_manifest(*exchange);
     else if (path == "/metrics")
         exchange->reply(status_ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.to_prometheus());
     else
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -17,6 +17,7 @@
 // SHA-256 in hexadecimal.
 static constexpr size_t digest_characters = 64;
 static constexpr int status_ok = 200;
+static constexpr int status_not_found = 404;
 static constexpr int status_unavailable = 503;
 
 CopyFetcher::CopyFetcher(Core::EventLoop& loop, CopyFetcherSettings settings, Core::Metrics& metrics, Platform::WeightOrigin& origin, Callbacks callbacks)
@@ -34,19 +35,22 @@
 void CopyFetcher::set_goal(Schema::WeightsGoal const& goal, Core::Time named_at)
 {
     bool const is_same = m_goal && m_goal->version == goal.version && m_goal->model == goal.model;
-    m_goal = goal;
     if (is_same) {
+        m_goal = goal;
         update_sources();
         return;
     }
     Core::log_event(Core::LogLevel::Info, "goal_changed", { { "model", goal.model }, { "version", std::to_string(goal.version) }, { "origin", goal.origin_address }, { "peers", std::to_string(goal.peers.size()) } });
+    // What came since the last turn is still wanted by those that finish the version.
+    announce_news();
+    keep_as_older();
+    if (m_goal && m_goal->model != goal.model)
+        m_older.reset();
+    m_goal = goal;
     m_named_at = named_at;
     m_turned_at = Core::monotonic_now();
-    m_manifest.reset();
-    m_manifest_text.clear();
     m_manifest_tries = 0;
     m_manifest_asked_at = Core::Time(0);
-    m_spec.reset();
     m_transfer.reset();
     m_downloads.clear();
     m_fetch_chunks.clear();
@@ -68,13 +72,52 @@
 {
     if (!m_goal)
         return;
-    if (!m_manifest)
+    if (!m_wanted)
         seek_manifest(now);
-    if (m_transfer && m_callbacks.is_seeking()) {
+    if (m_transfer && m_callbacks.is_seeking(m_goal->version)) {
         run_transfer(now);
         log_progress(now);
     }
     announce_news();
+    drop_older_if_unneeded();
+}
+
+// The version before.
+
+bool CopyFetcher::is_whole(KnownVersion const& version) const
+{
+    return m_store.held_of(version.spec).size() == version.spec.chunks.size();
+}
+
+void CopyFetcher::keep_as_older()
+{
+    if (!m_wanted)
+        return;
+    auto ended = *std::exchange(m_wanted, {});
+    // A whole version serves whoever is behind; of one that was given up unfinished, nobody may have the rest.
+    bool const is_older_of_more_use = m_older && is_whole(*m_older) && !is_whole(ended);
+    if (!is_older_of_more_use)
+        m_older = std::move(ended);
+}
+
+void CopyFetcher::drop_older_if_unneeded()
+{
+    // Until the wanted version's manifest is here, it is not known which of the older chunks it shares.
+    if (!m_older || !m_transfer || m_callbacks.is_lacked(m_older->manifest.version))
+        return;
+    Core::log_event(Core::LogLevel::Info, "older_copy_dropped", { { "version", std::to_string(m_older->manifest.version) } });
+    m_older.reset();
+    keep_needed_chunks();
+}
+
+void CopyFetcher::keep_needed_chunks()
+{
+    std::vector<Schema::VersionSpec const*> needed { &m_wanted->spec };
+    if (m_older)
+        needed.push_back(&m_older->spec);
+    if (auto const* used = m_callbacks.also_used())
+        needed.push_back(used);
+    m_store.keep_only(needed);
 }
 
 // The manifest.
@@ -83,10 +126,8 @@
 {
     std::vector<std::string> stocked;
     std::vector<std::string> others;
-    for (auto const& [peer, chunks] : m_peer_chunks) {
-        if (chunks.first == m_goal->version)
-            (chunks.second.empty() ? others : stocked).push_back(peer);
-    }
+    for (auto const& [peer, chunks] : m_peer_chunks.holders_of(m_goal->model, m_goal->version))
+        (chunks.empty() ? others : stocked).push_back(peer);
     // One that named no chunk yet may only be seeking the version, as this one is.
     return stocked.empty() ? others : stocked;
 }
@@ -128,7 +169,7 @@
     Transport::HttpCallRequest call;
     call.address = peer;
     call.port = m_settings.chunk_port;
-    call.path = "/manifest?model=" + m_goal->model;
+    call.path = "/manifest?model=" + m_goal->model + "&version=" + std::to_string(m_goal->version);
     call.timeout = manifest_retry;
     m_client.call(call, [this, peer](auto answer) {
         if (!answer.has_value() || answer->status != status_ok)
@@ -147,7 +188,7 @@
 
 void CopyFetcher::take_manifest(Platform::Manifest const& manifest, std::string const& source)
 {
-    if (m_manifest || !m_goal)
+    if (m_wanted || !m_goal)
         return;
     bool const is_wanted = manifest.model == m_goal->model && manifest.version == m_goal->version;
     // Where the configuration does not say how many chunks there are, the manifest does.
@@ -158,80 +199,92 @@
         Core::log_event(Core::LogLevel::Warn, "manifest_refused", { { "source", source }, { "version", std::to_string(manifest.version) }, { "digests", std::to_string(manifest.digests.size()) } });
         return;
     }
-    m_manifest = manifest;
-    nlohmann::json const text { { "model", manifest.model }, { "version", manifest.version }, { "chunk_bytes", manifest.chunk_bytes }, { "digests", manifest.digests } };
-    m_manifest_text = text.dump();
     Schema::VersionSpec spec {};
     for (auto const& digest : manifest.digests)
         spec.chunks.push_back({ .bytes = manifest.chunk_bytes, .digest = digest });
     spec.digest = Configuration::weights_digest(spec.chunks);
-    m_spec = spec;
-    Core::log_event(Core::LogLevel::Info, "manifest_taken", { { "source", source }, { "version", std::to_string(manifest.version) }, { "already_held", std::to_string(m_store.held_of(*m_spec).size()) } });
+    m_wanted = KnownVersion { manifest, std::move(spec) };
+    Core::log_event(Core::LogLevel::Info, "manifest_taken", { { "source", source }, { "version", std::to_string(manifest.version) }, { "already_held", std::to_string(m_store.held_of(m_wanted->spec).size()) } });
     m_callbacks.manifest_taken();
 }
 
+void CopyFetcher::serve_manifest(Transport::HttpExchange& exchange) const
+{
+    auto const version = exchange.query("version");
+    auto const is_asked_for = [&version](std::optional<KnownVersion> const& known) {
+        return known && (!version || *version == std::to_string(known->manifest.version));
+    };
+    auto const& known = version && is_asked_for(m_older) ? m_older : m_wanted;
+    if (!is_asked_for(known)) {
+        exchange.reply(status_not_found, {}, {});
+        return;
+    }
+    auto const& manifest = known->manifest;
+    nlohmann::json const text { { "model", manifest.model }, { "version", manifest.version }, { "chunk_bytes", manifest.chunk_bytes }, { "digests", manifest.digests } };
+    exchange.reply(status_ok, {}, text.dump());
+}
+
 // Moving chunks.
 
 bool CopyFetcher::adopt(size_t chunk, std::string const& bytes)
 {
     Distribution::IncomingChunk incoming;
     incoming.append(bytes);
-    return m_store.add(m_spec->chunks[chunk].digest, incoming) == Distribution::ChunkStore::AddResult::Added;
+    return m_store.add(m_wanted->spec.chunks[chunk].digest, incoming) == Distribution::ChunkStore::AddResult::Added;
 }
 
-void CopyFetcher::begin(Schema::VersionSpec const* also_kept)
+void CopyFetcher::begin()
 {
     auto const now = Core::monotonic_now();
-    std::vector<Schema::VersionSpec const*> wanted { &*m_spec };
-    if (also_kept)
-        wanted.push_back(also_kept);
-    m_store.keep_only(wanted);
-    auto const held = m_store.held_of(*m_spec);
+    keep_needed_chunks();
+    auto const held = m_store.held_of(m_wanted->spec);
     auto sources = m_callbacks.sources();
-    m_transfer = std::make_unique<Distribution::Transfer>(*m_spec, m_settings.identity, sources.targets, held, m_settings.transfer, Core::stable_hash(m_settings.identity, m_spec->digest), now);
+    m_transfer = std::make_unique<Distribution::Transfer>(m_wanted->spec, m_settings.identity, sources.targets, held, m_settings.transfer, Core::stable_hash(m_settings.identity, m_wanted->spec.digest), now);
     m_transfer->set_caches(std::move(sources.caches));
     m_transfer->set_near(std::move(sources.near));
-    for (auto const& [peer, chunks] : m_peer_chunks) {
-        if (chunks.first == m_manifest->version)
-            m_transfer->on_peer_chunks(peer, { chunks.second.begin(), chunks.second.end() });
-    }
+    for (auto const& [peer, chunks] : m_peer_chunks.holders_of(m_wanted->manifest.model, m_wanted->manifest.version))
+        m_transfer->on_peer_chunks(peer, { chunks.begin(), chunks.end() });
     for (auto chunk : held)
         m_callbacks.chunk_held(static_cast<size_t>(chunk));
-    if (auto const map = this->held())
-        m_callbacks.announce(*map);
+    m_callbacks.announce(map_of(*m_wanted));
     turn(now);
 }
 
 void CopyFetcher::on_peer_pieces(std::string const& peer, Schema::PieceMap const& map)
 {
-    auto& known = m_peer_chunks[peer];
-    if (known.first != map.version)
-        known = { map.version, {} };
-    known.second.insert(map.chunks.begin(), map.chunks.end());
-    bool const is_wanted_version = m_goal && map.version == m_goal->version;
+    m_peer_chunks.add(peer, map);
+    bool const is_wanted_version = m_goal && map.version == m_goal->version && map.model == m_goal->model;
     if (is_wanted_version && m_transfer)
         m_transfer->on_peer_chunks(peer, map.chunks);
 }
 
 void CopyFetcher::on_peer_down(std::string const& peer)
 {
-    m_peer_chunks.erase(peer);
+    m_peer_chunks.forget(peer);
     if (m_transfer)
         m_transfer->on_peer_lost(peer);
 }
 
-std::optional<Schema::PieceMap> CopyFetcher::held() const
+Schema::PieceMap CopyFetcher::map_of(KnownVersion const& known) const
 {
-    if (!m_spec || !m_manifest)
-        return {};
     Schema::PieceMap map;
-    map.model = m_manifest->model;
-    map.version = m_manifest->version;
-    map.chunks = m_store.held_of(*m_spec);
-    map.is_seeking = m_callbacks.is_seeking();
+    map.model = known.manifest.model;
+    map.version = known.manifest.version;
+    map.chunks = m_store.held_of(known.spec);
+    map.is_seeking = m_callbacks.is_seeking(map.version);
     return map;
 }
 
+std::vector<Schema::PieceMap> CopyFetcher::held() const
+{
+    std::vector<Schema::PieceMap> maps;
+    if (m_older)
+        maps.push_back(map_of(*m_older));
+    if (m_wanted)
+        maps.push_back(map_of(*m_wanted));
+    return maps;
+}
+
 void CopyFetcher::run_transfer(Core::Time now)
 {
     for (auto const& action : m_transfer->step(now)) {
@@ -255,11 +308,11 @@
 
 void CopyFetcher::fetch_from_origin(Distribution::Fetch const& fetch)
 {
-    auto const version = m_manifest->version;
+    auto const version = m_wanted->manifest.version;
     auto const id = fetch.id;
     m_metrics.count("mountbarrow_fetches_total", "source=\"origin\"");
-    m_origin.read_chunk(m_goal->origin_address, m_manifest->model, version, fetch.chunk, [this, id, version](Core::ErrorOr<std::string> bytes) {
-        if (!m_manifest || m_manifest->version != version)
+    m_origin.read_chunk(m_goal->origin_address, m_wanted->manifest.model, version, fetch.chunk, [this, id, version](Core::ErrorOr<std::string> bytes) {
+        if (!m_wanted || m_wanted->manifest.version != version)
             return;
         note_origin(bytes);
         if (!bytes.has_value()) {
@@ -277,7 +330,7 @@
     Transport::HttpCallRequest call;
     call.address = fetch.source.peer;
     call.port = m_settings.chunk_port;
-    call.path = "/chunks/" + m_spec->chunks[fetch.chunk].digest + "?held=" + std::to_string(m_transfer->held_count());
+    call.path = "/chunks/" + m_wanted->spec.chunks[fetch.chunk].digest + "?held=" + std::to_string(m_transfer->held_count());
     if (m_settings.is_cache)
         call.path += "&for=cache";
     call.timeout = m_settings.transfer.stall;
@@ -315,10 +368,10 @@
     auto const chunk = found.mapped();
     auto const now = Core::monotonic_now();
     m_metrics.count("mountbarrow_weights_bytes_total", is_from_origin ? "source=\"origin\"" : "source=\"peer\"", bytes.size());
-    auto const added = m_store.add(m_spec->chunks[chunk].digest, bytes);
+    auto const added = m_store.add(m_wanted->spec.chunks[chunk].digest, bytes);
     if (added == Distribution::ChunkStore::AddResult::Corrupt) {
         m_metrics.count("mountbarrow_chunks_corrupt_total");
-        Core::log_event(Core::LogLevel::Warn, "chunk_corrupt", { { "chunk", std::to_string(chunk) }, { "version", std::to_string(m_manifest->version) }, { "source", is_from_origin ? "origin" : "peer" } });
+        Core::log_event(Core::LogLevel::Warn, "chunk_corrupt", { { "chunk", std::to_string(chunk) }, { "version", std::to_string(m_wanted->manifest.version) }, { "source", is_from_origin ? "origin" : "peer" } });
         m_transfer->on_failed(fetch, FetchFailure::Corrupt, now);
         return;
     }
@@ -339,9 +392,9 @@
 void CopyFetcher::hold_chunk(size_t chunk)
 {
     // The same bytes may stand at several places of a version.
-    auto const& digest = m_spec->chunks[chunk].digest;
-    for (size_t i = 0; i < m_spec->chunks.size(); ++i) {
-        if (m_spec->chunks[i].digest != digest)
+    auto const& digest = m_wanted->spec.chunks[chunk].digest;
+    for (size_t i = 0; i < m_wanted->spec.chunks.size(); ++i) {
+        if (m_wanted->spec.chunks[i].digest != digest)
             continue;
         m_unannounced.push_back(static_cast<int64_t>(i));
         m_callbacks.chunk_held(i);
@@ -355,9 +408,9 @@
     if (m_unannounced.empty())
         return;
     Schema::PieceMap map;
-    map.model = m_manifest->model;
-    map.version = m_manifest->version;
-    map.is_seeking = m_callbacks.is_seeking();
+    map.model = m_wanted->manifest.model;
+    map.version = m_wanted->manifest.version;
+    map.is_seeking = m_callbacks.is_seeking(map.version);
     map.chunks = std::exchange(m_unannounced, {});
     m_callbacks.announce(map);
 }
@@ -376,7 +429,7 @@
 
 void CopyFetcher::log_complete() const
 {
-    Core::log_event(Core::LogLevel::Info, "copy_complete", { { "version", std::to_string(m_manifest->version) }, { "after_ms", std::to_string((Core::monotonic_now() - m_named_at).count()) }, { "origin_bytes", std::to_string(m_metrics.counter("mountbarrow_weights_bytes_total", "source=\"origin\"")) }, { "peer_bytes", std::to_string(m_metrics.counter("mountbarrow_weights_bytes_total", "source=\"peer\"")) } });
+    Core::log_event(Core::LogLevel::Info, "copy_complete", { { "version", std::to_string(m_wanted->manifest.version) }, { "after_ms", std::to_string((Core::monotonic_now() - m_named_at).count()) }, { "origin_bytes", std::to_string(m_metrics.counter("mountbarrow_weights_bytes_total", "source=\"origin\"")) }, { "peer_bytes", std::to_string(m_metrics.counter("mountbarrow_weights_bytes_total", "source=\"peer\"")) } });
 }
 
 void CopyFetcher::log_progress(Core::Time now)
@@ -384,7 +437,7 @@
     if (m_transfer->is_complete() || now - m_progress_told_at < progress_interval)
         return;
     m_progress_told_at = now;
-    Core::log_event(Core::LogLevel::Info, "transfer_progress", { { "version", std::to_string(m_manifest->version) }, { "held", std::to_string(m_transfer->held_count()) }, { "from_origin", std::to_string(m_metrics.counter("mountbarrow_chunks_total", "source=\"origin\"")) }, { "fetching", std::to_string(m_fetch_chunks.size()) }, { "busy", std::to_string(m_metrics.counter("mountbarrow_fetch_failures_total", "reason=\"0\"")) }, { "after_ms", std::to_string((now - m_named_at).count()) } });
+    Core::log_event(Core::LogLevel::Info, "transfer_progress", { { "version", std::to_string(m_wanted->manifest.version) }, { "held", std::to_string(m_transfer->held_count()) }, { "from_origin", std::to_string(m_metrics.counter("mountbarrow_chunks_total", "source=\"origin\"")) }, { "fetching", std::to_string(m_fetch_chunks.size()) }, { "busy", std::to_string(m_metrics.counter("mountbarrow_fetch_failures_total", "reason=\"0\"")) }, { "after_ms", std::to_string((now - m_named_at).count()) } });
 }
 
 }
--- a/Services/Weights/CopyFetcher.h
+++ b/Services/Weights/CopyFetcher.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include "PeerChunks.h"
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibDistribution/ChunkStore.h>
@@ -8,12 +9,13 @@
 #include <LibPlatform/EngineApi.h>
 #include <LibSchema/Generated.h>
 #include <LibTransport/HttpClient.h>
+#include <LibTransport/HttpServer.h>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 namespace Weights {
 
@@ -37,6 +39,9 @@
 };
 
 /// Brings the chunks of one version here, from peers and the origin, verified; then those of the next version.
+///
+/// An older version that is whole here is kept and told of for as long as some instance lacks it: one that is behind the
+/// others would else be left with the origin alone, which may be slow or gone.
 class CopyFetcher {
 public:
     struct Callbacks {
@@ -46,8 +51,12 @@
         std::function<void()> manifest_taken;
         /// A chunk of the version is here.
         std::function<void(size_t chunk)> chunk_held;
-        /// Whether the version's chunks are still needed here.
-        std::function<bool()> is_seeking;
+        /// Whether a version's chunks are still needed here.
+        std::function<bool(int64_t version)> is_seeking;
+        /// Whether some other instance may still need a version that is older than the wanted one.
+        std::function<bool(int64_t version)> is_lacked;
+        /// Another version whose chunks this instance still uses, or null.
+        std::function<Schema::VersionSpec const*()> also_used;
         std::function<CopySources()> sources;
     };
 
@@ -61,28 +70,36 @@
 
     /// Takes a chunk that was found here. @return false if it is not the version's.
     bool adopt(size_t chunk, std::string const& bytes);
-    /// Starts the transfer of what is missing, and keeps the chunks of another version too, if one is given.
-    void begin(Schema::VersionSpec const* also_kept);
+    /// Starts the transfer of what is missing.
+    void begin();
 
     /// Asks for what is due. To be called every few tens of milliseconds.
     void turn(Core::Time now);
+    /// Lets the older version go once nobody lacks it any more.
+    void drop_older_if_unneeded();
 
     void on_peer_pieces(std::string const& peer, Schema::PieceMap const&);
     void on_peer_down(std::string const& peer);
 
-    /// What is held here of the version that is wanted; nothing before its manifest is known.
-    std::optional<Schema::PieceMap> held() const;
-    bool has_manifest() const { return m_manifest.has_value(); }
+    /// What is held here of the version that is wanted, once its manifest is known, and of the older one.
+    std::vector<Schema::PieceMap> held() const;
+    bool has_manifest() const { return m_wanted.has_value(); }
     /// The version can be had: its manifest is here, or some instance has told of it.
     bool is_under_way() const { return has_manifest() || (m_goal && !peers_with_manifest().empty()); }
     bool is_complete() const { return m_transfer && m_transfer->is_complete(); }
-    Platform::Manifest const& manifest() const { return *m_manifest; }
-    Schema::VersionSpec const& spec() const { return *m_spec; }
+    Platform::Manifest const& manifest() const { return m_wanted->manifest; }
+    Schema::VersionSpec const& spec() const { return m_wanted->spec; }
     Distribution::ChunkStore const& store() const { return m_store; }
-    /// The manifest as text, for peers; empty while there is none.
-    std::string const& manifest_text() const { return m_manifest_text; }
+    /// Answers a peer's request for the manifest of a version; of the wanted one if it names none.
+    void serve_manifest(Transport::HttpExchange&) const;
 
 private:
+    /// A version whose chunks are known by their digests.
+    struct KnownVersion {
+        Platform::Manifest manifest;
+        Schema::VersionSpec spec;
+    };
+
     struct Download {
         std::unique_ptr<Transport::HttpCall> call;
         Distribution::IncomingChunk bytes;
@@ -102,6 +119,10 @@
     void on_bytes(uint64_t fetch, Distribution::IncomingChunk&, bool is_from_origin);
     void on_fetch_failed(uint64_t fetch, Distribution::FetchFailure);
     void hold_chunk(size_t chunk);
+    bool is_whole(KnownVersion const&) const;
+    void keep_as_older();
+    void keep_needed_chunks();
+    Schema::PieceMap map_of(KnownVersion const&) const;
     void announce_news();
     void note_origin(Core::ErrorOr<std::string> const& answer);
     void log_progress(Core::Time now);
@@ -118,15 +139,14 @@
     Core::Time m_named_at { 0 };
     // When this process turned to the version.
     Core::Time m_turned_at { 0 };
-    std::optional<Platform::Manifest> m_manifest;
-    std::string m_manifest_text;
+    std::optional<KnownVersion> m_wanted;
+    // The version before that is kept for others, a whole one if there was one.
+    std::optional<KnownVersion> m_older;
     Core::Time m_manifest_asked_at { 0 };
     size_t m_manifest_tries { 0 };
-    std::optional<Schema::VersionSpec> m_spec;
     Distribution::ChunkStore m_store;
     std::unique_ptr<Distribution::Transfer> m_transfer;
-    // Chunks of peers, by peer and version.
-    std::map<std::string, std::pair<int64_t, std::set<int64_t>>> m_peer_chunks;
+    PeerChunks m_peer_chunks;
     std::map<uint64_t, std::unique_ptr<Download>> m_downloads;
     std::map<uint64_t, size_t> m_fetch_chunks;
     // Chunks that peers have not been told of yet.
--- /dev/null
+++ b/Tests/Weights/TestCopyFetcher.cpp
@@ -0,0 +1,181 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "../../Services/Weights/CopyFetcher.h"
+#include "../../Services/Weights/PeerChunks.h"
+#include <LibCore/Hash.h>
+#include <gtest/gtest.h>
+
+using namespace Weights;
+
+namespace {
+
+constexpr size_t chunk_count = 3;
+
+/// An origin whose answers wait until the test delivers them. A version's chunks are its own but for the first.
+class HeldBackOrigin final : public Platform::WeightOrigin {
+public:
+    static std::string bytes_of(int64_t version, size_t chunk)
+    {
+        return chunk == 0 ? "shared" : std::to_string(version) + "-" + std::to_string(chunk);
+    }
+
+    void read_manifest(std::string const&, std::string const& model, int64_t version, std::function<void(Core::ErrorOr<Platform::Manifest>)> callback) override
+    {
+        Platform::Manifest manifest { .model = model, .version = version, .chunk_bytes = 1, .digests = {} };
+        for (size_t i = 0; i < chunk_count; ++i)
+            manifest.digests.push_back(Core::sha256(bytes_of(version, i)));
+        m_answers.emplace_back([manifest, callback = std::move(callback)] { callback(manifest); });
+    }
+
+    void read_chunk(std::string const&, std::string const&, int64_t version, size_t chunk, std::function<void(Core::ErrorOr<std::string>)> callback) override
+    {
+        m_answers.emplace_back([version, chunk, callback = std::move(callback)] { callback(bytes_of(version, chunk)); });
+    }
+
+    void deliver_all()
+    {
+        while (!m_answers.empty()) {
+            auto const answer = std::move(m_answers.front());
+            m_answers.erase(m_answers.begin());
+            answer();
+        }
+    }
+
+private:
+    std::vector<std::function<void()>> m_answers;
+};
+
+class CopyFetcherTest : public testing::Test {
+protected:
+    CopyFetcherTest()
+        : m_fetcher(m_loop, settings(), m_metrics, m_origin, callbacks())
+    {
+    }
+
+    static CopyFetcherSettings settings()
+    {
+        CopyFetcherSettings result;
+        result.identity = "a";
+        return result;
+    }
+
+    CopyFetcher::Callbacks callbacks()
+    {
+        return {
+            .announce = [this](Schema::PieceMap const& map) { m_announced[map.version].insert(map.chunks.begin(), map.chunks.end()); },
+            .manifest_taken = [this] { m_fetcher.begin(); },
+            .chunk_held = [](size_t) {},
+            .is_seeking = [](int64_t) { return true; },
+            .is_lacked = [this](int64_t version) { return version == m_lacked; },
+            .also_used = [] { return nullptr; },
+            .sources = [] { return CopySources { .targets = { "a" }, .near = {}, .caches = {} }; },
+        };
+    }
+
+    void turn_to(int64_t version)
+    {
+        Schema::WeightsGoal goal {};
+        goal.model = "m";
+        goal.version = version;
+        goal.origin_address = "origin";
+        goal.chunks = chunk_count;
+        m_fetcher.set_goal(goal, Core::monotonic_now());
+    }
+
+    void fetch_all()
+    {
+        m_fetcher.turn(Core::monotonic_now());
+        m_origin.deliver_all();
+        ASSERT_TRUE(m_fetcher.is_complete());
+    }
+
+    void fetch_manifest()
+    {
+        m_fetcher.turn(Core::monotonic_now());
+        m_origin.deliver_all();
+        ASSERT_TRUE(m_fetcher.has_manifest());
+    }
+
+    bool holds(int64_t version, size_t chunk) const { return m_fetcher.store().holds(Core::sha256(HeldBackOrigin::bytes_of(version, chunk))); }
+
+    Core::EventLoop m_loop;
+    Core::Metrics m_metrics;
+    HeldBackOrigin m_origin;
+    std::map<int64_t, std::set<int64_t>> m_announced;
+    int64_t m_lacked { 0 };
+    CopyFetcher m_fetcher;
+};
+
+}
+
+TEST_F(CopyFetcherTest, WhatCameLastIsAnnouncedBeforeTheNextVersionBegins)
+{
+    turn_to(1);
+    fetch_all();
+    turn_to(2);
+    EXPECT_EQ(m_announced[1], (std::set<int64_t> { 0, 1, 2 }));
+}
+
+TEST_F(CopyFetcherTest, AWholeOlderVersionIsKeptAndToldOfWhileSomebodyLacksIt)
+{
+    m_lacked = 1;
+    turn_to(1);
+    fetch_all();
+    turn_to(2);
+    fetch_manifest();
+    auto const maps = m_fetcher.held();
+    ASSERT_EQ(maps.size(), 2u);
+    EXPECT_EQ(maps[0].version, 1);
+    EXPECT_EQ(maps[0].chunks, (std::vector<int64_t> { 0, 1, 2 }));
+    EXPECT_EQ(maps[1].version, 2);
+    // Nobody needs it any more.
+    m_lacked = 0;
+    m_fetcher.turn(Core::monotonic_now());
+    EXPECT_EQ(m_fetcher.held().size(), 1u);
+    EXPECT_FALSE(holds(1, 1));
+    EXPECT_TRUE(holds(1, 0)) << "the newer version has this chunk too";
+}
+
+TEST_F(CopyFetcherTest, AVersionGivenUpHalfwayDoesNotReplaceAWholeOlderOne)
+{
+    m_lacked = 1;
+    turn_to(1);
+    fetch_all();
+    turn_to(2);
+    m_fetcher.turn(Core::monotonic_now());
+    turn_to(3);
+    fetch_manifest();
+    EXPECT_TRUE(holds(1, 1));
+    EXPECT_TRUE(holds(1, 2));
+}
+
+TEST(PeerChunks, APeersWordOnANewerVersionLeavesItsWordOnTheOlderOne)
+{
+    PeerChunks peers;
+    auto const map = [](int64_t version, std::vector<int64_t> chunks) {
+        Schema::PieceMap result {};
+        result.model = "m";
+        result.version = version;
+        result.chunks = std::move(chunks);
+        return result;
+    };
+    peers.add("b", map(2, { 0, 1 }));
+    peers.add("b", map(3, { 0 }));
+    peers.add("c", map(2, { 1, 2 }));
+    EXPECT_EQ(peers.holders_of("m", 2).at("b"), (std::set<int64_t> { 0, 1 }));
+    EXPECT_EQ(peers.distinct_chunks("m", 2), 3u);
+    EXPECT_TRUE(peers.holders_of("another", 2).empty());
+    peers.forget("b");
+    EXPECT_EQ(peers.holders_of("m", 2).size(), 1u);
+    EXPECT_TRUE(peers.holders_of("m", 3).empty());
+}
+
+TEST(PeerChunks, OnlyAFewVersionsOfAPeerAreRemembered)
+{
+    PeerChunks peers;
+    Schema::PieceMap map {};
+    map.model = "m";
+    for (map.version = 1; map.version <= 100; ++map.version)
+        peers.add("b", map);
+    EXPECT_TRUE(peers.holders_of("m", 90).empty());
+    EXPECT_EQ(peers.holders_of("m", 100).size(), 1u);
+}
