Tests: Have each instance begin version 2 before the next is named

Cause: test_a_version_under_way_is_finished_when_the_origin_cannot_send_the_next took any manifest that the origin had sent for a sign that version 2 was under way. In a run beside load 48 two agents had asked for the manifest of version 1, and the third linked only after version 3 was named, so nothing of version 2 had begun anywhere and nothing promised it.

Ruled out: waiting for the origin to send the manifest of version 2 once: an agent that links late still hears of version 3 first.

Change: the test waits until every entry and agent took the manifest of version 2, so that the promise holds for each of them and is asked of each. What was covered by chance, a version that only peers have told of, is a unit test now: CopyFetcherTest.AVersionIsUnderWayOnceAPeerHasToldOfIt. The stand-in's count of manifests is gone, as nothing reads it.

Conclusion: the premise is an event now, not a count.

--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -385,7 +385,6 @@
         self.chunks = chunks
         self.spoil_pieces = 0
         self.spoil_manifests = 0
-        self.manifests_sent = 0
         self.pieces_sent = 0
         self.piece_seconds = 0
         # Versions whose chunks it never sends.
@@ -403,7 +402,6 @@
     async def answer(self, request):
         version = int(request.query["Version"])
         if request.path.startswith("/manifest/"):
-            self.manifests_sent += 1
             body = json.dumps({"Model": self.model, "Version": version, "ChunkBytes": STAGED_CHUNK_BYTES, "layers": self.layers, "Digests": self.digests(version)})
             if self.spoil_manifests > 0:
                 self.spoil_manifests -= 1
--- a/Tests/Platform/test_direct_path.py
+++ b/Tests/Platform/test_direct_path.py
@@ -129,7 +129,8 @@
         fleet.origin.piece_seconds = 0.3
         fleet.origin.silent_versions = {3}
         fleet.name_version(2)
-        wait_until(lambda: fleet.origin.manifests_sent > 0, "version 2 to be under way")
+        instances = [*fleet.entries, *(engine.address for engine in fleet.engines)]
+        wait_until(lambda: all(fleet.times_logged(identity, "manifest_taken", version="2") for identity in instances), "version 2 to be under way everywhere")
         fleet.name_version(3)
         wait_until(lambda: all(engine.version == 2 for engine in fleet.engines), "version 2 everywhere")
         assert right_loads(fleet, 2)
--- a/Tests/Weights/TestCopyFetcher.cpp
+++ b/Tests/Weights/TestCopyFetcher.cpp
@@ -148,6 +148,20 @@
     EXPECT_TRUE(holds(1, 2));
 }
 
+TEST_F(CopyFetcherTest, AVersionIsUnderWayOnceAPeerHasToldOfIt)
+{
+    turn_to(2);
+    EXPECT_FALSE(m_fetcher.is_under_way());
+    Schema::PieceMap map {};
+    map.model = "m";
+    map.version = 3;
+    m_fetcher.on_peer_pieces("b", map);
+    EXPECT_FALSE(m_fetcher.is_under_way());
+    map.version = 2;
+    m_fetcher.on_peer_pieces("b", map);
+    EXPECT_TRUE(m_fetcher.is_under_way());
+}
+
 TEST(PeerChunks, APeersWordOnANewerVersionLeavesItsWordOnTheOlderOne)
 {
     PeerChunks peers;
