Tests: Show links and streams whose connections fall silent together, known red

Cause: (1) an entry and an agent take a peer for alive as long as any word of it came within 3 s, whichever link it came over; goals and states sent meanwhile are lost, and no line tells it. (2) Each request that was under way when an engine was found silent counts as one more time that it could not be reached: 24 streams over three engines make eight faults at each, so each is left alone for 4 s, and a cut stream waits 2 s for a place. Ruled out: that new connections do not work either: the proxies carry them.

--- /dev/null
+++ b/Tests/Platform/test_silent_links.py
@@ -0,0 +1,127 @@
+# SPDX-License-Identifier: BSD-2-Clause
+"""What processes do when their open connections to each other fall silent for good while new ones work."""
+
+import threading
+
+from fault_proxy import FaultProxy
+from fleet import LINK_PORT, LLM, Fleet, wait_until
+from test_direct_path import assert_whole_stream, wait_linked
+
+# How long a link may keep silent before its end is seen; well under what was allowed before (3000).
+LONGEST_SILENCE_MS = 2500
+PROXY_PORT = 8021
+STREAMS = 24
+
+
+class LinkedFleet(Fleet):
+    """Each process listens for links on a port of its own, and at the ports of the others stand proxies to it."""
+
+    def __init__(self, build, folders, **more):
+        self.ports = {}
+        self.proxies = []
+        super().__init__(build, folders, **more)
+
+    def common(self, identity, zone):
+        return {**super().common(identity, zone), "link_port": self.ports[identity]}
+
+    def processes_planned(self):
+        return [engine.address for engine in self.engines] + self.entries
+
+    def start(self, program, identity, settings):
+        for port in self.ports.values():
+            if port != self.ports[identity]:
+                self.proxies.append(FaultProxy(self.loop, identity, port, self.ports[identity]))
+        super().start(program, identity, settings)
+
+    def start_entry(self, identity):
+        self.plan_ports()
+        super().start_entry(identity)
+
+    def plan_ports(self):
+        for number, identity in enumerate(self.processes_planned()):
+            self.ports.setdefault(identity, LINK_PORT + number)
+
+    def __exit__(self, *_):
+        for proxy in self.proxies:
+            proxy.close()
+        super().__exit__(*_)
+
+    def events(self, identity, event):
+        return [line for line in self.log_lines(identity) if line.get("event") == event]
+
+    def peers_up(self, identity):
+        return {line["peer"] for line in self.events(identity, "link_up")}
+
+    def wait_all_linked(self):
+        """Each process has a link to each other one."""
+        everyone = set(self.processes)
+        wait_until(lambda: all(everyone - {identity} <= self.peers_up(identity) for identity in everyone), "a link between any two processes")
+
+    def silence_links(self):
+        return sum(proxy.silence_open() for proxy in self.proxies)
+
+
+def test_links_that_fall_silent_are_found_soon_and_what_they_swallowed_is_sent_again(build, folders):
+    """
+    Seen: a version that was named just after all open connections had fallen silent came to the engines late.
+    How: its goals were sent over links that nobody knew to be dead for 3 s.
+    Cause: a peer counted as heard as long as any word of it came within 3 s, whichever link it came over.
+    Proof: every process tells each link that it found silent, for how long it was, and the version arrives everywhere.
+    """
+    with LinkedFleet(build, folders) as fleet:
+        wait_linked(fleet)
+        fleet.wait_all_linked()
+        assert fleet.silence_links() > 0
+        fleet.name_version(2)
+        wait_until(lambda: all(engine.version == 2 for engine in fleet.engines), "version 2 everywhere")
+        everyone = set(fleet.processes)
+        for identity in everyone:
+            wait_until(lambda identity=identity: everyone - {identity} <= {line["peer"] for line in fleet.events(identity, "link_silent")}, f"all silent links of {identity}")
+            for line in fleet.events(identity, "link_silent"):
+                assert int(line["silent_ms"]) < LONGEST_SILENCE_MS, line
+
+
+def put_proxy_before(fleet, server):
+    """From now on entries reach the server through a proxy; its agent does not."""
+    proxy = FaultProxy(fleet.loop, server.address, PROXY_PORT, server.port)
+    server.listed_port = PROXY_PORT
+    server.enlist()
+    return proxy
+
+
+def engine_ports(fleet, entry):
+    """The ports at which an entry reaches engines by now."""
+    ports = {}
+    for line in fleet.log_lines(entry):
+        if line.get("event") == "server_changed" and line["service"] == LLM:
+            ports[line["server"]] = int(line["address"].split(":")[1])
+    return set(ports.values())
+
+
+def test_streams_whose_connections_fall_silent_together_go_on(build, folders):
+    """
+    Seen: streams broke off a while after all open connections to engines had fallen silent, though new ones worked.
+    How: each of an engine's silent connections counted as one more time that it could not be reached, so the engine was
+    left alone for seconds, and streams that were cut wait for a place for 2 s at most.
+    Cause: what was under way when an engine was found silent was taken for new evidence.
+    Proof: many streams run through connections that fall silent; each goes on elsewhere and comes whole.
+    """
+    with Fleet(build, folders) as fleet:
+        proxies = [put_proxy_before(fleet, engine) for engine in fleet.engines]
+        for engine in fleet.engines:
+            engine.event_seconds = 0.3
+        wait_linked(fleet)
+        wait_until(lambda: all(engine_ports(fleet, entry) == {PROXY_PORT} for entry in fleet.entries), "the proxies at each entry")
+        before = sum(len(engine.runs) for engine in fleet.engines)
+        answers = []
+        threads = [threading.Thread(target=lambda: answers.append(fleet.call(fleet.entries[0], "POST", "/stream/a"))) for _ in range(STREAMS)]
+        for thread in threads:
+            thread.start()
+        wait_until(lambda: sum(len(engine.runs) for engine in fleet.engines) >= before + STREAMS, "all streams at engines")
+        assert sum(proxy.silence_open() for proxy in proxies) >= STREAMS
+        for engine in fleet.engines:
+            engine.event_seconds = 0.01
+        for thread in threads:
+            thread.join()
+        for answer in answers:
+            assert_whole_stream(answer)
--- a/Tests/Soak/fault_proxy.py
+++ b/Tests/Soak/fault_proxy.py
@@ -18,6 +18,9 @@
         self.target_port = target_port
         self.mode = ""
         self.writers = set()
+        # Ends of connections that carry nothing for good, not even their end.
+        self.silenced = set()
+        self.closed = asyncio.Event()
         self.server = loop.run(asyncio.start_server(self.serve, address, port, reuse_address=True))
 
     def set_mode(self, mode):
@@ -25,6 +28,13 @@
         if mode == "reset":
             self.loop.loop.call_soon_threadsafe(self.reset_all)
 
+    def silence_open(self):
+        """All connections of now fall silent for good, without a reset; new ones work. Returns how many there are."""
+        async def silence():
+            self.silenced |= self.writers
+            return len(self.writers) // 2
+        return self.loop.run(silence())
+
     def reset_all(self):
         for writer in list(self.writers):
             self.reset(writer)
@@ -39,6 +49,7 @@
     def close(self):
         async def end():
             self.server.close()
+            self.closed.set()
             self.reset_all()
         self.loop.run(end())
 
@@ -55,6 +66,7 @@
         try:
             await asyncio.gather(self.carry(reader, server_writer, "only_answers"), self.carry(server_reader, writer, "only_requests"))
         except (ConnectionError, OSError):
+            await self.pass_unless_silenced(writer)
             self.reset(writer)
             self.reset(server_writer)
         finally:
@@ -69,6 +81,13 @@
                 await asyncio.sleep(0.02)
             if self.mode == "delay":
                 await asyncio.sleep(DELAY_SECONDS)
+            await self.pass_unless_silenced(writer)
             writer.write(data)
             await writer.drain()
+        await self.pass_unless_silenced(writer)
         writer.write_eof()
+
+    async def pass_unless_silenced(self, writer):
+        """Nothing more gets through a connection that was silenced, not even its end."""
+        if writer in self.silenced:
+            await self.closed.wait()
