LibTransport, DirectEntry, EngineAgent: Find each silent link by itself, within 1.6 s, and dial anew at once

Cause: a peer counted as heard for 3 s after any word of it, over whichever link; links carried no ping of their own (agents sent none to entries); a dial that hung was given up after 5 s; where a process had two links to a peer, it sent over the dialled one though only the other was heard, without end. Ruled out: the time to connect anew: links are up again 20 ms after they are given up, in the test's log. Change: LinkHub keeps each link alive (LinkOptions::keep_alive, set by the two programs on the users' platform; the others look after their links as before): a ping over one that carried nothing for 400 ms; one over which nothing came for 1500 ms (looked at each 100 ms) is reset, told (link_silent, mountbarrow_silent_links_total) and dialled at once. Time in which the process itself stood still is no silence. A connection has 1 s to stand, a handshake 1.5 s, more after each failure up to 5 s. Sending prefers the dialled link unless only the other was heard lately. Where one of two links ends, up is called again, so goals, states, pieces and directories are sent anew; a link between entries begins with how far each has read, and with a request for facts where the log fails. The test asks that one of two processes tells the silence, and that both have a new link: the one that is dialled anew may learn by that alone.

--- a/Libraries/LibTransport/Link.h
+++ b/Libraries/LibTransport/Link.h
@@ -7,6 +7,7 @@
 #include <LibTransport/WebSocketCodec.h>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 struct bufferevent;
@@ -20,6 +21,14 @@
     uint64_t received { 0 };
 };
 
+/// How a dead link is told from one that has nothing to say: a connection may fall silent for good without a word.
+struct LinkKeepAlive {
+    /// A link that carried nothing for this long carries a ping.
+    Core::Duration ping_after { 400 };
+    /// A link over which nothing came for this long is dead: three pings of the peer are lost.
+    Core::Duration silence { 1500 };
+};
+
 /// What every link of a process shares.
 struct LinkOptions {
     Identity identity;
@@ -28,6 +37,8 @@
     std::function<int64_t()> offset;
     std::function<int64_t()> list_version;
     std::shared_ptr<LinkTraffic> traffic = std::make_shared<LinkTraffic>();
+    /// Nothing: the owner looks after silent links itself.
+    std::optional<LinkKeepAlive> keep_alive;
 };
 
 /// One authenticated WebSocket between two processes, carried by one bufferevent.
@@ -41,7 +52,9 @@
         std::function<void(Link&, Core::ErrorCode)> closed;
     };
 
-    static std::shared_ptr<Link> dial(Core::EventLoop&, LinkOptions const&, std::string const& address, uint16_t port, Callbacks);
+    /// Ends by itself where the connection does not stand soon, or the peer has not proved its key within `handshake_limit` of
+    /// the call.
+    static std::shared_ptr<Link> dial(Core::EventLoop&, LinkOptions const&, std::string const& address, uint16_t port, Core::Duration handshake_limit, Callbacks);
     static std::shared_ptr<Link> accept(Core::EventLoop&, LinkOptions const&, int socket, Callbacks);
     ~Link();
 
@@ -51,16 +64,25 @@
     /// Ends the link without calling back.
     void close();
 
+    /// The same for a link that is dead: the peer, where anything reaches it, hears of it at once.
+    void reset();
+
     bool is_ready() const { return m_is_ready; }
     Schema::Hello const& peer() const { return m_peer; }
 
     /// Bytes that wait to be sent.
     size_t pending_bytes() const;
 
+    Core::Time heard_at() const { return m_heard_at; }
+    Core::Time sent_at() const { return m_sent_at; }
+
+    /// This process stood still for so long: what came meanwhile lies unread, and is no silence.
+    void excuse(Core::Duration pause) { m_heard_at += pause; }
+
 private:
     Link(Core::EventLoop&, LinkOptions const&, Handshake::Side, Callbacks);
 
-    void attach(bufferevent*);
+    void attach(bufferevent*, Core::Duration handshake_limit);
     void begin();
     void on_bytes();
     void on_payload(std::string_view);
@@ -76,6 +98,9 @@
     bufferevent* m_stream { nullptr };
     Schema::Hello m_peer {};
     std::unique_ptr<Core::Timer> m_handshake_timer;
+    std::unique_ptr<Core::Timer> m_connect_timer;
+    Core::Time m_heard_at;
+    Core::Time m_sent_at;
     bool m_is_ready { false };
     bool m_is_over { false };
 };
--- a/Libraries/LibTransport/LinkHub.cpp
+++ b/Libraries/LibTransport/LinkHub.cpp
@@ -2,19 +2,27 @@
 #include <LibTransport/LinkHub.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Transport {
 
 static constexpr Core::Duration dial_interval { 50 };
 static constexpr Core::Duration first_backoff { 100 };
 static constexpr Core::Duration longest_backoff { 2000 };
+// Two round trips between regions and a peer's turn. A peer that is only slow is given more each time.
+static constexpr Core::Duration first_handshake_limit { 1500 };
+static constexpr Core::Duration longest_handshake_limit { 5000 };
+static constexpr Core::Duration keep_alive_interval { 100 };
 
 LinkHub::LinkHub(Core::EventLoop& loop, LinkOptions options, Callbacks callbacks)
     : m_loop(loop)
     , m_options(std::move(options))
     , m_callbacks(std::move(callbacks))
     , m_dial_timer(loop.every(dial_interval, [this] { dial_due(); }))
+    , m_kept_alive_at(Core::monotonic_now())
 {
+    if (m_options.keep_alive)
+        m_keep_alive_timer = loop.every(keep_alive_interval, [this] { keep_alive(); });
 }
 
 LinkHub::~LinkHub() = default;
@@ -59,7 +67,7 @@
     }
     m_links[key] = owner;
     if (auto dial = m_dials.find(wanted_identity); dial != m_dials.end())
-        dial->second.backoff = Core::Duration(0);
+        dial->second.backoff = dial->second.handshake_limit = Core::Duration(0);
     m_callbacks.up(hello);
 }
 
@@ -69,8 +77,11 @@
     if (found == m_links.end() || found->second.get() != &link)
         return;
     m_links.erase(found);
-    if (!is_up(key.first))
+    auto const* left = peer(key.first);
+    if (!left)
         m_callbacks.down(key.first);
+    else if (m_options.keep_alive)
+        m_callbacks.up(*left);
 }
 
 void LinkHub::on_closed(Direction direction, std::string const& wanted_identity, Link& link, Core::ErrorCode code)
@@ -115,19 +126,83 @@
 {
     auto const now = Core::monotonic_now();
     for (auto& [identity, dial] : m_dials) {
-        if (!dial.link && now >= dial.not_before)
-            dial.link = Link::dial(m_loop, m_options, dial.target.address, dial.target.port, callbacks(Direction::Dialled, identity));
+        if (dial.link || now < dial.not_before)
+            continue;
+        dial.handshake_limit = std::clamp(dial.handshake_limit * 2, first_handshake_limit, longest_handshake_limit);
+        dial.link = Link::dial(m_loop, m_options, dial.target.address, dial.target.port, dial.handshake_limit, callbacks(Direction::Dialled, identity));
     }
 }
 
+/// The dialled link, but for one that is perhaps dead while the other is heard.
+std::shared_ptr<Link> LinkHub::link_for_sending(std::string const& identity) const
+{
+    auto const dialled = m_links.find({ identity, Direction::Dialled });
+    auto const accepted = m_links.find({ identity, Direction::Accepted });
+    if (dialled == m_links.end())
+        return accepted == m_links.end() ? nullptr : accepted->second;
+    if (accepted == m_links.end() || !m_options.keep_alive)
+        return dialled->second;
+    // A ping may be on its way for as long as the next one takes to follow.
+    auto const doubted_after = m_options.keep_alive->ping_after * 2;
+    bool const is_doubted = accepted->second->heard_at() - dialled->second->heard_at() > doubted_after;
+    return is_doubted ? accepted->second : dialled->second;
+}
+
 bool LinkHub::send(std::string const& identity, Schema::Message const& message)
 {
-    for (auto direction : { Direction::Dialled, Direction::Accepted }) {
-        auto found = m_links.find({ identity, direction });
-        if (found != m_links.end())
-            return found->second->send(message);
+    auto const link = link_for_sending(identity);
+    return link && link->send(message);
+}
+
+void LinkHub::keep_alive()
+{
+    auto const now = Core::monotonic_now();
+    auto const pause = now - std::exchange(m_kept_alive_at, now) - keep_alive_interval;
+    if (pause > keep_alive_interval) {
+        for (auto const& [key, link] : m_links)
+            link->excuse(pause);
+    }
+    ping_quiet_links(now);
+    drop_silent_links(now);
+}
+
+void LinkHub::ping_quiet_links(Core::Time now)
+{
+    Schema::Message ping;
+    ping.ping.emplace();
+    ping.ping->sent_at_ms = now.count();
+    for (auto const& [key, link] : m_links) {
+        if (now - link->sent_at() >= m_options.keep_alive->ping_after)
+            link->send(ping);
     }
-    return false;
+}
+
+void LinkHub::drop_silent_links(Core::Time now)
+{
+    std::vector<std::pair<LinkKey, Core::Duration>> silent;
+    for (auto const& [key, link] : m_links) {
+        auto const silent_for = now - link->heard_at();
+        if (silent_for >= m_options.keep_alive->silence)
+            silent.emplace_back(key, silent_for);
+    }
+    for (auto const& [key, silent_for] : silent)
+        drop_silent(key, silent_for);
+}
+
+void LinkHub::drop_silent(LinkKey const& key, Core::Duration silent_for)
+{
+    auto const found = m_links.find(key);
+    if (found == m_links.end())
+        return;
+    auto const link = found->second;
+    m_callbacks.silent(key.first, silent_for);
+    link->reset();
+    auto const wanted_identity = key.second == Direction::Dialled ? key.first : std::string();
+    on_closed(key.second, wanted_identity, *link, Core::ErrorCode::ConnectFailed);
+    // A new connection may work at once.
+    if (auto const dial = m_dials.find(wanted_identity); dial != m_dials.end() && !dial->second.link)
+        dial->second.not_before = Core::Time(0);
+    dial_due();
 }
 
 void LinkHub::drop(std::string const& identity)
--- a/Libraries/LibTransport/LinkHub.h
+++ b/Libraries/LibTransport/LinkHub.h
@@ -18,13 +18,17 @@
 class LinkHub {
 public:
     struct Callbacks {
-        /// A peer has a new link; any older one of the same direction is closed and its unread bytes are gone.
+        /// A peer has a new link; any older one of the same direction is closed and its unread bytes are gone. With
+        /// LinkOptions::keep_alive also where one of its links ended and another is left: what the first carried may be gone.
         std::function<void(Schema::Hello const&)> up;
         std::function<void(Schema::Hello const&, Schema::Message const&)> message;
         /// The last link to a peer is gone.
         std::function<void(std::string const& identity)> down;
         /// A link was refused or broken by its peer.
         std::function<void(Core::ErrorCode)> failed;
+        /// Nothing came over a link of this peer for so long: it is given up, and dialled anew where it was dialled. Only with
+        /// LinkOptions::keep_alive.
+        std::function<void(std::string const& identity, Core::Duration)> silent;
     };
 
     LinkHub(Core::EventLoop&, LinkOptions, Callbacks);
@@ -59,6 +63,7 @@
         std::shared_ptr<Link> link;
         Core::Time not_before { 0 };
         Core::Duration backoff { 0 };
+        Core::Duration handshake_limit { 0 };
     };
 
     Link::Callbacks callbacks(Direction, std::string const& wanted_identity);
@@ -66,6 +71,11 @@
     void on_closed(Direction, std::string const& wanted_identity, Link&, Core::ErrorCode);
     void forget(LinkKey const&, Link const&);
     void dial_due();
+    std::shared_ptr<Link> link_for_sending(std::string const& identity) const;
+    void keep_alive();
+    void ping_quiet_links(Core::Time now);
+    void drop_silent_links(Core::Time now);
+    void drop_silent(LinkKey const&, Core::Duration silent_for);
 
     Core::EventLoop& m_loop;
     LinkOptions m_options;
@@ -75,6 +85,8 @@
     std::map<LinkKey, std::shared_ptr<Link>> m_links;
     std::map<std::string, Dial> m_dials;
     std::unique_ptr<Core::Timer> m_dial_timer;
+    std::unique_ptr<Core::Timer> m_keep_alive_timer;
+    Core::Time m_kept_alive_at;
 };
 
 }
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -13,7 +13,6 @@
 
 static constexpr Core::Duration tick_interval { 20 };
 static constexpr Core::Duration link_check_interval { 500 };
-static constexpr Core::Duration link_silence { 3000 };
 // Past this, what is denied may be allowed by a configuration that has not come yet.
 static constexpr Core::Duration stale_after { 4000 };
 static constexpr Core::Duration least_drain { 3000 };
@@ -119,6 +118,7 @@
     options.keys = { settings.key };
     options.offset = [this] { return m_replica.end(Configuration::FactTopic::Configuration); };
     options.list_version = [this] { return m_replica.end(Configuration::FactTopic::BackendServers); };
+    options.keep_alive.emplace();
     m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
     keep_weights();
     m_tick_timer = loop.every(tick_interval, [this] { tick(); });
@@ -169,17 +169,23 @@
         .message = [this](Schema::Hello const& hello, Schema::Message const& message) { on_link_message(hello, message); },
         .down = [this](std::string const& identity) { on_link_down(identity); },
         .failed = [this](Core::ErrorCode code) { m_metrics.count("mountbarrow_link_failures_total", "reason=\"" + std::string(Core::error_name(code)) + "\""); },
+        .silent = [this](std::string const& identity, Core::Duration silent_for) {
+            m_metrics.count("mountbarrow_silent_links_total");
+            Core::log_event(Core::LogLevel::Warn, "link_silent", { { "peer", identity }, { "silent_ms", std::to_string(silent_for.count()) } }); },
     };
 }
 
 void DirectEntry::on_link_up(Schema::Hello const& hello)
 {
     Core::log_event(Core::LogLevel::Info, "link_up", { { "peer", hello.identity }, { "role", Schema::enumerator_name(hello.role) } });
-    m_last_heard[hello.identity] = Core::monotonic_now();
     if (hello.role == Schema::Role::Entry) {
         Schema::Message load;
         load.entry_load = m_sharing.load();
         m_hub->send(hello.identity, load);
+        // What either asked the other for over the link before may be gone with it.
+        m_hub->send(hello.identity, news());
+        if (!m_failing_topics.empty())
+            m_hub->send(hello.identity, fact_request());
         m_known_entries.insert(hello.identity);
         m_servers.set_entries(m_known_entries.size() + 1);
         m_retries.set_entries(m_known_entries.size() + 1);
@@ -199,7 +205,6 @@
 void DirectEntry::on_link_down(std::string const& identity)
 {
     Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
-    m_last_heard.erase(identity);
     m_sharing.on_peer_down(identity);
     m_servers.on_agent_gone(identity);
     if (m_weights)
@@ -209,7 +214,6 @@
 void DirectEntry::on_link_message(Schema::Hello const& from, Schema::Message const& message)
 {
     auto const now = Core::monotonic_now();
-    m_last_heard[from.identity] = now;
     if (message.engine_state) {
         auto const before = m_servers.version_at(from.identity, now);
         m_servers.on_engine_state(from.identity, *message.engine_state, now);
@@ -253,28 +257,23 @@
 
 void DirectEntry::check_links()
 {
-    auto const now = Core::monotonic_now();
-    std::vector<std::string> silent;
-    for (auto const& [identity, heard] : m_last_heard) {
-        if (now - heard >= link_silence)
-            silent.push_back(identity);
-    }
-    for (auto const& identity : silent) {
-        m_metrics.count("mountbarrow_silent_links_total");
-        m_hub->drop(identity);
-    }
-    Schema::Message ping;
-    ping.ping.emplace();
-    ping.ping->sent_at_ms = now.count();
-    ping.ping->list_version = m_replica.end(Configuration::FactTopic::BackendServers);
-    ping.ping->configuration_end = m_replica.end(Configuration::FactTopic::Configuration);
-    for (auto role : { Schema::Role::Entry, Schema::Role::Agent }) {
-        for (auto const& identity : m_hub->peers(role))
-            m_hub->send(identity, ping);
-    }
+    auto const message = news();
+    for (auto const& identity : m_hub->peers(Schema::Role::Entry))
+        m_hub->send(identity, message);
     update_links();
 }
 
+/// How far this one has read, so that peers which are behind ask for the rest.
+Schema::Message DirectEntry::news() const
+{
+    Schema::Message message;
+    message.ping.emplace();
+    message.ping->sent_at_ms = Core::monotonic_now().count();
+    message.ping->list_version = m_replica.end(Configuration::FactTopic::BackendServers);
+    message.ping->configuration_end = m_replica.end(Configuration::FactTopic::Configuration);
+    return message;
+}
+
 void DirectEntry::share_engines()
 {
     Schema::Message message;
@@ -563,7 +562,7 @@
     m_metrics.set("mountbarrow_configuration_version", m_context.routes ? static_cast<double>(m_context.routes->version()) : 0);
     m_metrics.set("mountbarrow_unreadable_fields", m_context.routes ? static_cast<double>(m_context.routes->configuration().unreadable_fields.size()) : 0, "record=\"configuration\"");
     m_metrics.set("mountbarrow_unreadable_fields", static_cast<double>(unreadable_server_fields()), "record=\"backend_server\"");
-    m_metrics.set("mountbarrow_links", static_cast<double>(m_last_heard.size()));
+    m_metrics.set("mountbarrow_links", static_cast<double>(m_hub->peers(Schema::Role::Entry).size() + m_hub->peers(Schema::Role::Agent).size()));
     m_metrics.set("mountbarrow_link_bytes", static_cast<double>(m_hub->traffic().sent), "direction=\"sent\"");
     m_metrics.set("mountbarrow_link_bytes", static_cast<double>(m_hub->traffic().received), "direction=\"received\"");
     exchange.reply(status_ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.to_prometheus());
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -59,6 +59,7 @@
     void on_configuration();
     void on_log_failing(Configuration::FactTopic, Platform::FactLogFault);
     Schema::Message fact_request() const;
+    Schema::Message news() const;
     void send_goals();
     void keep_weights();
     /// Time from the naming of a version within which it must be served.
@@ -85,7 +86,6 @@
     std::set<Configuration::FactTopic> m_failing_topics;
 
     std::unique_ptr<Transport::LinkHub> m_hub;
-    std::map<std::string, Core::Time> m_last_heard;
     std::unique_ptr<Core::Timer> m_sharing_timer;
     std::set<std::string> m_known_entries;
     VersionGoals m_goals;
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -11,8 +11,7 @@
 
 static constexpr Core::Duration state_interval { 150 };
 static constexpr Core::Duration state_repeat { 1000 };
-static constexpr Core::Duration link_check_interval { 500 };
-static constexpr Core::Duration link_silence { 3000 };
+static constexpr Core::Duration seed_interval { 500 };
 static constexpr size_t neighbours = 32;
 // The copy is small and the bound on it short, so what nobody holds is asked of the origin soon.
 static constexpr Core::Duration origin_patience { 400 };
@@ -72,6 +71,7 @@
     options.keys = { settings.key };
     options.offset = [] { return int64_t { 0 }; };
     options.list_version = [] { return int64_t { 0 }; };
+    options.keep_alive.emplace();
     m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
     auto announce = [this](Schema::PieceMap const& map) {
         Schema::Message message;
@@ -86,7 +86,7 @@
     uploads.waiting = waiting_uploads;
     m_chunks = std::make_unique<Weights::ChunkServer>(loop, uploads, m_metrics, m_copy->store());
     m_state_timer = loop.every(state_interval, [this] { send_state_if_changed(); });
-    m_link_timer = loop.every(link_check_interval, [this] { check_links(); });
+    m_seed_timer = loop.every(seed_interval, [this] { ask_more_seeds(); });
 }
 
 EngineAgent::~EngineAgent() = default;
@@ -109,17 +109,18 @@
         .message = [this](Schema::Hello const& hello, Schema::Message const& message) { on_link_message(hello, message); },
         .down = [this](std::string const& identity) {
             Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
-            m_last_heard.erase(identity);
             m_copy->on_peer_down(identity);
             tell_caches(); },
         .failed = [this](Core::ErrorCode code) { m_metrics.count("mountbarrow_link_failures_total", "reason=\"" + std::string(Core::error_name(code)) + "\""); },
+        .silent = [this](std::string const& identity, Core::Duration silent_for) {
+            m_metrics.count("mountbarrow_silent_links_total");
+            Core::log_event(Core::LogLevel::Warn, "link_silent", { { "peer", identity }, { "silent_ms", std::to_string(silent_for.count()) } }); },
     };
 }
 
 void EngineAgent::on_link_up(Schema::Hello const& hello)
 {
     Core::log_event(Core::LogLevel::Info, "link_up", { { "peer", hello.identity }, { "role", Schema::enumerator_name(hello.role) } });
-    m_last_heard[hello.identity] = Core::monotonic_now();
     if (hello.role == Schema::Role::Entry) {
         send_directory();
         send_state();
@@ -135,7 +136,6 @@
 
 void EngineAgent::on_link_message(Schema::Hello const& from, Schema::Message const& message)
 {
-    m_last_heard[from.identity] = Core::monotonic_now();
     if (message.weights_goal)
         on_goal(*message.weights_goal);
     else if (message.pieces && from.role == Schema::Role::Entry)
@@ -245,26 +245,13 @@
         send_state();
 }
 
-void EngineAgent::check_links()
+void EngineAgent::ask_more_seeds()
 {
-    auto const now = Core::monotonic_now();
-    std::vector<std::string> silent;
-    for (auto const& [identity, heard] : m_last_heard) {
-        if (now - heard >= link_silence)
-            silent.push_back(identity);
-    }
-    for (auto const& identity : silent)
-        m_hub->drop(identity);
-    if (!m_goal) {
-        // A seed may be stale or down: one more is asked each time.
-        m_seeds_asked += 1;
-        dial_wanted();
-    }
-    Schema::Message ping;
-    ping.ping.emplace();
-    ping.ping->sent_at_ms = now.count();
-    for (auto const& peer : m_hub->peers(Schema::Role::Agent))
-        m_hub->send(peer, ping);
+    if (m_goal)
+        return;
+    // A seed may be stale or down: one more is asked each time.
+    m_seeds_asked += 1;
+    dial_wanted();
 }
 
 void EngineAgent::on_http(std::shared_ptr<Transport::HttpExchange> const& exchange)
--- a/Services/EngineAgent/EngineAgent.h
+++ b/Services/EngineAgent/EngineAgent.h
@@ -44,7 +44,7 @@
     void send_directory();
     void send_state();
     void send_state_if_changed();
-    void check_links();
+    void ask_more_seeds();
     void on_http(std::shared_ptr<Transport::HttpExchange> const&);
 
     Core::EventLoop& m_loop;
@@ -56,7 +56,6 @@
     std::unique_ptr<CopyKeeper> m_copy;
     std::unique_ptr<Weights::ChunkServer> m_chunks;
     std::unique_ptr<Transport::HttpServer> m_http;
-    std::map<std::string, Core::Time> m_last_heard;
     std::optional<Schema::WeightsGoal> m_goal;
     // Some goal came before the list named this agent's engine.
     bool m_has_been_unlisted { false };
@@ -64,7 +63,7 @@
     Schema::EngineState m_sent_state {};
     Core::Time m_sent_at { 0 };
     std::unique_ptr<Core::Timer> m_state_timer;
-    std::unique_ptr<Core::Timer> m_link_timer;
+    std::unique_ptr<Core::Timer> m_seed_timer;
 };
 
 }
