--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -56,6 +56,7 @@
 
     void on_facts(Configuration::FactChanges const&);
     void on_configuration();
+    Schema::Message news() const;
     void send_goals();
     void keep_weights();
     /// Time from the naming of a version within which it must be served.
@@ -79,7 +80,6 @@
     EntryFacts m_facts;
 
     std::unique_ptr<Transport::LinkHub> m_hub;
-    std::map<std::string, Core::Time> m_last_heard;
     std::unique_ptr<Core::Timer> m_sharing_timer;
     std::set<std::string> m_known_entries;
     VersionGoals m_goals;
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -14,7 +14,8 @@
 // fails too, and what the change then needs to be in force.
 static constexpr Core::Duration read_again_reserve { 700 };
 static constexpr Core::Duration shortest_configuration_wait { 600 };
-// What a link still brings this long after a pause may have been sent before it; a link that is silent longer is dropped.
+// What a link still brings this long after a pause may have been sent before it: a link that is silent for 1.5 s is dropped,
+// and what the network held up until then takes as long again at most.
 static constexpr Core::Duration late_on_link { 3000 };
 
 Platform::FactFollowerSettings follower_settings(Schema::DirectEntrySettingsBounds const& bounds)
@@ -89,6 +90,12 @@
     return message;
 }
 
+void EntryFacts::on_entry_linked(std::string const& entry)
+{
+    if (!m_failing.empty())
+        m_callbacks.send(entry, request());
+}
+
 void EntryFacts::on_peer_end(std::string const& entry, int64_t configuration_end)
 {
     // Its read brought what this one's has not: perhaps this one waits on a dead connection.
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -42,6 +42,8 @@
     /// A backend server was found to be another than the list says: the list is read again soon.
     void on_servers_doubted() { m_follower.on_servers_doubted(); }
 
+    /// Another entry has a new link: what was asked over the one before may be gone with it.
+    void on_entry_linked(std::string const& entry);
     void on_request(std::string const& entry, Schema::FactRequest const&);
     void on_batch(std::string const& entry, Schema::FactBatch const&);
     /// Another entry has read the operator's records up to this offset.
