--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -20,24 +20,35 @@
     return Schema::to_value(a) == Schema::to_value(b);
 }
 
-int64_t NamedVersions::named_by(Core::Time time) const
+int64_t NamedVersions::newest_of(Core::Time named_by, Core::Time found_by) const
 {
     int64_t newest = 0;
     for (auto const& known : versions) {
-        if (known.named && *known.named <= time)
+        bool const may_be_named = !known.named || *known.named <= named_by;
+        if (may_be_named && known.found <= found_by)
             newest = std::max(newest, known.version);
     }
     return newest;
 }
 
-int64_t NamedVersions::undated_by(Core::Time time) const
+bool NamedVersions::has_undated() const
 {
-    int64_t newest = 0;
-    for (auto const& known : versions) {
-        if (!known.named && known.found <= time)
-            newest = std::max(newest, known.version);
+    return std::any_of(versions.begin(), versions.end(), [](auto const& known) { return !known.named; });
+}
+
+bool NamedVersions::take(NamedVersion const& named)
+{
+    auto const place = std::lower_bound(versions.begin(), versions.end(), named.version, [](auto const& known, int64_t version) { return known.version < version; });
+    if (place != versions.end() && place->version == named.version) {
+        if (!place->named)
+            place->named = named.named;
+        return false;
     }
-    return newest;
+    bool const is_newest = place == versions.end();
+    versions.insert(place, named);
+    if (versions.size() > versions_remembered)
+        versions.erase(versions.begin());
+    return is_newest;
 }
 
 bool FactReplica::take_value(Fact const& fact, ReadTime const& read, FactChanges& changes)
@@ -51,12 +62,8 @@
         return true;
     }
     if (auto const* named = std::get_if<Schema::ModelVersion>(&fact.value)) {
-        auto& known = m_versions[named->model];
-        if (named->version <= known.newest())
+        if (!m_versions[named->model].take({ named->version, read.now, read.written_after }))
             return false;
-        known.versions.push_back({ named->version, read.now, read.written_after });
-        if (known.versions.size() > versions_remembered)
-            known.versions.erase(known.versions.begin());
         changes.has_versions = true;
         return true;
     }
@@ -143,6 +150,7 @@
         std::optional<Core::Time> named;
         if (message.named_ms_ago)
             named = now - Core::Duration(*message.named_ms_ago);
+        take_dates(message, now, changes);
         apply(*fact, { now, named }, changes);
     }
     m_configuration_end = std::max(m_configuration_end, batch.configuration_end);
@@ -150,16 +158,59 @@
     return changes;
 }
 
-std::optional<int64_t> FactReplica::named_ms_ago(Fact const& fact, Core::Time now) const
+static std::optional<int64_t> named_ms_ago(NamedVersion const& known, Core::Time now)
+{
+    if (!known.named)
+        return {};
+    return (now - *known.named).count();
+}
+
+void FactReplica::add_dates(Fact const& fact, Core::Time now, Schema::Fact& message) const
 {
     auto const* version = std::get_if<Schema::ModelVersion>(&fact.value);
     if (!version)
-        return {};
+        return;
+    std::vector<Schema::EarlierVersion> earlier;
     for (auto const& known : m_versions.at(version->model).versions) {
-        if (known.version == version->version && known.named)
-            return (now - *known.named).count();
+        if (known.version == version->version)
+            message.named_ms_ago = named_ms_ago(known, now);
+        else if (known.version < version->version)
+            earlier.push_back({ .named_ms_ago = named_ms_ago(known, now), .version = known.version });
+    }
+    if (!earlier.empty())
+        message.earlier_versions = std::move(earlier);
+}
+
+/// Dates that a peer gives, of versions that are known here or that came before the one that the fact brings.
+void FactReplica::take_dates(Schema::Fact const& message, Core::Time now, FactChanges& changes)
+{
+    auto const fact = from_message(message);
+    auto const* version = fact.has_value() ? std::get_if<Schema::ModelVersion>(&fact->value) : nullptr;
+    if (!version)
+        return;
+    auto dated = message.earlier_versions.value_or(std::vector<Schema::EarlierVersion> {});
+    auto& known = m_versions[version->model];
+    // The newest itself is taken with its fact, unless that is known and lacks only its date.
+    if (version->version <= known.newest())
+        dated.push_back({ .named_ms_ago = message.named_ms_ago, .version = version->version });
+    for (auto const& earlier : dated) {
+        std::optional<Core::Time> named;
+        if (earlier.named_ms_ago)
+            named = now - Core::Duration(*earlier.named_ms_ago);
+        if (known.take({ earlier.version, now, named }))
+            changes.has_versions = true;
+    }
+}
+
+std::optional<int64_t> FactReplica::undated_from() const
+{
+    std::optional<int64_t> from;
+    for (auto const& [key, fact] : m_facts) {
+        auto const* version = std::get_if<Schema::ModelVersion>(&fact.value);
+        if (version && m_versions.at(version->model).has_undated())
+            from = std::min(from.value_or(fact.revision), fact.revision);
     }
-    return {};
+    return from;
 }
 
 Schema::FactBatch FactReplica::facts_since(Schema::FactRequest const& request, Core::Duration age, Core::Time now) const
@@ -173,7 +224,7 @@
         if (fact.revision < from)
             continue;
         batch.facts.push_back(to_message(fact));
-        batch.facts.back().named_ms_ago = named_ms_ago(fact, now);
+        add_dates(fact, now, batch.facts.back());
     }
     return batch;
 }
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -57,18 +57,6 @@
 
 /// When records were read, and since when what is new among them can have been written.
 struct ReadTime {
-    /// The reads before this one brought all there was, so what is new was written just now.
-    ReadTime(Core::Time read_at)
-        : now(read_at)
-        , written_after(read_at)
-    {
-    }
-    ReadTime(Core::Time read_at, std::optional<Core::Time> written)
-        : now(read_at)
-        , written_after(written)
-    {
-    }
-
     Core::Time now;
     /// Nothing if it cannot be told.
     std::optional<Core::Time> written_after;
@@ -80,10 +68,13 @@
     std::vector<NamedVersion> versions;
 
     int64_t newest() const { return versions.empty() ? 0 : versions.back().version; }
-    /// The newest version that can have been named at or before a time; 0 if there is none.
-    int64_t named_by(Core::Time) const;
-    /// The newest version that was found at or before a time and whose naming cannot be dated; 0 if there is none.
-    int64_t undated_by(Core::Time) const;
+    /// The newest version that can have been named at or before `named_by` and was found at or before `found_by`; one that
+    /// cannot be dated may have been named at any time. 0 if there is none.
+    int64_t newest_of(Core::Time named_by, Core::Time found_by) const;
+    bool has_undated() const;
+    /// Takes a version, or a better date of one that is known.
+    /// @return Whether it is newer than all that were known.
+    bool take(NamedVersion const&);
 };
 
 /// A process's copy of what the operator and the platform's list say.
@@ -105,6 +96,9 @@
     /// The offset to read a topic from next.
     int64_t end(FactTopic topic) const { return topic == FactTopic::Configuration ? m_configuration_end : m_servers_end; }
 
+    /// Offset of the oldest record among those whose versions cannot be dated; nothing if there is none.
+    std::optional<int64_t> undated_from() const;
+
     /// What a peer lacks that has read this far.
     Schema::FactBatch facts_since(Schema::FactRequest const&, Core::Duration age, Core::Time now) const;
 
@@ -121,7 +115,9 @@
 
     void apply(Fact const&, ReadTime const&, FactChanges&);
     bool take_value(Fact const&, ReadTime const&, FactChanges&);
-    std::optional<int64_t> named_ms_ago(Fact const&, Core::Time now) const;
+    /// Adds when versions were named to a fact that goes to a peer.
+    void add_dates(Fact const&, Core::Time now, Schema::Fact&) const;
+    void take_dates(Schema::Fact const&, Core::Time now, FactChanges&);
     /// Of the servers at this one's address only the one that was listed last remains.
     void supersede(Schema::BackendServer const&, int64_t revision, FactChanges&);
 
--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -60,6 +60,7 @@
         return;
     topic.is_reading = true;
     topic.is_hurried = false;
+    topic.read_before_began_at = topic.read_began_at;
     topic.read_began_at = Core::monotonic_now();
     if (topic.needs_listing)
         m_log.read_newest(topic.topic, patience(topic), [this, &topic](auto page) { on_page(topic, page, true); });
@@ -89,15 +90,13 @@
 
 void FactFollower::on_failed(Topic& topic, FactLogFault fault)
 {
-    topic.blind_since = topic.read_began_at;
+    topic.blind_since = topic.blind_since.value_or(topic.read_began_at);
     if (fault == FactLogFault::HistoryGone) {
         topic.needs_listing = true;
         read_later(topic, Core::Duration(0));
         return;
     }
     read_later(topic, retry_wait(topic, fault));
-    if (topic.failures == 0)
-        topic.failing_since = topic.read_began_at;
     topic.failures += 1;
     m_callbacks.failing(topic.topic, fault);
 }
@@ -105,15 +104,16 @@
 void FactFollower::take(Topic& topic, FactPage const& page, bool is_listing)
 {
     auto const now = Core::monotonic_now();
-    Configuration::ReadTime const read(now, written_after(topic, now));
+    Configuration::ReadTime const read { now, written_after(topic, now) };
     bool const is_regained = topic.failures > 0;
+    auto const lost_for = now - topic.blind_since.value_or(now);
     topic.failures = 0;
     topic.blind_since.reset();
     topic.has_been_read = true;
     topic.needs_listing = false;
     topic.current_at = now;
     if (is_regained)
-        m_callbacks.regained(topic.topic, now - topic.failing_since);
+        m_callbacks.regained(topic.topic, lost_for);
     for (auto const& bad : page.bad)
         m_callbacks.bad_record(bad);
     auto const changes = is_listing ? m_replica.on_listing(topic.topic, page.facts, page.end, read) : m_replica.on_records(topic.topic, page.facts, page.end, read);
@@ -127,7 +127,8 @@
 {
     if (!topic.has_been_read)
         return {};
-    return std::min(topic.blind_since.value_or(now), m_pauses.earliest_arrival(topic.read_began_at, now));
+    // A read that was answered with nothing, amid a pause that hid what came next, says nothing either.
+    return std::min(topic.blind_since.value_or(now), m_pauses.earliest_arrival(topic.read_before_began_at, now));
 }
 
 Core::Duration FactFollower::retry_wait(Topic const& topic, FactLogFault fault) const
--- a/Libraries/LibPlatform/FactFollower.h
+++ b/Libraries/LibPlatform/FactFollower.h
@@ -21,7 +21,7 @@
     Core::Duration answer_patience { 600 };
     /// The same, where reads before were given up: a log that is only slow is heard in the end.
     Core::Duration longest_answer_patience { 1200 };
-    /// Time before the second new try when the log does not answer; it doubles up to the longest.
+    /// Time before a new try when the log turns a call away; it doubles with each failed try, up to the longest.
     Core::Duration retry_interval { 150 };
     Core::Duration longest_retry_interval { 600 };
 };
@@ -68,10 +68,10 @@
         bool has_been_read { false };
         Core::Time current_at { 0 };
         Core::Time read_began_at { 0 };
+        Core::Time read_before_began_at { 0 };
         // Tries in a row that brought no answer.
         int failures { 0 };
-        // When the first of these tries began, and the last: a record may have been written since.
-        Core::Time failing_since { 0 };
+        // When the first read began since which none was answered: a record may have been written since.
         std::optional<Core::Time> blind_since;
         // The next read was moved forward.
         bool is_hurried { false };
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -488,11 +488,6 @@
      * The platform's time bounds, as its settings give them.
      */
     struct EngineAgentSettingsBounds {
-        /**
-         * An instance is to be in touch with the platform again this long after trouble has ended,
-         * milliseconds.
-         */
-        std::optional<int64_t> contact_ms;
         /**
          * A leaving backend server gets nothing new after this, milliseconds.
          */
@@ -1370,6 +1365,20 @@
         int64_t servers_from;
     };
 
+    /**
+     * A version that was named before the newest.
+     */
+    struct EarlierVersion {
+        /**
+         * As of the newest.
+         */
+        std::optional<int64_t> named_ms_ago;
+        /**
+         * Version.
+         */
+        int64_t version;
+    };
+
     /**
      * What it is about.
      */
@@ -1383,6 +1392,11 @@
          * JSON of the value; empty for a removed key.
          */
         std::string body;
+        /**
+         * For a model version: those named before it, oldest first. The bound of each runs by
+         * itself.
+         */
+        std::optional<std::vector<EarlierVersion>> earlier_versions;
         /**
          * Key.
          */
@@ -2487,6 +2501,9 @@
     void from_json(const json & j, FactRequest & x);
     void to_json(json & j, const FactRequest & x);
 
+    void from_json(const json & j, EarlierVersion & x);
+    void to_json(json & j, const EarlierVersion & x);
+
     void from_json(const json & j, Fact & x);
     void to_json(json & j, const Fact & x);
 
@@ -2838,7 +2855,6 @@
     }
 
     inline void from_json(const json & j, EngineAgentSettingsBounds& x) {
-        x.contact_ms = get_stack_optional<int64_t>(j, "contact_ms");
         x.drain_ms = j.at("drain_ms").get<int64_t>();
         x.grace_s = j.at("grace_s").get<double>();
         x.retry_ratio = j.at("retry_ratio").get<double>();
@@ -2849,7 +2865,6 @@
 
     inline void to_json(json & j, const EngineAgentSettingsBounds & x) {
         j = json::object();
-        j["contact_ms"] = x.contact_ms;
         j["drain_ms"] = x.drain_ms;
         j["grace_s"] = x.grace_s;
         j["retry_ratio"] = x.retry_ratio;
@@ -3419,8 +3434,20 @@
         j["servers_from"] = x.servers_from;
     }
 
+    inline void from_json(const json & j, EarlierVersion& x) {
+        x.named_ms_ago = get_stack_optional<int64_t>(j, "named_ms_ago");
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const EarlierVersion & x) {
+        j = json::object();
+        j["named_ms_ago"] = x.named_ms_ago;
+        j["version"] = x.version;
+    }
+
     inline void from_json(const json & j, Fact& x) {
         x.body = j.at("body").get<std::string>();
+        x.earlier_versions = get_stack_optional<std::vector<EarlierVersion>>(j, "earlier_versions");
         x.key = j.at("key").get<std::string>();
         x.kind = j.at("kind").get<FactKind>();
         x.named_ms_ago = get_stack_optional<int64_t>(j, "named_ms_ago");
@@ -3430,6 +3457,7 @@
     inline void to_json(json & j, const Fact & x) {
         j = json::object();
         j["body"] = x.body;
+        j["earlier_versions"] = x.earlier_versions;
         j["key"] = x.key;
         j["kind"] = x.kind;
         j["named_ms_ago"] = x.named_ms_ago;
--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -186,6 +186,7 @@
 
 struct HttpClient::Running {
     std::unique_ptr<HttpCall> call;
+    std::unique_ptr<Core::Timer> end_timer;
     HttpAnswer answer;
 };
 
@@ -202,8 +203,9 @@
     auto running = std::make_shared<Running>();
     m_running[id] = running;
     auto ended = [this, id, callback](tl::expected<HttpAnswer, HttpFailure> result) {
-        auto keep = m_running.extract(id);
-        callback(std::move(result));
+        auto const keep = m_running.extract(id);
+        if (!keep.empty())
+            callback(std::move(result));
     };
     auto* raw = running.get();
     running->call = HttpCall::start(m_loop, request,
@@ -213,6 +215,9 @@
             .data = [raw](std::string_view data) { raw->answer.body += data; },
             .done = [raw, ended] { ended(std::move(raw->answer)); },
             .failed = [ended](HttpFailure failure) { ended(tl::unexpected(failure)); } });
+    // The time-out of the connection begins anew with each byte.
+    if (request.total_timeout)
+        running->end_timer = m_loop.after(*request.total_timeout, [this, ended] { m_loop.soon([ended] { ended(tl::unexpected(HttpFailure::TimedOut)); }); });
     return id;
 }
 
--- a/Libraries/LibTransport/HttpClient.h
+++ b/Libraries/LibTransport/HttpClient.h
@@ -5,6 +5,7 @@
 #include <LibTransport/HttpServer.h>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,6 +29,8 @@
     std::string body;
     /// Longest silence, connecting included.
     Core::Duration timeout { 30000 };
+    /// Longest time until the whole answer is there; only HttpClient looks at it. Without it an answer may trickle.
+    std::optional<Core::Duration> total_timeout {};
     RateLimit* limit { nullptr };
 };
 
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -2,6 +2,7 @@
 #include "EntryFacts.h"
 
 #include <LibCore/Log.h>
+#include <LibTransport/Link.h>
 #include <algorithm>
 
 namespace DirectEntry {
@@ -14,9 +15,11 @@
 // fails too, and what the change then needs to be in force.
 static constexpr Core::Duration read_again_reserve { 700 };
 static constexpr Core::Duration shortest_configuration_wait { 600 };
-// What a link still brings this long after a pause may have been sent before it: a link that is silent for 1.5 s is dropped,
-// and what the network held up until then takes as long again at most.
-static constexpr Core::Duration late_on_link { 3000 };
+// What a link still brings this long after a pause may have been sent before it: a silent link is dropped, and what the
+// network held up until then takes as long again at most.
+static constexpr Core::Duration late_on_link = Transport::LinkKeepAlive {}.silence * 2;
+// Two entries that have run for long know when versions were named; of two that have just started neither does.
+static constexpr int most_asked_for_dates = 2;
 
 Platform::FactFollowerSettings follower_settings(Schema::DirectEntrySettingsBounds const& bounds)
 {
@@ -94,6 +97,19 @@
 {
     if (!m_failing.empty())
         m_callbacks.send(entry, request());
+    ask_for_dates(entry);
+}
+
+/// What this entry found at its start it must require soon, unless another one knows that its bound is far off.
+void EntryFacts::ask_for_dates(std::string const& entry)
+{
+    auto const from = m_replica.undated_from();
+    if (!from || m_asked_for_dates >= most_asked_for_dates)
+        return;
+    m_asked_for_dates += 1;
+    auto message = request();
+    message.fact_request->configuration_from = *from;
+    m_callbacks.send(entry, message);
 }
 
 void EntryFacts::on_peer_end(std::string const& entry, int64_t configuration_end)
@@ -101,6 +117,8 @@
     // Its read brought what this one's has not: perhaps this one waits on a dead connection.
     if (configuration_end > m_replica.end(Configuration::FactTopic::Configuration))
         m_callbacks.send(entry, request());
+    else
+        ask_for_dates(entry);
 }
 
 void EntryFacts::on_request(std::string const& entry, Schema::FactRequest const& request)
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -55,6 +55,7 @@
     void on_regained(Configuration::FactTopic, Core::Duration lost_for);
     void on_bad_record(Platform::BadRecord const&);
     Schema::Message request() const;
+    void ask_for_dates(std::string const& entry);
 
     std::unique_ptr<Platform::FactLog> m_log;
     Core::Metrics& m_metrics;
@@ -63,6 +64,8 @@
     Configuration::FactReplica m_replica;
     Platform::FactFollower m_follower;
     std::set<Configuration::FactTopic> m_failing;
+    // Entries that were asked when versions were named that this one found at its start.
+    int m_asked_for_dates { 0 };
 };
 
 }
--- a/Services/DirectEntry/VersionGoals.cpp
+++ b/Services/DirectEntry/VersionGoals.cpp
@@ -8,9 +8,10 @@
 
 // A version is required a little before its bound: what is sent just before still has to begin.
 static constexpr Core::Duration version_margin { 1500 };
-// What a process finds at its start was named at a time that it cannot know: it is required soon, but engines that are
-// about to load it get this long.
-static constexpr Core::Duration undated_grace { 2000 };
+// A version that is found late, or that cannot be dated because it was there at the start, may have to be required at once.
+// Engines that are about to load it get this long all the same: for as long again the platform counts an instance that was
+// out of touch as such.
+static constexpr Core::Duration found_grace { 2000 };
 
 std::vector<Schema::WeightsGoal> VersionGoals::goals(Core::Duration version_bound, Core::Time now) const
 {
@@ -99,8 +100,7 @@
     auto const* versions = named(service);
     if (!versions)
         return {};
-    auto const due = versions->named_by(now - (version_bound - version_margin));
-    auto const required = std::max(due, versions->undated_by(now - undated_grace));
+    auto const required = versions->newest_of(now - (version_bound - version_margin), now - found_grace);
     if (required == 0)
         return {};
     return required;
--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -51,10 +51,12 @@
 
 
 class Fleet:
-    def __init__(self, build, folders, entries=2, engines=3, plains=2, version_bound_ms=8000):
+    def __init__(self, build, folders, entries=2, engines=3, plains=2, version_bound_ms=8000, contact_ms=CONTACT_MS):
         self.build = build
         # Time from the naming of a version within which engines must serve it.
         self.version_bound_ms = version_bound_ms
+        # Time within which an entry is to be in touch again after trouble.
+        self.contact_ms = contact_ms
         self.network = free_network()
         self.folder = tempfile.mkdtemp(prefix="mountbarrow-fleet-")
         folders.append(self.folder)
@@ -138,7 +140,7 @@
         door = self.door(identity)
         return {"identity": identity, "failure_domain": zone, "region": ZONES[zone], "regions": ZONES, "platform_address": f"{door.address}:{door.port}",
                 "link_port": LINK_PORT, "key": "k", "seeds": [f"{entry}:{CONTROL_PORT}" for entry in getattr(self, "entries", [])][:3],
-                "bounds": {"drain_ms": 2000, "grace_s": 8, "version_ms": self.version_bound_ms, "contact_ms": CONTACT_MS, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 100}}
+                "bounds": {"drain_ms": 2000, "grace_s": 8, "version_ms": self.version_bound_ms, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 100}}
 
     def start(self, program, identity, settings):
         path = os.path.join(self.folder, f"{identity}.json")
@@ -149,7 +151,9 @@
             self.processes[identity] = subprocess.Popen([os.path.join(self.build, program)], stdout=log, stderr=errors, env={**os.environ, "MOUNTBARROW_SETTINGS": path})
 
     def start_entry(self, identity):
-        self.start("mountbarrow-direct-entry", identity, {**self.common(identity, "zone-a"), "callers_address": f"{identity}:{CALLERS_PORT}",
+        common = self.common(identity, "zone-a")
+        common["bounds"]["contact_ms"] = self.contact_ms
+        self.start("mountbarrow-direct-entry", identity, {**common, "callers_address": f"{identity}:{CALLERS_PORT}",
                    "readiness_address": f"{identity}:{READY_PORT}", "control_address": f"{identity}:{CONTROL_PORT}", "metrics_port": CHUNK_PORT,
                    "link_megabits_per_second": 1000.0})
 
@@ -207,10 +211,6 @@
     def runs(self, request_id, servers=None):
         return sum(1 for server in servers or self.engines + self.plains for run in server.runs if run[0] == request_id)
 
-    def old_runs(self, version):
-        """How many requests engines began on a version older than this one."""
-        return sum(1 for engine in self.engines for run in engine.runs if run[2] < version)
-
     def pause(self, identity):
         self.processes[identity].send_signal(signal.SIGSTOP)
 
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 import threading
+import time
 import urllib.parse
 
 STAGED_CHUNK_BYTES = 256
@@ -118,10 +119,12 @@
         self.mode = ""
         # Reads that were taken up to this call are never answered; their connections stay open.
         self.silent_up_to = 0
+        # So many of the next reads of the operator's records that do not wait are turned away.
+        self.turned_away = 0
         self.taken = 0
         # Where the next answer that brings the operator's records falls silent: "", "head" or "body".
         self.silent_within = ""
-        # Queries of the reads of the operator's records, in order.
+        # Reads of the operator's records, in order: [query, whether an answer was begun].
         self.operator_reads = []
         super().__init__(loop, address, port)
 
@@ -144,13 +147,17 @@
         request.number = self.taken
         if self.mode == "silent":
             await asyncio.sleep(3600)
+        if self.turned_away > 0 and "WaitMs" not in request.query and request.query.get("topic") == "keyed.op":
+            self.turned_away -= 1
+            return await self.reply(request, 429)
         if self.mode == "reset":
             self.reset(request)
             return False
         if self.mode:
             return await self.reply(request, 503 if self.mode == "busy" else 429)
         if request.path == "/log-read" and request.query["topic"] == "keyed.op":
-            self.operator_reads.append(request.query)
+            request.noted = [request.query, False]
+            self.operator_reads.append(request.noted)
         if request.path == "/log-read":
             return await self.store.log_read(self, request)
         if request.path == "/log-newest":
@@ -205,6 +212,8 @@
         is_news = topic == "keyed.op" and len(self.topics[topic]) > start
         if is_news and door.silent_within:
             await door.fall_silent_within(request, body)
+        if topic == "keyed.op":
+            request.noted[1] = True
         return await door.reply(request, 200, body=body)
 
     async def log_newest(self, door, request):
@@ -226,7 +235,7 @@
         self.service = service
         self.zone = zone
         self.id = f"i-{random.SystemRandom().randrange(16 ** 10):010x}"
-        # (request id, tenant, path) of every run.
+        # (request id, tenant, path) of every run; of an engine, (request id, tenant, version, when).
         self.runs = []
         self.fault = ""
         self.faults_left = 0
@@ -369,7 +378,7 @@
             return await self.refuse(request, 503)
         if fault == "wait_long":
             await asyncio.sleep(3600)
-        self.runs.append((request.headers["x-request-id"], request.headers.get("x-tenant", ""), self.version))
+        self.runs.append((request.headers["x-request-id"], request.headers.get("x-tenant", ""), self.version, time.monotonic()))
         fields = "".join(f"{name}: {value}\r\n" for name, value in self.head(request))
         request.writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{fields}\r\n".encode())
         self.running += 1
--- a/Tests/Processes/cluster.py
+++ b/Tests/Processes/cluster.py
@@ -29,6 +29,10 @@
         claim = socket.socket()
         try:
             claim.bind((f"{network}.0.1", CLAIM_PORT))
+            # A process that was left over may listen without a claim.
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                probe.bind((f"{network}.0.1", HTTP_PORT))
         except OSError:
             claim.close()
             continue
