LibDistribution, Weights: Finish a version that is nearly whole past half of its bound

Cause: at half of its bound a version was given up with seven of eight chunks, for a newer one whose chunks the origin did not send: the agent then had neither.

Ruled out: finishing whatever is past half while the newer one may not be had: with little of the older one here the newer one's bound would be lost as well. Going by whether the origin answers: it is known only after the chunks of the newer version were asked for, and by one process. What peers hold is known.

CopyFetcher::stand() says how far it is, for agents and entries alike.

--- a/Services/DirectEntry/WeightsCache.cpp
+++ b/Services/DirectEntry/WeightsCache.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "WeightsCache.h"
 
-#include <LibDistribution/GoalOrder.h>
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -53,7 +52,7 @@
 {
     auto const now = Core::monotonic_now();
     for (auto& [model, copy] : m_copies) {
-        if (copy.next && !is_finishing_first(copy)) {
+        if (copy.next && !is_finishing_first(copy, copy.next->goal.version)) {
             auto const next = *std::exchange(copy.next, {});
             take_goal(copy, next.goal, next.named_at);
         }
@@ -94,21 +93,17 @@
     auto& copy = copy_of(goal.model);
     if (goal.version < copy.goal.version)
         return;
-    if (goal.version > copy.goal.version && is_finishing_first(copy)) {
+    if (goal.version > copy.goal.version && is_finishing_first(copy, goal.version)) {
         copy.next = NextGoal { goal, named_at };
         return;
     }
     take_goal(copy, goal, named_at);
 }
 
-bool WeightsCache::is_finishing_first(Copy const& copy) const
+bool WeightsCache::is_finishing_first(Copy const& copy, int64_t newer) const
 {
-    if (!m_callbacks.is_wanted(copy.goal.service, copy.goal.version))
-        return false;
-    return Distribution::is_worth_finishing({ .has_begun = copy.fetcher->is_under_way(),
-        .is_complete = copy.fetcher->is_complete(),
-        .since_named = Core::monotonic_now() - copy.named_at,
-        .bound = Core::Duration(copy.goal.bound_ms) });
+    bool const is_sought = m_callbacks.is_wanted(copy.goal.service, copy.goal.version);
+    return is_sought && Distribution::is_worth_finishing(copy.fetcher->stand(newer, Core::monotonic_now()));
 }
 
 void WeightsCache::take_goal(Copy& copy, Schema::WeightsGoal const& goal, Core::Time named_at)
--- a/Services/DirectEntry/WeightsCache.h
+++ b/Services/DirectEntry/WeightsCache.h
@@ -72,7 +72,7 @@
 
     void turn();
     Copy& copy_of(std::string const& model);
-    bool is_finishing_first(Copy const&) const;
+    bool is_finishing_first(Copy const&, int64_t newer) const;
     static void take_goal(Copy&, Schema::WeightsGoal const&, Core::Time named_at);
     bool serve_chunk(std::shared_ptr<Transport::HttpExchange> const&, std::string const& digest);
 
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -4,7 +4,6 @@
 #include <LibConfiguration/HeldVersion.h>
 #include <LibCore/Hash.h>
 #include <LibCore/Log.h>
-#include <LibDistribution/GoalOrder.h>
 #include <LibSchema/Json.h>
 #include <algorithm>
 #include <utility>
@@ -101,21 +100,17 @@
         m_fetcher.set_goal(goal, m_goal_at);
         return;
     }
-    if (is_finishing_first()) {
+    if (is_finishing_first(goal.version)) {
         m_next = NextGoal { goal, named_at };
         return;
     }
     take_goal(goal, named_at);
 }
 
-bool CopyKeeper::is_finishing_first() const
+bool CopyKeeper::is_finishing_first(int64_t newer) const
 {
-    if (!m_goal || !is_seeking(m_goal->version))
-        return false;
-    return Distribution::is_worth_finishing({ .has_begun = m_fetcher.is_under_way(),
-        .is_complete = m_fetcher.is_complete(),
-        .since_named = Core::monotonic_now() - m_goal_at,
-        .bound = Core::Duration(m_goal->bound_ms) });
+    bool const is_sought = m_goal && is_seeking(m_goal->version);
+    return is_sought && Distribution::is_worth_finishing(m_fetcher.stand(newer, Core::monotonic_now()));
 }
 
 void CopyKeeper::take_goal(Schema::WeightsGoal const& goal, Core::Time named_at)
@@ -131,7 +126,7 @@
 
 void CopyKeeper::take_next_goal()
 {
-    if (!m_next || is_finishing_first())
+    if (!m_next || is_finishing_first(m_next->goal.version))
         return;
     auto const next = *std::exchange(m_next, {});
     take_goal(next.goal, next.named_at);
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -78,7 +78,7 @@
         Core::Time named_at { 0 };
     };
 
-    bool is_finishing_first() const;
+    bool is_finishing_first(int64_t newer) const;
     void take_goal(Schema::WeightsGoal const&, Core::Time named_at);
     void take_next_goal();
     Weights::CopyFetcher::Callbacks fetcher_callbacks();
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -82,6 +82,21 @@
     drop_older_if_unneeded();
 }
 
+Distribution::TransferStand CopyFetcher::stand(int64_t newer, Core::Time now) const
+{
+    Distribution::TransferStand stand;
+    if (!m_goal)
+        return stand;
+    stand.has_begun = is_under_way();
+    stand.is_complete = is_complete();
+    stand.chunks = m_transfer ? m_transfer->chunk_count() : 0;
+    stand.held = m_transfer ? m_transfer->held_count() : 0;
+    stand.is_newer_at_peers = m_peer_chunks.distinct_chunks(m_goal->model, newer) >= stand.chunks;
+    stand.since_named = now - m_named_at;
+    stand.bound = Core::Duration(m_goal->bound_ms);
+    return stand;
+}
+
 // The version before.
 
 bool CopyFetcher::is_whole(KnownVersion const& version) const
