Tests: Let the straggler's test wait for what is promised

The test waited for its engine before it let the straggler go on.

Ruled out: a fault of the straggler's sources: it was paused all the while.

Change: every entry and agent begins version 2 first (wait_begun, shared with test_a_version_under_way_is_finished_when_the_origin_cannot_send_the_next); that the others hold it whole is asked of their logs; at the end every engine must serve it, where only the straggler's was asked for before.

Conclusion: which engine ranks first no longer decides the test.

--- a/Tests/Platform/test_direct_path.py
+++ b/Tests/Platform/test_direct_path.py
@@ -107,6 +107,12 @@
     return all(load[1] == fleet.origin.digests(load[0]) for engine in fleet.engines for load in engine.loads) and all(engine.version == version for engine in fleet.engines)
 
 
+def wait_begun(fleet, version):
+    """Every entry and agent has begun the version: one that links late may hear of the next one first."""
+    instances = [*fleet.entries, *(engine.address for engine in fleet.engines)]
+    wait_until(lambda: all(fleet.times_logged(identity, "manifest_taken", version=str(version)) for identity in instances), f"version {version} to be under way everywhere")
+
+
 def test_a_named_version_reaches_every_engine_whole_past_spoilt_chunks(build, folders):
     with Fleet(build, folders) as fleet:
         wait_linked(fleet)
@@ -129,8 +135,7 @@
         fleet.origin.piece_seconds = 0.3
         fleet.origin.silent_versions = {3}
         fleet.name_version(2)
-        instances = [*fleet.entries, *(engine.address for engine in fleet.engines)]
-        wait_until(lambda: all(fleet.times_logged(identity, "manifest_taken", version="2") for identity in instances), "version 2 to be under way everywhere")
+        wait_begun(fleet, 2)
         fleet.name_version(3)
         wait_until(lambda: all(engine.version == 2 for engine in fleet.engines), "version 2 everywhere")
         assert right_loads(fleet, 2)
@@ -148,7 +153,7 @@
         fleet.origin.silent_versions = {3}
         *others, straggler = fleet.engines
         fleet.name_version(2)
-        wait_until(lambda: fleet.times_logged(straggler.address, "manifest_taken", version="2"), "the straggler to begin version 2")
+        wait_begun(fleet, 2)
         moved_on = [*fleet.entries, *(engine.address for engine in others)]
 
         def links_dropped(identity):
@@ -158,12 +163,13 @@
         fleet.pause(straggler.address)
         fleet.name_version(3)
         wait_until(lambda: all(fleet.times_logged(identity, "goal_changed", version="3") for identity in moved_on), "the others to turn to version 3")
-        wait_until(lambda: all(engine.version == 2 for engine in others), "version 2 at the others")
+        # They hold all of it; their engines may wait for the straggler's, which goes first where it ranks first.
+        assert all(fleet.times_logged(identity, "copy_complete", version="2") for identity in moved_on)
         # What it heard of chunks before is gone with its links.
         wait_until(lambda: all(links_dropped(identity) > dropped_before[identity] for identity in moved_on), "the straggler's links to be dropped")
         fleet.origin.silent_versions = {2, 3}
         fleet.go_on(straggler.address)
-        wait_until(lambda: straggler.version == 2, "version 2 at the straggler")
+        wait_until(lambda: all(engine.version == 2 for engine in fleet.engines), "version 2 everywhere")
         assert right_loads(fleet, 2)
 
 
