LibDistribution: Bound the slow reads that are doubled, and count their bytes

Cause: test_a_version_change_keeps_the_floor_serving_and_fetches_only_what_is_new once read more than the new chunks hold. A read was slow at twice the mean of those before it, some milliseconds on one machine, so whatever a busy machine held up was read from a second peer, with no limit over a version: a unit test had 64 of 65 chunks read twice. Beside load 45 to 60 one of five runs of the process test doubled a read, chunk 18 at llm-3 (the log's slow_read_doubled); it was stopped before it cost bytes. The excess itself was not seen again in eight runs, so that it was this read is likely and not shown.

Ruled out: no duplicates at all: they are what gets past a peer that died silently. A floor of a quarter of the stall: Swarm.TheSurvivorsOfDeathsInTheMiddleComplete then took 161 slots, over its 160 (143 with an eighth, 143 with no floor).

Change: a read is not slow before an eighth of the silence that would end it. One chunk and a sixteenth of those missing may cost their bytes twice; a peer that sent nothing costs none, and is not counted. A doubled read is logged, and counted in mountbarrow_duplicate_reads_total (agents of rollouts: mountbarrow_agent_duplicate_reads_total). WeightsRunner counts the bytes that it keeps, and those that it discards, by reason.

--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -12,9 +12,14 @@
 static constexpr Core::Duration corrupt_wait { 10000 };
 static constexpr size_t most_fault_doublings = 5;
 static constexpr size_t corrupt_chunks_tolerated = 2;
-// At the end a slow read is doubled once, so the bytes read twice stay bounded.
+// At the end a slow read is doubled once, and this part of the missing chunks and one more may cost bytes twice: a version
+// is not read twice because a machine or a link is slow as a whole.
 static constexpr size_t reads_per_chunk = 2;
+static constexpr size_t missing_chunks_per_duplicate = 16;
 static constexpr double slow_read_factor = 2;
+// Where chunks come within milliseconds, twice the mean says nothing: a busy machine holds one read up for longer. A read
+// is not slow before this part of the silence that would end it.
+static constexpr int64_t slow_reads_per_stall = 8;
 
 static bool contains(std::vector<std::string> const& instances, std::string const& instance)
 {
@@ -38,6 +43,7 @@
         m_chunks[static_cast<size_t>(number)].is_held = true;
         m_held_count += 1;
     }
+    m_duplicates_left = 1 + (m_chunks.size() - m_held_count) / missing_chunks_per_duplicate;
     rank_chunks();
 }
 
@@ -250,11 +256,23 @@
         auto const running = m_running.at(id);
         end_fetch(id);
         actions.push_back(CancelFetch { id });
+        refund_duplicate(running);
         if (!m_chunks[running.chunk].is_held)
             punish(running.source, FetchFailure::Unreachable, now);
     }
 }
 
+void Transfer::refund_duplicate(Running const& ended)
+{
+    // A peer that sent nothing cost no bytes. Of the origin's bytes nothing is told before the last.
+    auto& chunk = m_chunks[ended.chunk];
+    bool const has_cost_bytes = ended.first_bytes.has_value() || ended.source.is_origin();
+    if (!chunk.is_doubled || has_cost_bytes)
+        return;
+    chunk.is_doubled = false;
+    m_duplicates_left += 1;
+}
+
 size_t Transfer::running_from_origin() const
 {
     return static_cast<size_t>(std::count_if(m_running.begin(), m_running.end(), [](auto const& entry) { return entry.second.source.is_origin(); }));
@@ -295,7 +313,7 @@
     if (!source.is_origin())
         m_peers[source.peer].fetches += 1;
     m_running[id] = { chunk, source, now, now, {} };
-    return { id, chunk, std::move(source) };
+    return { id, chunk, std::move(source), false };
 }
 
 std::string Transfer::choose_peer(size_t chunk, Core::Time now, std::string const& except)
@@ -379,18 +397,29 @@
     return true;
 }
 
+bool Transfer::is_slow(Running const& running, Core::Time now) const
+{
+    auto const lasted = now - running.started;
+    if (m_mean_fetch_ms == 0 || lasted < m_settings.stall / slow_reads_per_stall)
+        return false;
+    return static_cast<double>(lasted.count()) >= slow_read_factor * m_mean_fetch_ms;
+}
+
 bool Transfer::start_duplicate(Core::Time now, std::vector<TransferAction>& actions)
 {
+    if (m_duplicates_left == 0)
+        return false;
     for (auto const& [id, running] : m_running) {
-        if (m_chunks[running.chunk].fetches >= reads_per_chunk)
-            continue;
-        auto const lasted = static_cast<double>((now - running.started).count());
-        if (m_mean_fetch_ms == 0 || lasted < slow_read_factor * m_mean_fetch_ms)
+        if (m_chunks[running.chunk].fetches >= reads_per_chunk || !is_slow(running, now))
             continue;
         auto peer = choose_peer(running.chunk, now, running.source.peer);
         if (peer.empty())
             continue;
-        actions.push_back(begin(running.chunk, Source { peer }, now));
+        auto duplicate = begin(running.chunk, Source { peer }, now);
+        duplicate.is_duplicate = true;
+        m_duplicates_left -= 1;
+        m_chunks[running.chunk].is_doubled = true;
+        actions.push_back(std::move(duplicate));
         return true;
     }
     return false;
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -26,6 +26,8 @@
     uint64_t id { 0 };
     size_t chunk { 0 };
     Source source;
+    /// The chunk is being read from another source already, which is slow.
+    bool is_duplicate { false };
 };
 
 /// Stop a read that is no longer wanted.
@@ -127,6 +129,8 @@
         bool is_held { false };
         // Reads under way.
         size_t fetches { 0 };
+        // A slow read of it was doubled, which may have cost its bytes twice.
+        bool is_doubled { false };
         // Neighbours that hold it.
         size_t holders { 0 };
         size_t origin_rank { 0 };
@@ -159,6 +163,8 @@
     void give_up_stalled(Core::Time now, std::vector<TransferAction>&);
     bool start_from_peer(Core::Time now, std::vector<TransferAction>&);
     bool start_from_origin(Core::Time now, std::vector<TransferAction>&);
+    void refund_duplicate(Running const& ended);
+    bool is_slow(Running const&, Core::Time now) const;
     bool start_duplicate(Core::Time now, std::vector<TransferAction>&);
     std::string choose_peer(size_t chunk, Core::Time now, std::string const& except);
     Fetch begin(size_t chunk, Source, Core::Time now);
@@ -182,6 +188,8 @@
     std::map<uint64_t, Running> m_running;
     std::map<Source, uint64_t> m_corrupt;
     size_t m_held_count { 0 };
+    // Chunks whose bytes may still be read twice.
+    size_t m_duplicates_left { 0 };
     size_t m_origin_faults { 0 };
     uint64_t m_next_fetch { 1 };
     Core::Time m_last_useful { 0 };
--- a/Services/Agent/WeightsRunner.cpp
+++ b/Services/Agent/WeightsRunner.cpp
@@ -100,7 +100,7 @@
 
 void WeightsRunner::start_transfer()
 {
-    m_downloads.clear();
+    discard_downloads();
     m_to_announce.clear();
     m_widen = 0;
     auto transfer_settings = m_settings.transfer;
@@ -128,7 +128,7 @@
     m_targets.clear();
     m_rollout.clear();
     m_transfer.reset();
-    m_downloads.clear();
+    discard_downloads();
     m_engine.set_wanted({}, 0);
     m_callbacks.changed();
 }
@@ -244,7 +244,7 @@
         if (auto const* fetch = std::get_if<Distribution::Fetch>(&action))
             start(*fetch);
         else if (auto const* cancel = std::get_if<Distribution::CancelFetch>(&action))
-            m_downloads.erase(cancel->id);
+            stop(cancel->id);
     }
     bool const may_widen = m_transfer->is_starved(now) && m_widen + m_settings.neighbours < m_candidates.size();
     if (!may_widen)
@@ -263,6 +263,10 @@
 void WeightsRunner::start(Distribution::Fetch const& fetch)
 {
     auto const& digest = m_version->chunks[fetch.chunk].digest;
+    if (fetch.is_duplicate) {
+        m_metrics.count("mountbarrow_agent_duplicate_reads_total");
+        Core::log_event(Core::LogLevel::Info, "slow_read_doubled", { { "chunk", std::to_string(fetch.chunk) }, { "second_source", fetch.source.peer } });
+    }
     Transport::HttpCallRequest request;
     if (fetch.source.is_origin()) {
         request.address = m_settings.platform_address;
@@ -295,6 +299,26 @@
             .failed = [this, id](Transport::HttpFailure) { on_download_failed(id, Distribution::FetchFailure::Unreachable); } });
 }
 
+void WeightsRunner::stop(uint64_t fetch)
+{
+    auto const download = take_download(fetch);
+    if (download)
+        count_discarded(*download, m_store.holds(download->digest) ? "held_already" : "stalled");
+}
+
+void WeightsRunner::count_discarded(Download const& download, std::string const& reason)
+{
+    if (download.bytes.size() > 0)
+        m_metrics.count("mountbarrow_agent_weights_bytes_discarded_total", "reason=\"" + reason + "\"", download.bytes.size());
+}
+
+void WeightsRunner::discard_downloads()
+{
+    for (auto const& [fetch, download] : m_downloads)
+        count_discarded(*download, "other_version");
+    m_downloads.clear();
+}
+
 std::unique_ptr<WeightsRunner::Download> WeightsRunner::take_download(uint64_t fetch)
 {
     auto node = m_downloads.extract(fetch);
@@ -313,10 +337,16 @@
         m_transfer->on_failed(fetch, failure, now);
         return;
     }
+    auto const size = download->bytes.size();
     auto const added = m_store.add(download->digest, download->bytes);
-    if (added == Distribution::ChunkStore::AddResult::AlreadyHeld)
+    if (added == Distribution::ChunkStore::AddResult::Added)
+        m_metrics.count("mountbarrow_agent_weights_bytes_kept_total", {}, size);
+    if (added == Distribution::ChunkStore::AddResult::AlreadyHeld) {
         m_metrics.count("mountbarrow_agent_chunks_fetched_again_total");
+        count_discarded(*download, "held_already");
+    }
     if (added == Distribution::ChunkStore::AddResult::Corrupt) {
+        count_discarded(*download, "corrupt");
         m_metrics.count("mountbarrow_agent_fetch_failures_total", "reason=\"corrupt\"");
         Core::log_event(Core::LogLevel::Warn, "chunk_corrupt", { { "digest", download->digest } });
         m_transfer->on_failed(fetch, Distribution::FetchFailure::Corrupt, now);
@@ -342,6 +372,7 @@
     if (!download || !m_transfer)
         return;
     m_metrics.count("mountbarrow_agent_fetch_failures_total", "reason=\"unreachable\"");
+    count_discarded(*download, "broken_off");
     m_transfer->on_failed(fetch, failure, Core::monotonic_now());
 }
 
--- a/Services/Agent/WeightsRunner.h
+++ b/Services/Agent/WeightsRunner.h
@@ -83,9 +83,13 @@
     void turn();
     void run_transfer(Core::Time now);
     void start(Distribution::Fetch const&);
+    void stop(uint64_t fetch);
     void on_downloaded(uint64_t fetch);
     void on_download_failed(uint64_t fetch, Distribution::FetchFailure);
     std::unique_ptr<Download> take_download(uint64_t fetch);
+    /// Counts bytes that came and are not kept, by what made them useless.
+    void count_discarded(Download const&, std::string const& reason);
+    void discard_downloads();
     void announce();
     void send_full_map(std::string const& peer);
     void run_engine(Core::Time now);
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -315,6 +315,10 @@
 void CopyFetcher::start_fetch(Distribution::Fetch const& fetch)
 {
     m_fetch_chunks[fetch.id] = fetch.chunk;
+    if (fetch.is_duplicate) {
+        m_metrics.count("mountbarrow_duplicate_reads_total");
+        Core::log_event(Core::LogLevel::Info, "slow_read_doubled", { { "chunk", std::to_string(fetch.chunk) }, { "second_source", fetch.source.peer } });
+    }
     if (fetch.source.is_origin())
         fetch_from_origin(fetch);
     else
--- a/Tests/LibDistribution/TestTransfer.cpp
+++ b/Tests/LibDistribution/TestTransfer.cpp
@@ -399,3 +399,47 @@
     transfer.on_peer_chunks("c1", { 0, 1, 2, 3, 4, 5, 6, 7 });
     EXPECT_TRUE(fetches_of(transfer.step(Core::Time(10))).empty());
 }
+
+TEST(Transfer, AReadIsNotDoubledJustBecauseTheOthersWereQuick)
+{
+    TransferSettings settings;
+    settings.stall = Core::Duration(2000);
+    Transfer transfer(version_of(4), "e1", { "e1", "e2", "e3" }, {}, settings, 1, Core::Time(0));
+    for (auto const* peer : { "e2", "e3" })
+        transfer.on_peer_chunks(peer, { 0, 1, 2, 3 });
+    auto const first = fetches_of(transfer.step(Core::Time(0)));
+    ASSERT_EQ(first.size(), 4u);
+    for (size_t i = 0; i < 3; ++i)
+        transfer.on_fetched(first[i].id, Core::Time(2));
+    // A busy machine holds a read up for tens of milliseconds.
+    EXPECT_TRUE(fetches_of(transfer.step(Core::Time(200))).empty());
+    auto const doubled = fetches_of(transfer.step(Core::Time(500)));
+    ASSERT_EQ(doubled.size(), 1u);
+    EXPECT_EQ(doubled[0].chunk, first[3].chunk);
+    EXPECT_NE(doubled[0].source.peer, first[3].source.peer);
+}
+
+TEST(Transfer, OnlyASmallPartOfAVersionIsReadTwice)
+{
+    size_t const chunks = 64;
+    TransferSettings settings;
+    settings.fetches_in_flight = 2 * chunks;
+    settings.stall = Core::Duration(2000);
+    Transfer transfer(version_of(chunks + 1), "e1", { "e1", "e2", "e3" }, {}, settings, 1, Core::Time(0));
+    std::vector<int64_t> all;
+    for (size_t i = 0; i <= chunks; ++i)
+        all.push_back(static_cast<int64_t>(i));
+    for (auto const* peer : { "e2", "e3" })
+        transfer.on_peer_chunks(peer, all);
+    auto const first = fetches_of(transfer.step(Core::Time(0)));
+    ASSERT_EQ(first.size(), chunks + 1);
+    transfer.on_fetched(first[0].id, Core::Time(2));
+    size_t doubled = 0;
+    for (int64_t now = 100; now < 1900; now += 100) {
+        for (auto const& fetch : first)
+            transfer.on_progress(fetch.id, Core::Time(now));
+        doubled += fetches_of(transfer.step(Core::Time(now))).size();
+    }
+    EXPECT_GE(doubled, 1u);
+    EXPECT_LE(doubled, 1 + chunks / 16);
+}
