Weights: Let agents and entries wait with a newer version by the same class

Cause: CopyKeeper and WeightsCache each held the version that waits, the rule when it waits, and the turn to it.

Ruled out: keeping it within CopyFetcher: the agent has to look at the version that ends, to go on loading it, before the fetcher turns.

Change: CopyGoal holds the present goal and the one that waits. Two small things differ: a version that waits is forgotten at the turn to a newer one, where it could have been taken after that; and an entry keeps the age that it first learned of a goal. Unit tests for it; HeldBackOrigin is shared by the tests.

Conclusion: the rule stands once.

--- a/Services/DirectEntry/WeightsCache.cpp
+++ b/Services/DirectEntry/WeightsCache.cpp
@@ -52,17 +52,21 @@
 {
     auto const now = Core::monotonic_now();
     for (auto& [model, copy] : m_copies) {
-        if (copy.next && !is_finishing_first(copy, copy.next->goal.version)) {
-            auto const next = *std::exchange(copy.next, {});
-            take_goal(copy, next.goal, next.named_at);
-        }
-        if (m_callbacks.is_wanted(copy.goal.service, copy.goal.version))
+        copy.goal->take_next();
+        auto const& goal = copy.goal->present();
+        if (goal && is_wanted(copy, goal->version))
             copy.fetcher->turn(now);
         else
             copy.fetcher->drop_older_if_unneeded();
     }
 }
 
+bool WeightsCache::is_wanted(Copy const& copy, int64_t version) const
+{
+    auto const& goal = copy.goal->present();
+    return goal && m_callbacks.is_wanted(goal->service, version);
+}
+
 WeightsCache::Copy& WeightsCache::copy_of(std::string const& model)
 {
     auto& copy = m_copies[model];
@@ -72,12 +76,13 @@
         .announce = m_callbacks.announce,
         .manifest_taken = [&copy] { copy.fetcher->begin(); },
         .chunk_held = [](size_t) {},
-        .is_seeking = [this, &copy](int64_t version) { return m_callbacks.is_wanted(copy.goal.service, version); },
-        .is_lacked = [this, &copy](int64_t version) { return m_callbacks.is_wanted(copy.goal.service, version); },
+        .is_seeking = [this, &copy](int64_t version) { return is_wanted(copy, version); },
+        .is_lacked = [this, &copy](int64_t version) { return is_wanted(copy, version); },
         .also_used = [] { return nullptr; },
         .sources = m_callbacks.sources,
     };
     copy.fetcher = std::make_unique<Weights::CopyFetcher>(m_loop, fetcher_settings(m_settings), m_metrics, m_origin, std::move(callbacks));
+    copy.goal = std::make_unique<Weights::CopyGoal>(*copy.fetcher, Weights::CopyGoal::Callbacks { .is_seeking = [this, &copy](int64_t version) { return is_wanted(copy, version); }, .turning = {} });
     Weights::ChunkServerSettings uploads;
     uploads.bytes_per_second = m_settings.bytes_per_second;
     uploads.at_once = uploads_at_once;
@@ -88,29 +93,7 @@
 
 void WeightsCache::set_goal(Schema::WeightsGoal const& goal, Core::Time named_at)
 {
-    if (goal.chunks <= 0 && goal.origin_address.empty())
-        return;
-    auto& copy = copy_of(goal.model);
-    if (goal.version < copy.goal.version)
-        return;
-    if (goal.version > copy.goal.version && is_finishing_first(copy, goal.version)) {
-        copy.next = NextGoal { goal, named_at };
-        return;
-    }
-    take_goal(copy, goal, named_at);
-}
-
-bool WeightsCache::is_finishing_first(Copy const& copy, int64_t newer) const
-{
-    bool const is_sought = m_callbacks.is_wanted(copy.goal.service, copy.goal.version);
-    return is_sought && Distribution::is_worth_finishing(copy.fetcher->stand(newer, Core::monotonic_now()));
-}
-
-void WeightsCache::take_goal(Copy& copy, Schema::WeightsGoal const& goal, Core::Time named_at)
-{
-    copy.goal = goal;
-    copy.named_at = named_at;
-    copy.fetcher->set_goal(goal, named_at);
+    copy_of(goal.model).goal->name(goal, named_at);
 }
 
 void WeightsCache::update_sources()
--- a/Services/DirectEntry/WeightsCache.h
+++ b/Services/DirectEntry/WeightsCache.h
@@ -3,6 +3,7 @@
 
 #include "../Weights/ChunkServer.h"
 #include "../Weights/CopyFetcher.h"
+#include "../Weights/CopyGoal.h"
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibPlatform/EngineApi.h>
@@ -11,7 +12,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace DirectEntry {
@@ -56,24 +56,16 @@
     bool serve(std::shared_ptr<Transport::HttpExchange> const&);
 
 private:
-    struct NextGoal {
-        Schema::WeightsGoal goal;
-        Core::Time named_at { 0 };
-    };
-
     struct Copy {
-        Schema::WeightsGoal goal;
-        Core::Time named_at { 0 };
-        // The newest version, while the transfer of the one before it goes on to its end.
-        std::optional<NextGoal> next;
         std::unique_ptr<Weights::CopyFetcher> fetcher;
+        std::unique_ptr<Weights::CopyGoal> goal;
         std::unique_ptr<Weights::ChunkServer> server;
     };
 
     void turn();
     Copy& copy_of(std::string const& model);
-    bool is_finishing_first(Copy const&, int64_t newer) const;
-    static void take_goal(Copy&, Schema::WeightsGoal const&, Core::Time named_at);
+    /// Whether some engine of the copy's service does not serve a version yet.
+    bool is_wanted(Copy const&, int64_t version) const;
     bool serve_chunk(std::shared_ptr<Transport::HttpExchange> const&, std::string const& digest);
 
     Core::EventLoop& m_loop;
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -24,6 +24,7 @@
     , m_engine(engine)
     , m_callbacks(std::move(callbacks))
     , m_fetcher(loop, m_settings.fetcher, metrics, origin, fetcher_callbacks())
+    , m_goal(m_fetcher, { .is_seeking = [this](int64_t version) { return is_seeking(version); }, .turning = [this](Schema::WeightsGoal const& next, Core::Time named_at) { on_turning(next, named_at); } })
     , m_turn_timer(loop.every(turn_interval, [this] { turn(); }))
     , m_poll_timer(loop.every(poll_interval, [this] { poll_engine(); }))
 {
@@ -51,14 +52,14 @@
 bool CopyKeeper::is_seeking(int64_t version) const
 {
     // An engine that holds what is wanted needs no more chunks, until it is restarted.
-    if (m_goal && version < m_goal->version)
+    if (goal() && version < goal()->version)
         return serving_version() < version;
-    return m_goal && serving_version() != version;
+    return goal() && serving_version() != version;
 }
 
 bool CopyKeeper::is_lacked(int64_t version) const
 {
-    return m_goal && std::any_of(m_goal->peers.begin(), m_goal->peers.end(), [&](auto const& peer) {
+    return goal() && std::any_of(goal()->peers.begin(), goal()->peers.end(), [&](auto const& peer) {
         return peer.identity != m_settings.fetcher.identity && !does_peer_serve(peer.identity, version);
     });
 }
@@ -76,10 +77,10 @@
     sources.near.assign(m_near_caches.begin(), m_near_caches.end());
     sources.targets.push_back(m_settings.fetcher.identity);
     sources.near.push_back(m_settings.fetcher.identity);
-    for (auto const& peer : m_goal->peers) {
+    for (auto const& peer : goal()->peers) {
         if (peer.identity == m_settings.fetcher.identity)
             continue;
-        if (!does_peer_serve(peer.identity, m_goal->version))
+        if (!does_peer_serve(peer.identity, goal()->version))
             sources.targets.push_back(peer.identity);
         auto const region = m_settings.regions.find(peer.failure_domain);
         if (region != m_settings.regions.end() && region->second == m_settings.region)
@@ -90,46 +91,15 @@
 
 void CopyKeeper::set_goal(Schema::WeightsGoal const& goal)
 {
-    auto const named_at = Core::monotonic_now() - Core::Duration(goal.age_ms);
-    bool const is_older = m_goal && goal.version < m_goal->version;
-    if (is_older || (goal.chunks <= 0 && goal.origin_address.empty()))
-        return;
-    bool const is_new_version = !m_goal || goal.version > m_goal->version || goal.model != m_goal->model;
-    if (!is_new_version) {
-        m_goal = goal;
-        m_fetcher.set_goal(goal, m_goal_at);
-        return;
-    }
-    if (is_finishing_first(goal.version)) {
-        m_next = NextGoal { goal, named_at };
-        return;
-    }
-    take_goal(goal, named_at);
+    if (m_goal.name(goal, Core::monotonic_now() - Core::Duration(goal.age_ms)))
+        turn();
 }
 
-bool CopyKeeper::is_finishing_first(int64_t newer) const
-{
-    bool const is_sought = m_goal && is_seeking(m_goal->version);
-    return is_sought && Distribution::is_worth_finishing(m_fetcher.stand(newer, Core::monotonic_now()));
-}
-
-void CopyKeeper::take_goal(Schema::WeightsGoal const& goal, Core::Time named_at)
+void CopyKeeper::on_turning(Schema::WeightsGoal const& next, Core::Time named_at)
 {
     keep_loading_older();
-    m_goal = goal;
-    m_goal_at = named_at;
-    m_unmet_goals.on_named(goal.version, named_at);
+    m_unmet_goals.on_named(next.version, named_at);
     m_load.reset();
-    m_fetcher.set_goal(goal, named_at);
-    turn();
-}
-
-void CopyKeeper::take_next_goal()
-{
-    if (!m_next || is_finishing_first(m_next->goal.version))
-        return;
-    auto const next = *std::exchange(m_next, {});
-    take_goal(next.goal, next.named_at);
 }
 
 void CopyKeeper::set_caches(std::set<std::string> caches)
@@ -142,10 +112,10 @@
 void CopyKeeper::keep_loading_older()
 {
     // Each version has a bound of its own: what is complete here may be served before the newer one can be.
-    bool const is_worth_it = m_load && m_fetcher.is_complete() && !m_older && serving_version() < m_goal->version;
+    bool const is_worth_it = m_load && m_fetcher.is_complete() && !m_older && serving_version() < goal()->version;
     if (!is_worth_it)
         return;
-    m_older = LoadingCopy { std::move(*m_goal), m_goal_at, m_fetcher.spec(), std::move(m_load) };
+    m_older = LoadingCopy { *goal(), m_goal.named_at(), m_fetcher.spec(), std::move(m_load) };
     Core::log_event(Core::LogLevel::Info, "older_load_goes_on", { { "version", std::to_string(m_older->goal.version) } });
 }
 
@@ -172,7 +142,7 @@
 
 int64_t CopyKeeper::serving_version() const
 {
-    return m_report && m_goal ? Configuration::whole_version(m_report->held, m_goal->layers) : 0;
+    return m_report && goal() ? Configuration::whole_version(m_report->held, goal()->layers) : 0;
 }
 
 bool CopyKeeper::is_busy() const
@@ -185,17 +155,17 @@
 {
     auto const version = serving_version();
     Schema::PieceMap map;
-    map.model = m_goal->model;
-    map.version = version > 0 ? version : m_goal->version;
+    map.model = goal()->model;
+    map.version = version > 0 ? version : goal()->version;
     map.is_seeking = version == 0;
     m_callbacks.announce(map);
 }
 
 void CopyKeeper::turn()
 {
-    if (!m_goal)
+    if (!goal())
         return;
-    take_next_goal();
+    m_goal.take_next();
     auto const now = Core::monotonic_now();
     // An engine that does not answer wants nothing.
     bool const is_engine_there = m_report.has_value() || m_fetcher.has_manifest();
@@ -236,7 +206,7 @@
     auto const& manifest = m_fetcher.manifest();
     m_load = std::make_unique<Distribution::StagedLoad>(manifest.version, manifest.digests.size(), Distribution::StagedLoadSettings {});
     if (m_report)
-        m_load->on_report(*m_report, m_goal->layers, Core::monotonic_now());
+        m_load->on_report(*m_report, goal()->layers, Core::monotonic_now());
     if (m_has_adopted)
         begin_transfer();
     else
@@ -256,7 +226,7 @@
     m_adopting = m_fetcher.spec().chunks.size();
     auto const version = m_fetcher.manifest().version;
     for (size_t i = 0; i < m_fetcher.spec().chunks.size(); ++i) {
-        m_engine.read_staged(m_goal->model, i, [this, i, version](std::shared_ptr<std::string const> const& bytes) {
+        m_engine.read_staged(goal()->model, i, [this, i, version](std::shared_ptr<std::string const> const& bytes) {
             bool const is_wanted = bytes && m_fetcher.has_manifest() && m_fetcher.manifest().version == version;
             if (is_wanted && m_fetcher.adopt(i, *bytes))
                 m_metrics.count("mountbarrow_chunks_adopted_total");
@@ -283,8 +253,8 @@
     }
     if (!m_load || m_adopting > 0)
         return;
-    for (auto const& action : m_load->step(now, { may_switch(*m_goal, m_goal_at, now), m_goal->may_evict }))
-        perform(action, m_goal->version);
+    for (auto const& action : m_load->step(now, { may_switch(*goal(), m_goal.named_at(), now), goal()->may_evict }))
+        perform(action, goal()->version);
 }
 
 void CopyKeeper::perform(Distribution::LoadAction const& action, int64_t version)
@@ -300,7 +270,7 @@
 void CopyKeeper::stage(int64_t version, size_t chunk)
 {
     auto const bytes = m_fetcher.store().find(spec_of(version).chunks[chunk].digest);
-    m_engine.stage(m_goal->model, chunk, bytes ? *bytes : std::string(), [this, version, chunk](bool is_done) {
+    m_engine.stage(goal()->model, chunk, bytes ? *bytes : std::string(), [this, version, chunk](bool is_done) {
         auto* load = load_of(version);
         if (!load)
             return;
@@ -311,7 +281,7 @@
 
 void CopyKeeper::read_back(int64_t version, size_t chunk)
 {
-    m_engine.read_staged(m_goal->model, chunk, [this, version, chunk](std::shared_ptr<std::string const> const& bytes) {
+    m_engine.read_staged(goal()->model, chunk, [this, version, chunk](std::shared_ptr<std::string const> const& bytes) {
         auto* load = load_of(version);
         if (!load)
             return;
@@ -345,10 +315,10 @@
 
 void CopyKeeper::order(int64_t version, Distribution::OrderLoad const& due)
 {
-    auto const goal_at = m_older && m_older->goal.version == version ? m_older->goal_at : m_goal_at;
+    auto const goal_at = m_older && m_older->goal.version == version ? m_older->goal_at : m_goal.named_at();
     Core::log_event(Core::LogLevel::Info, "load_ordered", { { "version", std::to_string(version) }, { "expected_sequence", due.expected_sequence ? std::to_string(*due.expected_sequence) : "any" }, { "manner", due.manner == Platform::LoadManner::EvictRunning ? "evict" : "wait" }, { "running", std::to_string(m_report ? m_report->running : 0) }, { "after_ms", std::to_string((Core::monotonic_now() - goal_at).count()) } });
     m_metrics.count("mountbarrow_load_orders_total");
-    m_engine.start(m_goal->model, version, due.manner, due.expected_sequence, [this, version](Platform::OrderOutcome outcome) {
+    m_engine.start(goal()->model, version, due.manner, due.expected_sequence, [this, version](Platform::OrderOutcome outcome) {
         Core::log_event(Core::LogLevel::Info, "load_answered", { { "version", std::to_string(version) }, { "outcome", std::to_string(static_cast<int>(outcome)) } });
         if (auto* load = load_of(version))
             load->on_ordered(outcome, Core::monotonic_now());
@@ -395,7 +365,7 @@
         m_report = *report;
         auto const now = Core::monotonic_now();
         if (m_load)
-            m_load->on_report(*m_report, m_goal->layers, now);
+            m_load->on_report(*m_report, goal()->layers, now);
         if (m_older)
             m_older->load->on_report(*m_report, m_older->goal.layers, now);
     }
@@ -413,7 +383,7 @@
     m_unmet_goals.on_serving(version);
     m_last_version = version;
     m_was_busy = is_busy;
-    if (is_other_version && m_goal)
+    if (is_other_version && goal())
         tell_seeking();
     m_callbacks.changed();
 }
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "../Weights/CopyFetcher.h"
+#include "../Weights/CopyGoal.h"
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibDistribution/EngineControl.h>
@@ -73,14 +74,8 @@
         std::unique_ptr<Distribution::StagedLoad> load;
     };
 
-    struct NextGoal {
-        Schema::WeightsGoal goal;
-        Core::Time named_at { 0 };
-    };
-
-    bool is_finishing_first(int64_t newer) const;
-    void take_goal(Schema::WeightsGoal const&, Core::Time named_at);
-    void take_next_goal();
+    std::optional<Schema::WeightsGoal> const& goal() const { return m_goal.present(); }
+    void on_turning(Schema::WeightsGoal const& next, Core::Time named_at);
     Weights::CopyFetcher::Callbacks fetcher_callbacks();
     Weights::CopySources sources() const;
     void turn();
@@ -114,13 +109,10 @@
     Platform::EngineApi& m_engine;
     Callbacks m_callbacks;
 
-    std::optional<Schema::WeightsGoal> m_goal;
-    Core::Time m_goal_at { 0 };
-    // The newest version, while the transfer of the one before it goes on to its end.
-    std::optional<NextGoal> m_next;
     Distribution::UnmetGoals m_unmet_goals;
     std::unique_ptr<Distribution::StagedLoad> m_load;
     Weights::CopyFetcher m_fetcher;
+    Weights::CopyGoal m_goal;
     // The entries, and those of them in this region.
     std::set<std::string> m_caches;
     std::set<std::string> m_near_caches;
--- /dev/null
+++ b/Tests/Weights/HeldBackOrigin.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/Hash.h>
+#include <LibPlatform/EngineApi.h>
+#include <functional>
+#include <string>
+#include <vector>
+
+/// An origin whose answers wait until the test delivers them. A version's chunks are its own but for the first.
+class HeldBackOrigin final : public Platform::WeightOrigin {
+public:
+    static constexpr size_t chunk_count = 3;
+
+    static std::string bytes_of(int64_t version, size_t chunk)
+    {
+        return chunk == 0 ? "shared" : std::to_string(version) + "-" + std::to_string(chunk);
+    }
+
+    void read_manifest(std::string const&, std::string const& model, int64_t version, std::function<void(Core::ErrorOr<Platform::Manifest>)> callback) override
+    {
+        Platform::Manifest manifest { .model = model, .version = version, .chunk_bytes = 1, .digests = {} };
+        for (size_t i = 0; i < chunk_count; ++i)
+            manifest.digests.push_back(Core::sha256(bytes_of(version, i)));
+        m_answers.emplace_back([manifest, callback = std::move(callback)] { callback(manifest); });
+    }
+
+    void read_chunk(std::string const&, std::string const&, int64_t version, size_t chunk, std::function<void(Core::ErrorOr<std::string>)> callback) override
+    {
+        m_answers.emplace_back([version, chunk, callback = std::move(callback)] { callback(bytes_of(version, chunk)); });
+    }
+
+    void deliver_one()
+    {
+        auto const answer = std::move(m_answers.front());
+        m_answers.erase(m_answers.begin());
+        answer();
+    }
+
+    void deliver_all()
+    {
+        while (!m_answers.empty())
+            deliver_one();
+    }
+
+private:
+    std::vector<std::function<void()>> m_answers;
+};
--- a/Tests/Weights/TestCopyFetcher.cpp
+++ b/Tests/Weights/TestCopyFetcher.cpp
@@ -1,49 +1,13 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "../../Services/Weights/CopyFetcher.h"
 #include "../../Services/Weights/PeerChunks.h"
-#include <LibCore/Hash.h>
+#include "HeldBackOrigin.h"
 #include <gtest/gtest.h>
 
 using namespace Weights;
 
 namespace {
 
-constexpr size_t chunk_count = 3;
-
-/// An origin whose answers wait until the test delivers them. A version's chunks are its own but for the first.
-class HeldBackOrigin final : public Platform::WeightOrigin {
-public:
-    static std::string bytes_of(int64_t version, size_t chunk)
-    {
-        return chunk == 0 ? "shared" : std::to_string(version) + "-" + std::to_string(chunk);
-    }
-
-    void read_manifest(std::string const&, std::string const& model, int64_t version, std::function<void(Core::ErrorOr<Platform::Manifest>)> callback) override
-    {
-        Platform::Manifest manifest { .model = model, .version = version, .chunk_bytes = 1, .digests = {} };
-        for (size_t i = 0; i < chunk_count; ++i)
-            manifest.digests.push_back(Core::sha256(bytes_of(version, i)));
-        m_answers.emplace_back([manifest, callback = std::move(callback)] { callback(manifest); });
-    }
-
-    void read_chunk(std::string const&, std::string const&, int64_t version, size_t chunk, std::function<void(Core::ErrorOr<std::string>)> callback) override
-    {
-        m_answers.emplace_back([version, chunk, callback = std::move(callback)] { callback(bytes_of(version, chunk)); });
-    }
-
-    void deliver_all()
-    {
-        while (!m_answers.empty()) {
-            auto const answer = std::move(m_answers.front());
-            m_answers.erase(m_answers.begin());
-            answer();
-        }
-    }
-
-private:
-    std::vector<std::function<void()>> m_answers;
-};
-
 class CopyFetcherTest : public testing::Test {
 protected:
     CopyFetcherTest()
@@ -77,7 +41,7 @@
         goal.model = "m";
         goal.version = version;
         goal.origin_address = "origin";
-        goal.chunks = chunk_count;
+        goal.chunks = HeldBackOrigin::chunk_count;
         m_fetcher.set_goal(goal, Core::monotonic_now());
     }
 
--- /dev/null
+++ b/Tests/Weights/TestCopyGoal.cpp
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "../../Services/Weights/CopyGoal.h"
+#include "HeldBackOrigin.h"
+#include <gtest/gtest.h>
+
+using namespace Weights;
+
+namespace {
+
+class CopyGoalTest : public testing::Test {
+protected:
+    CopyGoalTest()
+        : m_fetcher(m_loop, settings(), m_metrics, m_origin, fetcher_callbacks())
+        , m_goal(m_fetcher, { .is_seeking = [this](int64_t) { return m_is_seeking; }, .turning = [this](Schema::WeightsGoal const& next, Core::Time) { m_turned_to.push_back(next.version); } })
+    {
+    }
+
+    static CopyFetcherSettings settings()
+    {
+        CopyFetcherSettings result;
+        result.identity = "a";
+        return result;
+    }
+
+    CopyFetcher::Callbacks fetcher_callbacks()
+    {
+        return {
+            .announce = [](Schema::PieceMap const&) {},
+            .manifest_taken = [this] { m_fetcher.begin(); },
+            .chunk_held = [](size_t) {},
+            .is_seeking = [](int64_t) { return true; },
+            .is_lacked = [](int64_t) { return false; },
+            .also_used = [] { return nullptr; },
+            .sources = [] { return CopySources { .targets = { "a" }, .near = {}, .caches = {} }; },
+        };
+    }
+
+    bool name(int64_t version)
+    {
+        Schema::WeightsGoal goal {};
+        goal.model = "m";
+        goal.version = version;
+        goal.origin_address = "origin";
+        goal.chunks = HeldBackOrigin::chunk_count;
+        // Far from its bound, whatever the machine does.
+        goal.bound_ms = 3600000;
+        return m_goal.name(goal, Core::monotonic_now());
+    }
+
+    void begin()
+    {
+        m_fetcher.turn(Core::monotonic_now());
+        m_origin.deliver_one();
+        ASSERT_TRUE(m_fetcher.has_manifest());
+    }
+
+    Core::EventLoop m_loop;
+    Core::Metrics m_metrics;
+    HeldBackOrigin m_origin;
+    bool m_is_seeking { true };
+    std::vector<int64_t> m_turned_to;
+    CopyFetcher m_fetcher;
+    CopyGoal m_goal;
+};
+
+}
+
+TEST_F(CopyGoalTest, ANewerVersionWaitsUntilTheOneUnderWayIsComplete)
+{
+    EXPECT_TRUE(name(1));
+    begin();
+    EXPECT_FALSE(name(2));
+    m_goal.take_next();
+    EXPECT_EQ(m_goal.present()->version, 1);
+    m_origin.deliver_all();
+    ASSERT_TRUE(m_fetcher.is_complete());
+    m_goal.take_next();
+    EXPECT_EQ(m_turned_to, (std::vector<int64_t> { 1, 2 }));
+}
+
+TEST_F(CopyGoalTest, AVersionThatHasNotBegunOrIsNotSoughtHoldsNothingUp)
+{
+    EXPECT_TRUE(name(1));
+    EXPECT_TRUE(name(2));
+    begin();
+    m_is_seeking = false;
+    EXPECT_TRUE(name(3));
+}
+
+TEST_F(CopyGoalTest, WhatWaitedIsNotTakenAfterANewerOne)
+{
+    EXPECT_TRUE(name(1));
+    begin();
+    EXPECT_FALSE(name(2));
+    m_is_seeking = false;
+    EXPECT_TRUE(name(3));
+    m_goal.take_next();
+    EXPECT_EQ(m_goal.present()->version, 3);
+    EXPECT_FALSE(name(2)) << "it is older";
+    EXPECT_EQ(m_turned_to, (std::vector<int64_t> { 1, 3 }));
+}
