Weights: State the transfer settings that agents and entries share once

Cause: EngineAgent.cpp and WeightsCache.cpp set five of them from constants of the same names and values.

Ruled out: the same figures as defaults of TransferSettings: agents of rollouts have others there.

Change: Weights::transfer_defaults(); what differs stays with its owner.

Before / after: `python3 Tests/Processes/run.py Build/Release` with three tests of versions: three of three pass; no value and no test changed.

Conclusion: one place to measure them from.

--- a/Services/DirectEntry/WeightsCache.cpp
+++ b/Services/DirectEntry/WeightsCache.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "WeightsCache.h"
 
+#include "../Weights/TransferDefaults.h"
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -8,14 +9,9 @@
 namespace DirectEntry {
 
 static constexpr Core::Duration turn_interval { 50 };
-static constexpr size_t fetches_in_flight = 6;
 static constexpr size_t origin_fetches_in_flight = 2;
 // Few read from the origin, so that each chunk comes early and whole.
 static constexpr size_t seeders = 4;
-static constexpr Core::Duration origin_patience { 400 };
-static constexpr Core::Duration longest_fault_wait { 1000 };
-static constexpr Core::Duration transfer_stall { 1200 };
-static constexpr size_t rarity_sample = 1;
 static constexpr size_t uploads_at_once = 4;
 static constexpr size_t waiting_uploads = 128;
 static constexpr int status_not_found = 404;
@@ -26,13 +22,9 @@
     result.identity = settings.identity;
     result.chunk_port = settings.chunk_port;
     result.is_cache = true;
-    result.transfer.fetches_in_flight = fetches_in_flight;
+    result.transfer = Weights::transfer_defaults();
     result.transfer.origin_fetches_in_flight = origin_fetches_in_flight;
     result.transfer.seeders = seeders;
-    result.transfer.origin_patience = origin_patience;
-    result.transfer.longest_fault_wait = longest_fault_wait;
-    result.transfer.stall = transfer_stall;
-    result.transfer.rarity_sample = rarity_sample;
     return result;
 }
 
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "EngineAgent.h"
 
+#include "../Weights/TransferDefaults.h"
 #include <LibCore/Hash.h>
 #include <LibCore/Log.h>
 #include <LibSchema/Json.h>
@@ -14,18 +15,12 @@
 static constexpr Core::Duration link_check_interval { 500 };
 static constexpr Core::Duration link_silence { 3000 };
 static constexpr size_t neighbours = 32;
-// The copy is small and the bound on it short, so what nobody holds is asked of the origin soon.
-static constexpr Core::Duration origin_patience { 400 };
-static constexpr size_t fetches_in_flight = 6;
 static constexpr size_t fetches_with_caches = 3;
 // A chunk alone takes some 35 ms of a link as the users' instances have it.
 static constexpr Core::Duration slow_link { 150 };
 static constexpr size_t origin_fetches_in_flight = 1;
 static constexpr size_t peer_fetches_while_seeding = 3;
-static constexpr Core::Duration longest_fault_wait { 1000 };
-static constexpr size_t rarity_sample = 1;
 static constexpr size_t seeders = 8;
-static constexpr Core::Duration transfer_stall { 1200 };
 static constexpr size_t uploads_at_once = 2;
 static constexpr size_t waiting_uploads = 4;
 static constexpr double bytes_per_megabit = 125000;
@@ -47,16 +42,12 @@
     result.region = settings.region;
     result.regions = settings.regions;
     result.fetcher.identity = settings.identity;
-    result.fetcher.transfer.origin_patience = origin_patience;
-    result.fetcher.transfer.fetches_in_flight = fetches_in_flight;
+    result.fetcher.transfer = Weights::transfer_defaults();
     result.fetcher.transfer.origin_fetches_in_flight = origin_fetches_in_flight;
     result.fetcher.transfer.fetches_with_caches = fetches_with_caches;
     result.fetcher.transfer.slow_link = slow_link;
     result.fetcher.transfer.peer_fetches_while_seeding = peer_fetches_while_seeding;
     result.fetcher.transfer.seeders = seeders;
-    result.fetcher.transfer.longest_fault_wait = longest_fault_wait;
-    result.fetcher.transfer.rarity_sample = rarity_sample;
-    result.fetcher.transfer.stall = transfer_stall;
     result.fetcher.chunk_port = static_cast<uint16_t>(settings.chunk_port);
     return result;
 }
