--- a/Services/DirectEntry/WeightsCache.cpp
+++ b/Services/DirectEntry/WeightsCache.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "WeightsCache.h"
 
-#include <LibDistribution/GoalOrder.h>
+#include "../Weights/TransferDefaults.h"
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -9,14 +9,9 @@
 namespace DirectEntry {
 
 static constexpr Core::Duration turn_interval { 50 };
-static constexpr size_t fetches_in_flight = 6;
 static constexpr size_t origin_fetches_in_flight = 2;
 // Few read from the origin, so that each chunk comes early and whole.
 static constexpr size_t seeders = 4;
-static constexpr Core::Duration origin_patience { 400 };
-static constexpr Core::Duration longest_fault_wait { 1000 };
-static constexpr Core::Duration transfer_stall { 1200 };
-static constexpr size_t rarity_sample = 1;
 static constexpr size_t uploads_at_once = 4;
 static constexpr size_t waiting_uploads = 128;
 static constexpr int status_not_found = 404;
@@ -27,13 +22,9 @@
     result.identity = settings.identity;
     result.chunk_port = settings.chunk_port;
     result.is_cache = true;
-    result.transfer.fetches_in_flight = fetches_in_flight;
+    result.transfer = Weights::transfer_defaults();
     result.transfer.origin_fetches_in_flight = origin_fetches_in_flight;
     result.transfer.seeders = seeders;
-    result.transfer.origin_patience = origin_patience;
-    result.transfer.longest_fault_wait = longest_fault_wait;
-    result.transfer.stall = transfer_stall;
-    result.transfer.rarity_sample = rarity_sample;
     return result;
 }
 
@@ -53,17 +44,21 @@
 {
     auto const now = Core::monotonic_now();
     for (auto& [model, copy] : m_copies) {
-        if (copy.next && !is_finishing_first(copy)) {
-            auto const next = *std::exchange(copy.next, {});
-            take_goal(copy, next.goal, next.named_at);
-        }
-        if (m_callbacks.is_wanted(copy.goal.service, copy.goal.version))
+        copy.goal->take_next();
+        auto const& goal = copy.goal->present();
+        if (goal && is_wanted(copy, goal->version))
             copy.fetcher->turn(now);
         else
             copy.fetcher->drop_older_if_unneeded();
     }
 }
 
+bool WeightsCache::is_wanted(Copy const& copy, int64_t version) const
+{
+    auto const& goal = copy.goal->present();
+    return goal && m_callbacks.is_wanted(goal->service, version);
+}
+
 WeightsCache::Copy& WeightsCache::copy_of(std::string const& model)
 {
     auto& copy = m_copies[model];
@@ -73,12 +68,13 @@
         .announce = m_callbacks.announce,
         .manifest_taken = [&copy] { copy.fetcher->begin(); },
         .chunk_held = [](size_t) {},
-        .is_seeking = [this, &copy](int64_t version) { return m_callbacks.is_wanted(copy.goal.service, version); },
-        .is_lacked = [this, &copy](int64_t version) { return m_callbacks.is_wanted(copy.goal.service, version); },
+        .is_seeking = [this, &copy](int64_t version) { return is_wanted(copy, version); },
+        .is_lacked = [this, &copy](int64_t version) { return is_wanted(copy, version); },
         .also_used = [] { return nullptr; },
         .sources = m_callbacks.sources,
     };
     copy.fetcher = std::make_unique<Weights::CopyFetcher>(m_loop, fetcher_settings(m_settings), m_metrics, m_origin, std::move(callbacks));
+    copy.goal = std::make_unique<Weights::CopyGoal>(*copy.fetcher, Weights::CopyGoal::Callbacks { .is_seeking = [this, &copy](int64_t version) { return is_wanted(copy, version); }, .turning = {} });
     Weights::ChunkServerSettings uploads;
     uploads.bytes_per_second = m_settings.bytes_per_second;
     uploads.at_once = uploads_at_once;
@@ -89,33 +85,7 @@
 
 void WeightsCache::set_goal(Schema::WeightsGoal const& goal, Core::Time named_at)
 {
-    if (goal.chunks <= 0 && goal.origin_address.empty())
-        return;
-    auto& copy = copy_of(goal.model);
-    if (goal.version < copy.goal.version)
-        return;
-    if (goal.version > copy.goal.version && is_finishing_first(copy)) {
-        copy.next = NextGoal { goal, named_at };
-        return;
-    }
-    take_goal(copy, goal, named_at);
-}
-
-bool WeightsCache::is_finishing_first(Copy const& copy) const
-{
-    if (!m_callbacks.is_wanted(copy.goal.service, copy.goal.version))
-        return false;
-    return Distribution::is_worth_finishing({ .has_begun = copy.fetcher->is_under_way(),
-        .is_complete = copy.fetcher->is_complete(),
-        .since_named = Core::monotonic_now() - copy.named_at,
-        .bound = Core::Duration(copy.goal.bound_ms) });
-}
-
-void WeightsCache::take_goal(Copy& copy, Schema::WeightsGoal const& goal, Core::Time named_at)
-{
-    copy.goal = goal;
-    copy.named_at = named_at;
-    copy.fetcher->set_goal(goal, named_at);
+    copy_of(goal.model).goal->name(goal, named_at);
 }
 
 void WeightsCache::update_sources()
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -82,6 +82,21 @@
     drop_older_if_unneeded();
 }
 
+Distribution::TransferStand CopyFetcher::stand(int64_t newer, Core::Time now) const
+{
+    Distribution::TransferStand stand;
+    if (!m_goal)
+        return stand;
+    stand.has_begun = is_under_way();
+    stand.is_complete = is_complete();
+    stand.chunks = m_transfer ? m_transfer->chunk_count() : 0;
+    stand.held = m_transfer ? m_transfer->held_count() : 0;
+    stand.is_newer_at_peers = m_peer_chunks.distinct_chunks(m_goal->model, newer) >= stand.chunks;
+    stand.since_named = now - m_named_at;
+    stand.bound = Core::Duration(m_goal->bound_ms);
+    return stand;
+}
+
 // The version before.
 
 bool CopyFetcher::is_whole(KnownVersion const& version) const
@@ -300,6 +315,10 @@
 void CopyFetcher::start_fetch(Distribution::Fetch const& fetch)
 {
     m_fetch_chunks[fetch.id] = fetch.chunk;
+    if (fetch.is_duplicate) {
+        m_metrics.count("mountbarrow_duplicate_reads_total");
+        Core::log_event(Core::LogLevel::Info, "slow_read_doubled", { { "chunk", std::to_string(fetch.chunk) }, { "second_source", fetch.source.peer } });
+    }
     if (fetch.source.is_origin())
         fetch_from_origin(fetch);
     else
