LibRouting: Count connections that fell silent together as one fault of their server

Cause: every send that ended silent added a fault and doubled the time for which its server is left alone. When all open connections fall silent while new ones work, the sends of one moment made that 4 s, at all servers; a stream that was cut waits 2 s for a place and was then broken off. Change: a send that was under way when its server was last found unreachable, and ends unreachable too, tells nothing new.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -414,7 +414,11 @@
     if (found == m_servers.end())
         return;
     auto& server = found->second;
-    server.pending.erase(request);
+    auto const pending = server.pending.extract(request);
+    // All connections of one moment may fall silent together, while new ones work: that is one fault, however many there were.
+    bool const is_same_silence = outcome == ServerOutcome::Unreachable && pending && server.unreachable_at && pending.mapped().sent_at <= *server.unreachable_at;
+    if (is_same_silence)
+        return;
     bool const is_fault = outcome == ServerOutcome::Unreachable || outcome == ServerOutcome::Failure;
     if (is_fault || outcome == ServerOutcome::Success)
         server.failure_rate = failure_memory * server.failure_rate + (1 - failure_memory) * (is_fault ? 1 : 0);
@@ -428,6 +432,8 @@
         server.suspended_until = now + misdirected_suspension;
     if (!is_fault)
         return;
+    if (outcome == ServerOutcome::Unreachable)
+        server.unreachable_at = now;
     server.faults_in_a_row += 1;
     bool const suspends = outcome == ServerOutcome::Unreachable || server.faults_in_a_row >= failures_to_suspend;
     if (!suspends)
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -172,6 +172,8 @@
         std::map<std::string, Pending> pending;
         std::optional<Core::Time> heard_at;
         Core::Time suspended_until { 0 };
+        /// When it last became unreachable.
+        std::optional<Core::Time> unreachable_at;
         Core::Time full_until { 0 };
         int64_t faults_in_a_row { 0 };
         int64_t misdirected_in_a_row { 0 };
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -346,3 +346,30 @@
     m_table.on_engine_state("10.0.0.1", state, m_now);
     EXPECT_EQ(m_table.next_engine("llm", m_now), std::nullopt);
 }
+
+TEST_F(ServerTableTest, ConnectionsThatFellSilentTogetherCountAsOneFault)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    for (auto const* request : { "r1", "r2", "r3", "r4" }) {
+        auto const choice = choose();
+        ASSERT_TRUE(choice.has_value());
+        m_table.on_sent(request, *choice, 900, m_now);
+    }
+    m_now += Core::Duration(1000);
+    m_table.on_ended("1", "r1", ServerOutcome::Unreachable, m_now);
+    auto const first_fault = m_now;
+    for (auto const* request : { "r2", "r3", "r4" }) {
+        m_now += Core::Duration(20);
+        m_table.on_ended("1", request, ServerOutcome::Unreachable, m_now);
+    }
+    EXPECT_FALSE(choose().has_value());
+    m_now = first_fault + Core::Duration(400);
+    auto const again = choose();
+    ASSERT_TRUE(again.has_value());
+    // What is sent afterwards and falls silent too is a fault of its own.
+    m_table.on_sent("r5", *again, 900, m_now);
+    m_now += Core::Duration(1000);
+    m_table.on_ended("1", "r5", ServerOutcome::Unreachable, m_now);
+    m_now += Core::Duration(400);
+    EXPECT_FALSE(choose().has_value());
+}
