LibTransport: Excuse no silence beyond now

Cause: the time in which a process stood still was added to when a link was heard, also where its bytes were read just before the check; the link then counted as heard in the future, and its silence was found later by as much. Change: no link counts as heard later than now.

--- a/Libraries/LibTransport/Link.h
+++ b/Libraries/LibTransport/Link.h
@@ -5,6 +5,7 @@
 #include <LibSchema/Generated.h>
 #include <LibTransport/Handshake.h>
 #include <LibTransport/WebSocketCodec.h>
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -77,7 +78,7 @@
     Core::Time sent_at() const { return m_sent_at; }
 
     /// This process stood still for so long: what came meanwhile lies unread, and is no silence.
-    void excuse(Core::Duration pause) { m_heard_at += pause; }
+    void excuse(Core::Duration pause) { m_heard_at = std::min(m_heard_at + pause, Core::monotonic_now()); }
 
 private:
     Link(Core::EventLoop&, LinkOptions const&, Handshake::Side, Callbacks);
