LibDistribution: Count the wait for an order's lost answer as part of the wait for its report

Cause: an order whose connection fell silent is given up after 1 s, and only then the 1.5 s began in which a report is to show it: 2.5 s of a bound of 8 s, though the reports of that second had shown that nothing was taken. Ruled out: a second load by the repeat: it expects the sequence of the newest report, so a late first order refuses it. Change: for an order without an answer the wait runs from its sending. An answered one waits as before. Before / after: StagedLoad.TheWaitForTheAnswerOfALostOrderIsPartOfTheWaitForItsReport failed, passes; StagedLoad* all pass.

--- a/Libraries/LibDistribution/StagedLoad.cpp
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -67,7 +67,8 @@
         m_report.reset();
         return;
     }
-    m_ordered_at = now;
+    // Where nothing was answered, the wait for the answer was part of the wait for a report that tells.
+    m_ordered_at = outcome == Platform::OrderOutcome::Unknown ? m_order_sent_at : now;
 }
 
 bool StagedLoad::is_complete() const
@@ -154,6 +155,7 @@
     bool const is_due = how.has_value() || m_draining_since.has_value();
     if (how && is_read_back(now)) {
         m_is_ordering = true;
+        m_order_sent_at = now;
         m_draining_since.reset();
         actions.emplace_back(OrderLoad { m_report->order_sequence, *how });
         return actions;
--- a/Libraries/LibDistribution/StagedLoad.h
+++ b/Libraries/LibDistribution/StagedLoad.h
@@ -34,7 +34,7 @@
     size_t calls_at_once { 4 };
     /// A chunk that was read back longer ago than this may have turned bad since.
     Core::Duration read_back_holds { 1500 };
-    /// Wait for a report that shows what became of an order.
+    /// Wait for a report that shows what became of an order, from its answer, or from its sending if it had none.
     Core::Duration order_patience { 1500 };
     /// Time that entries are given to hear that an engine takes no more.
     Core::Duration notice { 150 };
@@ -103,6 +103,7 @@
     std::optional<Platform::EngineReport> m_report;
     bool m_is_serving { false };
     bool m_is_ordering { false };
+    Core::Time m_order_sent_at { 0 };
     std::optional<Core::Time> m_ordered_at;
     std::optional<Core::Time> m_draining_since;
     uint64_t m_bad { 0 };
--- a/Tests/LibDistribution/TestStagedLoad.cpp
+++ b/Tests/LibDistribution/TestStagedLoad.cpp
@@ -151,6 +151,24 @@
     EXPECT_TRUE(order.has_value());
 }
 
+TEST(StagedLoad, TheWaitForTheAnswerOfALostOrderIsPartOfTheWaitForItsReport)
+{
+    StagedLoadSettings const settings;
+    StagedLoad load(2, 1, settings);
+    load.on_held(0);
+    load.on_report(report(0, false, 0), layers, Core::Time(0));
+    std::optional<OrderLoad> order;
+    finish_calls(load, Core::Time(1), order);
+    ASSERT_TRUE(order.has_value());
+    // The order's connection fell silent, and the call was given up a while later.
+    load.on_ordered(Platform::OrderOutcome::Unknown, Core::Time(1001));
+    order.reset();
+    load.on_report(report(0, false, 0), layers, Core::Time(1) + settings.order_patience);
+    finish_calls(load, Core::Time(2) + settings.order_patience, order);
+    ASSERT_TRUE(order.has_value());
+    EXPECT_EQ(order->expected_sequence, 0);
+}
+
 static Schema::VersionSpec spec_of(size_t chunks)
 {
     Schema::VersionSpec version;
