LibTransport, Weights: End an upload whose peer takes nothing for 2 s

Cause: an instance sends two chunks at a time. One whose peer sits behind a connection that fell silent kept its place for the server's idle time of 120 s; two of them, and nobody reads from that instance any more. Ruled out: a shorter idle time: requests wait in line for an upload without a byte. Change: HttpServerOptions::send_patience bounds how long an answer may wait for its peer to take any of it (a write time-out of libevent); entries and agents on the users' platform set 2 s. A chunk that fits into the socket's buffer ends at once anyhow. Uploads under a rate limit on a slow link weren't measured.

--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -226,6 +226,7 @@
 {
     std::unique_ptr<HttpServer> server(new HttpServer);
     server->m_handler = std::move(handler);
+    server->m_options = options;
     server->m_server = evhttp_new(loop.base());
     evhttp_set_allowed_methods(server->m_server, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
     evhttp_set_max_headers_size(server->m_server, static_cast<ssize_t>(options.max_header_bytes));
@@ -233,8 +234,10 @@
     evhttp_set_timeout(server->m_server, static_cast<int>(options.idle_timeout.count() / 1000));
     evhttp_set_default_content_type(server->m_server, nullptr);
     auto on_request = [](evhttp_request* request, void* self) {
+        auto* server = static_cast<HttpServer*>(self);
+        server->bound_sending(request);
         std::shared_ptr<HttpExchange> exchange(new HttpExchange(request));
-        static_cast<HttpServer*>(self)->m_handler(std::move(exchange));
+        server->m_handler(std::move(exchange));
     };
     evhttp_set_gencb(server->m_server, on_request, server.get());
     auto* socket = evhttp_bind_socket_with_handle(server->m_server, address.c_str(), port);
@@ -244,6 +247,23 @@
     return server;
 }
 
+static timeval to_timeval(Core::Duration duration)
+{
+    timeval result {};
+    result.tv_sec = duration.count() / 1000;
+    result.tv_usec = (duration.count() % 1000) * 1000;
+    return result;
+}
+
+void HttpServer::bound_sending(evhttp_request* request) const
+{
+    if (!m_options.send_patience)
+        return;
+    auto const idle = to_timeval(m_options.idle_timeout);
+    auto const patience = to_timeval(*m_options.send_patience);
+    bufferevent_set_timeouts(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)), &idle, &patience);
+}
+
 HttpServer::~HttpServer()
 {
     if (m_server)
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -81,6 +81,8 @@
     size_t max_body_bytes { 64 * 1024 * 1024 };
     /// How long a silent connection is kept.
     Core::Duration idle_timeout { 120000 };
+    /// How long an answer may wait for its peer to take any of it, if that is bounded: the connection may be dead.
+    std::optional<Core::Duration> send_patience;
 };
 
 /// An evhttp server that hands each request to one handler.
@@ -98,7 +100,10 @@
     HttpServer() = default;
 
     evhttp* m_server { nullptr };
+    void bound_sending(evhttp_request*) const;
+
     uint16_t m_port { 0 };
+    HttpServerOptions m_options;
     Handler m_handler;
 };
 
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -154,7 +154,9 @@
         TRY(m_hub->listen(control.first, control.second));
     }
     if (m_settings.metrics_port) {
-        m_metrics_server = TRY(Transport::HttpServer::create(m_loop, m_settings.identity, static_cast<uint16_t>(*m_settings.metrics_port), {}, [this](auto const& exchange) { on_internal_request(exchange); }));
+        Transport::HttpServerOptions options;
+        options.send_patience = Weights::upload_patience;
+        m_metrics_server = TRY(Transport::HttpServer::create(m_loop, m_settings.identity, static_cast<uint16_t>(*m_settings.metrics_port), options, [this](auto const& exchange) { on_internal_request(exchange); }));
     }
     Core::log_event(Core::LogLevel::Info, "started", { { "callers", m_settings.callers_address }, { "domain", m_settings.failure_domain } });
     return {};
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -95,7 +95,9 @@
 {
     TRY(m_hub->listen(m_settings.identity, static_cast<uint16_t>(m_settings.link_port)));
     dial_wanted();
-    m_http = TRY(Transport::HttpServer::create(m_loop, m_settings.identity, static_cast<uint16_t>(m_settings.chunk_port), {}, [this](auto const& exchange) { on_http(exchange); }));
+    Transport::HttpServerOptions options;
+    options.send_patience = Weights::upload_patience;
+    m_http = TRY(Transport::HttpServer::create(m_loop, m_settings.identity, static_cast<uint16_t>(m_settings.chunk_port), options, [this](auto const& exchange) { on_http(exchange); }));
     Core::log_event(Core::LogLevel::Info, "started", { { "engine", m_settings.engine_address }, { "domain", m_settings.failure_domain } });
     return {};
 }
--- a/Services/Weights/ChunkServer.h
+++ b/Services/Weights/ChunkServer.h
@@ -12,6 +12,9 @@
 
 namespace Weights {
 
+/// A peer that takes nothing of a chunk for so long sits behind a dead connection, and has asked another source by then.
+inline constexpr Core::Duration upload_patience { 2000 };
+
 struct ChunkServerSettings {
     /// Bytes a second to all peers together; 0 for no limit.
     int64_t bytes_per_second { 0 };
--- /dev/null
+++ b/Tests/LibTransport/TestHttpServer.cpp
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "LoopTest.h"
+#include <LibTransport/HttpServer.h>
+
+using namespace Transport;
+
+class HttpServerTest : public LoopTest {
+};
+
+TEST_F(HttpServerTest, AnAnswerThatNobodyTakesIsGivenUpSoon)
+{
+    // More than the socket buffers of both ends hold.
+    auto const body = std::make_shared<std::string const>(size_t { 64 } << 20, 'a');
+    HttpServerOptions options;
+    options.idle_timeout = hang * 20;
+    options.send_patience = Core::Duration(200);
+    size_t requests = 0;
+    auto const server = HttpServer::create(m_loop, "127.0.0.1", 0, options, [&](auto const& exchange) {
+        requests += 1;
+        exchange->reply_shared(200, {}, body);
+    }).value();
+    RawClient client(server->port());
+    client.send_text("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return requests == 1 && body.use_count() == 1; });
+}
