LibTransport: End a caller's connection that takes nothing of its answer for 5 s

Cause: nothing found that an answer did not get through but the end of the request or the idle time behind it; an engine went on writing a stream for a caller behind a dead connection. Ruled out: the application's own measure (pending_bytes): a stream's events fit into the socket's buffers for minutes. Change: TCP_USER_TIMEOUT of 5 s on each caller's connection. A caller that only waits acknowledges and is not touched. Before / after: IngressServerTest.AnAnswerThatNobodyTakesIsGivenUpLongBeforeAnIdleConnection (64 MiB, idle time 10 minutes) hung for 30 s, passes in 5.7 s. The test closes the window; loss without acknowledgement can't be played without rights.

--- a/Libraries/LibTransport/IngressServer.cpp
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -20,6 +20,9 @@
 static constexpr int status_no_content = 204;
 static constexpr int status_not_modified = 304;
 static constexpr int listen_backlog = 512;
+// A caller's machine takes what comes even where the caller only waits. An answer of which nothing is taken for so long gets
+// through to nobody, and its work at a backend server ends with its connection.
+static constexpr Core::Duration untaken_answer_limit { 5000 };
 
 char const* reason_phrase(int status)
 {
@@ -158,6 +161,8 @@
 {
     int const on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    auto const limit = static_cast<unsigned>(untaken_answer_limit.count());
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
     m_stream = bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     auto on_read = [](bufferevent*, void* self) { static_cast<IngressConnection*>(self)->on_bytes(); };
     auto on_event = [](bufferevent*, short, void* self) { static_cast<IngressConnection*>(self)->on_lost(); };
--- a/Tests/LibTransport/TestIngressServer.cpp
+++ b/Tests/LibTransport/TestIngressServer.cpp
@@ -144,3 +144,19 @@
     EXPECT_TRUE(client.text().ends_with("0\r\n\r\n"));
     EXPECT_FALSE(client.was_reset());
 }
+
+TEST_F(IngressServerTest, AnAnswerThatNobodyTakesIsGivenUpLongBeforeAnIdleConnection)
+{
+    IngressLimits limits;
+    limits.idle_timeout = hang * 20;
+    m_server->set_limits(limits);
+    RawClient client(m_server->port());
+    client.send_text("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return m_requests.size() == 1; });
+    // More than the socket buffers of both ends hold.
+    m_requests[0]->start(200, {}, {});
+    m_requests[0]->part(std::string(size_t { 64 } << 20, 'a'));
+    bool is_gone = false;
+    m_requests[0]->on_gone([&] { is_gone = true; });
+    run_until([&] { return is_gone && m_server->connection_count() == 0; });
+}
