Tests: Look for stuck processes behind a silent engine, at a caller that leaves and at a load

Cause looked for: a process that believes a call to be under way while nothing arrives. Change: a caller leaves while its engine's connection is silent: the entry ends the request as caller_gone and has none in hand; an agent's calls to its engine are slowed, and silenced twelve times while a version is staged, read back and ordered: it is loaded, whole, everywhere.

--- a/Tests/Platform/test_silent_links.py
+++ b/Tests/Platform/test_silent_links.py
@@ -3,16 +3,19 @@
 
 import collections
 import itertools
+import socket
 import threading
+import time
 
 from fault_proxy import FaultProxy
-from fleet import LINK_PORT, LLM, Fleet, wait_until
-from test_direct_path import assert_whole_stream, wait_linked
+from fleet import CALLERS_PORT, CHUNK_PORT, KEY, LINK_PORT, LLM, Fleet, caller_fields, wait_until
+from test_direct_path import assert_whole_stream, right_loads, wait_linked
 
 # A silent link is found before what was allowed earlier, as the process itself measures it.
 LONGEST_SILENCE_MS = 3000
 PROXY_PORT = 8021
 STREAMS = 24
+SILENCINGS = 12
 
 
 class ProxiedFleet(Fleet):
@@ -49,6 +52,13 @@
                 ports[line["server"]] = int(line["address"].split(":")[1])
         return set(ports.values())
 
+    def events(self, identity, event):
+        return [line for line in self.log_lines(identity) if line.get("event") == event]
+
+    def metric(self, entry, name):
+        lines = self.call(entry, "GET", "/metrics", port=CHUNK_PORT).body.decode().splitlines()
+        return next((float(line.split()[1]) for line in lines if line.startswith(f"{name} ")), None)
+
 
 class LinkedFleet(ProxiedFleet):
     """Each process listens for links on a port of its own, and at the ports of the others stand proxies to it."""
@@ -77,9 +87,6 @@
         for number, identity in enumerate(self.processes_planned()):
             self.ports.setdefault(identity, LINK_PORT + number)
 
-    def events(self, identity, event):
-        return [line for line in self.log_lines(identity) if line.get("event") == event]
-
     def times_up(self, identity):
         """How often each peer had a new link."""
         return collections.Counter(line["peer"] for line in self.events(identity, "link_up"))
@@ -149,3 +156,59 @@
             thread.join()
         for request in begun:
             assert_whole_stream(answers[request])
+
+
+def test_a_caller_that_leaves_frees_its_request_though_the_engine_is_silent(build, folders):
+    """
+    Seen: nothing; the same cause was looked for where a caller leaves while its engine's connection is silent.
+    Proof: the entry has no request in hand once the caller has closed.
+    """
+    with ProxiedFleet(build, folders, engines=1) as fleet:
+        engine = fleet.engines[0]
+        fleet.put_proxy_before(engine)
+        wait_linked(fleet)
+        entry = fleet.entries[0]
+        wait_until(lambda: fleet.engine_ports(entry) == {PROXY_PORT}, "the proxy at the entry")
+        # Events so far apart that silence alone says nothing before the caller has left.
+        engine.event_seconds = 60
+        head = "".join(f"{name}: {value}\r\n" for name, value in caller_fields("leaves", KEY, 8000).items())
+        with socket.create_connection((entry, CALLERS_PORT), timeout=30) as caller:
+            caller.sendall(f"POST /stream/a HTTP/1.1\r\n{head}Content-Length: 0\r\n\r\n".encode())
+            wait_until(lambda: fleet.runs("leaves"), "the stream at the engine")
+            fleet.silence_open()
+        wait_until(lambda: any(line["request"] == "leaves" for line in fleet.events(entry, "request_ended")), "the request's end")
+        assert [line["end"] for line in fleet.events(entry, "request_ended") if line["request"] == "leaves"] == ["caller_gone"]
+        wait_until(lambda: fleet.metric(entry, "mountbarrow_in_hand") == 0, "nothing in hand")
+
+
+class AgentProxiedFleet(ProxiedFleet):
+    """Agents reach their engines through proxies."""
+
+    def start_agent(self, engine):
+        proxy = FaultProxy(self.loop, engine.address, PROXY_PORT, engine.port)
+        self.proxies.append(proxy)
+        port, engine.port = engine.port, PROXY_PORT
+        super().start_agent(engine)
+        engine.port = port
+
+
+def test_a_load_is_finished_though_the_calls_to_its_engine_fall_silent(build, folders):
+    """
+    Seen: nothing; the same cause was looked for in reports, stages, read-backs and orders.
+    Proof: whatever call is under way is silenced again and again while a version is laid beside the engines and ordered.
+    """
+    with AgentProxiedFleet(build, folders) as fleet:
+        wait_linked(fleet)
+        # Calls last long enough for some to be under way at any moment.
+        for proxy in fleet.proxies:
+            proxy.set_mode("delay")
+        fleet.name_version(2)
+        silenced = 0
+        for _ in range(SILENCINGS):
+            silenced += fleet.silence_open()
+            time.sleep(0.25)
+        assert silenced > 0
+        for proxy in fleet.proxies:
+            proxy.set_mode("")
+        wait_until(lambda: all(engine.version == 2 for engine in fleet.engines), "version 2 everywhere")
+        assert right_loads(fleet, 2)
