--- a/Libraries/LibTransport/LinkHub.h
+++ b/Libraries/LibTransport/LinkHub.h
@@ -28,7 +28,7 @@
         std::function<void(Core::ErrorCode)> failed;
         /// Nothing came over a link of this peer for so long: it is given up, and dialled anew where it was dialled. Only with
         /// LinkOptions::keep_alive.
-        std::function<void(std::string const& identity, Core::Duration)> silent;
+        std::function<void(std::string const& identity, Core::Duration)> silent {};
     };
 
     LinkHub(Core::EventLoop&, LinkOptions, Callbacks);
