DirectEntry: Keep an agent's word until it is old where only its link fell silent

Cause: since links that fall silent are given up after 1.5 s, an entry forgets at that moment what the agent had told. Until the next link, an engine whose version the list does not tell yet gets nothing, and requests are refused as no_server. Ruled out: the list: the test makes it lag on purpose, as it does after a load. Change: an agent whose link was found silent counts as gone only once its last word is old (2.5 s, as before these links), not when the link ends. One whose link is broken or closed is gone at once, as it was. The proxies' delay can be set, so that a new link takes long enough for callers to come meanwhile. The test is a race that a quick machine may win without the change; it never judges a duration.

--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -173,6 +173,7 @@
         .failed = [this](Core::ErrorCode code) { m_metrics.count("mountbarrow_link_failures_total", "reason=\"" + std::string(Core::error_name(code)) + "\""); },
         .silent = [this](std::string const& identity, Core::Duration silent_for) {
             m_metrics.count("mountbarrow_silent_links_total");
+            m_silent_peers.insert(identity);
             Core::log_event(Core::LogLevel::Warn, "link_silent", { { "peer", identity }, { "silent_ms", std::to_string(silent_for.count()) } }); },
     };
 }
@@ -180,6 +181,7 @@
 void DirectEntry::on_link_up(Schema::Hello const& hello)
 {
     Core::log_event(Core::LogLevel::Info, "link_up", { { "peer", hello.identity }, { "role", Schema::enumerator_name(hello.role) } });
+    m_silent_peers.erase(hello.identity);
     if (hello.role == Schema::Role::Entry) {
         Schema::Message load;
         load.entry_load = m_sharing.load();
@@ -208,7 +210,9 @@
 {
     Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
     m_sharing.on_peer_down(identity);
-    m_servers.on_agent_gone(identity);
+    // One whose link was only found silent is perhaps there, and its last word is good until it is old.
+    if (m_silent_peers.erase(identity) == 0)
+        m_servers.on_agent_gone(identity);
     if (m_weights)
         m_weights->on_peer_down(identity);
 }
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -87,6 +87,8 @@
 
     std::unique_ptr<Transport::LinkHub> m_hub;
     std::unique_ptr<Core::Timer> m_sharing_timer;
+    // Peers whose links were found silent, until they are up again.
+    std::set<std::string> m_silent_peers;
     std::set<std::string> m_known_entries;
     VersionGoals m_goals;
     std::string m_sent_goals;
--- a/Tests/Platform/test_silent_links.py
+++ b/Tests/Platform/test_silent_links.py
@@ -16,6 +16,9 @@
 PROXY_PORT = 8021
 STREAMS = 24
 SILENCINGS = 12
+CALLERS = 8
+# Entries read the list once a second here.
+LIST_READ_SECONDS = 3
 
 
 class ProxiedFleet(Fleet):
@@ -212,3 +215,45 @@
             proxy.set_mode("")
         wait_until(lambda: all(engine.version == 2 for engine in fleet.engines), "version 2 everywhere")
         assert right_loads(fleet, 2)
+
+
+def test_no_request_is_refused_while_silent_links_are_made_anew(build, folders):
+    """
+    Seen: none in the field; found by reading.
+    How: an entry forgot what an agent had told as soon as their link was given up, and for the moment until the next link an
+    engine whose version the list does not tell yet got nothing.
+    Cause: a link that fell silent was taken for an agent that is gone.
+    Proof: the list says the older version, the agents the newer; all links fall silent; every request is served.
+    """
+    with LinkedFleet(build, folders) as fleet:
+        wait_linked(fleet)
+        fleet.wait_all_linked()
+        fleet.name_version(2)
+        wait_until(lambda: all(engine.version == 2 for engine in fleet.engines), "version 2 everywhere")
+        for engine in fleet.engines:
+            listed = engine.entry()
+            listed["Models"][0]["Version"] = listed["layers"]["Version"] = 1
+            fleet.store.write("keyed.servers", engine.id, listed)
+        time.sleep(LIST_READ_SECONDS)
+        answers = []
+        is_over = threading.Event()
+
+        def ask(number):
+            while not is_over.is_set():
+                answers.append(fleet.call(fleet.entries[number % 2], "POST", "/stream/a", request_id=f"through-{number}-{len(answers)}"))
+        before = {identity: fleet.times_up(identity) for identity in fleet.processes}
+        threads = [threading.Thread(target=ask, args=(number,)) for number in range(CALLERS)]
+        for thread in threads:
+            thread.start()
+        # A new link takes long enough for callers to come meanwhile.
+        for proxy in fleet.proxies:
+            proxy.delay_seconds = 0.04
+            proxy.set_mode("delay")
+        assert fleet.silence_open() > 0
+        for entry, engine in itertools.product(fleet.entries, fleet.engines):
+            # Agents write few lines, so none of theirs is left out.
+            wait_until(lambda entry=entry, engine=engine: fleet.times_up(engine.address)[entry] > before[engine.address][entry], "a new link of each agent to each entry")
+        is_over.set()
+        for thread in threads:
+            thread.join()
+        assert {answer.status for answer in answers} == {200}, [answer.body for answer in answers if answer.status != 200]
--- a/Tests/Soak/fault_proxy.py
+++ b/Tests/Soak/fault_proxy.py
@@ -17,6 +17,7 @@
         self.port = port
         self.target_port = target_port
         self.mode = ""
+        self.delay_seconds = DELAY_SECONDS
         self.writers = set()
         # Ends of connections that carry nothing for good, not even their end.
         self.silenced = set()
@@ -80,7 +81,7 @@
             while self.mode in ("silent", blocking_mode):
                 await asyncio.sleep(0.02)
             if self.mode == "delay":
-                await asyncio.sleep(DELAY_SECONDS)
+                await asyncio.sleep(self.delay_seconds)
             await self.pass_unless_silenced(writer)
             writer.write(data)
             await writer.drain()
