--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -134,7 +134,9 @@
         TRY(m_hub->listen(control.first, control.second));
     }
     if (m_settings.metrics_port) {
-        m_metrics_server = TRY(Transport::HttpServer::create(m_loop, m_settings.identity, static_cast<uint16_t>(*m_settings.metrics_port), {}, [this](auto const& exchange) { on_internal_request(exchange); }));
+        Transport::HttpServerOptions options;
+        options.send_patience = Weights::upload_patience;
+        m_metrics_server = TRY(Transport::HttpServer::create(m_loop, m_settings.identity, static_cast<uint16_t>(*m_settings.metrics_port), options, [this](auto const& exchange) { on_internal_request(exchange); }));
     }
     Core::log_event(Core::LogLevel::Info, "started", { { "callers", m_settings.callers_address }, { "domain", m_settings.failure_domain } });
     return {};
@@ -151,6 +153,7 @@
         .failed = [this](Core::ErrorCode code) { m_metrics.count("mountbarrow_link_failures_total", "reason=\"" + std::string(Core::error_name(code)) + "\""); },
         .silent = [this](std::string const& identity, Core::Duration silent_for) {
             m_metrics.count("mountbarrow_silent_links_total");
+            m_silent_peers.insert(identity);
             Core::log_event(Core::LogLevel::Warn, "link_silent", { { "peer", identity }, { "silent_ms", std::to_string(silent_for.count()) } }); },
     };
 }
@@ -158,6 +161,7 @@
 void DirectEntry::on_link_up(Schema::Hello const& hello)
 {
     Core::log_event(Core::LogLevel::Info, "link_up", { { "peer", hello.identity }, { "role", Schema::enumerator_name(hello.role) } });
+    m_silent_peers.erase(hello.identity);
     if (hello.role == Schema::Role::Entry) {
         Schema::Message load;
         load.entry_load = m_sharing.load();
@@ -185,7 +189,9 @@
 {
     Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
     m_sharing.on_peer_down(identity);
-    m_servers.on_agent_gone(identity);
+    // One whose link was only found silent is perhaps there, and its last word is good until it is old.
+    if (m_silent_peers.erase(identity) == 0)
+        m_servers.on_agent_gone(identity);
     if (m_weights)
         m_weights->on_peer_down(identity);
 }
