--- a/Tests/Soak/callers.py
+++ b/Tests/Soak/callers.py
@@ -90,6 +90,7 @@
                 self.drop(entry)
         except (OSError, http.client.HTTPException) as error:
             seen.has_timed_out = isinstance(error, TimeoutError)
+            seen.body = getattr(error, "partial", b"")
             self.drop(entry)
             self.soak.is_over.wait(0.02)
         seen.ended_at = time.monotonic()
--- a/Tests/Soak/promises.py
+++ b/Tests/Soak/promises.py
@@ -16,6 +16,9 @@
 # From an engine's beginning of work back to the entry's sending, beside load.
 VERSION_SLACK_SECONDS = 0.5
 
+# All stand-ins at once, which run in the soak's own process.
+STAND_INS = "stand-ins"
+
 # Name: what it says; the names are those that a broken promise begins with.
 PROMISES = {
     "doubled": "what may not repeat runs once at most",
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -411,11 +411,13 @@
     def record(self):
         servers = self.fleet.engines + self.fleet.plains
         links = [f"link {engine.address}" for engine in self.fleet.engines]
-        ways = [f"server {server.address}" for server in servers]
+        ways = [promises.STAND_INS, *(f"server {server.address}" for server in servers)]
         return promises.Record([seen for caller in self.callers for seen in caller.seen], self.runs(), set().union(*(server.faulted for server in servers)),
                                self.named, self.revoked, self.disturbances, ways, [*links, *ways])
 
     def broken_promises(self):
+        for begin, end in self.fleet.standstills.spans:
+            self.disturbances.add(promises.STAND_INS, begin, end)
         yield from self.own_ends
         yield from promises.request_faults(self.record())
         for engine in self.fleet.engines:
@@ -429,6 +431,8 @@
                 yield f"memory: an {role} took {self.peaks[role]:.0f} MB of {limit}"
 
     def close(self):
+        for begin, end in self.fleet.standstills.spans:
+            self.note("stand_ins_stood_still", begin=round(begin, 3), end=round(end, 3))
         self.is_over.set()
         for caller in self.callers:
             caller.join(15)
--- a/Tests/Soak/soak_fleet.py
+++ b/Tests/Soak/soak_fleet.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-2-Clause
 """The deployment of a soak: each process with a time of day of its own, and proxies on all ways that can be led through one."""
 
+import asyncio
 import os
 import struct
 import time
@@ -16,6 +17,30 @@
 MEMORY_LIMITS = {"entry": 260, "agent": 128}
 
 
+class StandstillWatch:
+    """Notices when the stand-ins' own loop stood still, as it may on a busy machine: to the product all servers fell silent."""
+
+    look_seconds = 0.05
+    still_seconds = 0.25
+
+    def __init__(self, loop):
+        self.spans = []
+        self.looks = 0
+        self.task = asyncio.run_coroutine_threadsafe(self.watch(), loop.loop)
+
+    async def watch(self):
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(self.look_seconds)
+            now = time.monotonic()
+            self.looks += 1
+            if now - before > self.look_seconds + self.still_seconds:
+                self.spans.append((before, now))
+
+    def close(self):
+        self.task.cancel()
+
+
 def is_sanitized(pid):
     with open(f"/proc/{pid}/maps", encoding="utf-8") as file:
         return "libasan" in file.read()
@@ -40,9 +65,11 @@
         self.link_proxies = {engine.address: FaultProxy(self.loop, engine.address, self.entry_link_port, LINK_PORT) for engine in self.engines}
         self.origin.listed_port = PROXY_PORT
         self.origin_proxy = FaultProxy(self.loop, self.origin.address, PROXY_PORT, self.origin.port)
+        self.standstills = StandstillWatch(self.loop)
         self.configure()
 
     def __exit__(self, *details):
+        self.standstills.close()
         for proxy in self.proxies():
             proxy.close()
         super().__exit__(*details)
--- a/Tests/Soak/test_promises.py
+++ b/Tests/Soak/test_promises.py
@@ -1,9 +1,14 @@
 # SPDX-License-Identifier: BSD-2-Clause
 """The soak's own checks: each promise, broken on purpose, is found, and a run that kept all has nothing to find."""
 
+import time
+
 import callers
+from cluster import wait_until
 from fleet import CUSTOMER
 from promises import Disturbances, Record, Run, request_faults
+from soak_fleet import StandstillWatch
+from stand_ins import Loop
 
 ENTRY, SERVER, SEAL = "entry-1", "server-1", "seal.i-1"
 
@@ -98,3 +103,14 @@
     # No stretch without trouble was as long as the bound.
     assert found([late], [[run(version=1, began_at=120.0)]], named=[(2, 110.0)], disturbances=disturbed(f"door {ENTRY}", 111.0, 112.0)) == []
     assert found([late], [[run(version=1, began_at=120.0)]], named=[(2, 105.0)], disturbances=disturbed(f"door {ENTRY}", 105.0, 106.0)) == ["version"]
+
+
+def test_a_standstill_of_the_stand_ins_is_noticed(_build, _folders):
+    loop = Loop()
+    watch = StandstillWatch(loop)
+    wait_until(lambda: watch.looks > 0, "the first look")
+    loop.loop.call_soon_threadsafe(time.sleep, 0.6)
+    # The loop of a busy machine may stand still for a shorter time besides.
+    wait_until(lambda: any(end - begin >= 0.6 for begin, end in watch.spans), "the standstill to be noticed")
+    watch.close()
+    loop.stop()
