Tests: A soak or fleet that fails to start leaves no process behind

Cause: a seed whose programs could not be started ended the whole run with a traceback, and processes of a fleet that did not become ready stayed. Ruled out: leaving it to the platform's clean-up; the soak ends what it started. Change: a fleet that fails while it starts ends its processes; such a seed is told as broken (start: ...), the others go on. The watch over the stand-ins' loop ends before the loop; peak memory says that it isn't judged with sanitizers.

--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -74,6 +74,13 @@
             server.enlist()
         self.configure()
         self.entries = [self.address() for _ in range(entries)]
+        try:
+            self.start_all()
+        except BaseException:
+            self.__exit__()
+            raise
+
+    def start_all(self):
         for entry in self.entries:
             self.start_entry(entry)
         for engine in self.engines:
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -461,7 +461,11 @@
 def run_seed(build, seed, seconds, entries=2, engines=3, folders=None):
     """Plays one seed from start to end. A deployment that does not heal is a finding like any other."""
     outcome = Outcome(seed, [], [] if folders is None else folders)
-    soak = Soak(os.path.abspath(build), seed, outcome.folders, entries, engines)
+    try:
+        soak = Soak(os.path.abspath(build), seed, outcome.folders, entries, engines)
+    except Exception as error:
+        outcome.broken.append(f"start: {error!r}")
+        return outcome
     with soak.fleet:
         try:
             soak.play(seconds)
@@ -487,7 +491,7 @@
     print(f"faults injected: {sum(injected.values())}: " + ", ".join(f"{kind} {count}" for kind, count in sorted(injected.items())))
     print(f"requests: {sum(statuses.values())}: " + ", ".join(f"{status or 'no answer'} {count}" for status, count in sorted(statuses.items())))
     peaks = {role: max(outcome.peaks[role] for outcome in outcomes) for role in MEMORY_LIMITS}
-    print("peak memory: " + ", ".join(f"{role} {peak:.0f} MB of {MEMORY_LIMITS[role]}" for role, peak in peaks.items()))
+    print("peak memory (with sanitizers not judged): " + ", ".join(f"{role} {peak:.0f} MB of {MEMORY_LIMITS[role]}" for role, peak in peaks.items()))
     print("promises checked: " + "; ".join(f"{name}: {what}" for name, what in promises.PROMISES.items()) + "; recovery: all serve again after the faults")
 
 
--- a/Tests/Soak/soak_fleet.py
+++ b/Tests/Soak/soak_fleet.py
@@ -24,6 +24,7 @@
     still_seconds = 0.25
 
     def __init__(self, loop):
+        self.loop = loop
         self.spans = []
         self.looks = 0
         self.task = asyncio.run_coroutine_threadsafe(self.watch(), loop.loop)
@@ -39,6 +40,8 @@
 
     def close(self):
         self.task.cancel()
+        # The loop is stopped next; until then the task takes note.
+        self.loop.run(asyncio.sleep(self.look_seconds))
 
 
 def is_sanitized(pid):
@@ -60,6 +63,7 @@
 
     def __init__(self, build, folders, has_clocks, **shape):
         self.has_clocks = has_clocks
+        self.server_proxies, self.link_proxies, self.origin_proxy, self.standstills = {}, {}, None, None
         super().__init__(build, folders, **shape)
         self.server_proxies = {server.address: self.put_proxy_before(server) for server in self.engines + self.plains}
         self.link_proxies = {engine.address: FaultProxy(self.loop, engine.address, self.entry_link_port, LINK_PORT) for engine in self.engines}
@@ -69,13 +73,14 @@
         self.configure()
 
     def __exit__(self, *details):
-        self.standstills.close()
+        if self.standstills:
+            self.standstills.close()
         for proxy in self.proxies():
             proxy.close()
         super().__exit__(*details)
 
     def proxies(self):
-        return [*self.server_proxies.values(), *self.link_proxies.values(), self.origin_proxy]
+        return [*self.server_proxies.values(), *self.link_proxies.values(), *filter(None, [self.origin_proxy])]
 
     def put_proxy_before(self, server):
         """From now on callers of the server are led through a proxy; its agent is not."""
