DirectEntry: Keep a copy of the version of the start once no engine holds it

Agents had the goal of version 1 at 13.2 s and still held 18 of 64 chunks at 18 s. Entries keep copies of named versions only; version 1 was named by nobody. But agents that know entries leave the origin to them: they ask it only after 0.4 s for each rank behind the entries, for one chunk, and that wait begins anew with each chunk that comes: in the log 2.1 s, then another 2 s without any read under way. Ruled out: the origin (it sent one chunk to each agent as soon as it was asked), a fault of reads (from_origin rises, no origin_lost), links (all up at 13.24 s), the configuration (in force at 13.15 s). Change: entries take the version of the start as a goal once the service has listed engines and none of them serves it.

--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -432,8 +432,9 @@
     std::string text;
     std::vector<Schema::Message> messages;
     for (auto& goal : m_goals.goals(version_bound(), now)) {
-        // The version of the start lies beside most engines already, and comes to new ones from their peers.
-        if (m_weights && m_goals.is_named(goal.model))
+        // The version of the start lies beside most engines already, and comes to new ones from their peers; where all
+        // have lost it, agents would wait for entries to read it from the origin.
+        if (m_weights && (m_goals.is_named(goal.model) || m_weights->is_lost(goal)))
             m_weights->set_goal(goal, now - Core::Duration(goal.age_ms));
         Schema::Message message;
         message.weights_goal = goal;
--- a/Services/DirectEntry/EntryWeights.cpp
+++ b/Services/DirectEntry/EntryWeights.cpp
@@ -50,6 +50,20 @@
     });
 }
 
+bool EntryWeights::is_lost(Schema::WeightsGoal const& goal) const
+{
+    auto const now = Core::monotonic_now();
+    bool has_servers = false;
+    for (auto const* server : m_context.facts.servers()) {
+        if (server->service != goal.service || server->is_draining)
+            continue;
+        has_servers = true;
+        if (m_context.servers.version_of(server->id, now) >= goal.version)
+            return false;
+    }
+    return has_servers;
+}
+
 Weights::CopySources EntryWeights::sources() const
 {
     Weights::CopySources sources;
--- a/Services/DirectEntry/EntryWeights.h
+++ b/Services/DirectEntry/EntryWeights.h
@@ -27,6 +27,8 @@
     EntryWeights(Core::EventLoop&, EntryWeightsContext, Core::Metrics&, Platform::WeightOrigin&);
 
     void set_goal(Schema::WeightsGoal const& goal, Core::Time named_at) { m_cache.set_goal(goal, named_at); }
+    /// Whether the service has engines and none of them serves the version or a newer one.
+    bool is_lost(Schema::WeightsGoal const&) const;
     void update_sources() { m_cache.update_sources(); }
     void on_peer_pieces(std::string const& peer, Schema::PieceMap const& map) { m_cache.on_peer_pieces(peer, map); }
     void on_peer_down(std::string const& peer) { m_cache.on_peer_down(peer); }
--- a/Tests/Platform/test_direct_path.py
+++ b/Tests/Platform/test_direct_path.py
@@ -377,3 +377,31 @@
         engine.restart()
         wait_linked(fleet)
         assert engine.service == LLM and Origin.chunk(1, 0) == engine.staged[0]
+
+
+def origin_chunks(fleet, identity):
+    """How many chunks of weights a process has read from the origin, as its metrics tell it."""
+    for line in fleet.call(identity, "GET", "/metrics", port=CHUNK_PORT).body.decode().splitlines():
+        if line.startswith("mountbarrow_chunks_total") and 'source="origin"' in line:
+            return int(float(line.split()[-1]))
+    return 0
+
+
+def test_entries_keep_the_version_of_the_start_once_no_engine_holds_it(build, folders):
+    """
+    Seen: after a loss of power of all instances nearly all streams were refused for nine seconds.
+    Cause: entries kept no copy of a version that nobody had named, and agents leave the origin to the entries; each
+    agent read one chunk in two seconds or more, the whole being 64.
+    Proof: engines lose all they held; then entries read the version of the start from the origin.
+    """
+    with Fleet(build, folders) as fleet:
+        wait_linked(fleet)
+        assert all(origin_chunks(fleet, entry) == 0 for entry in fleet.entries)
+        for engine in fleet.engines:
+            fleet.kill(engine.address)
+            engine.restart()
+            engine.staged = {}
+            fleet.start_agent(engine)
+        wait_until(lambda: all(engine.version == 1 for engine in fleet.engines), "version 1 at all engines")
+        assert sum(origin_chunks(fleet, entry) for entry in fleet.entries) > 0
+        wait_linked(fleet)
