--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -31,8 +31,6 @@
 static constexpr double other_region_ms = 25;
 static constexpr double other_domain_ms = 8;
 static constexpr double plain_answer_ms = 30;
-// While places are free, those that can be in time take one for each that a late request takes.
-static constexpr int64_t places_per_leftover = 2;
 // What others send to an engine is known late, so all who see it idle meet there: its owner goes before its helpers, and
 // these before all others.
 static constexpr double helper_ms = 40;
@@ -214,38 +212,13 @@
     return Core::Duration(static_cast<int64_t>(std::ceil(model->times.turnover_ms() * model->times.correction())));
 }
 
-std::vector<ServerTable::Server const*> ServerTable::filled(std::string const& service, Core::Time now) const
-{
-    std::vector<Server const*> filled;
-    for (auto const& [id, server] : m_servers) {
-        bool const is_filled = server.entry.service == service && role(server) == EngineRole::Owner && is_usable(server, ServerNeeds { .service = service }, now);
-        if (is_filled)
-            filled.push_back(&server);
-    }
-    return filled;
-}
-
 Core::Duration ServerTable::place_interval(std::string const& service, Core::Time now) const
 {
-    return turnover(service) / static_cast<int64_t>(std::max<size_t>(1, filled(service, now).size()));
-}
-
-int64_t ServerTable::leftover_places(std::string const& service, Core::Time now) const
-{
-    int64_t places = 0;
-    for (auto const* server : filled(service, now))
-        places += std::max<int64_t>(0, room(*server, now) - m_settings.leftover_reserve - m_settings.allowed_queue);
-    return places / places_per_leftover;
-}
-
-Core::Duration ServerTable::leftover_interval(std::string const& service, Core::Time now) const
-{
-    auto const* model = engine_service(service);
-    if (!model)
-        return turnover(service);
-    auto const reading = model->times.correction() * model->times.read_usual_ms();
-    auto const engines = static_cast<double>(std::max<size_t>(1, filled(service, now).size()));
-    return Core::Duration(static_cast<int64_t>(std::ceil(reading * places_per_leftover / engines)));
+    auto const filled = std::count_if(m_servers.begin(), m_servers.end(), [&](auto const& entry) {
+        auto const& server = entry.second;
+        return server.entry.service == service && role(server) == EngineRole::Owner && is_usable(server, ServerNeeds { .service = service }, now);
+    });
+    return turnover(service) / std::max<int64_t>(1, filled);
 }
 
 Core::Duration ServerTable::least_first_event(std::string const& service, int64_t prompt_tokens) const
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -134,11 +134,6 @@
     Core::Duration turnover(std::string const& service) const;
     /// Mean time between places that become free at any of the engines that this entry fills, when they are full.
     Core::Duration place_interval(std::string const& service, Core::Time now) const;
-    /// Late requests that the engines that this entry fills can take at once. Those that can be in time come meanwhile
-    /// and take as many of the free places.
-    int64_t leftover_places(std::string const& service, Core::Time now) const;
-    /// Mean time between late requests that are sent while such places last: they are read one after another.
-    Core::Duration leftover_interval(std::string const& service, Core::Time now) const;
     /// Least time to the first event of a prompt at an engine that is in use; 0 for a plain service.
     Core::Duration least_first_event(std::string const& service, int64_t prompt_tokens) const;
     /// Time that a request of a size takes at a full engine; 0 for a plain service.
@@ -197,8 +192,6 @@
     EngineService const* engine_service(std::string const& service) const;
     int64_t version_of(Server const&, Core::Time now) const;
     bool is_usable(Server const&, ServerNeeds const&, Core::Time now) const;
-    /// Engines of a service that this entry fills and that serve now.
-    std::vector<Server const*> filled(std::string const& service, Core::Time now) const;
     int64_t others_in_flight(Server const&, Core::Time now) const;
     int64_t room(Server const&, Core::Time now) const;
     /// Whether this entry has taken its part of the places that the last report showed free at another's engine.
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -244,7 +244,6 @@
     if (m_has_delivered)
         return now >= m_delivered_at + resume_patience;
     if (m_no_server == Routing::NoServer::NoneUsable) {
-        m_context.line(m_service).leftover.on_no_engine(now);
         auto const next = m_context.servers.next_engine(m_service, now);
         return !next || timeliness(now + *next) == Routing::Timeliness::TooLate;
     }
@@ -253,10 +252,8 @@
     auto& line = m_context.line(m_service);
     auto const interval = m_context.servers.place_interval(m_service, now);
     auto const usual = Core::Duration(static_cast<int64_t>(static_cast<double>(interval.count()) * m_context.waiting.leftover_factor));
-    auto const ahead = m_is_in_line ? 1 : static_cast<int64_t>(line.late) + 1;
-    // Free places are taken as fast as engines read; the others wait for places to come.
-    auto const at_once = std::min(ahead, m_context.servers.leftover_places(m_service, now));
-    auto const begins = now + m_context.servers.leftover_interval(m_service, now) * at_once + line.leftover.gap(now, usual) * (ahead - at_once);
+    auto const ahead = m_is_in_line ? 1 : line.late + 1;
+    auto const begins = now + line.leftover.gap(now, usual) * static_cast<int64_t>(ahead);
     return timeliness(begins) == Routing::Timeliness::TooLate;
 }
 
