LibDistribution: Split the transfer by job

Cause: Transfer.cpp held five jobs in 480 lines.

Ruled out: the table of who holds which chunk as a class of its own: every choice of the transfer looks at it.

Change: ReadRanks (who may read a chunk from the origin and from far away, in which order), SourceFaults (how long a source is left alone), ReadTimes (running means) and Neighbours (whom to link with); Source.h has what they share. Transfer keeps the chunks and the choice, in 368 lines. The counts of corrupt chunks had no reader and stay inside SourceFaults; those of a peer that is gone are no longer taken.

Of the tests only an include changed.

Conclusion: behaviour unchanged.

--- /dev/null
+++ b/Libraries/LibDistribution/SourceFaults.cpp
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibDistribution/SourceFaults.h>
+
+#include <algorithm>
+
+namespace Distribution {
+
+// A source that is busy is asked again soon; one that fails is left alone for longer each time.
+static constexpr Core::Duration busy_wait { 50 };
+static constexpr Core::Duration fault_wait { 500 };
+static constexpr Core::Duration corrupt_wait { 10000 };
+static constexpr size_t most_fault_doublings = 5;
+static constexpr size_t corrupt_chunks_tolerated = 2;
+
+void SourceFaults::on_failed(Source const& source, FetchFailure failure, Core::Time now)
+{
+    if (failure == FetchFailure::Corrupt && ++m_corrupt[source] <= corrupt_chunks_tolerated)
+        return;
+    m_standings[source].avoid_until = now + wait_after(source, failure);
+}
+
+Core::Duration SourceFaults::wait_after(Source const& source, FetchFailure failure)
+{
+    // There is no other origin to turn to: whatever it fails by counts alike, and it is asked again sooner than a peer.
+    if (failure == FetchFailure::Corrupt && !source.is_origin())
+        return corrupt_wait;
+    bool const is_busy = failure == FetchFailure::Busy;
+    if (is_busy && !source.is_origin())
+        return busy_wait;
+    auto const doublings = std::min(m_standings[source].faults++, most_fault_doublings);
+    return is_busy ? busy_wait : std::min(m_longest_wait, fault_wait * (1 << doublings));
+}
+
+bool SourceFaults::is_avoided(Source const& source, Core::Time now) const
+{
+    auto const found = m_standings.find(source);
+    return found != m_standings.end() && now < found->second.avoid_until;
+}
+
+}
--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -1,42 +1,26 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibDistribution/Transfer.h>
 
-#include <LibCore/Hash.h>
 #include <algorithm>
 
 namespace Distribution {
 
-// A source that is busy is asked again soon; one that fails is left alone for longer each time.
-static constexpr Core::Duration busy_wait { 50 };
-static constexpr Core::Duration fault_wait { 500 };
-static constexpr Core::Duration corrupt_wait { 10000 };
-static constexpr size_t most_fault_doublings = 5;
-static constexpr size_t corrupt_chunks_tolerated = 2;
 // At the end a slow read is doubled once, and this part of the missing chunks and one more may cost bytes twice: a version
 // is not read twice because a machine or a link is slow as a whole.
 static constexpr size_t reads_per_chunk = 2;
 static constexpr size_t missing_chunks_per_duplicate = 16;
-static constexpr double slow_read_factor = 2;
 // Where chunks come within milliseconds, twice the mean says nothing: a busy machine holds one read up for longer. A read
 // is not slow before this part of the silence that would end it.
 static constexpr int64_t slow_reads_per_stall = 8;
 
-static bool contains(std::vector<std::string> const& instances, std::string const& instance)
-{
-    return std::find(instances.begin(), instances.end(), instance) != instances.end();
-}
-
 Transfer::Transfer(Schema::VersionSpec const& version, std::string self, std::vector<std::string> targets, std::vector<int64_t> const& held, TransferSettings settings, uint64_t seed, Core::Time now)
-    : m_self(std::move(self))
-    , m_targets(std::move(targets))
+    : m_ranks(version, std::move(self), std::move(targets), settings.seeders)
     , m_settings(settings)
     , m_random(seed)
-    , m_version_digest(version.digest)
+    , m_faults(settings.longest_fault_wait)
     , m_last_useful(now)
 {
     m_chunks.resize(version.chunks.size());
-    for (auto const& chunk : version.chunks)
-        m_digests.push_back(chunk.digest);
     for (auto& chunk : m_chunks)
         chunk.without_holder_since = now;
     for (auto number : held) {
@@ -44,79 +28,27 @@
         m_held_count += 1;
     }
     m_duplicates_left = 1 + (m_chunks.size() - m_held_count) / missing_chunks_per_duplicate;
-    rank_chunks();
 }
 
 void Transfer::set_targets(std::vector<std::string> targets)
 {
-    m_targets = std::move(targets);
-    rank_chunks();
+    m_ranks.set_targets(std::move(targets));
 }
 
-void Transfer::set_near(std::vector<std::string> near)
+void Transfer::set_near(std::vector<std::string> const& near)
 {
-    m_near = { near.begin(), near.end() };
-    rank_far_reads();
+    m_ranks.set_near(near);
     for (auto& chunk : m_chunks)
         chunk.near_holders = 0;
     for (auto const& [id, peer] : m_peers) {
         for (auto chunk : peer.chunks)
-            m_chunks[chunk].near_holders += m_near.contains(id) ? 1 : 0;
+            m_chunks[chunk].near_holders += m_ranks.is_near(id) ? 1 : 0;
     }
 }
 
 void Transfer::set_caches(std::vector<std::string> caches)
 {
-    if (caches == m_caches)
-        return;
-    m_caches = std::move(caches);
-    rank_chunks();
-    rank_far_reads();
-}
-
-void Transfer::rank_far_reads()
-{
-    std::vector<std::string> caches;
-    std::vector<std::string> others;
-    for (auto const& instance : m_near)
-        (contains(m_caches, instance) ? caches : others).push_back(instance);
-    bool const is_cache = contains(caches, m_self);
-    for (size_t i = 0; i < m_chunks.size(); ++i)
-        m_chunks[i].far_rank = is_cache ? rank_among(caches, m_digests[i]) : caches.size() + rank_among(others, m_digests[i]);
-}
-
-bool Transfer::may_ask_peer(ChunkState const& chunk, std::string const& peer, Core::Time now) const
-{
-    if (m_near.empty() || m_near.contains(peer))
-        return true;
-    if (chunk.near_holders > 0)
-        return false;
-    auto const since = std::max(chunk.without_holder_since, m_last_useful);
-    return chunk.far_rank == 0 || now - since >= m_settings.far_patience * static_cast<int64_t>(chunk.far_rank);
-}
-
-size_t Transfer::rank_among(std::vector<std::string> const& instances, std::string const& digest) const
-{
-    // The rank is the number of instances with a higher hash; no order needs to be built.
-    auto const own = Core::stable_hash(digest, m_self);
-    return static_cast<size_t>(std::count_if(instances.begin(), instances.end(), [&](auto const& instance) {
-        return instance != m_self && Core::stable_hash(digest, instance) > own;
-    }));
-}
-
-void Transfer::rank_chunks()
-{
-    auto seeders = Core::rendezvous_order(m_version_digest, m_caches.empty() ? m_targets : m_caches);
-    auto const seeder_count = std::min(std::max<size_t>(1, m_settings.seeders), seeders.size());
-    std::vector<std::string> others(seeders.begin() + static_cast<ptrdiff_t>(seeder_count), seeders.end());
-    if (!m_caches.empty())
-        others.insert(others.end(), m_targets.begin(), m_targets.end());
-    seeders.resize(seeder_count);
-    bool const is_seeder = contains(seeders, m_self);
-    for (size_t i = 0; i < m_chunks.size(); ++i) {
-        auto const rank = rank_among(is_seeder ? seeders : others, m_digests[i]);
-        m_chunks[i].origin_rank = is_seeder ? rank : seeder_count + rank;
-    }
+    m_ranks.set_caches(std::move(caches));
 }
 
 void Transfer::on_peer_chunks(std::string const& peer, std::vector<int64_t> const& chunks)
@@ -130,7 +62,7 @@
         if (!state.chunks.insert(chunk).second)
             continue;
         m_chunks[chunk].holders += 1;
-        m_chunks[chunk].near_holders += m_near.contains(peer) ? 1 : 0;
+        m_chunks[chunk].near_holders += m_ranks.is_near(peer) ? 1 : 0;
     }
 }
 
@@ -141,11 +73,12 @@
         return;
     for (auto chunk : found->second.chunks) {
         m_chunks[chunk].holders -= 1;
-        m_chunks[chunk].near_holders -= m_near.contains(peer) ? 1 : 0;
+        m_chunks[chunk].near_holders -= m_ranks.is_near(peer) ? 1 : 0;
         if (m_chunks[chunk].holders == 0)
             m_chunks[chunk].without_holder_since = m_last_useful;
     }
     m_peers.erase(found);
+    m_faults.forget(peer);
 }
 
 void Transfer::on_progress(uint64_t fetch, Core::Time now)
@@ -168,31 +101,16 @@
     m_running.erase(found);
 }
 
-static double smoothed(double mean, double sample)
-{
-    static constexpr double memory = 0.8;
-    return mean == 0 ? sample : memory * mean + (1 - memory) * sample;
-}
-
 void Transfer::on_fetched(uint64_t fetch, Core::Time now)
 {
     auto found = m_running.find(fetch);
     if (found == m_running.end())
         return;
     auto const running = found->second;
-    auto const took = static_cast<double>((now - running.started).count());
-    m_mean_fetch_ms = smoothed(m_mean_fetch_ms, took);
-    if (running.first_bytes) {
-        // Reads at the same time share the link: what each took is divided by their number.
-        auto const lasted = static_cast<double>((now - *running.first_bytes).count());
-        m_mean_bytes_ms = smoothed(m_mean_bytes_ms, lasted / static_cast<double>(m_running.size()));
-    }
+    auto const bytes_lasted = running.first_bytes ? std::optional(now - *running.first_bytes) : std::nullopt;
+    m_times.on_fetched(now - running.started, bytes_lasted, m_running.size());
     m_last_useful = now;
-    auto peer = m_peers.find(running.source.peer);
-    if (peer != m_peers.end())
-        peer->second.faults = 0;
-    if (running.source.is_origin())
-        m_origin_faults = 0;
+    m_faults.on_fetched(running.source);
     end_fetch(fetch);
     auto& chunk = m_chunks[running.chunk];
     if (chunk.is_held)
@@ -208,13 +126,11 @@
         return;
     auto const running = found->second;
     end_fetch(fetch);
-    if (failure == FetchFailure::Corrupt)
-        m_corrupt[running.source] += 1;
     if (failure == FetchFailure::Missing) {
         auto peer = m_peers.find(running.source.peer);
         if (peer != m_peers.end() && peer->second.chunks.erase(running.chunk) > 0) {
             m_chunks[running.chunk].holders -= 1;
-            m_chunks[running.chunk].near_holders -= m_near.contains(running.source.peer) ? 1 : 0;
+            m_chunks[running.chunk].near_holders -= m_ranks.is_near(running.source.peer) ? 1 : 0;
             m_chunks[running.chunk].without_holder_since = now;
         }
         if (!running.source.is_origin())
@@ -225,23 +141,9 @@
 
 void Transfer::punish(Source const& source, FetchFailure failure, Core::Time now)
 {
-    bool const is_corrupt = failure == FetchFailure::Corrupt;
-    if (is_corrupt && m_corrupt[source] <= corrupt_chunks_tolerated)
-        return;
-    if (source.is_origin()) {
-        auto const doublings = std::min(m_origin_faults++, most_fault_doublings);
-        m_origin_avoid_until = now + (failure == FetchFailure::Busy ? busy_wait : std::min(m_settings.longest_fault_wait, fault_wait * (1 << doublings)));
-        return;
-    }
-    auto peer = m_peers.find(source.peer);
-    if (peer == m_peers.end())
-        return;
-    auto wait = busy_wait;
-    if (is_corrupt)
-        wait = corrupt_wait;
-    else if (failure != FetchFailure::Busy)
-        wait = std::min(m_settings.longest_fault_wait, fault_wait * (1 << std::min(peer->second.faults++, most_fault_doublings)));
-    peer->second.avoid_until = now + wait;
+    // A peer that is gone begins anew when it comes back.
+    if (source.is_origin() || m_peers.contains(source.peer))
+        m_faults.on_failed(source, failure, now);
 }
 
 void Transfer::give_up_stalled(Core::Time now, std::vector<TransferAction>& actions)
@@ -280,14 +182,18 @@
 
 bool Transfer::owes_origin_chunks() const
 {
-    return m_settings.strategy == Schema::Strategy::Swarm && std::any_of(m_chunks.begin(), m_chunks.end(), [](auto const& chunk) {
-        return chunk.origin_rank == 0 && !chunk.is_held && chunk.holders == 0;
-    });
+    if (m_settings.strategy != Schema::Strategy::Swarm)
+        return false;
+    for (size_t i = 0; i < m_chunks.size(); ++i) {
+        if (m_ranks.origin_rank(i) == 0 && !m_chunks[i].is_held && m_chunks[i].holders == 0)
+            return true;
+    }
+    return false;
 }
 
 bool Transfer::has_stocked_cache() const
 {
-    return std::any_of(m_caches.begin(), m_caches.end(), [&](auto const& cache) {
+    return std::any_of(m_ranks.caches().begin(), m_ranks.caches().end(), [&](auto const& cache) {
         auto const peer = m_peers.find(cache);
         return peer != m_peers.end() && !peer->second.chunks.empty();
     });
@@ -295,7 +201,7 @@
 
 size_t Transfer::fetch_limit() const
 {
-    bool const is_link_slow = m_settings.slow_link.count() > 0 && m_mean_bytes_ms > static_cast<double>(m_settings.slow_link.count());
+    bool const is_link_slow = m_settings.slow_link.count() > 0 && m_times.is_link_slower_than(m_settings.slow_link);
     if (is_link_slow)
         return 1;
     if (m_settings.fetches_with_caches > 0 && has_stocked_cache())
@@ -323,11 +229,11 @@
     std::pair<bool, size_t> best_load;
     uint64_t ties = 0;
     for (auto const& [id, peer] : m_peers) {
-        if (id == except || now < peer.avoid_until || !peer.chunks.contains(chunk))
+        if (id == except || m_faults.is_avoided(Source { id }, now) || !peer.chunks.contains(chunk))
             continue;
-        if (!may_ask_peer(m_chunks[chunk], id, now))
+        if (!may_ask_peer(chunk, id, now))
             continue;
-        auto const load = std::pair(!contains(m_caches, id), peer.fetches);
+        auto const load = std::pair(!m_ranks.is_cache(id), peer.fetches);
         if (!best.empty() && load > best_load)
             continue;
         bool const is_better = best.empty() || load < best_load;
@@ -361,33 +267,45 @@
     return true;
 }
 
-bool Transfer::may_ask_origin(ChunkState const& chunk, Core::Time now) const
+bool Transfer::may_ask_peer(size_t chunk, std::string const& peer, Core::Time now) const
 {
-    if (chunk.is_held || chunk.fetches > 0)
+    auto const& state = m_chunks[chunk];
+    if (m_ranks.are_all_near() || m_ranks.is_near(peer))
+        return true;
+    if (state.near_holders > 0)
+        return false;
+    auto const rank = m_ranks.far_rank(chunk);
+    auto const since = std::max(state.without_holder_since, m_last_useful);
+    return rank == 0 || now - since >= m_settings.far_patience * static_cast<int64_t>(rank);
+}
+
+bool Transfer::may_ask_origin(size_t chunk, Core::Time now) const
+{
+    auto const& state = m_chunks[chunk];
+    if (state.is_held || state.fetches > 0)
         return false;
     switch (m_settings.strategy) {
     case Schema::Strategy::OriginOnly:
         return true;
     case Schema::Strategy::Chain:
-        return !m_targets.empty() && m_targets.front() == m_self;
+        return m_ranks.is_first_target();
     case Schema::Strategy::Swarm:
         break;
     }
-    if (chunk.origin_rank == 0)
-        return chunk.holders == 0;
-    if (chunk.holders > 0)
+    if (state.holders > 0)
         return false;
-    auto const since = std::max(chunk.without_holder_since, m_last_useful);
-    return now - since >= m_settings.origin_patience * static_cast<int64_t>(chunk.origin_rank);
+    auto const rank = m_ranks.origin_rank(chunk);
+    auto const since = std::max(state.without_holder_since, m_last_useful);
+    return rank == 0 || now - since >= m_settings.origin_patience * static_cast<int64_t>(rank);
 }
 
 bool Transfer::start_from_origin(Core::Time now, std::vector<TransferAction>& actions)
 {
-    if (now < m_origin_avoid_until || running_from_origin() >= m_settings.origin_fetches_in_flight)
+    if (m_faults.is_avoided(Source {}, now) || running_from_origin() >= m_settings.origin_fetches_in_flight)
         return false;
     std::vector<size_t> candidates;
     for (size_t i = 0; i < m_chunks.size(); ++i) {
-        if (may_ask_origin(m_chunks[i], now))
+        if (may_ask_origin(i, now))
             candidates.push_back(i);
     }
     if (candidates.empty())
@@ -400,9 +318,7 @@
 bool Transfer::is_slow(Running const& running, Core::Time now) const
 {
     auto const lasted = now - running.started;
-    if (m_mean_fetch_ms == 0 || lasted < m_settings.stall / slow_reads_per_stall)
-        return false;
-    return static_cast<double>(lasted.count()) >= slow_read_factor * m_mean_fetch_ms;
+    return lasted >= m_settings.stall / slow_reads_per_stall && m_times.is_slow(lasted);
 }
 
 bool Transfer::start_duplicate(Core::Time now, std::vector<TransferAction>& actions)
@@ -449,32 +365,4 @@
     return !is_complete() && m_running.empty() && now - m_last_useful >= m_settings.stall / 2;
 }
 
-std::vector<std::string> choose_neighbours(NeighbourCandidate const& self, std::vector<NeighbourCandidate> const& others, size_t count, size_t widen)
-{
-    struct Scored {
-        int distance;
-        uint64_t score;
-        std::string id;
-    };
-    std::vector<Scored> scored;
-    for (auto const& other : others) {
-        if (other.id == self.id)
-            continue;
-        int const distance = other.failure_domain == self.failure_domain ? 0 : other.region == self.region ? 1
-                                                                                                           : 2;
-        scored.push_back({ distance, Core::stable_hash(self.id, other.id), other.id });
-    }
-    auto const wanted = std::min(count + widen, scored.size());
-    auto const near = wanted / 2;
-    auto by_distance = [](Scored const& a, Scored const& b) { return std::pair(a.distance, a.score) < std::pair(b.distance, b.score); };
-    std::sort(scored.begin(), scored.end(), by_distance);
-    std::vector<std::string> chosen;
-    for (size_t i = 0; i < near; ++i)
-        chosen.push_back(scored[i].id);
-    std::sort(scored.begin() + static_cast<ptrdiff_t>(near), scored.end(), [](auto const& a, auto const& b) { return a.score < b.score; });
-    for (size_t i = near; i < wanted; ++i)
-        chosen.push_back(scored[i].id);
-    return chosen;
-}
-
 }
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -2,6 +2,10 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDistribution/ReadRanks.h>
+#include <LibDistribution/ReadTimes.h>
+#include <LibDistribution/Source.h>
+#include <LibDistribution/SourceFaults.h>
 #include <LibSchema/Generated.h>
 #include <map>
 #include <optional>
@@ -13,14 +17,6 @@
 
 namespace Distribution {
 
-/// Where a chunk is read from: a peer, or the origin if `peer` is empty.
-struct Source {
-    std::string peer;
-
-    bool is_origin() const { return peer.empty(); }
-    bool operator<(Source const& other) const { return peer < other.peer; }
-};
-
 /// Start reading a chunk.
 struct Fetch {
     uint64_t id { 0 };
@@ -37,17 +33,6 @@
 
 using TransferAction = std::variant<Fetch, CancelFetch>;
 
-enum class FetchFailure {
-    /// The source refused because it serves as many as it may.
-    Busy,
-    /// The bytes did not have the chunk's digest.
-    Corrupt,
-    /// The source does not hold the chunk.
-    Missing,
-    /// The source did not answer, or broke off.
-    Unreachable,
-};
-
 struct TransferSettings {
     Schema::Strategy strategy { Schema::Strategy::Swarm };
     /// Chunks read at once, from peers and from the origin.
@@ -93,7 +78,7 @@
 
     /// The instances near by, this one among them: bytes from any other are dear, so of each chunk one copy comes
     /// from far away and the others from near. Empty: all are near.
-    void set_near(std::vector<std::string> near);
+    void set_near(std::vector<std::string> const& near);
 
     /// Instances that keep a copy for the others, with links to spare: they read from the origin before anybody else,
     /// bring a region's one copy from far away, and are asked before other peers. Empty: there are none.
@@ -121,9 +106,6 @@
     /// True if for some time no neighbour has had anything to offer: other neighbours may.
     bool is_starved(Core::Time now) const;
 
-    /// Chunks that came with a wrong digest, by source.
-    std::map<Source, uint64_t> const& corrupt_counts() const { return m_corrupt; }
-
 private:
     struct ChunkState {
         bool is_held { false };
@@ -133,18 +115,14 @@
         bool is_doubled { false };
         // Neighbours that hold it.
         size_t holders { 0 };
-        size_t origin_rank { 0 };
-        // Holders near by, and this instance's rank among those near by for reading it from far away.
+        // Those of them that are near by.
         size_t near_holders { 0 };
-        size_t far_rank { 0 };
         Core::Time without_holder_since { 0 };
     };
 
     struct PeerState {
         std::set<size_t> chunks;
         size_t fetches { 0 };
-        size_t faults { 0 };
-        Core::Time avoid_until { 0 };
     };
 
     struct Running {
@@ -155,9 +133,6 @@
         std::optional<Core::Time> first_bytes;
     };
 
-    void rank_chunks();
-    void rank_far_reads();
-    size_t rank_among(std::vector<std::string> const&, std::string const& digest) const;
     void end_fetch(uint64_t id);
     void punish(Source const&, FetchFailure, Core::Time now);
     void give_up_stalled(Core::Time now, std::vector<TransferAction>&);
@@ -168,45 +143,26 @@
     bool start_duplicate(Core::Time now, std::vector<TransferAction>&);
     std::string choose_peer(size_t chunk, Core::Time now, std::string const& except);
     Fetch begin(size_t chunk, Source, Core::Time now);
-    bool may_ask_peer(ChunkState const&, std::string const& peer, Core::Time now) const;
-    bool may_ask_origin(ChunkState const&, Core::Time now) const;
+    bool may_ask_peer(size_t chunk, std::string const& peer, Core::Time now) const;
+    bool may_ask_origin(size_t chunk, Core::Time now) const;
     size_t running_from_origin() const;
     bool owes_origin_chunks() const;
     bool has_stocked_cache() const;
     size_t fetch_limit() const;
 
-    std::string m_self;
-    std::vector<std::string> m_targets;
-    std::set<std::string> m_near;
-    std::vector<std::string> m_caches;
+    ReadRanks m_ranks;
     TransferSettings m_settings;
     std::mt19937_64 m_random;
-    std::string m_version_digest;
-    std::vector<std::string> m_digests;
     std::vector<ChunkState> m_chunks;
     std::map<std::string, PeerState> m_peers;
     std::map<uint64_t, Running> m_running;
-    std::map<Source, uint64_t> m_corrupt;
+    SourceFaults m_faults;
+    ReadTimes m_times;
     size_t m_held_count { 0 };
     // Chunks whose bytes may still be read twice.
     size_t m_duplicates_left { 0 };
-    size_t m_origin_faults { 0 };
     uint64_t m_next_fetch { 1 };
     Core::Time m_last_useful { 0 };
-    Core::Time m_origin_avoid_until { 0 };
-    // A running mean of how long a read takes, to tell a slow one.
-    double m_mean_fetch_ms { 0 };
-    // A running mean of the time from a chunk's first bytes to its last, for one read alone on this instance's link.
-    double m_mean_bytes_ms { 0 };
-};
-
-/// The peers that an instance keeps a link to for a version: about half near (the same failure domain first),
-/// half anywhere, by rendezvous hashing. `widen` asks for that many more, when it is starved.
-struct NeighbourCandidate {
-    std::string id;
-    std::string failure_domain;
-    std::string region;
 };
-std::vector<std::string> choose_neighbours(NeighbourCandidate const& self, std::vector<NeighbourCandidate> const& others, size_t count, size_t widen);
 
 }
--- a/Services/Agent/WeightsRunner.h
+++ b/Services/Agent/WeightsRunner.h
@@ -6,6 +6,7 @@
 #include <LibCore/Metrics.h>
 #include <LibDistribution/ChunkStore.h>
 #include <LibDistribution/EngineControl.h>
+#include <LibDistribution/Neighbours.h>
 #include <LibDistribution/Transfer.h>
 #include <LibMembership/InstanceList.h>
 #include <LibPlacement/Placement.h>
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -4,6 +4,7 @@
 #include "../Weights/TransferDefaults.h"
 #include <LibCore/Hash.h>
 #include <LibCore/Log.h>
+#include <LibDistribution/Neighbours.h>
 #include <LibSchema/Json.h>
 #include <LibTransport/SocketAddress.h>
 #include <algorithm>
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -65,7 +65,7 @@
     auto sources = m_callbacks.sources();
     m_transfer->set_caches(std::move(sources.caches));
     m_transfer->set_targets(std::move(sources.targets));
-    m_transfer->set_near(std::move(sources.near));
+    m_transfer->set_near(sources.near);
 }
 
 void CopyFetcher::turn(Core::Time now)
@@ -256,7 +256,7 @@
     auto sources = m_callbacks.sources();
     m_transfer = std::make_unique<Distribution::Transfer>(m_wanted->spec, m_settings.identity, sources.targets, held, m_settings.transfer, Core::stable_hash(m_settings.identity, m_wanted->spec.digest), now);
     m_transfer->set_caches(std::move(sources.caches));
-    m_transfer->set_near(std::move(sources.near));
+    m_transfer->set_near(sources.near);
     for (auto const& [peer, chunks] : m_peer_chunks.holders_of(m_wanted->manifest.model, m_wanted->manifest.version))
         m_transfer->on_peer_chunks(peer, { chunks.begin(), chunks.end() });
     for (auto chunk : held)
--- a/Tests/LibDistribution/TestTransfer.cpp
+++ b/Tests/LibDistribution/TestTransfer.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibCore/Hash.h>
 #include <LibDistribution/ChunkStore.h>
+#include <LibDistribution/Neighbours.h>
 #include <LibDistribution/Transfer.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
