LibConfiguration: A peer that listed the servers later hides no removal

Three entries had started again at 28.5 s. An entry whose peer's ping tells a newer configuration asks that peer for facts, and took over how far the peer had read; a peer that began with a listing knows no removal from before it, so the reader skipped the one in the log. Change: facts told by a replica whose listing is newer than what the asker has read do not move the asker's end. Conclusion: inferred from the lines and the code, and proven in the replica; the asking itself is not logged.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -119,6 +119,7 @@
     auto changes = on_records(topic, facts, end, read);
     if (topic != FactTopic::BackendServers)
         return changes;
+    m_servers_listed_end = std::max(m_servers_listed_end, end);
     std::set<std::string> listed;
     for (auto const& fact : facts)
         listed.insert(fact.key);
@@ -167,7 +168,8 @@
     Schema::FactBatch batch {};
     batch.age_ms = age.count();
     batch.configuration_end = m_configuration_end;
-    batch.servers_end = m_servers_end;
+    bool const has_all_removals = request.servers_from >= m_servers_listed_end;
+    batch.servers_end = has_all_removals ? m_servers_end : std::min(m_servers_end, request.servers_from);
     for (auto const& [key, fact] : m_facts) {
         auto const from = topic_of(key.first) == FactTopic::Configuration ? request.configuration_from : request.servers_from;
         if (fact.revision < from)
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -105,7 +105,8 @@
     /// The offset to read a topic from next.
     int64_t end(FactTopic topic) const { return topic == FactTopic::Configuration ? m_configuration_end : m_servers_end; }
 
-    /// What a peer lacks that has read this far.
+    /// What a peer lacks that has read this far. A listing names no server that was removed before it: a peer that had not
+    /// read as far goes on reading where it was, or it would take such a server for one that is there.
     Schema::FactBatch facts_since(Schema::FactRequest const&, Core::Duration age, Core::Time now) const;
 
     /// Null until a configuration was read.
@@ -134,6 +135,8 @@
     std::set<std::string> m_superseded;
     int64_t m_configuration_end { 0 };
     int64_t m_servers_end { 0 };
+    // Removals of servers before this offset may be missing here.
+    int64_t m_servers_listed_end { 0 };
 };
 
 /// The fact as it goes to peers.
--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -99,6 +99,54 @@
     RC_ASSERT(names(behind) == names(ahead));
 }
 
+RC_GTEST_PROP(FactReplica, WhatAPeerThatStartedLaterTellsHidesNoRemoval, ())
+{
+    std::vector<Fact> log;
+    std::map<std::string, Fact> listed;
+    auto const count = *rc::gen::inRange<int64_t>(1, 40);
+    for (int64_t i = 0; i < count; ++i) {
+        auto const id = "s" + std::to_string(*rc::gen::inRange(0, 4));
+        bool const is_removal = *rc::gen::inRange(0, 3) == 0;
+        log.push_back(is_removal ? removed_fact(id, i) : server_fact(id, *rc::gen::arbitrary<bool>(), i));
+    }
+    auto const split = *rc::gen::inRange<int64_t>(0, count);
+    auto const restart = *rc::gen::inRange<int64_t>(split, count);
+    FactReplica behind;
+    behind.on_records(FactTopic::BackendServers, std::vector<Fact>(log.begin(), log.begin() + split), split, Core::Time(0));
+    for (int64_t i = 0; i < restart; ++i) {
+        if (std::holds_alternative<Configuration::Removed>(log[i].value))
+            listed.erase(log[i].key);
+        else
+            listed[log[i].key] = log[i];
+    }
+    std::vector<Fact> newest;
+    for (auto const& [key, fact] : listed)
+        newest.push_back(fact);
+    FactReplica started_later;
+    started_later.on_listing(FactTopic::BackendServers, newest, restart, Core::Time(1));
+    Schema::FactRequest request {};
+    request.servers_from = behind.end(FactTopic::BackendServers);
+    behind.on_peer(started_later.facts_since(request, Core::Duration(0), Core::Time(2)), Core::Time(2));
+    auto const rest = behind.end(FactTopic::BackendServers);
+    behind.on_records(FactTopic::BackendServers, std::vector<Fact>(log.begin() + rest, log.end()), count, Core::Time(3));
+    FactReplica complete;
+    complete.on_records(FactTopic::BackendServers, log, count, Core::Time(3));
+    RC_ASSERT(ids(behind) == ids(complete));
+}
+
+TEST(FactReplica, ARemovalBeforeAPeersListingIsStillReadFromTheLog)
+{
+    FactReplica behind;
+    behind.on_records(FactTopic::BackendServers, { server_fact("a", false, 0), server_fact("b", false, 1) }, 2, Core::Time(0));
+    FactReplica started_later;
+    started_later.on_listing(FactTopic::BackendServers, { server_fact("b", true, 3) }, 4, Core::Time(1));
+    Schema::FactRequest request {};
+    request.servers_from = behind.end(FactTopic::BackendServers);
+    behind.on_peer(started_later.facts_since(request, Core::Duration(0), Core::Time(2)), Core::Time(2));
+    EXPECT_TRUE(behind.server("b")->is_draining);
+    EXPECT_EQ(behind.end(FactTopic::BackendServers), 2);
+}
+
 TEST(FactReplica, AListingRemovesWhatItDoesNotName)
 {
     FactReplica replica;
