LibCore: Write the time of a log line as RFC 3339 has it, with its zone

Cause: the library prints the quotes of a quoted letter in a date's pattern, so lines read 2026-12-02'T'20:43:22.900 and said no zone: nothing that reads such times took them, and the lines of instances in several zones did not sort. Change: two dates with the T between them, in UTC with a Z.

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -13,7 +13,8 @@
 
 static log4cxx::LoggerPtr s_logger;
 static std::unique_ptr<BoundedLog> s_bounded;
-static constexpr char const* s_pattern = R"({"time":"%d{yyyy-MM-dd'T'HH:mm:ss.SSS}","level":"%p","process":"%c",%m}%n)";
+// The library prints a quoted letter with its quotes, so the T stands between two dates.
+static constexpr char const* s_pattern = R"({"time":"%d{yyyy-MM-dd}{GMT}T%d{HH:mm:ss.SSS}{GMT}Z","level":"%p","process":"%c",%m}%n)";
 
 static log4cxx::LevelPtr to_level(LogLevel level)
 {
--- a/Tests/Platform/test_direct_path.py
+++ b/Tests/Platform/test_direct_path.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-2-Clause
 """The whole path on the users' protocol, as real processes against the stand-ins."""
 
+import re
 import threading
 import time
 
@@ -400,6 +401,7 @@
             assert lines[-1]["end"] == end, lines
             assert any(line["event"] == "request_sent" and line["server"] for line in lines)
             assert any(line["event"] == "send_ended" and line["end"] for line in lines)
+            assert all(re.fullmatch(r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z", line["time"]) for line in lines), lines
 
 
 def test_nothing_is_said_to_be_leaving_for_good(build, folders):
