LibPlatform, LibConfiguration, Entry: Date a version past an outage by when the log was back, and by all who know

Ruled out: going back to the date of learning, which is what the incident was. Change: after three failed tries in a row it is the log that is away, not a connection, so what is read then counts from the last failed try. What a peer tells was written after both had last read without it; of two dates of one version the later one holds. A version found late has 2.5 s.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -20,6 +20,21 @@
     return Schema::to_value(a) == Schema::to_value(b);
 }
 
+/// The later of two times before which something cannot have happened.
+static std::optional<Core::Time> later_of(std::optional<Core::Time> a, std::optional<Core::Time> b)
+{
+    if (!a || !b)
+        return a ? a : b;
+    return std::max(*a, *b);
+}
+
+static std::optional<Core::Time> time_before(Core::Time now, std::optional<int64_t> milliseconds)
+{
+    if (!milliseconds)
+        return {};
+    return now - Core::Duration(*milliseconds);
+}
+
 int64_t NamedVersions::newest_of(Core::Time named_by, Core::Time found_by) const
 {
     int64_t newest = 0;
@@ -40,8 +55,7 @@
 {
     auto const place = std::lower_bound(versions.begin(), versions.end(), named.version, [](auto const& known, int64_t version) { return known.version < version; });
     if (place != versions.end() && place->version == named.version) {
-        if (!place->named)
-            place->named = named.named;
+        place->named = later_of(place->named, named.named);
         return false;
     }
     bool const is_newest = place == versions.end();
@@ -141,18 +155,15 @@
     return changes;
 }
 
-FactChanges FactReplica::on_peer(Schema::FactBatch const& batch, Core::Time now)
+FactChanges FactReplica::on_peer(Schema::FactBatch const& batch, ReadTime const& told)
 {
     FactChanges changes;
     for (auto const& message : batch.facts) {
         auto fact = from_message(message);
         if (!fact.has_value())
             continue;
-        std::optional<Core::Time> named;
-        if (message.named_ms_ago)
-            named = now - Core::Duration(*message.named_ms_ago);
-        take_dates(message, now, changes);
-        apply(*fact, { now, named }, changes);
+        take_dates(message, told, changes);
+        apply(*fact, { told.now, later_of(time_before(told.now, message.named_ms_ago), told.written_after) }, changes);
     }
     m_configuration_end = std::max(m_configuration_end, batch.configuration_end);
     m_servers_end = std::max(m_servers_end, batch.servers_end);
@@ -183,7 +194,7 @@
 }
 
 /// Dates that a peer gives, of versions that are known here or that came before the one that the fact brings.
-void FactReplica::take_dates(Schema::Fact const& message, Core::Time now, FactChanges& changes)
+void FactReplica::take_dates(Schema::Fact const& message, ReadTime const& told, FactChanges& changes)
 {
     auto const fact = from_message(message);
     auto const* version = fact.has_value() ? std::get_if<Schema::ModelVersion>(&fact->value) : nullptr;
@@ -195,10 +206,10 @@
     if (version->version <= known.newest())
         dated.push_back({ .named_ms_ago = message.named_ms_ago, .version = version->version });
     for (auto const& earlier : dated) {
-        std::optional<Core::Time> named;
-        if (earlier.named_ms_ago)
-            named = now - Core::Duration(*earlier.named_ms_ago);
-        if (known.take({ earlier.version, now, named }))
+        auto named = time_before(told.now, earlier.named_ms_ago);
+        if (earlier.version > known.newest())
+            named = later_of(named, told.written_after);
+        if (known.take({ earlier.version, told.now, named }))
             changes.has_versions = true;
     }
 }
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -90,8 +90,9 @@
     /// Keys that are not among them were removed.
     FactChanges on_listing(FactTopic, std::vector<Fact> const&, int64_t end, ReadTime const&);
 
-    /// Takes what a peer sent. Facts that cannot be read change nothing.
-    FactChanges on_peer(Schema::FactBatch const&, Core::Time now);
+    /// Takes what a peer sent. Facts that cannot be read change nothing. What is new was written after both the peer and this
+    /// process had last read without it.
+    FactChanges on_peer(Schema::FactBatch const&, ReadTime const&);
 
     /// The offset to read a topic from next.
     int64_t end(FactTopic topic) const { return topic == FactTopic::Configuration ? m_configuration_end : m_servers_end; }
@@ -118,7 +119,7 @@
     bool take_value(Fact const&, ReadTime const&, FactChanges&);
     /// Adds when versions were named to a fact that goes to a peer.
     void add_dates(Fact const&, Core::Time now, Schema::Fact&) const;
-    void take_dates(Schema::Fact const&, Core::Time now, FactChanges&);
+    void take_dates(Schema::Fact const&, ReadTime const&, FactChanges&);
     /// Of the servers at this one's address only the one that was listed last remains.
     void supersede(Schema::BackendServer const&, int64_t revision, FactChanges&);
 
--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -6,6 +6,9 @@
 namespace Platform {
 
 static constexpr int most_retry_doublings = 8;
+// One connection can die, and the call after it be turned away; past that the log is away from here, for all or for this
+// instance alone, which then hears of what was written from its peers.
+static constexpr int failures_of_an_outage = 3;
 
 FactFollower::FactFollower(Core::EventLoop& loop, Core::PauseWatch const& pauses, FactLog& log, Configuration::FactReplica& replica, FactFollowerSettings settings, Callbacks callbacks)
     : m_loop(loop)
@@ -90,7 +93,8 @@
 
 void FactFollower::on_failed(Topic& topic, FactLogFault fault)
 {
-    topic.blind_since = topic.blind_since.value_or(topic.read_began_at);
+    bool const is_outage = topic.failures + 1 >= failures_of_an_outage;
+    topic.blind_since = is_outage ? topic.read_began_at : topic.blind_since.value_or(topic.read_began_at);
     if (fault == FactLogFault::HistoryGone) {
         topic.needs_listing = true;
         read_later(topic, Core::Duration(0));
@@ -106,7 +110,7 @@
     auto const now = Core::monotonic_now();
     Configuration::ReadTime const read { now, written_after(topic, now) };
     bool const is_regained = topic.failures > 0;
-    auto const lost_for = now - topic.blind_since.value_or(now);
+    auto const lost_for = now - topic.current_at;
     topic.failures = 0;
     topic.blind_since.reset();
     topic.has_been_read = true;
@@ -128,7 +132,8 @@
     if (!topic.has_been_read)
         return {};
     // A read that was answered with nothing, amid a pause that hid what came next, says nothing either.
-    return std::min(topic.blind_since.value_or(now), m_pauses.earliest_arrival(topic.read_before_began_at, now));
+    auto const last_read = topic.is_reading ? topic.read_began_at : now;
+    return std::min(topic.blind_since.value_or(last_read), m_pauses.earliest_arrival(topic.read_before_began_at, now));
 }
 
 Core::Duration FactFollower::retry_wait(Topic const& topic, FactLogFault fault) const
--- a/Libraries/LibPlatform/FactFollower.h
+++ b/Libraries/LibPlatform/FactFollower.h
@@ -38,7 +38,7 @@
         std::function<void(Configuration::FactChanges const&)> changed;
         /// The log did not answer, or turned the call away: peers may know more. Called at each failed try.
         std::function<void(Configuration::FactTopic, FactLogFault)> failing;
-        /// The log answers again, this long after the first try that brought nothing began.
+        /// The log answers again, this long after it last did.
         std::function<void(Configuration::FactTopic, Core::Duration)> regained;
         std::function<void(BadRecord const&)> bad_record;
     };
@@ -56,6 +56,9 @@
     /// A backend server was found to be another than the list says: the list is read again soon.
     void on_servers_doubted();
 
+    /// The operator's records that are not known here by now were written after this; nothing before the first read.
+    std::optional<Core::Time> configuration_complete_at(Core::Time now) const { return written_after(m_configuration, now); }
+
     /// Time since the older of both topics was known to be current.
     Core::Duration age(Core::Time now) const;
 
@@ -71,7 +74,8 @@
         Core::Time read_before_began_at { 0 };
         // Tries in a row that brought no answer.
         int failures { 0 };
-        // When the first read began since which none was answered: a record may have been written since.
+        // When a read began that was not answered: a record may have been written since. The first of them, or the last
+        // once so many failed that it is the log that is away: what is read after that was written when it was back.
         std::optional<Core::Time> blind_since;
         // The next read was moved forward.
         bool is_hurried { false };
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -133,11 +133,12 @@
 {
     auto const now = Core::monotonic_now();
     auto const batch_age = Core::Duration(batch.age_ms);
+    auto const complete_at = m_follower.configuration_complete_at(now);
     // A peer that is itself behind must not make this one believe that it is current.
     if (batch_age < age(now))
         m_follower.on_peer_facts(batch_age);
     auto const sent_at = m_pauses.earliest_arrival(now - late_on_link, now);
-    auto const changes = m_replica.on_peer(batch, sent_at);
+    auto const changes = m_replica.on_peer(batch, { sent_at, complete_at });
     if (!changes.has_any())
         return;
     Core::log_event(Core::LogLevel::Info, "facts_from_peer", { { "peer", entry }, { "age_ms", std::to_string(batch_age.count()) }, { "facts", std::to_string(batch.facts.size()) } });
--- a/Services/DirectEntry/VersionGoals.cpp
+++ b/Services/DirectEntry/VersionGoals.cpp
@@ -9,9 +9,9 @@
 // A version is required a little before its bound: what is sent just before still has to begin.
 static constexpr Core::Duration version_margin { 1500 };
 // A version that is found late, or that cannot be dated because it was there at the start, may have to be required at once.
-// Engines that are about to load it get this long all the same: for as long again the platform counts an instance that was
-// out of touch as such.
-static constexpr Core::Duration found_grace { 2000 };
+// Engines that are about to load it get this long all the same: about as long as the platform counts an instance that was out
+// of touch as such.
+static constexpr Core::Duration found_grace { 2500 };
 
 std::vector<Schema::WeightsGoal> VersionGoals::goals(Core::Duration version_bound, Core::Time now) const
 {
--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -12,6 +12,12 @@
     return { now, now };
 }
 
+/// Told by a peer to one that has not read itself.
+static ReadTime told_at(Core::Time now)
+{
+    return { now, {} };
+}
+
 static Fact configuration_fact(int64_t version, int64_t revision)
 {
     auto configuration = std::make_shared<Schema::RoutingConfiguration>();
@@ -67,7 +73,7 @@
             Schema::FactBatch batch {};
             for (auto const& fact : facts)
                 batch.facts.push_back(to_message(fact));
-            replica.on_peer(batch, Core::Time(step));
+            replica.on_peer(batch, told_at(Core::Time(step)));
         }
         RC_ASSERT(replica.configuration()->version >= configuration);
         RC_ASSERT(replica.versions().at("m").newest() >= version);
@@ -94,7 +100,7 @@
     Schema::FactRequest request {};
     request.servers_from = behind.end(FactTopic::BackendServers);
     request.configuration_from = behind.end(FactTopic::Configuration);
-    behind.on_peer(ahead.facts_since(request, Core::Duration(0), Core::Time(100)), Core::Time(100));
+    behind.on_peer(ahead.facts_since(request, Core::Duration(0), Core::Time(100)), told_at(Core::Time(100)));
     RC_ASSERT(behind.end(FactTopic::BackendServers) == end);
     auto names = [](FactReplica const& replica) {
         std::map<std::string, bool> result;
@@ -132,7 +138,7 @@
     started_later.on_listing(FactTopic::BackendServers, newest, restart, followed(Core::Time(1)));
     Schema::FactRequest request {};
     request.servers_from = behind.end(FactTopic::BackendServers);
-    behind.on_peer(started_later.facts_since(request, Core::Duration(0), Core::Time(2)), Core::Time(2));
+    behind.on_peer(started_later.facts_since(request, Core::Duration(0), Core::Time(2)), told_at(Core::Time(2)));
     auto const rest = behind.end(FactTopic::BackendServers);
     behind.on_records(FactTopic::BackendServers, std::vector<Fact>(log.begin() + rest, log.end()), count, followed(Core::Time(3)));
     FactReplica complete;
@@ -148,7 +154,7 @@
     started_later.on_listing(FactTopic::BackendServers, { server_fact("b", true, 3) }, 4, followed(Core::Time(1)));
     Schema::FactRequest request {};
     request.servers_from = behind.end(FactTopic::BackendServers);
-    behind.on_peer(started_later.facts_since(request, Core::Duration(0), Core::Time(2)), Core::Time(2));
+    behind.on_peer(started_later.facts_since(request, Core::Duration(0), Core::Time(2)), told_at(Core::Time(2)));
     EXPECT_TRUE(behind.server("b")->is_draining);
     EXPECT_EQ(behind.end(FactTopic::BackendServers), 2);
 }
@@ -195,7 +201,7 @@
     FactReplica peer;
     peer.on_records(FactTopic::Configuration, { version_fact(2, 0) }, 1, followed(Core::Time(1000)));
     FactReplica replica;
-    replica.on_peer(told_by(peer, Core::Time(6000)), Core::Time(6010));
+    replica.on_peer(told_by(peer, Core::Time(6000)), told_at(Core::Time(6010)));
     auto const& versions = replica.versions().at("m");
     EXPECT_EQ(versions.newest_of(Core::Time(1010), Core::Time(6010)), 2);
     EXPECT_EQ(versions.newest_of(Core::Time(1009), Core::Time(6010)), 0);
@@ -207,18 +213,40 @@
     FactReplica peer;
     peer.on_records(FactTopic::Configuration, { version_fact(2, 0) }, 1, { Core::Time(1000), {} });
     FactReplica replica;
-    replica.on_peer(told_by(peer, Core::Time(6000)), Core::Time(6010));
+    replica.on_peer(told_by(peer, Core::Time(6000)), told_at(Core::Time(6010)));
     EXPECT_TRUE(replica.versions().at("m").has_undated());
     EXPECT_EQ(replica.versions().at("m").newest_of(Core::Time(0), Core::Time(6010)), 2);
 }
 
+TEST(FactReplica, WhatAPeerCannotDateWasNamedAfterThisOneHadReadWithoutIt)
+{
+    FactReplica peer;
+    peer.on_records(FactTopic::Configuration, { version_fact(2, 0) }, 1, { Core::Time(1000), {} });
+    FactReplica replica;
+    replica.on_peer(told_by(peer, Core::Time(6000)), { Core::Time(6000), Core::Time(5900) });
+    EXPECT_FALSE(replica.versions().at("m").has_undated());
+    EXPECT_EQ(replica.versions().at("m").newest_of(Core::Time(5899), Core::Time(9000)), 0);
+    EXPECT_EQ(replica.versions().at("m").newest_of(Core::Time(5900), Core::Time(9000)), 2);
+}
+
+TEST(FactReplica, OfTwoDatesTheLaterOneHolds)
+{
+    FactReplica peer;
+    peer.on_records(FactTopic::Configuration, { version_fact(2, 0) }, 1, followed(Core::Time(5000)));
+    FactReplica replica;
+    replica.on_records(FactTopic::Configuration, { version_fact(2, 0) }, 1, { Core::Time(5200), Core::Time(3000) });
+    replica.on_peer(told_by(peer, Core::Time(6000)), told_at(Core::Time(6000)));
+    EXPECT_EQ(replica.versions().at("m").newest_of(Core::Time(4999), Core::Time(9000)), 0);
+    EXPECT_EQ(replica.versions().at("m").newest_of(Core::Time(5000), Core::Time(9000)), 2);
+}
+
 TEST(FactReplica, APeerTellsOfTheVersionBeforeTheNewestWhoseBoundComesFirst)
 {
     FactReplica peer;
     peer.on_records(FactTopic::Configuration, { version_fact(2, 0) }, 1, followed(Core::Time(1000)));
     peer.on_records(FactTopic::Configuration, { version_fact(3, 1) }, 2, followed(Core::Time(7000)));
     FactReplica replica;
-    EXPECT_TRUE(replica.on_peer(told_by(peer, Core::Time(8000)), Core::Time(8000)).has_versions);
+    EXPECT_TRUE(replica.on_peer(told_by(peer, Core::Time(8000)), told_at(Core::Time(8000))).has_versions);
     auto const& versions = replica.versions().at("m");
     EXPECT_EQ(versions.newest_of(Core::Time(1000), Core::Time(8000)), 2);
     EXPECT_EQ(versions.newest_of(Core::Time(7000), Core::Time(8000)), 3);
@@ -232,7 +260,7 @@
     FactReplica replica;
     replica.on_listing(FactTopic::Configuration, { version_fact(2, 0) }, 1, { Core::Time(2000), {} });
     EXPECT_EQ(replica.undated_from(), 0);
-    EXPECT_FALSE(replica.on_peer(told_by(peer, Core::Time(2500)), Core::Time(2500)).has_any());
+    EXPECT_FALSE(replica.on_peer(told_by(peer, Core::Time(2500)), told_at(Core::Time(2500))).has_any());
     EXPECT_EQ(replica.undated_from(), std::nullopt);
     EXPECT_EQ(replica.versions().at("m").newest_of(Core::Time(999), Core::Time(9000)), 0);
     EXPECT_EQ(replica.versions().at("m").newest_of(Core::Time(1000), Core::Time(9000)), 2);
@@ -244,7 +272,7 @@
     replica.on_records(FactTopic::Configuration, { configuration_fact(3, 0) }, 1, followed(Core::Time(0)));
     Schema::FactBatch batch {};
     batch.facts = { { .body = "{\"version\":9}", .earlier_versions = {}, .key = "config", .kind = Schema::FactKind::Configuration, .named_ms_ago = {}, .revision = 9 } };
-    EXPECT_FALSE(replica.on_peer(batch, Core::Time(1)).has_any());
+    EXPECT_FALSE(replica.on_peer(batch, told_at(Core::Time(1))).has_any());
     EXPECT_EQ(replica.configuration()->version, 3);
 }
 
--- a/Tests/LibPlatform/TestFactFollower.cpp
+++ b/Tests/LibPlatform/TestFactFollower.cpp
@@ -191,6 +191,17 @@
     }
 }
 
+TEST(FactFollower, AVersionReadAfterAnOutageWasNamedWhenTheLogWasBack)
+{
+    HeldFollower follower;
+    for (int i = 0; i < 3; ++i)
+        follower.next_read().callback(tl::unexpected(FactLogFault::Refused));
+    auto const away_until = Core::monotonic_now();
+    follower.next_read().callback(tl::unexpected(FactLogFault::Refused));
+    follower.next_read().callback(HeldFollower::naming(2, 0));
+    EXPECT_GE(*follower.newest().named, away_until);
+}
+
 TEST(FactFollower, AReadAnsweredWithNothingAmidAPauseHidesWhatCameAfterIt)
 {
     HeldFollower follower;
