--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -120,6 +120,7 @@
             listed[log[i].key] = log[i];
     }
     std::vector<Fact> newest;
+    newest.reserve(listed.size());
     for (auto const& [key, fact] : listed)
         newest.push_back(fact);
     FactReplica started_later;
