Tests: Leave a fleet's own link ports as they are

Cause: two parts met: the soak's fleet sets the port at which entries listen, and overwrote the ports that the fleet of silent links gives each process; its entries ended with address_in_use. Change: the port of entries is overwritten only where a fleet names one.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -162,7 +162,8 @@
         auto fact = from_message(message);
         if (!fact.has_value())
             continue;
-        take_dates(message, told, changes);
+        if (auto const* version = std::get_if<Schema::ModelVersion>(&fact->value))
+            take_dates(*version, message, told, changes);
         apply(*fact, { told.now, later_of(time_before(told.now, message.named_ms_ago), told.written_after) }, changes);
     }
     m_configuration_end = std::max(m_configuration_end, batch.configuration_end);
@@ -194,17 +195,13 @@
 }
 
 /// Dates that a peer gives, of versions that are known here or that came before the one that the fact brings.
-void FactReplica::take_dates(Schema::Fact const& message, ReadTime const& told, FactChanges& changes)
+void FactReplica::take_dates(Schema::ModelVersion const& version, Schema::Fact const& message, ReadTime const& told, FactChanges& changes)
 {
-    auto const fact = from_message(message);
-    auto const* version = fact.has_value() ? std::get_if<Schema::ModelVersion>(&fact->value) : nullptr;
-    if (!version)
-        return;
     auto dated = message.earlier_versions.value_or(std::vector<Schema::EarlierVersion> {});
-    auto& known = m_versions[version->model];
+    auto& known = m_versions[version.model];
     // The newest itself is taken with its fact, unless that is known and lacks only its date.
-    if (version->version <= known.newest())
-        dated.push_back({ .named_ms_ago = message.named_ms_ago, .version = version->version });
+    if (version.version <= known.newest())
+        dated.push_back({ .named_ms_ago = message.named_ms_ago, .version = version.version });
     for (auto const& earlier : dated) {
         auto named = time_before(told.now, earlier.named_ms_ago);
         if (earlier.version > known.newest())
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -119,7 +119,7 @@
     bool take_value(Fact const&, ReadTime const&, FactChanges&);
     /// Adds when versions were named to a fact that goes to a peer.
     void add_dates(Fact const&, Core::Time now, Schema::Fact&) const;
-    void take_dates(Schema::Fact const&, ReadTime const&, FactChanges&);
+    void take_dates(Schema::ModelVersion const&, Schema::Fact const&, ReadTime const&, FactChanges&);
     /// Of the servers at this one's address only the one that was listed last remains.
     void supersede(Schema::BackendServer const&, int64_t revision, FactChanges&);
 
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -20,6 +20,11 @@
 static constexpr Core::Duration late_on_link = Transport::LinkKeepAlive {}.silence * 2;
 // Two entries that have run for long know when versions were named; of two that have just started neither does.
 static constexpr int most_asked_for_dates = 2;
+// A configuration of a thousand routes takes an entry a second to read: each further answer costs as much again.
+static constexpr size_t asked_at_once = 3;
+// An entry that is behind for this long has a read that hangs; before, its own read is about to bring what others have.
+static constexpr Core::Duration behind_patience { 400 };
+static constexpr Core::Duration ask_interval { 1000 };
 
 Platform::FactFollowerSettings follower_settings(Schema::DirectEntrySettingsBounds const& bounds)
 {
@@ -65,8 +70,9 @@
     if (m_failing.insert(topic).second)
         Core::log_event(Core::LogLevel::Warn, "log_lost", { { "topic", topic_name(topic) }, { "reason", reason }, { "age_ms", std::to_string(age(Core::monotonic_now()).count()) } });
     auto const message = request();
-    for (auto const& entry : m_callbacks.entries())
-        m_callbacks.send(entry, message);
+    auto const entries = m_callbacks.entries();
+    for (size_t i = 0; i < std::min(entries.size(), asked_at_once); ++i)
+        m_callbacks.send(entries[m_next_asked++ % entries.size()], message);
 }
 
 void EntryFacts::on_regained(Configuration::FactTopic topic, Core::Duration lost_for)
@@ -114,11 +120,19 @@
 
 void EntryFacts::on_peer_end(std::string const& entry, int64_t configuration_end)
 {
-    // Its read brought what this one's has not: perhaps this one waits on a dead connection.
-    if (configuration_end > m_replica.end(Configuration::FactTopic::Configuration))
-        m_callbacks.send(entry, request());
-    else
+    if (configuration_end <= m_replica.end(Configuration::FactTopic::Configuration)) {
+        m_behind_since.reset();
         ask_for_dates(entry);
+        return;
+    }
+    // Its read brought what this one's has not: perhaps this one waits on a dead connection.
+    auto const now = Core::monotonic_now();
+    auto const behind_since = m_behind_since.value_or(now);
+    m_behind_since = behind_since;
+    if (now - behind_since < behind_patience || now - m_asked_at < ask_interval)
+        return;
+    m_asked_at = now;
+    m_callbacks.send(entry, request());
 }
 
 void EntryFacts::on_request(std::string const& entry, Schema::FactRequest const& request)
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -9,6 +9,7 @@
 #include <LibPlatform/FactLog.h>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -66,6 +67,11 @@
     std::set<Configuration::FactTopic> m_failing;
     // Entries that were asked when versions were named that this one found at its start.
     int m_asked_for_dates { 0 };
+    // Since when others are known to have read further.
+    std::optional<Core::Time> m_behind_since;
+    Core::Time m_asked_at { 0 };
+    // Which entries are asked next where the log brings nothing.
+    size_t m_next_asked { 0 };
 };
 
 }
--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -51,8 +51,8 @@
 
 
 class Fleet:
-    # Where entries listen for links and dial those of others: the agents' own port, or that of proxies before them.
-    entry_link_port = LINK_PORT
+    # Where entries listen for links and dial those of others, if not at the port of all processes: that of proxies before agents.
+    entry_link_port = None
 
     def __init__(self, build, folders, entries=2, engines=3, plains=2, version_bound_ms=8000, contact_ms=CONTACT_MS):
         self.build = build
@@ -168,7 +168,8 @@
     def start_entry(self, identity):
         common = self.common(identity, "zone-a")
         common["bounds"]["contact_ms"] = self.contact_ms
-        self.start("mountbarrow-direct-entry", identity, {**common, "link_port": self.entry_link_port, "callers_address": f"{identity}:{CALLERS_PORT}",
+        common["link_port"] = self.entry_link_port or common["link_port"]
+        self.start("mountbarrow-direct-entry", identity, {**common, "callers_address": f"{identity}:{CALLERS_PORT}",
                    "readiness_address": f"{identity}:{READY_PORT}", "control_address": f"{identity}:{CONTROL_PORT}", "metrics_port": CHUNK_PORT,
                    "link_megabits_per_second": 1000.0})
 
