--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -15,9 +15,8 @@
 // fails too, and what the change then needs to be in force.
 static constexpr Core::Duration read_again_reserve { 700 };
 static constexpr Core::Duration shortest_configuration_wait { 600 };
-// What a link still brings this long after a pause may have been sent before it: a silent link is dropped, and what the
-// network held up until then takes as long again at most.
-static constexpr Core::Duration late_on_link = Transport::LinkKeepAlive {}.silence * 2;
+// What a link still brings this long after a pause may have been sent before it; one that is silent longer is dropped.
+static constexpr Core::Duration late_on_link = Transport::LinkKeepAlive {}.silence;
 // Two entries that have run for long know when versions were named; of two that have just started neither does.
 static constexpr int most_asked_for_dates = 2;
 // A configuration of a thousand routes takes an entry a second to read: each further answer costs as much again.
