LibTransport: Give a link up after 1.5 s again

What had kept the entries busy was the asking for facts. Change: the values, the bound of the test and the pages are as they were.

--- a/Libraries/LibTransport/Link.h
+++ b/Libraries/LibTransport/Link.h
@@ -25,11 +25,9 @@
 /// How a dead link is told from one that has nothing to say: a connection may fall silent for good without a word.
 struct LinkKeepAlive {
     /// A link that carried nothing for this long carries a ping.
-    Core::Duration ping_after { 800 };
-    /// A link over which nothing came for this long is dead: three pings of the peer are lost. A peer that reads a
-    /// configuration of a thousand routes on a fifth of a core says nothing for up to two seconds; to dial anew whoever is
-    /// only that busy, with all that is then told again, makes it busier still.
-    Core::Duration silence { 3000 };
+    Core::Duration ping_after { 400 };
+    /// A link over which nothing came for this long is dead: three pings of the peer are lost.
+    Core::Duration silence { 1500 };
 };
 
 /// What every link of a process shares.
--- a/Tests/Platform/test_silent_links.py
+++ b/Tests/Platform/test_silent_links.py
@@ -11,8 +11,8 @@
 from fleet import CALLERS_PORT, CHUNK_PORT, KEY, LINK_PORT, LLM, Fleet, caller_fields, wait_until
 from test_direct_path import assert_whole_stream, right_loads, wait_linked
 
-# A silent link is found within its bound of 3 s and the interval of looking, as the process itself measures it.
-LONGEST_SILENCE_MS = 3500
+# A silent link is found before what was allowed earlier, as the process itself measures it.
+LONGEST_SILENCE_MS = 3000
 PROXY_PORT = 8021
 STREAMS = 24
 SILENCINGS = 12
