--- a/Tests/Platform/test_silent_store.py
+++ b/Tests/Platform/test_silent_store.py
@@ -29,6 +29,8 @@
     """A new configuration ends all open reads, so the next ones have just begun."""
     fleet.configure()
     wait_until(lambda: all(fleet.configuration_in_force(each) == fleet.version for each in fleet.entries), "the configuration everywhere")
+    # The stand-in has each entry's next read, and has not answered it.
+    wait_until(lambda: all(not fleet.doors[each].operator_reads[-1][1] for each in fleet.entries), "an open read of each entry")
 
 
 def watch_past_the_bound(fleet, entry, named):
