LibTransport, platform: Ask the engine over one kept connection; end a server with calls unanswered; cancel reads of the origin

Third, a read of the origin that was given up went on, so that the origin sent it to nobody. Change: KeptConnection for the report, given up with any failed call, surplus byte or unreadable report; a request is freed by the server's end or by the exchange, never by both; WeightOrigin::cancel. The second is proved by a test that crashes under the sanitizer without the change. to_timeval stood three times and stands once now.

--- a/Libraries/LibCore/EventLoop.cpp
+++ b/Libraries/LibCore/EventLoop.cpp
@@ -7,7 +7,7 @@
 
 namespace Core {
 
-static timeval to_timeval(Duration duration)
+timeval to_timeval(Duration duration)
 {
     timeval value {};
     value.tv_sec = duration.count() / 1000;
--- a/Libraries/LibCore/EventLoop.h
+++ b/Libraries/LibCore/EventLoop.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 #include <functional>
 #include <memory>
+#include <sys/time.h>
 #include <vector>
 
 struct event;
@@ -11,6 +12,9 @@
 
 namespace Core {
 
+/// As libevent and sockets take it.
+timeval to_timeval(Duration);
+
 /// A timer that ends with its owner.
 class Timer {
 public:
--- a/Libraries/LibPlatform/EngineApi.h
+++ b/Libraries/LibPlatform/EngineApi.h
@@ -77,7 +77,10 @@
 
     /// `address`: IP:PORT.
     virtual void read_manifest(std::string const& address, std::string const& model, int64_t version, std::function<void(Core::ErrorOr<Manifest>)>) = 0;
-    virtual void read_chunk(std::string const& address, std::string const& model, int64_t version, size_t chunk, std::function<void(Core::ErrorOr<std::string>)>) = 0;
+    /// Returns a number to cancel by.
+    virtual uint64_t read_chunk(std::string const& address, std::string const& model, int64_t version, size_t chunk, std::function<void(Core::ErrorOr<std::string>)>) = 0;
+    /// Ends a read of a chunk without calling back, so that the origin sends no more of what nobody waits for.
+    virtual void cancel(uint64_t) = 0;
 };
 
 }
--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibTransport/HttpClient.h>
 
+#include <LibTransport/EvhttpAnswer.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -63,9 +64,7 @@
     m_self = shared_from_this();
     m_is_head_request = call.method == "HEAD";
     m_connection = evhttp_connection_base_new(m_loop.base(), nullptr, call.address.c_str(), call.port);
-    timeval timeout {};
-    timeout.tv_sec = call.timeout.count() / 1000;
-    timeout.tv_usec = (call.timeout.count() % 1000) * 1000;
+    auto const timeout = Core::to_timeval(call.timeout);
     evhttp_connection_set_timeout_tv(m_connection, &timeout);
     if (call.limit)
         call.limit->add(evhttp_connection_get_bufferevent(m_connection));
@@ -107,13 +106,9 @@
 
 void HttpCall::State::on_head(evhttp_request* request)
 {
-    HttpHeaders headers;
-    auto* fields = evhttp_request_get_input_headers(request);
-    for (auto* field = fields->tqh_first; field; field = field->next.tqe_next)
-        headers.emplace_back(field->key, field->value);
     m_has_head = true;
     if (m_callbacks.head)
-        m_callbacks.head(evhttp_request_get_response_code(request), headers);
+        m_callbacks.head(evhttp_request_get_response_code(request), headers_of(request));
 }
 
 void HttpCall::State::on_data(evhttp_request* request)
@@ -135,10 +130,7 @@
 bool HttpCall::State::is_framed(evhttp_request* request) const
 {
     auto const status = evhttp_request_get_response_code(request);
-    if (m_is_head_request || status == 204 || status == 304)
-        return true;
-    auto* fields = evhttp_request_get_input_headers(request);
-    return evhttp_find_header(fields, "Content-Length") || evhttp_find_header(fields, "Transfer-Encoding");
+    return m_is_head_request || status == 204 || status == 304 || says_its_length(request);
 }
 
 void HttpCall::State::on_end(evhttp_request* request)
--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -74,8 +74,11 @@
     auto* self = static_cast<HttpExchange*>(argument);
     if (!self->m_request)
         return;
-    // libevent has set the request free of its connection and leaves it to us.
-    evhttp_request_free(std::exchange(self->m_request, nullptr));
+    auto* request = std::exchange(self->m_request, nullptr);
+    // Where the caller is gone libevent has set the request free of its connection and leaves it to us; where the server ends,
+    // it still belongs to the connection and is freed with it.
+    if (!evhttp_request_get_connection(request))
+        evhttp_request_free(request);
     if (self->m_on_gone) {
         auto callback = std::exchange(self->m_on_gone, nullptr);
         callback();
@@ -247,20 +250,12 @@
     return server;
 }
 
-static timeval to_timeval(Core::Duration duration)
-{
-    timeval result {};
-    result.tv_sec = duration.count() / 1000;
-    result.tv_usec = (duration.count() % 1000) * 1000;
-    return result;
-}
-
 void HttpServer::bound_sending(evhttp_request* request) const
 {
     if (!m_options.send_patience)
         return;
-    auto const idle = to_timeval(m_options.idle_timeout);
-    auto const patience = to_timeval(*m_options.send_patience);
+    auto const idle = Core::to_timeval(m_options.idle_timeout);
+    auto const patience = Core::to_timeval(*m_options.send_patience);
     bufferevent_set_timeouts(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)), &idle, &patience);
 }
 
--- /dev/null
+++ b/Libraries/LibTransport/KeptConnection.h
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibTransport/HttpClient.h>
+#include <functional>
+#include <memory>
+#include <string>
+
+struct evhttp_connection;
+
+namespace Transport {
+
+/// Asks one server again and again over a connection that is kept between the calls, and made anew once it has ended.
+/// For reads alone: a call over a kept connection that ends without an answer may have run.
+///
+/// A connection that fails a call in any way, or brings bytes that nobody asked for, is given up with all that it may still
+/// bring, so that no late answer is taken for the next one for long.
+class KeptConnection {
+public:
+    using Callback = std::function<void(tl::expected<HttpAnswer, HttpFailure>)>;
+
+    /// @param timeout longest silence before a call is given up, connecting included.
+    KeptConnection(Core::EventLoop&, std::string address, uint16_t port, Core::Duration timeout);
+    /// Ends the call under way without calling back.
+    ~KeptConnection();
+    KeptConnection(KeptConnection const&) = delete;
+    KeptConnection& operator=(KeptConnection const&) = delete;
+
+    /// Reads a path. One call at a time; the callback comes from the loop.
+    void get(std::string const& path, Callback);
+
+    /// Gives the connection up, and a call under way without calling back: what it brought was no answer to go by.
+    void reset();
+
+private:
+    struct Call;
+
+    void connect();
+    void close_connection();
+    void on_end(bool is_whole, HttpAnswer);
+
+    Core::EventLoop& m_loop;
+    std::string m_address;
+    uint16_t m_port;
+    Core::Duration m_timeout;
+    evhttp_connection* m_connection { nullptr };
+    std::shared_ptr<Call> m_call;
+};
+
+}
--- a/Tests/LibTransport/TestHttpServer.cpp
+++ b/Tests/LibTransport/TestHttpServer.cpp
@@ -23,3 +23,21 @@
     client.send_text("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
     run_until([&] { return requests == 1 && body.use_count() == 1; });
 }
+
+// A process that ends while calls wait for their turn must end well.
+TEST_F(HttpServerTest, AServerMayEndBeforeTheCallsThatItHasNotAnswered)
+{
+    std::shared_ptr<HttpExchange> waiting;
+    bool is_gone = false;
+    auto server = HttpServer::create(m_loop, "127.0.0.1", 0, {}, [&](auto const& exchange) {
+        waiting = exchange;
+        waiting->on_gone([&] { is_gone = true; });
+    }).value();
+    RawClient client(server->port());
+    client.send_text("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return waiting != nullptr; });
+    server.reset();
+    EXPECT_TRUE(is_gone);
+    EXPECT_TRUE(waiting->is_over());
+    waiting.reset();
+}
--- a/Tests/Weights/HeldBackOrigin.h
+++ b/Tests/Weights/HeldBackOrigin.h
@@ -4,6 +4,7 @@
 #include <LibCore/Hash.h>
 #include <LibPlatform/EngineApi.h>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,11 +26,19 @@
         m_answers.emplace_back([manifest, callback = std::move(callback)] { callback(manifest); });
     }
 
-    void read_chunk(std::string const&, std::string const&, int64_t version, size_t chunk, std::function<void(Core::ErrorOr<std::string>)> callback) override
+    uint64_t read_chunk(std::string const&, std::string const&, int64_t version, size_t chunk, std::function<void(Core::ErrorOr<std::string>)> callback) override
     {
         m_answers.emplace_back([version, chunk, callback = std::move(callback)] { callback(bytes_of(version, chunk)); });
+        return ++m_reads;
     }
 
+    void cancel(uint64_t read) override { m_cancelled.insert(read); }
+
+    std::set<uint64_t> const& cancelled() const { return m_cancelled; }
+
+    /// Answers that wait.
+    size_t waiting() const { return m_answers.size(); }
+
     void deliver_one()
     {
         auto const answer = std::move(m_answers.front());
@@ -45,4 +54,6 @@
 
 private:
     std::vector<std::function<void()>> m_answers;
+    uint64_t m_reads { 0 };
+    std::set<uint64_t> m_cancelled;
 };
