LibDistribution: Deal the origin's chunks evenly, and let others stand in by groups that double

Change: chunks are dealt among the readers in turn; stand-ins come in groups of 4, 8, 16.., after 3, 4, 5.. patiences, with the chunks dealt within a group, one read at a time; who has waited once reads on; a failing origin starts the wait anew, so that not all ask it at once when it is back. Tests: 15 and 400 readers of which any number are lost; readers lost one after another at any chunk; an origin that is back after 6 s.

--- a/Libraries/LibDistribution/ReadRanks.cpp
+++ b/Libraries/LibDistribution/ReadRanks.cpp
@@ -3,9 +3,13 @@
 
 #include <LibCore/Hash.h>
 #include <algorithm>
+#include <bit>
 
 namespace Distribution {
 
+// An instance that is no cache has perhaps just started and knows few of the caches that read for it.
+static constexpr size_t least_rank_behind_caches = 16;
+
 static bool contains(std::vector<std::string> const& instances, std::string const& instance)
 {
     return std::find(instances.begin(), instances.end(), instance) != instances.end();
@@ -52,17 +56,46 @@
 
 void ReadRanks::rank_origin_reads()
 {
-    auto seeders = Core::rendezvous_order(m_version_digest, m_caches.empty() ? m_targets : m_caches);
-    auto const seeder_count = std::min(std::max<size_t>(1, m_seeders), seeders.size());
-    std::vector<std::string> others(seeders.begin() + static_cast<ptrdiff_t>(seeder_count), seeders.end());
-    if (!m_caches.empty())
-        others.insert(others.end(), m_targets.begin(), m_targets.end());
-    seeders.resize(seeder_count);
-    bool const is_seeder = contains(seeders, m_self);
-    for (size_t i = 0; i < m_digests.size(); ++i) {
-        auto const rank = rank_among(is_seeder ? seeders : others, m_digests[i]);
-        m_origin_ranks[i] = is_seeder ? rank : seeder_count + rank;
+    m_readers = Core::rendezvous_order(m_version_digest, m_caches.empty() ? m_targets : m_caches);
+    m_seeder_count = std::max<size_t>(1, std::min(m_seeders, m_readers.size()));
+    if (!m_caches.empty()) {
+        auto const targets = Core::rendezvous_order(m_version_digest, m_targets);
+        m_readers.insert(m_readers.end(), targets.begin(), targets.end());
     }
+    auto const position = position_of(m_self);
+    m_best_origin_rank = group_begin(position);
+    for (size_t i = 0; i < m_digests.size(); ++i)
+        m_origin_ranks[i] = rank_at(position, i);
+}
+
+size_t ReadRanks::position_of(std::string const& reader) const
+{
+    return static_cast<size_t>(std::find(m_readers.begin(), m_readers.end(), reader) - m_readers.begin());
+}
+
+size_t ReadRanks::group_begin(size_t position) const
+{
+    return position < m_seeder_count ? 0 : std::max(m_seeder_count, std::bit_floor(position));
+}
+
+size_t ReadRanks::rank_at(size_t position, size_t chunk) const
+{
+    if (position < m_seeder_count)
+        return (position + m_seeder_count - chunk % m_seeder_count) % m_seeder_count;
+    auto const begin = group_begin(position);
+    auto const end = std::bit_floor(position) * 2;
+    auto const size = std::min(end, std::max(m_readers.size(), position + 1)) - begin;
+    bool const is_own = chunk % size == position - begin;
+    auto const rank = is_own ? begin : end;
+    bool const has_caches_before = !m_caches.empty() && !is_cache(m_self);
+    return has_caches_before ? std::max(rank, least_rank_behind_caches) : rank;
+}
+
+bool ReadRanks::stands_in_beside(std::string const& peer) const
+{
+    // Caches hear from each reader itself; others hear of chunks that have passed through several hands.
+    bool const are_both_caches = is_cache(peer) && is_cache(m_self);
+    return m_best_origin_rank > 0 && are_both_caches && group_begin(position_of(peer)) == m_best_origin_rank;
 }
 
 void ReadRanks::rank_far_reads()
--- a/Libraries/LibDistribution/ReadRanks.h
+++ b/Libraries/LibDistribution/ReadRanks.h
@@ -11,7 +11,9 @@
 /// The order in which instances may read each chunk of a version from the origin and from far away, the same everywhere.
 ///
 /// A few seeders, chosen by rendezvous hashing, come first for the origin: caches if there are any, else the instances
-/// that want the version.
+/// that want the version. Chunks are dealt among them in turn, so that all have as many to read and none is left to read
+/// alone at the end, which fills the origin's link only in part. Whoever comes behind stands in for all before, in groups
+/// that double in size, with the chunks dealt within a group in the same way.
 class ReadRanks {
 public:
     ReadRanks(Schema::VersionSpec const&, std::string self, std::vector<std::string> targets, size_t seeders);
@@ -22,6 +24,11 @@
 
     /// This instance's rank for reading a chunk from the origin; 0 reads it at once.
     size_t origin_rank(size_t chunk) const { return m_origin_ranks[chunk]; }
+    /// Whether a peer and this instance are caches that stand in for the same lost readers of the origin.
+    bool stands_in_beside(std::string const& peer) const;
+    /// The best rank of this instance for any chunk; 0 for a seeder.
+    size_t best_origin_rank() const { return m_best_origin_rank; }
+
     /// This instance's rank among those near by for reading a chunk from far away.
     size_t far_rank(size_t chunk) const { return m_far_ranks[chunk]; }
 
@@ -33,6 +40,10 @@
 
 private:
     void rank_origin_reads();
+    /// Where the group of those begins that stand in beside the one at a position; 0 for the seeders.
+    size_t group_begin(size_t position) const;
+    size_t position_of(std::string const& reader) const;
+    size_t rank_at(size_t position, size_t chunk) const;
     void rank_far_reads();
     size_t rank_among(std::vector<std::string> const&, std::string const& digest) const;
 
@@ -43,6 +54,10 @@
     std::vector<std::string> m_targets;
     std::set<std::string> m_near;
     std::vector<std::string> m_caches;
+    // All who may read from the origin, the seeders first.
+    std::vector<std::string> m_readers;
+    size_t m_seeder_count { 1 };
+    size_t m_best_origin_rank { 0 };
     std::vector<size_t> m_origin_ranks;
     std::vector<size_t> m_far_ranks;
 };
--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -2,6 +2,7 @@
 #include <LibDistribution/Transfer.h>
 
 #include <algorithm>
+#include <bit>
 
 namespace Distribution {
 
@@ -13,6 +14,14 @@
 // is not slow before this part of the silence that would end it.
 static constexpr int64_t slow_reads_per_stall = 8;
 
+/// How often its patience an instance of a rank waits before it does what those before it should have done: each time
+/// twice as many may have begun, so that among hundreds of lost ones the first that is left acts after a few waits, and
+/// seldom more than a few act at once.
+static int64_t patience_steps(size_t rank)
+{
+    return std::bit_width(rank);
+}
+
 Transfer::Transfer(Schema::VersionSpec const& version, std::string self, std::vector<std::string> targets, std::vector<int64_t> const& held, TransferSettings settings, uint64_t seed, Core::Time now)
     : m_ranks(version, std::move(self), std::move(targets), settings.seeders)
     , m_settings(settings)
@@ -61,11 +70,20 @@
             continue;
         if (!state.chunks.insert(chunk).second)
             continue;
+        if (m_chunks[chunk].holders == 0 && !m_chunks[chunk].is_held)
+            join_stand_ins(peer);
         m_chunks[chunk].holders += 1;
         m_chunks[chunk].near_holders += m_ranks.is_near(peer) ? 1 : 0;
     }
 }
 
+/// The first holder of a chunk has most likely read it from the origin: where it stands in for others, so do those of its group.
+void Transfer::join_stand_ins(std::string const& reader)
+{
+    if (m_ranks.stands_in_beside(reader))
+        m_origin_steps_waited = std::max(m_origin_steps_waited, patience_steps(m_ranks.best_origin_rank()));
+}
+
 void Transfer::on_peer_lost(std::string const& peer)
 {
     auto found = m_peers.find(peer);
@@ -141,16 +159,28 @@
 
 void Transfer::punish(Source const& source, FetchFailure failure, Core::Time now)
 {
+    if (source.is_origin() && failure == FetchFailure::Unreachable) {
+        // While the origin fails nobody reads it, whoever is there: those that come first try it again first, or all would
+        // read it at once when it is back.
+        m_origin_failed_at = now;
+        m_origin_steps_waited = 0;
+    }
     // A peer that is gone begins anew when it comes back.
     if (source.is_origin() || m_peers.contains(source.peer))
         m_faults.on_failed(source, failure, now);
 }
 
+Core::Duration Transfer::stall_of(Source const& source) const
+{
+    bool const is_slower = source.is_origin() && m_settings.origin_stall.count() > 0;
+    return is_slower ? m_settings.origin_stall : m_settings.stall;
+}
+
 void Transfer::give_up_stalled(Core::Time now, std::vector<TransferAction>& actions)
 {
     std::vector<uint64_t> ended;
     for (auto const& [id, running] : m_running) {
-        bool const is_stalled = now - running.last_progress >= m_settings.stall;
+        bool const is_stalled = now - running.last_progress >= stall_of(running.source);
         if (is_stalled || m_chunks[running.chunk].is_held)
             ended.push_back(id);
     }
@@ -175,6 +205,12 @@
     m_duplicates_left += 1;
 }
 
+size_t Transfer::origin_fetch_limit() const
+{
+    // Those that stand in may be many, and what the origin sends to all at once comes late to each.
+    return m_ranks.best_origin_rank() > 0 ? std::min<size_t>(1, m_settings.origin_fetches_in_flight) : m_settings.origin_fetches_in_flight;
+}
+
 size_t Transfer::running_from_origin() const
 {
     return static_cast<size_t>(std::count_if(m_running.begin(), m_running.end(), [](auto const& entry) { return entry.second.source.is_origin(); }));
@@ -184,11 +220,7 @@
 {
     if (m_settings.strategy != Schema::Strategy::Swarm)
         return false;
-    for (size_t i = 0; i < m_chunks.size(); ++i) {
-        if (m_ranks.origin_rank(i) == 0 && !m_chunks[i].is_held && m_chunks[i].holders == 0)
-            return true;
-    }
-    return false;
+    return unheld().own > 0;
 }
 
 bool Transfer::has_stocked_cache() const
@@ -276,7 +308,7 @@
         return false;
     auto const rank = m_ranks.far_rank(chunk);
     auto const since = std::max(state.without_holder_since, m_last_useful);
-    return rank == 0 || now - since >= m_settings.far_patience * static_cast<int64_t>(rank);
+    return now - since >= m_settings.far_patience * patience_steps(rank);
 }
 
 bool Transfer::may_ask_origin(size_t chunk, Core::Time now) const
@@ -294,14 +326,16 @@
     }
     if (state.holders > 0)
         return false;
-    auto const rank = m_ranks.origin_rank(chunk);
-    auto const since = std::max(state.without_holder_since, m_last_useful);
-    return rank == 0 || now - since >= m_settings.origin_patience * static_cast<int64_t>(rank);
+    auto const steps = patience_steps(m_ranks.origin_rank(chunk));
+    if (steps <= m_origin_steps_waited)
+        return true;
+    auto const since = std::max({ state.without_holder_since, m_last_useful, m_origin_failed_at });
+    return now - since >= m_settings.origin_patience * steps;
 }
 
 bool Transfer::start_from_origin(Core::Time now, std::vector<TransferAction>& actions)
 {
-    if (m_faults.is_avoided(Source {}, now) || running_from_origin() >= m_settings.origin_fetches_in_flight)
+    if (m_faults.is_avoided(Source {}, now) || running_from_origin() >= origin_fetch_limit())
         return false;
     std::vector<size_t> candidates;
     for (size_t i = 0; i < m_chunks.size(); ++i) {
@@ -311,6 +345,8 @@
     if (candidates.empty())
         return false;
     auto const chunk = candidates[m_random() % candidates.size()];
+    // Those before it are gone: what they left is read without another wait.
+    m_origin_steps_waited = std::max(m_origin_steps_waited, patience_steps(m_ranks.origin_rank(chunk)));
     actions.push_back(begin(chunk, Source {}, now));
     return true;
 }
@@ -360,6 +396,18 @@
     return actions;
 }
 
+Transfer::Unheld Transfer::unheld() const
+{
+    Unheld unheld;
+    for (size_t i = 0; i < m_chunks.size(); ++i) {
+        if (m_chunks[i].is_held || m_chunks[i].holders > 0)
+            continue;
+        unheld.chunks += 1;
+        unheld.own += m_ranks.origin_rank(i) == 0 ? 1 : 0;
+    }
+    return unheld;
+}
+
 bool Transfer::is_starved(Core::Time now) const
 {
     return !is_complete() && m_running.empty() && now - m_last_useful >= m_settings.stall / 2;
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -49,25 +49,29 @@
     size_t peer_fetches_while_seeding { 0 };
     /// Instances that share the reading from the origin.
     size_t seeders { 4 };
-    /// Wait per rank before the origin is asked for a chunk that no neighbour holds.
+    /// Wait before the second in rank asks the origin for a chunk that no neighbour holds; it grows by as much each time
+    /// that the rank doubles.
     Core::Duration origin_patience { 2000 };
     /// The rarest of this many chunks drawn at random is read next; 0 draws all of them. With all, everybody asks the
     /// few holders of the newest chunk, and the other uplinks idle.
     size_t rarity_sample { 0 };
-    /// Wait per rank before a far peer is asked for a chunk that no near one holds.
+    /// The same before a far peer is asked for a chunk that no near one holds.
     Core::Duration far_patience { 400 };
     /// A source that keeps failing is left alone for twice as long each time, up to this.
     Core::Duration longest_fault_wait { 16000 };
     /// Silence after which a read is given up and its source left alone for a while.
     Core::Duration stall { 2000 };
+    /// The same for a read of the origin, which says nothing before the whole chunk is there and sends to many at once.
+    /// 0: as for any other.
+    Core::Duration origin_stall { 0 };
 };
 
 /// Decides which chunk of one version this instance reads next, and from whom.
 ///
 /// A few seeders, the same everywhere by rendezvous hashing over the instances that want the version, read
 /// from the origin: few, so that each chunk arrives early and whole instead of all arriving late together.
-/// Each chunk has a ranking, the seeders first: the first reads it from the origin at once, the one at rank r
-/// only if after r times a patience no neighbour holds it and nothing better is left to read.
+/// Each chunk has a ranking, the seeders first: the first reads it from the origin at once, the others only if after a
+/// patience that grows with the logarithm of their rank no neighbour holds it and nothing better is left to read.
 /// All else comes from neighbours, rarest first.
 class Transfer {
 public:
@@ -103,6 +107,13 @@
     size_t chunk_count() const { return m_chunks.size(); }
     bool holds(size_t chunk) const { return m_chunks[chunk].is_held; }
 
+    /// Missing chunks that no neighbour holds, and those of them that are this instance's to read from the origin at once.
+    struct Unheld {
+        size_t chunks { 0 };
+        size_t own { 0 };
+    };
+    Unheld unheld() const;
+
     /// True if for some time no neighbour has had anything to offer: other neighbours may.
     bool is_starved(Core::Time now) const;
 
@@ -133,6 +144,7 @@
         std::optional<Core::Time> first_bytes;
     };
 
+    void join_stand_ins(std::string const& reader);
     void end_fetch(uint64_t id);
     void punish(Source const&, FetchFailure, Core::Time now);
     void give_up_stalled(Core::Time now, std::vector<TransferAction>&);
@@ -145,6 +157,8 @@
     Fetch begin(size_t chunk, Source, Core::Time now);
     bool may_ask_peer(size_t chunk, std::string const& peer, Core::Time now) const;
     bool may_ask_origin(size_t chunk, Core::Time now) const;
+    Core::Duration stall_of(Source const&) const;
+    size_t origin_fetch_limit() const;
     size_t running_from_origin() const;
     bool owes_origin_chunks() const;
     bool has_stocked_cache() const;
@@ -163,6 +177,9 @@
     size_t m_duplicates_left { 0 };
     uint64_t m_next_fetch { 1 };
     Core::Time m_last_useful { 0 };
+    Core::Time m_origin_failed_at { 0 };
+    // Patience that this instance has shown already before it read from the origin in the place of others.
+    int64_t m_origin_steps_waited { 0 };
 };
 
 }
--- a/Tests/LibDistribution/TestTransfer.cpp
+++ b/Tests/LibDistribution/TestTransfer.cpp
@@ -300,6 +300,31 @@
     EXPECT_EQ(std::set<size_t>(read.begin(), read.end()).size(), chunks);
 }
 
+// The origin's link is filled until the last chunk only if no reader has more left than the others.
+TEST(Transfer, ReadersOfTheOriginHaveAsManyChunksEach)
+{
+    size_t const chunks = 64;
+    TransferSettings settings;
+    settings.fetches_in_flight = chunks;
+    settings.origin_fetches_in_flight = chunks;
+    std::vector<std::string> caches;
+    for (size_t i = 0; i < 20; ++i)
+        caches.push_back("c" + std::to_string(i));
+    size_t readers = 0;
+    std::set<size_t> read;
+    for (auto const& self : caches) {
+        Transfer transfer(version_of(chunks), self, {}, {}, settings, 1, Core::Time(0));
+        transfer.set_caches(caches);
+        auto const fetches = fetches_of(transfer.step(Core::Time(0)));
+        readers += fetches.empty() ? 0 : 1;
+        EXPECT_TRUE(fetches.empty() || fetches.size() == chunks / settings.seeders) << self;
+        for (auto const& fetch : fetches)
+            EXPECT_TRUE(read.insert(fetch.chunk).second);
+    }
+    EXPECT_EQ(readers, settings.seeders);
+    EXPECT_EQ(read.size(), chunks);
+}
+
 TEST(Transfer, WithoutTheCachesTheEnginesTurnToTheOriginAfterAWhile)
 {
     TransferSettings settings;
@@ -311,6 +336,86 @@
     EXPECT_FALSE(fetches_of(transfer.step(Core::Time(2000))).empty());
 }
 
+// Whoever was to read a chunk from the origin may be gone, and so may any number of those after it. The time until somebody
+// else reads it must not grow with the fleet.
+TEST(Transfer, SomebodyAsksTheOriginSoonHoweverManyReadersAreLost)
+{
+    TransferSettings settings;
+    settings.origin_patience = Core::Duration(400);
+    for (size_t const instances : { 15, 400 }) {
+        std::vector<std::string> caches;
+        for (size_t i = 0; i < instances; ++i)
+            caches.push_back("c" + std::to_string(i));
+        for (size_t const lost : { size_t { 0 }, size_t { 1 }, size_t { 4 }, instances / 2, instances - 1 }) {
+            auto const ranked = Core::rendezvous_order(version_of(1).digest, caches);
+            Core::Time first_asked { 1'000'000 };
+            size_t asked_at_once = 0;
+            for (size_t i = lost; i < instances; ++i) {
+                Transfer transfer(version_of(1), ranked[i], {}, {}, settings, 1, Core::Time(0));
+                transfer.set_caches(caches);
+                for (Core::Time now { 0 }; now <= first_asked; now += Core::Duration(50)) {
+                    if (fetches_of(transfer.step(now)).empty())
+                        continue;
+                    asked_at_once = now < first_asked ? 1 : asked_at_once + 1;
+                    first_asked = now;
+                    break;
+                }
+            }
+            // Nine doublings of the rank in 400, and one more for those that are no seeders.
+            EXPECT_LE(first_asked, Core::Time(10 * 400)) << instances << " instances, " << lost << " lost";
+            EXPECT_GE(asked_at_once, 1u);
+        }
+    }
+}
+
+// The same with a fleet at work: readers are lost one after another, at any chunk, and what is read twice stays little.
+TEST(Swarm, ReadersThatAreLostOneAfterAnotherAreReplaced)
+{
+    for (size_t const loss_begins : { 1, 10, 25, 38 }) {
+        Swarm swarm(40, 40, 80);
+        for (auto const& transfer : swarm.transfers)
+            transfer->set_caches(swarm.ids);
+        for (size_t i = 0; i < loss_begins; ++i)
+            swarm.run_slot();
+        auto const ranked = Core::rendezvous_order(version_of(40).digest, swarm.ids);
+        for (size_t lost = 0; lost < 8; ++lost) {
+            swarm.is_dead[swarm.index_of(ranked[lost])] = true;
+            for (auto const& transfer : swarm.transfers)
+                transfer->on_peer_lost(ranked[lost]);
+            swarm.run_slot();
+        }
+        EXPECT_LT(swarm.slots_until_complete(), 4 * swarm.chunks) << loss_begins;
+        // The bound on what the origin sends, and what the lost ones took with them.
+        EXPECT_LE(swarm.origin_reads, swarm.chunks * 12 / 10 + 8) << loss_begins;
+    }
+}
+
+// All have waited long when an origin that was away is back. Those that read it for the others must be the ones to find it.
+TEST(Transfer, NotAllAskAnOriginThatIsBackAtOnce)
+{
+    TransferSettings settings;
+    settings.origin_patience = Core::Duration(400);
+    settings.longest_fault_wait = Core::Duration(1000);
+    std::vector<std::string> caches;
+    for (size_t i = 0; i < 70; ++i)
+        caches.push_back("c" + std::to_string(i));
+    std::set<std::string> asked_last;
+    for (auto const& self : caches) {
+        Transfer transfer(version_of(64), self, {}, {}, settings, 1, Core::Time(0));
+        transfer.set_caches(caches);
+        for (Core::Time now { 0 }; now < Core::Time(6000); now += Core::Duration(50)) {
+            for (auto const& fetch : fetches_of(transfer.step(now))) {
+                transfer.on_failed(fetch.id, FetchFailure::Unreachable, now);
+                if (now >= Core::Time(5000))
+                    asked_last.insert(self);
+            }
+        }
+    }
+    // The seeders each second, and a few others.
+    EXPECT_GE(asked_last.size(), settings.seeders);
+    EXPECT_LE(asked_last.size(), 35u);
+}
+
 TEST(Transfer, ACacheIsAskedBeforeOtherPeers)
 {
     TransferSettings settings;
