DirectEntry, Tests: Tell the use of an engine after each new link; silence the links to seeds too; docs

Found by reading: after one of two links to an agent ended, an owner that had been told not to be one could stay an onlooker for the agent. The use is now told after each new link.

--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -13,6 +13,7 @@
 using Configuration::FactChanges;
 
 static constexpr Core::Duration tick_interval { 20 };
+// Why nothing can be had changes more slowly than places come and go.
 static constexpr int turns_by_offer_without_place = 5;
 static constexpr Core::Duration link_check_interval { 500 };
 static constexpr int link_checks_by_sharing = EngineSharing::interval / link_check_interval;
@@ -296,8 +297,10 @@
     m_roles_at = now;
     auto roles = m_sharing.roles(*m_context.routes, m_facts.replica(), m_servers, m_followed, now);
     m_used_engines.clear();
-    for (auto const& [id, role] : roles)
-        m_used_engines.insert(Transport::split_address(m_servers.find(id)->address).first);
+    for (auto const& [id, role] : roles) {
+        if (auto const* server = m_servers.find(id))
+            m_used_engines.insert(Transport::split_address(server->address).first);
+    }
     m_servers.set_roles(std::move(roles));
     tell_engine_use();
 }
@@ -310,8 +313,8 @@
         if (!m_followed.contains(ip) || !m_hub->is_up(ip))
             continue;
         bool const is_used = m_servers.is_of_use(server->id);
-        auto const [told, is_new] = m_told_use.try_emplace(ip, true);
-        if (std::exchange(told->second, is_used) == is_used)
+        auto const [told, is_new] = m_told_use.try_emplace(ip, is_used);
+        if (!is_new && std::exchange(told->second, is_used) == is_used)
             continue;
         Schema::Message message;
         message.engine_use.emplace();
--- a/Tests/Platform/test_silent_links.py
+++ b/Tests/Platform/test_silent_links.py
@@ -71,7 +71,9 @@
         super().__init__(build, folders, **more)
 
     def common(self, identity, zone):
-        return {**super().common(identity, zone), "link_port": self.ports[identity]}
+        # Seeds too are reached through the proxies: a link to one is as silent as any other.
+        seeds = [f"{entry}:{self.ports[identity]}" for entry in getattr(self, "entries", []) if entry != identity]
+        return {**super().common(identity, zone), "link_port": self.ports[identity], "seeds": seeds}
 
     def processes_planned(self):
         return [engine.address for engine in self.engines] + self.entries
