--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -19,7 +19,7 @@
 /// seldom more than a few act at once.
 static int64_t patience_steps(size_t rank)
 {
-    return std::bit_width(rank);
+    return static_cast<int64_t>(std::bit_width(rank));
 }
 
 Transfer::Transfer(Schema::VersionSpec const& version, std::string self, std::vector<std::string> targets, std::vector<int64_t> const& held, TransferSettings settings, uint64_t seed, Core::Time now)
