LibConfiguration, Entry: Log from when each service requires which version, and each move of a version's date

Cause: the log of an entry does not tell why it sent to an engine of an old version: that it did not know of the newer one, dated it late, or was young. Ruled out: nothing yet. Change: `version_required` at each change of what a service requires, with the date and when it was found, and `version_dated` when the date of a known version moves. No logic changes.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -4,6 +4,7 @@
 #include <LibSchema/Json.h>
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Configuration {
 
@@ -51,17 +52,33 @@
     return std::any_of(versions.begin(), versions.end(), [](auto const& known) { return !known.named; });
 }
 
-bool NamedVersions::take(NamedVersion const& named)
+NamedVersion const* NamedVersions::find(int64_t version) const
+{
+    auto const found = std::find_if(versions.begin(), versions.end(), [&](auto const& known) { return known.version == version; });
+    return found == versions.end() ? nullptr : &*found;
+}
+
+NamedVersions::Taken NamedVersions::take(NamedVersion const& named)
 {
     auto const place = std::lower_bound(versions.begin(), versions.end(), named.version, [](auto const& known, int64_t version) { return known.version < version; });
     if (place != versions.end() && place->version == named.version) {
-        place->named = later_of(place->named, named.named);
-        return false;
+        auto const before = std::exchange(place->named, later_of(place->named, named.named));
+        return place->named == before ? Taken::Nothing : Taken::Date;
     }
     bool const is_newest = place == versions.end();
     versions.insert(place, named);
     if (versions.size() > versions_remembered)
         versions.erase(versions.begin());
+    return is_newest ? Taken::NewestVersion : Taken::EarlierVersion;
+}
+
+bool FactReplica::take_version(std::string const& model, NamedVersion const& named, FactChanges& changes)
+{
+    auto const taken = m_versions[model].take(named);
+    if (taken == NamedVersions::Taken::Date)
+        changes.dated_versions.push_back({ .model = model, .version = named.version });
+    bool const is_newest = taken == NamedVersions::Taken::NewestVersion;
+    changes.has_versions = changes.has_versions || is_newest;
     return is_newest;
 }
 
@@ -75,12 +92,8 @@
         changes.has_configuration = true;
         return true;
     }
-    if (auto const* named = std::get_if<Schema::ModelVersion>(&fact.value)) {
-        if (!m_versions[named->model].take({ named->version, read.now, read.written_after }))
-            return false;
-        changes.has_versions = true;
-        return true;
-    }
+    if (auto const* named = std::get_if<Schema::ModelVersion>(&fact.value))
+        return take_version(named->model, { named->version, read.now, read.written_after }, changes);
     return true;
 }
 
@@ -206,8 +219,7 @@
         auto named = time_before(told.now, earlier.named_ms_ago);
         if (earlier.version > known.newest())
             named = later_of(named, told.written_after);
-        if (known.take({ earlier.version, told.now, named }))
-            changes.has_versions = true;
+        take_version(version.model, { earlier.version, told.now, named }, changes);
     }
 }
 
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -39,10 +39,12 @@
 struct FactChanges {
     bool has_configuration { false };
     bool has_versions { false };
+    /// Versions that were known and whose date is another now.
+    std::vector<Schema::ModelVersion> dated_versions;
     /// Backend servers added, changed or removed.
     std::vector<std::string> servers;
 
-    bool has_any() const { return has_configuration || has_versions || !servers.empty(); }
+    bool has_any() const { return has_configuration || has_versions || !dated_versions.empty() || !servers.empty(); }
 };
 
 /// A version that the operator named, and when.
@@ -72,9 +74,20 @@
     /// cannot be dated may have been named at any time. 0 if there is none.
     int64_t newest_of(Core::Time named_by, Core::Time found_by) const;
     bool has_undated() const;
+    /// The version, or null if it is not known.
+    NamedVersion const* find(int64_t version) const;
+
+    /// What a version that was taken has changed.
+    enum class Taken {
+        Nothing,
+        /// It was known, and has another date now.
+        Date,
+        /// It was not known, and a newer one was.
+        EarlierVersion,
+        NewestVersion,
+    };
     /// Takes a version, or a better date of one that is known.
-    /// @return Whether it is newer than all that were known.
-    bool take(NamedVersion const&);
+    Taken take(NamedVersion const&);
 };
 
 /// A process's copy of what the operator and the platform's list say.
@@ -117,6 +130,8 @@
 
     void apply(Fact const&, ReadTime const&, FactChanges&);
     bool take_value(Fact const&, ReadTime const&, FactChanges&);
+    /// @return Whether it is newer than all that were known of the model.
+    bool take_version(std::string const& model, NamedVersion const&, FactChanges&);
     /// Adds when versions were named to a fact that goes to a peer.
     void add_dates(Fact const&, Core::Time now, Schema::Fact&) const;
     void take_dates(Schema::ModelVersion const&, Schema::Fact const&, ReadTime const&, FactChanges&);
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -364,9 +364,9 @@
 
 // Facts.
 
-static void log_named(std::string const& model, Configuration::NamedVersion const& named, Core::Time now)
+static void log_date(char const* event, std::string const& model, Configuration::NamedVersion const& named, Core::Time now)
 {
-    Core::log_event(Core::LogLevel::Info, "version_named", { { "model", model }, { "version", std::to_string(named.version) }, { "at_most_ms_ago", named.named ? std::to_string((now - *named.named).count()) : "unknown" } });
+    Core::log_event(Core::LogLevel::Info, event, { { "model", model }, { "version", std::to_string(named.version) }, { "at_most_ms_ago", named.named ? std::to_string((now - *named.named).count()) : "unknown" } });
 }
 
 EntryFacts::Callbacks DirectEntry::fact_callbacks()
@@ -395,7 +395,11 @@
     }
     if (changes.has_versions) {
         for (auto const& [model, named] : m_facts.replica().versions())
-            log_named(model, named.versions.back(), now);
+            log_date("version_named", model, named.versions.back(), now);
+    }
+    for (auto const& dated : changes.dated_versions) {
+        if (auto const* known = m_facts.replica().versions().at(dated.model).find(dated.version))
+            log_date("version_dated", dated.model, *known, now);
     }
     if (!changes.servers.empty() || changes.has_configuration)
         update_links();
@@ -489,6 +493,7 @@
     auto const now = Core::monotonic_now();
     if (m_roles_changed && now - m_roles_at >= least_roles_interval)
         update_roles(now);
+    m_goals.log_required(version_bound(), now);
     offer_places();
     std::vector<std::shared_ptr<ProxiedRequest>> requests;
     requests.reserve(m_requests.size());
--- a/Services/DirectEntry/VersionGoals.cpp
+++ b/Services/DirectEntry/VersionGoals.cpp
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "VersionGoals.h"
 
+#include <LibCore/Log.h>
 #include <LibTransport/SocketAddress.h>
 #include <algorithm>
+#include <utility>
 
 namespace DirectEntry {
 
@@ -106,4 +108,21 @@
     return required;
 }
 
+void VersionGoals::log_required(Core::Duration version_bound, Core::Time now)
+{
+    auto const& configuration = m_facts.configuration();
+    if (!configuration)
+        return;
+    for (auto const& service : configuration->services) {
+        if (!service.timing)
+            continue;
+        auto const version = required(service.name, version_bound, now).value_or(0);
+        if (std::exchange(m_logged_required[service.name], version) == version)
+            continue;
+        auto const* versions = named(service.name);
+        auto const* known = versions ? versions->find(version) : nullptr;
+        Core::log_event(Core::LogLevel::Info, "version_required", { { "service", service.name }, { "model", service.timing->model }, { "version", std::to_string(version) }, { "named_at_most_ms_ago", known && known->named ? std::to_string((now - *known->named).count()) : "unknown" }, { "found_ms_ago", known ? std::to_string((now - known->found).count()) : "" } });
+    }
+}
+
 }
--- a/Services/DirectEntry/VersionGoals.h
+++ b/Services/DirectEntry/VersionGoals.h
@@ -5,6 +5,7 @@
 #include <LibCore/Time.h>
 #include <LibSchema/Generated.h>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -31,6 +32,9 @@
     /// The version that an engine of the service must serve by now, if any.
     std::optional<int64_t> required(std::string const& service, Core::Duration version_bound, Core::Time now) const;
 
+    /// Logs for each service from when on it requires which version, and by which date.
+    void log_required(Core::Duration version_bound, Core::Time now);
+
 private:
     Schema::WeightsGoal goal(Schema::RoutedService const&, Core::Duration version_bound, Core::Time now) const;
     std::string origin_address() const;
@@ -39,6 +43,8 @@
     Configuration::NamedVersions const* named(std::string const& service) const;
 
     Configuration::FactReplica const& m_facts;
+    // What was logged last of each service.
+    std::map<std::string, int64_t> m_logged_required;
 };
 
 }
