LibPlatform, LibConfiguration, Entry: Remember versions past the end of all processes, and by when each was known

Cause: what a process knew of versions ended with it. One that started took the store's newest record of the key for the newest version, though a repeated write may have carried an older one out last, and could not tell whether a version's bound was over. Of two dates the later held, so a guess or a record written again moved a bound on. Ruled out: the grace after a start alone (without a date, engines about to load would be refused work); agents as witnesses (all processes may end together); one record a model (our own late write could take it back). Change: two of the linked entries write each version under a key of its own, with a time by which it was known; an entry reads these before the operator's records, and again until they are answered. A version that somebody knew a bound ago is required, whatever its date says. Peers tell all versions that they know, not just what the receiver's offset lacks. A record that names a version again moves no date, and a part of an answer is not taken for the whole.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -4,13 +4,9 @@
 #include <LibSchema/Json.h>
 #include <algorithm>
 #include <set>
-#include <utility>
 
 namespace Configuration {
 
-// More than can be named within the bound on one of them.
-static constexpr size_t versions_remembered = 64;
-
 static FactTopic topic_of(Schema::FactKind kind)
 {
     return kind == Schema::FactKind::BackendServer ? FactTopic::BackendServers : FactTopic::Configuration;
@@ -21,14 +17,6 @@
     return Schema::to_value(a) == Schema::to_value(b);
 }
 
-/// The later of two times before which something cannot have happened.
-static std::optional<Core::Time> later_of(std::optional<Core::Time> a, std::optional<Core::Time> b)
-{
-    if (!a || !b)
-        return a ? a : b;
-    return std::max(*a, *b);
-}
-
 static std::optional<Core::Time> time_before(Core::Time now, std::optional<int64_t> milliseconds)
 {
     if (!milliseconds)
@@ -36,50 +24,19 @@
     return now - Core::Duration(*milliseconds);
 }
 
-int64_t NamedVersions::newest_of(Core::Time named_by, Core::Time found_by) const
-{
-    int64_t newest = 0;
-    for (auto const& known : versions) {
-        bool const may_be_named = !known.named || *known.named <= named_by;
-        if (may_be_named && known.found <= found_by)
-            newest = std::max(newest, known.version);
-    }
-    return newest;
-}
-
-bool NamedVersions::has_undated() const
-{
-    return std::any_of(versions.begin(), versions.end(), [](auto const& known) { return !known.named; });
-}
-
-NamedVersion const* NamedVersions::find(int64_t version) const
-{
-    auto const found = std::find_if(versions.begin(), versions.end(), [&](auto const& known) { return known.version == version; });
-    return found == versions.end() ? nullptr : &*found;
-}
-
-NamedVersions::Taken NamedVersions::take(NamedVersion const& named)
-{
-    auto const place = std::lower_bound(versions.begin(), versions.end(), named.version, [](auto const& known, int64_t version) { return known.version < version; });
-    if (place != versions.end() && place->version == named.version) {
-        auto const before = std::exchange(place->named, later_of(place->named, named.named));
-        return place->named == before ? Taken::Nothing : Taken::Date;
-    }
-    bool const is_newest = place == versions.end();
-    versions.insert(place, named);
-    if (versions.size() > versions_remembered)
-        versions.erase(versions.begin());
-    return is_newest ? Taken::NewestVersion : Taken::EarlierVersion;
-}
-
-bool FactReplica::take_version(std::string const& model, NamedVersion const& named, FactChanges& changes)
+void FactReplica::take_version(std::string const& model, NamedVersion const& named, FactChanges& changes)
 {
     auto const taken = m_versions[model].take(named);
     if (taken == NamedVersions::Taken::Date)
         changes.dated_versions.push_back({ .model = model, .version = named.version });
-    bool const is_newest = taken == NamedVersions::Taken::NewestVersion;
-    changes.has_versions = changes.has_versions || is_newest;
-    return is_newest;
+    changes.has_versions = changes.has_versions || taken == NamedVersions::Taken::NewestVersion;
+}
+
+bool FactReplica::is_as_new(Key const& key, Schema::ModelVersion const& version) const
+{
+    auto const known = m_facts.find(key);
+    auto const* held = known == m_facts.end() ? nullptr : std::get_if<Schema::ModelVersion>(&known->second.value);
+    return !held || version.version >= held->version;
 }
 
 bool FactReplica::take_value(Fact const& fact, ReadTime const& read, FactChanges& changes)
@@ -92,8 +49,13 @@
         changes.has_configuration = true;
         return true;
     }
-    if (auto const* named = std::get_if<Schema::ModelVersion>(&fact.value))
-        return take_version(named->model, { named->version, read.now, read.written_after }, changes);
+    if (auto const* named = std::get_if<Schema::ModelVersion>(&fact.value)) {
+        // A record that names a version once more says nothing of when it was named first.
+        bool const is_known = m_versions[named->model].find(named->version);
+        auto const named_after = is_known ? std::nullopt : read.written_after;
+        take_version(named->model, { named->version, read.earliest(), named_after, read.now }, changes);
+        return is_as_new({ fact.kind, fact.key }, *named);
+    }
     return true;
 }
 
@@ -176,66 +138,52 @@
         if (!fact.has_value())
             continue;
         if (auto const* version = std::get_if<Schema::ModelVersion>(&fact->value))
-            take_dates(*version, message, told, changes);
-        apply(*fact, { told.now, later_of(time_before(told.now, message.named_ms_ago), told.written_after) }, changes);
+            take_versions(version->model, message, told, changes);
+        apply(*fact, told, changes);
     }
     m_configuration_end = std::max(m_configuration_end, batch.configuration_end);
     m_servers_end = std::max(m_servers_end, batch.servers_end);
     return changes;
 }
 
-static std::optional<int64_t> named_ms_ago(NamedVersion const& known, Core::Time now)
+FactChanges FactReplica::on_known_versions(std::vector<KnownVersion> const& versions, Core::Time now)
 {
-    if (!known.named)
-        return {};
-    return (now - *known.named).count();
+    FactChanges changes;
+    for (auto const& each : versions)
+        take_version(each.model, { each.version, now, {}, std::min(each.known, now) }, changes);
+    return changes;
 }
 
-void FactReplica::add_dates(Fact const& fact, Core::Time now, Schema::Fact& message) const
+void FactReplica::add_versions(Fact const& fact, Core::Time now, Schema::Fact& message) const
 {
     auto const* version = std::get_if<Schema::ModelVersion>(&fact.value);
     if (!version)
         return;
-    std::vector<Schema::EarlierVersion> earlier;
+    std::vector<Schema::ToldVersion> versions;
     for (auto const& known : m_versions.at(version->model).versions) {
-        if (known.version == version->version)
-            message.named_ms_ago = named_ms_ago(known, now);
-        else if (known.version < version->version)
-            earlier.push_back({ .named_ms_ago = named_ms_ago(known, now), .version = known.version });
+        Schema::ToldVersion told { .known_ms_ago = (now - known.known).count(), .named_ms_ago = {}, .version = known.version };
+        if (known.named)
+            told.named_ms_ago = (now - *known.named).count();
+        versions.push_back(told);
     }
-    if (!earlier.empty())
-        message.earlier_versions = std::move(earlier);
+    message.versions = std::move(versions);
 }
 
-/// Dates that a peer gives, of versions that are known here or that came before the one that the fact brings.
-void FactReplica::take_dates(Schema::ModelVersion const& version, Schema::Fact const& message, ReadTime const& told, FactChanges& changes)
+/// What a peer knows of a model's versions. One that is new here was named after both had last read without it.
+void FactReplica::take_versions(std::string const& model, Schema::Fact const& message, ReadTime const& told, FactChanges& changes)
 {
-    auto dated = message.earlier_versions.value_or(std::vector<Schema::EarlierVersion> {});
-    auto& known = m_versions[version.model];
-    // The newest itself is taken with its fact, unless that is known and lacks only its date.
-    if (version.version <= known.newest())
-        dated.push_back({ .named_ms_ago = message.named_ms_ago, .version = version.version });
-    for (auto const& earlier : dated) {
-        auto named = time_before(told.now, earlier.named_ms_ago);
-        if (earlier.version > known.newest())
+    auto const newest_before = m_versions[model].newest();
+    for (auto const& each : message.versions.value_or(std::vector<Schema::ToldVersion> {})) {
+        auto named = time_before(told.earliest(), each.named_ms_ago);
+        if (each.version > newest_before)
             named = later_of(named, told.written_after);
-        take_version(version.model, { earlier.version, told.now, named }, changes);
+        take_version(model, { each.version, told.earliest(), named, told.now - Core::Duration(each.known_ms_ago) }, changes);
     }
 }
 
-std::optional<int64_t> FactReplica::undated_from() const
+bool FactReplica::has_undated_versions() const
 {
-    // Each ping of a peer asks this, and nearly always all are dated: only then is the whole list worth walking.
-    bool const has_any = std::any_of(m_versions.begin(), m_versions.end(), [](auto const& named) { return named.second.has_undated(); });
-    if (!has_any)
-        return {};
-    std::optional<int64_t> from;
-    for (auto const& [key, fact] : m_facts) {
-        auto const* version = std::get_if<Schema::ModelVersion>(&fact.value);
-        if (version && m_versions.at(version->model).has_undated())
-            from = std::min(from.value_or(fact.revision), fact.revision);
-    }
-    return from;
+    return std::any_of(m_versions.begin(), m_versions.end(), [](auto const& named) { return named.second.has_undated(); });
 }
 
 Schema::FactBatch FactReplica::facts_since(Schema::FactRequest const& request, Core::Duration age, Core::Time now) const
@@ -247,10 +195,11 @@
     batch.servers_end = has_all_removals ? m_servers_end : std::min(m_servers_end, request.servers_from);
     for (auto const& [key, fact] : m_facts) {
         auto const from = topic_of(key.first) == FactTopic::Configuration ? request.configuration_from : request.servers_from;
-        if (fact.revision < from)
+        bool const is_version = key.first == Schema::FactKind::ModelVersion;
+        if (fact.revision < from && !is_version)
             continue;
         batch.facts.push_back(to_message(fact));
-        add_dates(fact, now, batch.facts.back());
+        add_versions(fact, now, batch.facts.back());
     }
     return batch;
 }
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <LibConfiguration/NamedVersions.h>
 #include <LibCore/Error.h>
 #include <LibCore/Time.h>
 #include <LibSchema/Generated.h>
@@ -44,17 +45,7 @@
     /// Backend servers added, changed or removed.
     std::vector<std::string> servers;
 
-    bool has_any() const { return has_configuration || has_versions || !dated_versions.empty() || !servers.empty(); }
-};
-
-/// A version that the operator named, and when.
-struct NamedVersion {
-    int64_t version { 0 };
-    /// When this process came to know of it.
-    Core::Time found { 0 };
-    /// The earliest time at which it can have been named; nothing where that cannot be told. A bound on the version runs
-    /// from here: what came late, because a read hung or a peer passed it on, has used up a part of it.
-    std::optional<Core::Time> named;
+    bool has_any() const { return has_configuration || has_versions || !servers.empty(); }
 };
 
 /// When records were read, and since when what is new among them can have been written.
@@ -62,32 +53,18 @@
     Core::Time now;
     /// Nothing if it cannot be told.
     std::optional<Core::Time> written_after;
+    /// For what a peer sent: the earliest time at which it can have done so, where that is before now.
+    std::optional<Core::Time> sent_after {};
+
+    Core::Time earliest() const { return sent_after.value_or(now); }
 };
 
-/// The versions that were named of one model, oldest first. Each has a bound of its own, so a newer one does not
-/// put off an older one.
-struct NamedVersions {
-    std::vector<NamedVersion> versions;
-
-    int64_t newest() const { return versions.empty() ? 0 : versions.back().version; }
-    /// The newest version that can have been named at or before `named_by` and was found at or before `found_by`; one that
-    /// cannot be dated may have been named at any time. 0 if there is none.
-    int64_t newest_of(Core::Time named_by, Core::Time found_by) const;
-    bool has_undated() const;
-    /// The version, or null if it is not known.
-    NamedVersion const* find(int64_t version) const;
-
-    /// What a version that was taken has changed.
-    enum class Taken {
-        Nothing,
-        /// It was known, and has another date now.
-        Date,
-        /// It was not known, and a newer one was.
-        EarlierVersion,
-        NewestVersion,
-    };
-    /// Takes a version, or a better date of one that is known.
-    Taken take(NamedVersion const&);
+/// A version that another process knew of, or one before this.
+struct KnownVersion {
+    std::string model;
+    int64_t version { 0 };
+    /// A time at which it was known.
+    Core::Time known { 0 };
 };
 
 /// A process's copy of what the operator and the platform's list say.
@@ -107,13 +84,17 @@
     /// process had last read without it.
     FactChanges on_peer(Schema::FactBatch const&, ReadTime const&);
 
+    /// Takes versions that outlived the processes that knew of them. What the log says of a version's key may be older than these.
+    FactChanges on_known_versions(std::vector<KnownVersion> const&, Core::Time now);
+
     /// The offset to read a topic from next.
     int64_t end(FactTopic topic) const { return topic == FactTopic::Configuration ? m_configuration_end : m_servers_end; }
 
-    /// Offset of the oldest record among those whose versions cannot be dated; nothing if there is none.
-    std::optional<int64_t> undated_from() const;
+    /// Whether there are named versions that cannot be dated.
+    bool has_undated_versions() const;
 
-    /// What a peer lacks that has read this far. A listing names no server that was removed before it: a peer that had not
+    /// What a peer lacks that has read this far, and all named versions: of these the log may have told it less, however far it
+    /// has read. A listing names no server that was removed before it: a peer that had not
     /// read as far goes on reading where it was, or it would take such a server for one that is there.
     Schema::FactBatch facts_since(Schema::FactRequest const&, Core::Duration age, Core::Time now) const;
 
@@ -130,11 +111,12 @@
 
     void apply(Fact const&, ReadTime const&, FactChanges&);
     bool take_value(Fact const&, ReadTime const&, FactChanges&);
-    /// @return Whether it is newer than all that were known of the model.
-    bool take_version(std::string const& model, NamedVersion const&, FactChanges&);
-    /// Adds when versions were named to a fact that goes to a peer.
-    void add_dates(Fact const&, Core::Time now, Schema::Fact&) const;
-    void take_dates(Schema::ModelVersion const&, Schema::Fact const&, ReadTime const&, FactChanges&);
+    void take_version(std::string const& model, NamedVersion const&, FactChanges&);
+    /// Whether a named version's fact is no older than the one that is held under its key.
+    bool is_as_new(Key const&, Schema::ModelVersion const&) const;
+    /// Adds all known versions of a model to a fact that goes to a peer.
+    void add_versions(Fact const&, Core::Time now, Schema::Fact&) const;
+    void take_versions(std::string const& model, Schema::Fact const&, ReadTime const&, FactChanges&);
     /// Of the servers at this one's address only the one that was listed last remains.
     void supersede(Schema::BackendServer const&, int64_t revision, FactChanges&);
 
--- /dev/null
+++ b/Libraries/LibConfiguration/NamedVersions.cpp
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibConfiguration/NamedVersions.h>
+
+#include <algorithm>
+
+namespace Configuration {
+
+// More than can be named within the bound on one of them.
+static constexpr size_t versions_remembered = 64;
+
+std::optional<Core::Time> later_of(std::optional<Core::Time> a, std::optional<Core::Time> b)
+{
+    if (!a || !b)
+        return a ? a : b;
+    return std::max(*a, *b);
+}
+
+int64_t NamedVersions::newest_of(Core::Time named_by, Core::Time found_by) const
+{
+    int64_t newest = 0;
+    for (auto const& each : versions) {
+        bool const is_named = each.known <= named_by;
+        bool const may_be_named = !each.named || *each.named <= named_by;
+        if (is_named || (may_be_named && each.found <= found_by))
+            newest = std::max(newest, each.version);
+    }
+    return newest;
+}
+
+bool NamedVersions::has_undated() const
+{
+    return std::any_of(versions.begin(), versions.end(), [](auto const& each) { return !each.named; });
+}
+
+NamedVersion const* NamedVersions::find(int64_t version) const
+{
+    auto const found = std::find_if(versions.begin(), versions.end(), [&](auto const& each) { return each.version == version; });
+    return found == versions.end() ? nullptr : &*found;
+}
+
+/// Takes the better of each date. One process's guess of when it was named cannot hold against another's having known it.
+static bool take_dates(NamedVersion& known, NamedVersion const& told)
+{
+    auto const named_before = known.named;
+    auto const known_before = known.known;
+    known.known = std::min(known.known, told.known);
+    known.named = later_of(known.named, told.named);
+    if (known.named)
+        known.named = std::min(*known.named, known.known);
+    return known.named != named_before || known.known != known_before;
+}
+
+NamedVersions::Taken NamedVersions::take(NamedVersion const& told)
+{
+    auto const place = std::lower_bound(versions.begin(), versions.end(), told.version, [](auto const& each, int64_t version) { return each.version < version; });
+    if (place != versions.end() && place->version == told.version)
+        return take_dates(*place, told) ? Taken::Date : Taken::Nothing;
+    bool const is_newest = place == versions.end();
+    auto const inserted = versions.insert(place, told);
+    take_dates(*inserted, told);
+    if (versions.size() > versions_remembered)
+        versions.erase(versions.begin());
+    return is_newest ? Taken::NewestVersion : Taken::EarlierVersion;
+}
+
+}
--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -113,6 +113,9 @@
     auto const lost_for = now - topic.current_at;
     topic.failures = 0;
     topic.blind_since.reset();
+    // What the next part brings may be as old as what this one brought.
+    if (page.end < page.log_end)
+        topic.blind_since = read.written_after;
     topic.has_been_read = true;
     topic.needs_listing = false;
     topic.current_at = now;
--- a/Libraries/LibPlatform/FactLog.h
+++ b/Libraries/LibPlatform/FactLog.h
@@ -31,6 +31,8 @@
     std::vector<BadRecord> bad;
     /// Offset behind the last record of the page.
     int64_t end { 0 };
+    /// Offset behind the last record that the log held then: where that is more, the page is a part of what there is.
+    int64_t log_end { 0 };
 };
 
 /// How long a read may take.
--- /dev/null
+++ b/Libraries/LibPlatform/KeptVersions.cpp
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibPlatform/KeptVersions.h>
+
+#include <LibCore/Hash.h>
+#include <LibCore/Log.h>
+#include <algorithm>
+
+namespace Platform {
+
+// The store answers within a few milliseconds, and nothing is served before this is known or given up.
+static constexpr Core::Duration read_patience { 600 };
+static constexpr Core::Duration retry_interval { 300 };
+static constexpr Core::Duration longest_retry_interval { 2400 };
+static constexpr int most_doublings = 3;
+// Who is linked changes seldom; an entry whose turn it was may be gone.
+static constexpr Core::Duration turn_interval { 500 };
+// One may end before its write is taken. Each write is paid for.
+static constexpr size_t writers = 2;
+// Older ones are over for long.
+static constexpr size_t kept_of_a_model = 16;
+
+KeptVersions::KeptVersions(Core::EventLoop& loop, std::unique_ptr<VersionRecords> records, std::string identity, Configuration::FactReplica const& facts, Core::Metrics& metrics, Callbacks callbacks)
+    : m_loop(loop)
+    , m_records(std::move(records))
+    , m_identity(std::move(identity))
+    , m_facts(facts)
+    , m_metrics(metrics)
+    , m_callbacks(std::move(callbacks))
+    , m_is_read(!m_records)
+{
+}
+
+static Core::Duration retry_wait(int failures)
+{
+    return std::min(longest_retry_interval, retry_interval * (1 << std::min(failures, most_doublings)));
+}
+
+void KeptVersions::start(std::function<void()> then)
+{
+    if (m_is_read) {
+        then();
+        return;
+    }
+    m_then = std::move(then);
+    m_write_timer = m_loop.every(turn_interval, [this] { keep_new(); });
+    read();
+}
+
+void KeptVersions::read()
+{
+    m_records->read({ .wait = Core::Duration(0), .answer = read_patience }, [this](auto const& page) { on_read(page); });
+}
+
+void KeptVersions::on_read(tl::expected<VersionRecords::Page, FactLogFault> const& page)
+{
+    if (page.has_value()) {
+        take(*page);
+    } else {
+        Core::log_event(Core::LogLevel::Warn, "kept_versions_unread", { { "failures", std::to_string(m_failures + 1) } });
+        m_read_timer = m_loop.after(retry_wait(m_failures++), [this] { read(); });
+    }
+    if (auto const then = std::exchange(m_then, nullptr))
+        then();
+}
+
+void KeptVersions::take(VersionRecords::Page const& page)
+{
+    m_is_read = true;
+    m_failures = 0;
+    auto const now = Core::monotonic_now();
+    auto const wall_now = Core::wall_now();
+    std::vector<Configuration::KnownVersion> known;
+    for (auto const& each : page.versions) {
+        m_kept.emplace(each.model, each.version);
+        auto const age = std::max(Core::Duration(0), wall_now - Core::Time(each.known_at_ms));
+        known.push_back({ each.model, each.version, now - age });
+    }
+    for (auto const& bad : page.bad) {
+        m_metrics.count("mountbarrow_bad_records_total", "reason=\"" + std::string(Core::error_name(bad.error.code)) + "\"");
+        Core::log_event(Core::LogLevel::Error, "bad_record", { { "key", bad.key }, { "revision", std::to_string(bad.revision) }, { "reason", Core::error_name(bad.error.code) }, { "detail", bad.error.detail } });
+    }
+    Core::log_event(Core::LogLevel::Info, "kept_versions_read", { { "versions", std::to_string(known.size()) } });
+    m_callbacks.read(known);
+}
+
+bool KeptVersions::falls_to_this(Version const& version) const
+{
+    auto ids = m_callbacks.entries();
+    ids.push_back(m_identity);
+    auto const ranked = Core::rendezvous_order(version.first + "/" + std::to_string(version.second), std::move(ids));
+    auto const place = std::find(ranked.begin(), ranked.end(), m_identity);
+    return static_cast<size_t>(place - ranked.begin()) < writers;
+}
+
+void KeptVersions::keep_new()
+{
+    if (!m_records || !m_is_read || m_is_writing || Core::monotonic_now() < m_next_write_at)
+        return;
+    for (auto const& [model, named] : m_facts.versions()) {
+        auto const outlived = named.versions.size() - std::min(named.versions.size(), kept_of_a_model);
+        for (size_t i = outlived; i < named.versions.size(); ++i) {
+            Version const version { model, named.versions[i].version };
+            if (m_kept.contains(version) || !falls_to_this(version))
+                continue;
+            write(version, named.versions[i]);
+            return;
+        }
+    }
+}
+
+/// What is kept of a model beyond the newest ones.
+std::vector<Schema::ModelVersion> KeptVersions::outlived(std::string const& model) const
+{
+    std::vector<Schema::ModelVersion> versions;
+    for (auto const& [kept_model, version] : m_kept) {
+        if (kept_model == model)
+            versions.push_back({ .model = model, .version = version });
+    }
+    versions.resize(versions.size() - std::min(versions.size(), kept_of_a_model - 1));
+    return versions;
+}
+
+void KeptVersions::write(Version const& version, Configuration::NamedVersion const& named)
+{
+    m_is_writing = true;
+    auto const known_for = Core::monotonic_now() - named.known;
+    Schema::KeptVersion const record { .known_at_ms = (Core::wall_now() - known_for).count(), .model = version.first, .version = version.second };
+    auto const forgotten = outlived(version.first);
+    m_records->write(record, forgotten, [this, version, forgotten](bool is_done) { on_written(version, forgotten, is_done); });
+}
+
+void KeptVersions::on_written(Version const& version, std::vector<Schema::ModelVersion> const& forgotten, bool is_done)
+{
+    m_is_writing = false;
+    m_metrics.count("mountbarrow_version_records_total", std::string("outcome=\"") + (is_done ? "written" : "failed") + "\"");
+    Core::log_event(is_done ? Core::LogLevel::Info : Core::LogLevel::Warn, "version_kept", { { "model", version.first }, { "version", std::to_string(version.second) }, { "outcome", is_done ? "written" : "failed" } });
+    if (!is_done) {
+        m_next_write_at = Core::monotonic_now() + retry_wait(m_failures++);
+        return;
+    }
+    m_failures = 0;
+    m_kept.insert(version);
+    for (auto const& each : forgotten)
+        m_kept.erase({ each.model, each.version });
+    m_loop.soon([this] { keep_new(); });
+}
+
+}
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -11,6 +11,7 @@
 //     EngineFaults data = nlohmann::json::parse(jsonString);
 //     EngineStatus data = nlohmann::json::parse(jsonString);
 //     EntrySettings data = nlohmann::json::parse(jsonString);
+//     KeptVersion data = nlohmann::json::parse(jsonString);
 //     LoadOrder data = nlohmann::json::parse(jsonString);
 //     LogPage data = nlohmann::json::parse(jsonString);
 //     LogPosition data = nlohmann::json::parse(jsonString);
@@ -771,6 +772,24 @@
         std::optional<std::string> tokens_file;
     };
 
+    /**
+     * What outlives the processes that knew of a version: that it was named, and by when.
+     */
+    struct KeptVersion {
+        /**
+         * A time of day at which it was known, milliseconds since the Unix epoch.
+         */
+        int64_t known_at_ms;
+        /**
+         * Model.
+         */
+        std::string model;
+        /**
+         * Version.
+         */
+        int64_t version;
+    };
+
     /**
      * A fenced order to an engine.
      */
@@ -1381,11 +1400,22 @@
     };
 
     /**
-     * A version that was named before the newest.
+     * What it is about.
      */
-    struct EarlierVersion {
+    enum class FactKind : int { BackendServer, Configuration, ModelVersion };
+
+    /**
+     * A version that was named, and when.
+     */
+    struct ToldVersion {
+        /**
+         * Time since some process is known to have known of it, milliseconds: it was named for
+         * certain before that.
+         */
+        int64_t known_ms_ago;
         /**
-         * As of the newest.
+         * Time since it can have been named at the earliest, milliseconds. Absent where the sender
+         * cannot tell.
          */
         std::optional<int64_t> named_ms_ago;
         /**
@@ -1394,11 +1424,6 @@
         int64_t version;
     };
 
-    /**
-     * What it is about.
-     */
-    enum class FactKind : int { BackendServer, Configuration, ModelVersion };
-
     /**
      * One key's newest value, as the platform's log or a peer gave it.
      */
@@ -1407,11 +1432,6 @@
          * JSON of the value; empty for a removed key.
          */
         std::string body;
-        /**
-         * For a model version: those named before it, oldest first. The bound of each runs by
-         * itself.
-         */
-        std::optional<std::vector<EarlierVersion>> earlier_versions;
         /**
          * Key.
          */
@@ -1420,15 +1440,15 @@
          * What it is about.
          */
         FactKind kind;
-        /**
-         * For a model version: time since it can have been named at the earliest, milliseconds.
-         * Absent where the sender cannot tell.
-         */
-        std::optional<int64_t> named_ms_ago;
         /**
          * Offset of its record.
          */
         int64_t revision;
+        /**
+         * For a model version: all that the sender knows of the model, oldest first. The bound of
+         * each runs by itself.
+         */
+        std::optional<std::vector<ToldVersion>> versions;
     };
 
     /**
@@ -2431,6 +2451,9 @@
     void from_json(const json & j, EntrySettings & x);
     void to_json(json & j, const EntrySettings & x);
 
+    void from_json(const json & j, KeptVersion & x);
+    void to_json(json & j, const KeptVersion & x);
+
     void from_json(const json & j, LoadOrder & x);
     void to_json(json & j, const LoadOrder & x);
 
@@ -2524,8 +2547,8 @@
     void from_json(const json & j, FactRequest & x);
     void to_json(json & j, const FactRequest & x);
 
-    void from_json(const json & j, EarlierVersion & x);
-    void to_json(json & j, const EarlierVersion & x);
+    void from_json(const json & j, ToldVersion & x);
+    void to_json(json & j, const ToldVersion & x);
 
     void from_json(const json & j, Fact & x);
     void to_json(json & j, const Fact & x);
@@ -3043,6 +3066,19 @@
         j["tokens_file"] = x.tokens_file;
     }
 
+    inline void from_json(const json & j, KeptVersion& x) {
+        x.known_at_ms = j.at("known_at_ms").get<int64_t>();
+        x.model = j.at("model").get<std::string>();
+        x.version = j.at("version").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const KeptVersion & x) {
+        j = json::object();
+        j["known_at_ms"] = x.known_at_ms;
+        j["model"] = x.model;
+        j["version"] = x.version;
+    }
+
     inline void from_json(const json & j, LoadOrder& x) {
         x.chunks = j.at("chunks").get<std::vector<std::string>>();
         x.digest = j.at("digest").get<std::string>();
@@ -3468,34 +3504,34 @@
         j["servers_from"] = x.servers_from;
     }
 
-    inline void from_json(const json & j, EarlierVersion& x) {
+    inline void from_json(const json & j, ToldVersion& x) {
+        x.known_ms_ago = j.at("known_ms_ago").get<int64_t>();
         x.named_ms_ago = get_stack_optional<int64_t>(j, "named_ms_ago");
         x.version = j.at("version").get<int64_t>();
     }
 
-    inline void to_json(json & j, const EarlierVersion & x) {
+    inline void to_json(json & j, const ToldVersion & x) {
         j = json::object();
+        j["known_ms_ago"] = x.known_ms_ago;
         j["named_ms_ago"] = x.named_ms_ago;
         j["version"] = x.version;
     }
 
     inline void from_json(const json & j, Fact& x) {
         x.body = j.at("body").get<std::string>();
-        x.earlier_versions = get_stack_optional<std::vector<EarlierVersion>>(j, "earlier_versions");
         x.key = j.at("key").get<std::string>();
         x.kind = j.at("kind").get<FactKind>();
-        x.named_ms_ago = get_stack_optional<int64_t>(j, "named_ms_ago");
         x.revision = j.at("revision").get<int64_t>();
+        x.versions = get_stack_optional<std::vector<ToldVersion>>(j, "versions");
     }
 
     inline void to_json(json & j, const Fact & x) {
         j = json::object();
         j["body"] = x.body;
-        j["earlier_versions"] = x.earlier_versions;
         j["key"] = x.key;
         j["kind"] = x.kind;
-        j["named_ms_ago"] = x.named_ms_ago;
         j["revision"] = x.revision;
+        j["versions"] = x.versions;
     }
 
     inline void from_json(const json & j, FactBatch& x) {
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -26,7 +26,7 @@
 class DirectEntry {
 public:
     struct PlatformParts {
-        std::unique_ptr<Platform::FactLog> log;
+        EntryFacts::Sources facts;
         std::unique_ptr<Platform::RequestHeads> heads;
         std::unique_ptr<Platform::WeightOrigin> origin;
     };
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -41,19 +41,43 @@
     return topic == Configuration::FactTopic::Configuration ? "configuration" : "backend_servers";
 }
 
-EntryFacts::EntryFacts(Core::EventLoop& loop, std::unique_ptr<Platform::FactLog> log, Platform::FactFollowerSettings settings, Core::Metrics& metrics, Callbacks callbacks)
-    : m_log(std::move(log))
+EntryFacts::EntryFacts(Core::EventLoop& loop, std::string const& identity, Sources sources, Platform::FactFollowerSettings settings, Core::Metrics& metrics, Callbacks callbacks)
+    : m_log(std::move(sources.log))
     , m_metrics(metrics)
     , m_callbacks(std::move(callbacks))
     , m_pauses(loop)
     , m_follower(loop, m_pauses, *m_log, m_replica, settings, follower_callbacks())
+    , m_kept(loop, std::move(sources.versions), identity, m_replica, metrics, kept_callbacks())
 {
 }
 
+void EntryFacts::start()
+{
+    // What the log says of versions is judged by what is remembered of them, so that comes first.
+    m_kept.start([this] { m_follower.start(); });
+}
+
+Platform::KeptVersions::Callbacks EntryFacts::kept_callbacks()
+{
+    return {
+        .read = [this](std::vector<Configuration::KnownVersion> const& known) {
+            auto const changes = m_replica.on_known_versions(known, Core::monotonic_now());
+            if (changes.has_any() || !changes.dated_versions.empty())
+                on_changed(changes); },
+        .entries = [this] { return m_callbacks.entries(); },
+    };
+}
+
+void EntryFacts::on_changed(Configuration::FactChanges const& changes)
+{
+    m_callbacks.changed(changes);
+    m_kept.keep_new();
+}
+
 Platform::FactFollower::Callbacks EntryFacts::follower_callbacks()
 {
     return {
-        .changed = [this](Configuration::FactChanges const& changes) { m_callbacks.changed(changes); },
+        .changed = [this](Configuration::FactChanges const& changes) { on_changed(changes); },
         .failing = [this](Configuration::FactTopic topic, Platform::FactLogFault fault) { on_failing(topic, fault); },
         .regained = [this](Configuration::FactTopic topic, Core::Duration lost_for) { on_regained(topic, lost_for); },
         .bad_record = [this](Platform::BadRecord const& bad) { on_bad_record(bad); },
@@ -77,6 +101,9 @@
 void EntryFacts::on_regained(Configuration::FactTopic topic, Core::Duration lost_for)
 {
     m_failing.erase(topic);
+    // What was read just now is dated by a guess: an entry that went on reading knows better.
+    if (topic == Configuration::FactTopic::Configuration)
+        m_asked_for_dates = 0;
     Core::log_event(Core::LogLevel::Info, "log_regained", { { "topic", topic_name(topic) }, { "lost_for_ms", std::to_string(lost_for.count()) } });
 }
 
@@ -105,18 +132,14 @@
     ask_for_dates(entry);
 }
 
-/// What this entry found at its start it must require soon, unless another one knows that its bound is far off.
+/// Others may know of a version that the log told this one nothing of, or when one was named.
 void EntryFacts::ask_for_dates(std::string const& entry)
 {
-    if (m_asked_for_dates >= most_asked_for_dates)
-        return;
-    auto const from = m_replica.undated_from();
-    if (!from)
+    // Without a configuration of its own it would be sent a whole one, and serves nothing yet.
+    if (m_asked_for_dates >= most_asked_for_dates || !m_replica.configuration())
         return;
     m_asked_for_dates += 1;
-    auto message = request();
-    message.fact_request->configuration_from = *from;
-    m_callbacks.send(entry, message);
+    m_callbacks.send(entry, request());
 }
 
 void EntryFacts::on_peer_end(std::string const& entry, int64_t configuration_end)
@@ -153,11 +176,11 @@
     if (batch_age < age(now))
         m_follower.on_peer_facts(batch_age);
     auto const sent_at = m_pauses.earliest_arrival(now - late_on_link, now);
-    auto const changes = m_replica.on_peer(batch, { sent_at, complete_at });
-    if (!changes.has_any())
+    auto const changes = m_replica.on_peer(batch, { now, complete_at, sent_at });
+    if (!changes.has_any() && changes.dated_versions.empty())
         return;
     Core::log_event(Core::LogLevel::Info, "facts_from_peer", { { "peer", entry }, { "age_ms", std::to_string(batch_age.count()) }, { "facts", std::to_string(batch.facts.size()) } });
-    m_callbacks.changed(changes);
+    on_changed(changes);
 }
 
 }
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -7,6 +7,7 @@
 #include <LibCore/PauseWatch.h>
 #include <LibPlatform/FactFollower.h>
 #include <LibPlatform/FactLog.h>
+#include <LibPlatform/KeptVersions.h>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -31,12 +32,21 @@
         std::function<std::vector<std::string>()> entries;
     };
 
+    /// Where the facts come from.
+    struct Sources {
+        std::unique_ptr<Platform::FactLog> log;
+        /// Null where the platform keeps nothing of the product's own.
+        std::unique_ptr<Platform::VersionRecords> versions;
+    };
+
     /// Reads nothing before it is started.
-    EntryFacts(Core::EventLoop&, std::unique_ptr<Platform::FactLog>, Platform::FactFollowerSettings, Core::Metrics&, Callbacks);
+    EntryFacts(Core::EventLoop&, std::string const& identity, Sources, Platform::FactFollowerSettings, Core::Metrics&, Callbacks);
 
-    void start() { m_follower.start(); }
+    void start();
 
     Configuration::FactReplica const& replica() const { return m_replica; }
+    /// Whether all that entries before this one knew of versions is known.
+    bool knows_kept_versions() const { return m_kept.is_read(); }
     /// Time since the older of both topics was known to be current.
     Core::Duration age(Core::Time now) const { return m_follower.age(now); }
 
@@ -52,6 +62,8 @@
 
 private:
     Platform::FactFollower::Callbacks follower_callbacks();
+    Platform::KeptVersions::Callbacks kept_callbacks();
+    void on_changed(Configuration::FactChanges const&);
     void on_failing(Configuration::FactTopic, Platform::FactLogFault);
     void on_regained(Configuration::FactTopic, Core::Duration lost_for);
     void on_bad_record(Platform::BadRecord const&);
@@ -64,8 +76,9 @@
     Core::PauseWatch m_pauses;
     Configuration::FactReplica m_replica;
     Platform::FactFollower m_follower;
+    Platform::KeptVersions m_kept;
     std::set<Configuration::FactTopic> m_failing;
-    // Entries that were asked when versions were named that this one found at its start.
+    // Entries that were asked what they know of versions, since the start or since the log answers again.
     int m_asked_for_dates { 0 };
     // Since when others are known to have read further.
     std::optional<Core::Time> m_behind_since;
--- a/Services/DirectEntry/VersionGoals.cpp
+++ b/Services/DirectEntry/VersionGoals.cpp
@@ -10,9 +10,8 @@
 
 // A version is required a little before its bound: what is sent just before still has to begin.
 static constexpr Core::Duration version_margin { 1500 };
-// A version that is found late, or that cannot be dated because it was there at the start, may have to be required at once.
-// Engines that are about to load it get this long all the same: about as long as the platform counts an instance that was out
-// of touch as such.
+// A version that nobody is known to have known before may be as old as the last read without it. Engines that are about to load
+// it get this long all the same: about as long as the platform counts an instance that was out of touch as such.
 static constexpr Core::Duration found_grace { 2500 };
 
 std::vector<Schema::WeightsGoal> VersionGoals::goals(Core::Duration version_bound, Core::Time now) const
@@ -39,7 +38,7 @@
         goal.version = found->second.newest();
     if (found != m_facts.versions().end() && !found->second.versions.empty()) {
         auto const& newest = found->second.versions.back();
-        goal.age_ms = (now - newest.named.value_or(newest.found)).count();
+        goal.age_ms = (now - newest.named.value_or(newest.known)).count();
     }
     goal.origin_address = origin_address();
     goal.bound_ms = version_bound.count();
@@ -102,7 +101,9 @@
     auto const* versions = named(service);
     if (!versions)
         return {};
-    auto const required = versions->newest_of(now - (version_bound - version_margin), now - found_grace);
+    // Until the past is known, a version that was found may be one whose bound is over for long.
+    auto const found_by = m_knows_past() ? now - found_grace : now;
+    auto const required = versions->newest_of(now - (version_bound - version_margin), found_by);
     if (required == 0)
         return {};
     return required;
--- a/Services/DirectEntry/VersionGoals.h
+++ b/Services/DirectEntry/VersionGoals.h
@@ -5,6 +5,7 @@
 #include <LibCore/Time.h>
 #include <LibSchema/Generated.h>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,8 +16,10 @@
 /// What engines are to hold, by the configuration and the named versions, and from when on requests insist on it.
 class VersionGoals {
 public:
-    explicit VersionGoals(Configuration::FactReplica const& facts)
+    /// `knows_past`: whether all that was remembered of versions before this process is known.
+    VersionGoals(Configuration::FactReplica const& facts, std::function<bool()> knows_past)
         : m_facts(facts)
+        , m_knows_past(std::move(knows_past))
     {
     }
 
@@ -43,6 +46,7 @@
     Configuration::NamedVersions const* named(std::string const& service) const;
 
     Configuration::FactReplica const& m_facts;
+    std::function<bool()> m_knows_past;
     // What was logged last of each service.
     std::map<std::string, int64_t> m_logged_required;
 };
--- a/Tests/LibPlatform/TestFactFollower.cpp
+++ b/Tests/LibPlatform/TestFactFollower.cpp
@@ -202,6 +202,23 @@
     EXPECT_GE(*follower.newest().named, away_until);
 }
 
+TEST(FactFollower, WhatComesWithTheNextPartOfAnAnswerMayBeAsOldAsTheFirst)
+{
+    HeldFollower follower;
+    auto const hung = follower.next_read();
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    auto const known_until = Core::monotonic_now();
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    hung.callback(tl::unexpected(FactLogFault::Unavailable));
+    FactPage part;
+    part.end = 1;
+    part.log_end = 2;
+    follower.next_read().callback(part);
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    follower.next_read().callback(HeldFollower::naming(2, 1));
+    EXPECT_LE(*follower.newest().named, known_until);
+}
+
 TEST(FactFollower, AReadAnsweredWithNothingAmidAPauseHidesWhatCameAfterIt)
 {
     HeldFollower follower;
--- /dev/null
+++ b/Tests/LibPlatform/TestKeptVersions.cpp
@@ -0,0 +1,163 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibPlatform/KeptVersions.h>
+#include <gtest/gtest.h>
+#include <map>
+
+using namespace Platform;
+
+namespace {
+
+/// Records that outlive the processes of a test. A write is carried out at once, and answered or not.
+class SharedRecords {
+public:
+    std::map<std::pair<std::string, int64_t>, Schema::KeptVersion> records;
+    bool is_away { false };
+    int reads { 0 };
+    int writes { 0 };
+};
+
+class RecordsOfOne final : public VersionRecords {
+public:
+    explicit RecordsOfOne(SharedRecords& shared)
+        : m_shared(shared)
+    {
+    }
+
+    void read(ReadPatience, ReadCallback callback) override
+    {
+        m_shared.reads += 1;
+        if (m_shared.is_away) {
+            callback(tl::unexpected(FactLogFault::Refused));
+            return;
+        }
+        Page page;
+        for (auto const& [key, record] : m_shared.records)
+            page.versions.push_back(record);
+        callback(page);
+    }
+
+    void write(Schema::KeptVersion const& version, std::vector<Schema::ModelVersion> const& forgotten, std::function<void(bool)> callback) override
+    {
+        m_shared.writes += 1;
+        if (!m_shared.is_away) {
+            m_shared.records[{ version.model, version.version }] = version;
+            for (auto const& each : forgotten)
+                m_shared.records.erase({ each.model, each.version });
+        }
+        callback(!m_shared.is_away);
+    }
+
+private:
+    SharedRecords& m_shared;
+};
+
+/// An entry, as far as versions go.
+struct Process {
+    Process(Core::EventLoop& loop, SharedRecords& shared, std::string const& identity, std::vector<std::string> const& linked)
+        : kept(loop, std::make_unique<RecordsOfOne>(shared), identity, facts, metrics,
+            { .read = [this](auto const& known) { facts.on_known_versions(known, Core::monotonic_now()); }, .entries = [linked] { return linked; } })
+    {
+        kept.start([this] { is_started = true; });
+    }
+
+    void learn(int64_t version)
+    {
+        auto const now = Core::monotonic_now();
+        m_revision += 1;
+        facts.on_records(Configuration::FactTopic::Configuration, { { Schema::FactKind::ModelVersion, "version/m", m_revision, Schema::ModelVersion { .model = "m", .version = version } } }, m_revision + 1, { now, now });
+        kept.keep_new();
+    }
+
+    int64_t newest() const { return facts.versions().contains("m") ? facts.versions().at("m").newest() : 0; }
+
+    Core::Metrics metrics;
+    Configuration::FactReplica facts;
+    KeptVersions kept;
+    bool is_started { false };
+
+private:
+    int64_t m_revision { 0 };
+};
+
+void run_for(Core::EventLoop& loop, Core::Duration duration)
+{
+    auto const end = loop.after(duration, [&] { loop.stop(); });
+    loop.run();
+}
+
+}
+
+TEST(KeptVersions, AProcessThatStartsKnowsWhatThoseBeforeItKnew)
+{
+    Core::EventLoop loop;
+    SharedRecords shared;
+    auto const known_by = Core::monotonic_now() + Core::Duration(1000);
+    {
+        Process first(loop, shared, "a", {});
+        first.learn(2);
+        run_for(loop, Core::Duration(10));
+        first.learn(3);
+        run_for(loop, Core::Duration(10));
+    }
+    Process second(loop, shared, "b", {});
+    EXPECT_TRUE(second.is_started);
+    EXPECT_EQ(second.newest(), 3);
+    EXPECT_LE(second.facts.versions().at("m").find(3)->known, known_by);
+    second.learn(2);
+    EXPECT_EQ(second.newest(), 3);
+}
+
+TEST(KeptVersions, TwoOfTheLinkedEntriesWriteAVersionDown)
+{
+    Core::EventLoop loop;
+    SharedRecords shared;
+    std::vector<std::string> const all { "a", "b", "c", "d", "e" };
+    std::vector<std::unique_ptr<Process>> processes;
+    for (auto const& identity : all) {
+        auto others = all;
+        std::erase(others, identity);
+        processes.push_back(std::make_unique<Process>(loop, shared, identity, others));
+    }
+    for (auto const& process : processes)
+        process->learn(2);
+    run_for(loop, Core::Duration(50));
+    EXPECT_EQ(shared.writes, 2);
+    EXPECT_EQ(shared.records.size(), 1u);
+}
+
+TEST(KeptVersions, WhatCouldNotBeReadOrWrittenIsTriedAgain)
+{
+    Core::EventLoop loop;
+    SharedRecords shared;
+    shared.records[{ "m", 3 }] = { .known_at_ms = 0, .model = "m", .version = 3 };
+    shared.is_away = true;
+    Process process(loop, shared, "a", {});
+    EXPECT_TRUE(process.is_started);
+    EXPECT_FALSE(process.kept.is_read());
+    process.learn(4);
+    EXPECT_EQ(shared.writes, 0) << "what is not read may be there already";
+    shared.is_away = false;
+    run_for(loop, Core::Duration(1200));
+    EXPECT_TRUE(process.kept.is_read());
+    EXPECT_TRUE(shared.records.contains({ "m", 4 }));
+    shared.is_away = true;
+    process.learn(5);
+    EXPECT_FALSE(shared.records.contains({ "m", 5 }));
+    shared.is_away = false;
+    run_for(loop, Core::Duration(1500));
+    EXPECT_TRUE(shared.records.contains({ "m", 5 }));
+}
+
+TEST(KeptVersions, OnlyTheNewestOfAModelAreKept)
+{
+    Core::EventLoop loop;
+    SharedRecords shared;
+    Process process(loop, shared, "a", {});
+    for (int64_t version = 2; version <= 40; ++version) {
+        process.learn(version);
+        run_for(loop, Core::Duration(5));
+    }
+    EXPECT_EQ(shared.records.size(), 16u);
+    EXPECT_TRUE(shared.records.contains({ "m", 40 }));
+    EXPECT_FALSE(shared.records.contains({ "m", 24 }));
+}
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import collections
 import hashlib
 import json
 import random
@@ -162,6 +163,8 @@
             return await self.store.log_read(self, request)
         if request.path == "/log-newest":
             return await self.store.log_newest(self, request)
+        if request.path == "/log-append" and request.query["topic"] not in ("keyed.op", "keyed.servers"):
+            return await self.store.log_append(self, request)
         return await self.reply(request, 404)
 
 
@@ -170,8 +173,9 @@
 
     def __init__(self, loop):
         self.loop = loop
-        self.topics = {"keyed.op": [], "keyed.servers": []}
-        self.first = {"keyed.op": 0, "keyed.servers": 0}
+        # A topic is there from its first use on.
+        self.topics = collections.defaultdict(list)
+        self.first = collections.defaultdict(int)
         self.calls = 0
         self.changed = asyncio.Event()
 
@@ -189,6 +193,20 @@
         for topic, records in self.topics.items():
             self.first[topic] = len(records)
 
+    async def log_append(self, door, request):
+        """Takes the records of a keyed topic, as the product writes them."""
+        topic, body, records = request.query["topic"], request.body, []
+        while body:
+            size = struct.unpack(">I", body[:4])[0]
+            record, body = body[4:4 + size], body[4 + size:]
+            assert len(record) == size and record[0] < size, "a record is cut"
+            records.append((record[1:1 + record[0]].decode(), record[1 + record[0]:]))
+        offset = len(self.topics[topic])
+        self.topics[topic] += records
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return await door.reply(request, 200, body=json.dumps({"offset": offset, "end": len(self.topics[topic])}).encode())
+
     async def log_read(self, door, request):
         topic = request.query["topic"]
         start = int(request.query["From"])
