Entry, agents, LibPlatform: Take no step back to an older configuration or version where a late write left it newest; review's gaps

Cause: found by a reviewer who had not seen the work, and by looking where else the order of records decides: an entry that starts alone goes by an older configuration; an agent loads an older version in place of a newer one; what the platform's store turned both writers away from is never kept; a wrong time of day, kept as certain and told to others, cuts a bound short. Change: entries tell the version of the configuration that they go by, and who has an older one asks; of configurations the version decides, not the offset. An engine is never turned back, and one that holds a version shows that it was named. Three stand-ins follow the two writers. What is remembered by a time of day is told to nobody and yields to the date of a process that lives. An agent takes the earlier of two dates. `older_record` says when a newest record is an older one. Before / after: the tests of the review follow; test_an_entry_that_starts_again_goes_by_the_newest_configuration_that_others_know failed before.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -32,6 +32,12 @@
     changes.has_versions = changes.has_versions || taken == NamedVersions::Taken::NewestVersion;
 }
 
+bool FactReplica::is_newest_record(Fact const& fact) const
+{
+    auto const known = m_facts.find({ fact.kind, fact.key });
+    return known == m_facts.end() || known->second.revision < fact.revision;
+}
+
 bool FactReplica::is_as_new(Key const& key, Schema::ModelVersion const& version) const
 {
     auto const known = m_facts.find(key);
@@ -43,6 +49,8 @@
 {
     if (auto const* configuration = std::get_if<std::shared_ptr<Schema::RoutingConfiguration const>>(&fact.value)) {
         // A record with a lower version than the one in force is never a step forward.
+        if (m_configuration && (*configuration)->version < m_configuration->version && is_newest_record(fact))
+            changes.older_records.push_back(fact.key);
         if (m_configuration && (*configuration)->version <= m_configuration->version)
             return false;
         m_configuration = *configuration;
@@ -54,6 +62,8 @@
         bool const is_known = m_versions[named->model].find(named->version);
         auto const named_after = is_known ? std::nullopt : read.written_after;
         take_version(named->model, { named->version, read.earliest(), named_after, read.now }, changes);
+        if (named->version < m_versions[named->model].newest() && is_newest_record(fact))
+            changes.older_records.push_back(fact.key);
         return is_as_new({ fact.kind, fact.key }, *named);
     }
     return true;
@@ -63,7 +73,9 @@
 {
     auto const key = Key(fact.kind, fact.key);
     auto const known = m_facts.find(key);
-    if (known != m_facts.end() && known->second.revision >= fact.revision)
+    // Of configurations the version decides: the log's newest record may be an older one that was written late.
+    bool const is_configuration = fact.kind == Schema::FactKind::Configuration;
+    if (known != m_facts.end() && known->second.revision >= fact.revision && !is_configuration)
         return;
     bool const is_server = fact.kind == Schema::FactKind::BackendServer;
     // The configuration and named versions are never taken back.
@@ -150,7 +162,7 @@
 {
     FactChanges changes;
     for (auto const& each : versions)
-        take_version(each.model, { each.version, now, {}, std::min(each.known, now) }, changes);
+        take_version(each.model, { each.version, now, {}, now, std::min(each.known, now) }, changes);
     return changes;
 }
 
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -42,10 +42,12 @@
     bool has_versions { false };
     /// Versions that were known and whose date is another now.
     std::vector<Schema::ModelVersion> dated_versions;
+    /// Keys whose newest record names an older version than the one that is known: a write was carried out late.
+    std::vector<std::string> older_records;
     /// Backend servers added, changed or removed.
     std::vector<std::string> servers;
 
-    bool has_any() const { return has_configuration || has_versions || !servers.empty(); }
+    bool has_any() const { return has_configuration || has_versions || !older_records.empty() || !servers.empty(); }
 };
 
 /// When records were read, and since when what is new among them can have been written.
@@ -59,11 +61,11 @@
     Core::Time earliest() const { return sent_after.value_or(now); }
 };
 
-/// A version that another process knew of, or one before this.
+/// A version that was known before this process, or that an engine holds.
 struct KnownVersion {
     std::string model;
     int64_t version { 0 };
-    /// A time at which it was known.
+    /// A time at which it was known, as far as times of day can be trusted.
     Core::Time known { 0 };
 };
 
@@ -112,6 +114,8 @@
     void apply(Fact const&, ReadTime const&, FactChanges&);
     bool take_value(Fact const&, ReadTime const&, FactChanges&);
     void take_version(std::string const& model, NamedVersion const&, FactChanges&);
+    /// Whether no later record of the fact's key is known.
+    bool is_newest_record(Fact const&) const;
     /// Whether a named version's fact is no older than the one that is held under its key.
     bool is_as_new(Key const&, Schema::ModelVersion const&) const;
     /// Adds all known versions of a model to a fact that goes to a peer.
--- a/Libraries/LibConfiguration/NamedVersions.cpp
+++ b/Libraries/LibConfiguration/NamedVersions.cpp
@@ -15,13 +15,18 @@
     return std::max(*a, *b);
 }
 
+bool NamedVersion::is_named_by(Core::Time time) const
+{
+    bool const is_remembered = !named && remembered && *remembered <= time;
+    return known <= time || is_remembered;
+}
+
 int64_t NamedVersions::newest_of(Core::Time named_by, Core::Time found_by) const
 {
     int64_t newest = 0;
     for (auto const& each : versions) {
-        bool const is_named = each.known <= named_by;
         bool const may_be_named = !each.named || *each.named <= named_by;
-        if (is_named || (may_be_named && each.found <= found_by))
+        if (each.is_named_by(named_by) || (may_be_named && each.found <= found_by))
             newest = std::max(newest, each.version);
     }
     return newest;
@@ -41,13 +46,14 @@
 /// Takes the better of each date. One process's guess of when it was named cannot hold against another's having known it.
 static bool take_dates(NamedVersion& known, NamedVersion const& told)
 {
-    auto const named_before = known.named;
-    auto const known_before = known.known;
+    auto const before = known;
+    if (told.remembered)
+        known.remembered = std::min(known.remembered.value_or(*told.remembered), *told.remembered);
     known.known = std::min(known.known, told.known);
     known.named = later_of(known.named, told.named);
     if (known.named)
         known.named = std::min(*known.named, known.known);
-    return known.named != named_before || known.known != known_before;
+    return known.named != before.named || known.known != before.known || known.remembered != before.remembered;
 }
 
 NamedVersions::Taken NamedVersions::take(NamedVersion const& told)
--- a/Libraries/LibConfiguration/NamedVersions.h
+++ b/Libraries/LibConfiguration/NamedVersions.h
@@ -17,8 +17,16 @@
     /// from here: what came late, because a read hung or a peer passed it on, has used up a part of it.
     std::optional<Core::Time> named;
     /// The earliest time at which some process is known to have known of it: by then it was named for certain. Before the
-    /// start of this process where another one, or the platform's store, says so.
+    /// start of this process where another one says so.
     Core::Time known { 0 };
+    /// A time at which it was known by the record of a process that is gone. Times of day tell that, and they may be wrong: it
+    /// is told to no other process, and yields to what one that lives tells of when it was named.
+    std::optional<Core::Time> remembered {};
+
+    /// The best guess of when it was named.
+    Core::Time presumed() const { return named.value_or(remembered.value_or(known)); }
+    /// Whether it was named by a time, for all that is known.
+    bool is_named_by(Core::Time) const;
 };
 
 /// The versions that were named of one model, oldest first. Each has a bound of its own, so a newer one does not
--- a/Libraries/LibDistribution/StagedLoad.cpp
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -47,7 +47,8 @@
     bool const is_new_life = has_sequences && *report.order_sequence < *m_report->order_sequence;
     bool const has_answered = m_ordered_at && !report.is_busy && now - *m_ordered_at >= m_settings.order_patience;
     m_report = report;
-    m_is_serving = Configuration::whole_version(report.held, layers) == m_version;
+    // One that holds a newer version has been told of it by somebody: it is never turned back.
+    m_is_serving = Configuration::whole_version(report.held, layers) >= m_version;
     if (m_is_serving || is_new_life || has_answered)
         m_ordered_at.reset();
 }
--- a/Libraries/LibPlatform/KeptVersions.cpp
+++ b/Libraries/LibPlatform/KeptVersions.cpp
@@ -16,6 +16,9 @@
 static constexpr Core::Duration turn_interval { 500 };
 // One may end before its write is taken. Each write is paid for.
 static constexpr size_t writers = 2;
+// The store may turn both away, and who else is served cannot be told: these follow one after another.
+static constexpr size_t stand_ins = 3;
+static constexpr Core::Duration stand_in_interval { 1500 };
 // Older ones are over for long.
 static constexpr size_t kept_of_a_model = 16;
 
@@ -72,7 +75,9 @@
     std::vector<Configuration::KnownVersion> known;
     for (auto const& each : page.versions) {
         m_kept.emplace(each.model, each.version);
-        auto const age = std::max(Core::Duration(0), wall_now - Core::Time(each.known_at_ms));
+        // A record that claims a time before the epoch, or one to come, has lost its clock.
+        auto const known_at = std::clamp(Core::Time(each.known_at_ms), Core::Time(0), wall_now);
+        auto const age = wall_now - known_at;
         known.push_back({ each.model, each.version, now - age });
     }
     for (auto const& bad : page.bad) {
@@ -83,24 +88,28 @@
     m_callbacks.read(known);
 }
 
-bool KeptVersions::falls_to_this(Version const& version) const
+bool KeptVersions::falls_to_this(Version const& version, Core::Duration known_for) const
 {
     auto ids = m_callbacks.entries();
     ids.push_back(m_identity);
     auto const ranked = Core::rendezvous_order(version.first + "/" + std::to_string(version.second), std::move(ids));
     auto const place = std::find(ranked.begin(), ranked.end(), m_identity);
-    return static_cast<size_t>(place - ranked.begin()) < writers;
+    auto const rank = static_cast<size_t>(place - ranked.begin());
+    if (rank < writers)
+        return true;
+    return rank < writers + stand_ins && known_for >= stand_in_interval * static_cast<int64_t>(rank - writers + 1);
 }
 
 void KeptVersions::keep_new()
 {
-    if (!m_records || !m_is_read || m_is_writing || Core::monotonic_now() < m_next_write_at)
+    auto const now = Core::monotonic_now();
+    if (!m_records || !m_is_read || m_is_writing || now < m_next_write_at)
         return;
     for (auto const& [model, named] : m_facts.versions()) {
         auto const outlived = named.versions.size() - std::min(named.versions.size(), kept_of_a_model);
         for (size_t i = outlived; i < named.versions.size(); ++i) {
             Version const version { model, named.versions[i].version };
-            if (m_kept.contains(version) || !falls_to_this(version))
+            if (m_kept.contains(version) || !falls_to_this(version, now - named.versions[i].found))
                 continue;
             write(version, named.versions[i]);
             return;
@@ -123,7 +132,7 @@
 void KeptVersions::write(Version const& version, Configuration::NamedVersion const& named)
 {
     m_is_writing = true;
-    auto const known_for = Core::monotonic_now() - named.known;
+    auto const known_for = Core::monotonic_now() - std::min(named.known, named.remembered.value_or(named.known));
     Schema::KeptVersion const record { .known_at_ms = (Core::wall_now() - known_for).count(), .model = version.first, .version = version.second };
     auto const forgotten = outlived(version.first);
     m_records->write(record, forgotten, [this, version, forgotten](bool is_done) { on_written(version, forgotten, is_done); });
--- a/Libraries/LibPlatform/KeptVersions.h
+++ b/Libraries/LibPlatform/KeptVersions.h
@@ -47,7 +47,7 @@
     void read();
     void on_read(tl::expected<VersionRecords::Page, FactLogFault> const&);
     void take(VersionRecords::Page const&);
-    bool falls_to_this(Version const&) const;
+    bool falls_to_this(Version const&, Core::Duration known_for) const;
     void write(Version const&, Configuration::NamedVersion const&);
     void on_written(Version const&, std::vector<Schema::ModelVersion> const& forgotten, bool is_done);
     std::vector<Schema::ModelVersion> outlived(std::string const& model) const;
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -1375,6 +1375,10 @@
          * How far the entry has read the operator's log, as in a ping; absent if it does not say.
          */
         std::optional<int64_t> configuration_end;
+        /**
+         * The version of the configuration that the entry goes by, as in a ping.
+         */
+        std::optional<int64_t> configuration_version;
         /**
          * Recent requests of callers by service.
          */
@@ -1632,6 +1636,11 @@
          * this offset.
          */
         std::optional<int64_t> configuration_end;
+        /**
+         * From such an entry: the version of the configuration that it goes by; absent while it has
+         * none.
+         */
+        std::optional<int64_t> configuration_version;
         /**
          * Version of the list the agent holds.
          */
@@ -3482,6 +3491,7 @@
 
     inline void from_json(const json & j, EntryLoad& x) {
         x.configuration_end = get_stack_optional<int64_t>(j, "configuration_end");
+        x.configuration_version = get_stack_optional<int64_t>(j, "configuration_version");
         x.demand = j.at("demand").get<std::vector<ServiceDemand>>();
         x.failure_domain = j.at("failure_domain").get<std::string>();
     }
@@ -3489,6 +3499,7 @@
     inline void to_json(json & j, const EntryLoad & x) {
         j = json::object();
         j["configuration_end"] = x.configuration_end;
+        j["configuration_version"] = x.configuration_version;
         j["demand"] = x.demand;
         j["failure_domain"] = x.failure_domain;
     }
@@ -3640,6 +3651,7 @@
 
     inline void from_json(const json & j, Ping& x) {
         x.configuration_end = get_stack_optional<int64_t>(j, "configuration_end");
+        x.configuration_version = get_stack_optional<int64_t>(j, "configuration_version");
         x.list_version = j.at("list_version").get<int64_t>();
         x.sent_at_ms = j.at("sent_at_ms").get<int64_t>();
     }
@@ -3647,6 +3659,7 @@
     inline void to_json(json & j, const Ping & x) {
         j = json::object();
         j["configuration_end"] = x.configuration_end;
+        j["configuration_version"] = x.configuration_version;
         j["list_version"] = x.list_version;
         j["sent_at_ms"] = x.sent_at_ms;
     }
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -213,14 +213,15 @@
     if (message.engine_state) {
         auto const before = m_servers.version_at(from.identity, now);
         m_servers.on_engine_state(from.identity, *message.engine_state, now);
-        m_roles_changed = m_roles_changed || before != message.engine_state->version;
+        if (before != message.engine_state->version)
+            on_engine_version(from.identity, message.engine_state->version);
     } else if (message.entry_load) {
         bool const is_new = m_sharing.on_peer_load(from.identity, *message.entry_load);
         m_roles_changed = m_roles_changed || is_new;
         if (is_new && m_weights)
             m_weights->update_sources();
         if (message.entry_load->configuration_end)
-            m_facts.on_peer_end(from.identity, *message.entry_load->configuration_end);
+            m_facts.on_peer_end(from.identity, *message.entry_load->configuration_end, message.entry_load->configuration_version);
     } else if (message.pieces) {
         if (m_weights)
             m_weights->on_peer_pieces(from.identity, *message.pieces);
@@ -238,7 +239,22 @@
     } else if (message.facts) {
         m_facts.on_batch(from.identity, *message.facts);
     } else if (message.ping && message.ping->configuration_end) {
-        m_facts.on_peer_end(from.identity, *message.ping->configuration_end);
+        m_facts.on_peer_end(from.identity, *message.ping->configuration_end, message.ping->configuration_version);
+    }
+}
+
+/// An engine that holds a version shows that it was named, whatever the log's newest record says.
+void DirectEntry::on_engine_version(std::string const& ip, int64_t version)
+{
+    m_roles_changed = true;
+    for (auto const* server : m_facts.replica().servers()) {
+        bool const is_there = Transport::split_address(server->address).first == ip;
+        auto const model = is_there ? m_goals.model_of(server->service) : std::nullopt;
+        if (!model || version <= 1 || version <= m_goals.newest(server->service))
+            continue;
+        Core::log_event(Core::LogLevel::Warn, "version_shown_by_engine", { { "engine", ip }, { "model", *model }, { "version", std::to_string(version) } });
+        m_facts.on_shown_version(*model, version);
+        return;
     }
 }
 
@@ -277,6 +293,7 @@
     message.ping->sent_at_ms = Core::monotonic_now().count();
     message.ping->list_version = m_facts.replica().end(Configuration::FactTopic::BackendServers);
     message.ping->configuration_end = m_facts.replica().end(Configuration::FactTopic::Configuration);
+    message.ping->configuration_version = m_facts.configuration_version();
     return message;
 }
 
@@ -286,6 +303,7 @@
     Schema::Message message;
     message.entry_load = m_sharing.load();
     message.entry_load->configuration_end = m_facts.replica().end(Configuration::FactTopic::Configuration);
+    message.entry_load->configuration_version = m_facts.configuration_version();
     return message;
 }
 
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -60,16 +60,29 @@
 Platform::KeptVersions::Callbacks EntryFacts::kept_callbacks()
 {
     return {
-        .read = [this](std::vector<Configuration::KnownVersion> const& known) {
-            auto const changes = m_replica.on_known_versions(known, Core::monotonic_now());
-            if (changes.has_any() || !changes.dated_versions.empty())
-                on_changed(changes); },
+        .read = [this](std::vector<Configuration::KnownVersion> const& known) { take_known(known); },
         .entries = [this] { return m_callbacks.entries(); },
     };
 }
 
+void EntryFacts::take_known(std::vector<Configuration::KnownVersion> const& known)
+{
+    auto const changes = m_replica.on_known_versions(known, Core::monotonic_now());
+    if (changes.has_any() || !changes.dated_versions.empty())
+        on_changed(changes);
+}
+
+void EntryFacts::on_shown_version(std::string const& model, int64_t version)
+{
+    take_known({ { .model = model, .version = version, .known = Core::monotonic_now() } });
+}
+
 void EntryFacts::on_changed(Configuration::FactChanges const& changes)
 {
+    for (auto const& key : changes.older_records) {
+        m_metrics.count("mountbarrow_older_records_total");
+        Core::log_event(Core::LogLevel::Warn, "older_record", { { "key", key } });
+    }
     m_callbacks.changed(changes);
     m_kept.keep_new();
 }
@@ -142,21 +155,41 @@
     m_callbacks.send(entry, request());
 }
 
-void EntryFacts::on_peer_end(std::string const& entry, int64_t configuration_end)
+std::optional<int64_t> EntryFacts::configuration_version() const
 {
-    if (configuration_end <= m_replica.end(Configuration::FactTopic::Configuration)) {
+    auto const& configuration = m_replica.configuration();
+    return configuration ? std::optional(configuration->version) : std::nullopt;
+}
+
+void EntryFacts::on_peer_end(std::string const& entry, int64_t configuration_end, std::optional<int64_t> configuration_version)
+{
+    bool const is_behind = configuration_end > m_replica.end(Configuration::FactTopic::Configuration);
+    // An entry that starts reads the log's newest record, which may be an older configuration that was written late.
+    auto const own_version = this->configuration_version();
+    bool const has_older = own_version && configuration_version && *configuration_version > *own_version;
+    if (!is_behind && !has_older) {
         m_behind_since.reset();
         ask_for_dates(entry);
         return;
     }
     // Its read brought what this one's has not: perhaps this one waits on a dead connection.
-    auto const now = Core::monotonic_now();
+    if (!may_ask_again(Core::monotonic_now()))
+        return;
+    auto message = request();
+    if (!is_behind)
+        message.fact_request->configuration_from = 0;
+    m_callbacks.send(entry, message);
+}
+
+/// Whether this entry has been behind for long enough, and has not just asked.
+bool EntryFacts::may_ask_again(Core::Time now)
+{
     auto const behind_since = m_behind_since.value_or(now);
     m_behind_since = behind_since;
     if (now - behind_since < behind_patience || now - m_asked_at < ask_interval)
-        return;
+        return false;
     m_asked_at = now;
-    m_callbacks.send(entry, request());
+    return true;
 }
 
 void EntryFacts::on_request(std::string const& entry, Schema::FactRequest const& request)
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -53,22 +53,29 @@
     /// A backend server was found to be another than the list says: the list is read again soon.
     void on_servers_doubted() { m_follower.on_servers_doubted(); }
 
+    /// An engine holds a version that nothing else has told of.
+    void on_shown_version(std::string const& model, int64_t version);
+
     /// Another entry has a new link: what was asked over the one before may be gone with it.
     void on_entry_linked(std::string const& entry);
     void on_request(std::string const& entry, Schema::FactRequest const&);
     void on_batch(std::string const& entry, Schema::FactBatch const&);
-    /// Another entry has read the operator's records up to this offset.
-    void on_peer_end(std::string const& entry, int64_t configuration_end);
+    /// Another entry has read the operator's records up to this offset, and goes by this version of the configuration.
+    void on_peer_end(std::string const& entry, int64_t configuration_end, std::optional<int64_t> configuration_version);
+    /// The version of the configuration that this entry goes by, if any.
+    std::optional<int64_t> configuration_version() const;
 
 private:
     Platform::FactFollower::Callbacks follower_callbacks();
     Platform::KeptVersions::Callbacks kept_callbacks();
     void on_changed(Configuration::FactChanges const&);
+    void take_known(std::vector<Configuration::KnownVersion> const&);
     void on_failing(Configuration::FactTopic, Platform::FactLogFault);
     void on_regained(Configuration::FactTopic, Core::Duration lost_for);
     void on_bad_record(Platform::BadRecord const&);
     Schema::Message request() const;
     void ask_for_dates(std::string const& entry);
+    bool may_ask_again(Core::Time now);
 
     std::unique_ptr<Platform::FactLog> m_log;
     Core::Metrics& m_metrics;
--- a/Services/DirectEntry/VersionGoals.cpp
+++ b/Services/DirectEntry/VersionGoals.cpp
@@ -38,7 +38,7 @@
         goal.version = found->second.newest();
     if (found != m_facts.versions().end() && !found->second.versions.empty()) {
         auto const& newest = found->second.versions.back();
-        goal.age_ms = (now - newest.named.value_or(newest.known)).count();
+        goal.age_ms = (now - newest.presumed()).count();
     }
     goal.origin_address = origin_address();
     goal.bound_ms = version_bound.count();
@@ -77,16 +77,24 @@
     return peers;
 }
 
-Configuration::NamedVersions const* VersionGoals::named(std::string const& service) const
+std::optional<std::string> VersionGoals::model_of(std::string const& service) const
 {
     auto const& configuration = m_facts.configuration();
     if (!configuration)
-        return nullptr;
+        return {};
     auto const& services = configuration->services;
     auto const routed = std::find_if(services.begin(), services.end(), [&](auto const& candidate) { return candidate.name == service; });
     if (routed == services.end() || !routed->timing)
+        return {};
+    return routed->timing->model;
+}
+
+Configuration::NamedVersions const* VersionGoals::named(std::string const& service) const
+{
+    auto const model = model_of(service);
+    if (!model)
         return nullptr;
-    auto const found = m_facts.versions().find(routed->timing->model);
+    auto const found = m_facts.versions().find(*model);
     return found == m_facts.versions().end() ? nullptr : &found->second;
 }
 
--- a/Services/DirectEntry/VersionGoals.h
+++ b/Services/DirectEntry/VersionGoals.h
@@ -29,6 +29,9 @@
     /// True if the version of a model's goal was named, and is not just the one of the start.
     bool is_named(std::string const& model) const { return m_facts.versions().contains(model); }
 
+    /// The model that a service's engines serve; nothing for a plain service.
+    std::optional<std::string> model_of(std::string const& service) const;
+
     /// The newest version that is named of a service's model; 0 if none is.
     int64_t newest(std::string const& service) const;
 
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -52,9 +52,7 @@
 bool CopyKeeper::is_seeking(int64_t version) const
 {
     // An engine that holds what is wanted needs no more chunks, until it is restarted.
-    if (goal() && version < goal()->version)
-        return serving_version() < version;
-    return goal() && serving_version() != version;
+    return goal() && serving_version() < version;
 }
 
 bool CopyKeeper::is_lacked(int64_t version) const
--- a/Services/Weights/CopyGoal.cpp
+++ b/Services/Weights/CopyGoal.cpp
@@ -21,6 +21,8 @@
     bool const is_present = m_present && goal.version == m_present->version && goal.model == m_present->model;
     if (is_present) {
         m_present = goal;
+        // Who told first may have just started, and not have known for how long it had been named.
+        m_named_at = std::min(m_named_at, named_at);
         m_fetcher.set_goal(goal, m_named_at);
         return false;
     }
--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -312,6 +312,19 @@
     EXPECT_EQ(third.versions().at("m").newest(), 3);
 }
 
+TEST(FactReplica, APeersNewerConfigurationHoldsAgainstAnOlderRecordThatWasWrittenLate)
+{
+    FactReplica peer;
+    peer.on_records(FactTopic::Configuration, { configuration_fact(6, 1) }, 2, followed(Core::Time(1000)));
+    peer.on_records(FactTopic::Configuration, { configuration_fact(3, 2) }, 3, followed(Core::Time(2000)));
+    EXPECT_EQ(peer.configuration()->version, 6);
+    FactReplica replica;
+    replica.on_listing(FactTopic::Configuration, { configuration_fact(3, 2) }, 3, { Core::Time(9000), {} });
+    EXPECT_TRUE(replica.on_peer(told_by(peer, Core::Time(9010)), told_at(Core::Time(9010))).has_configuration);
+    EXPECT_EQ(replica.configuration()->version, 6);
+    EXPECT_EQ(replica.end(FactTopic::Configuration), 3);
+}
+
 TEST(FactReplica, AGuessOfWhenAVersionWasNamedYieldsToWhoKnewOfItBefore)
 {
     FactReplica peer;
--- a/Tests/Platform/test_restarts_and_versions.py
+++ b/Tests/Platform/test_restarts_and_versions.py
@@ -66,3 +66,25 @@
             late = runs_on_an_old_version(fleet, entry, ended)
             assert not late, (is_written_again, is_one_alone, late[:3], late[-3:])
             assert fleet.call(entry, "GET", "/public/a").status == 200, "what needs no version is served"
+
+
+def test_an_entry_that_starts_again_goes_by_the_newest_configuration_that_others_know(build, folders):
+    """
+    Seen: nothing yet; looked for where the cause of the test above could act again.
+    How: a configuration is written again, behind a newer one, by a write that the store carried out late. One entry starts again.
+    Cause: the entry takes the newest record for the newest configuration, and others compare no more than how far they have read.
+    Proof: it goes by the older one for as long as it runs.
+    """
+    with Fleet(build, folders) as fleet:
+        wait_linked(fleet)
+        older = fleet.version
+        fleet.configure()
+        wait_until(lambda: all(fleet.configuration_in_force(each) == fleet.version for each in fleet.entries), "the newer configuration everywhere")
+        newest = fleet.version
+        fleet.version = older - 3
+        fleet.configure()
+        fleet.version = newest
+        entry = fleet.entries[0]
+        start_again(fleet, [entry], [])
+        wait_until(lambda: fleet.configuration_in_force(entry) == newest, "the newest configuration at the entry that started again")
+        assert fleet.configuration_in_force(fleet.entries[1]) == newest
