Tests: Older records, bad clocks and refused writers still undo what is known (review, red)

Ruled out: nothing. Change: six unit tests; records of a test may now refuse the writes of some processes alone, no earlier check was changed. Conclusion: open.

--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -341,6 +341,30 @@
     EXPECT_EQ(third.versions().at("m").newest_of(Core::Time(1000), Core::Time(0)), 2);
 }
 
+TEST(FactReplica, APeerTellsOfAConfigurationThatTheLogHasAnOlderRecordOf)
+{
+    FactReplica peer;
+    peer.on_records(FactTopic::Configuration, { configuration_fact(6, 1) }, 2, followed(Core::Time(1000)));
+    // The write of an older one was carried out late.
+    peer.on_records(FactTopic::Configuration, { configuration_fact(3, 2) }, 3, followed(Core::Time(2000)));
+    ASSERT_EQ(peer.configuration()->version, 6);
+    FactReplica started_later;
+    started_later.on_listing(FactTopic::Configuration, { configuration_fact(3, 2) }, 3, { Core::Time(9000), {} });
+    auto const answer = peer.facts_since({ .configuration_from = started_later.end(FactTopic::Configuration), .servers_from = 0 }, Core::Duration(0), Core::Time(9010));
+    started_later.on_peer(answer, told_at(Core::Time(9010)));
+    EXPECT_EQ(started_later.configuration()->version, 6);
+}
+
+TEST(FactReplica, AServerThatDrainsIsNotReadyAgainByAHeartbeatThatWasCarriedOutLate)
+{
+    FactReplica replica;
+    replica.on_records(FactTopic::BackendServers, { server_fact("s", false, 0), server_fact("s", true, 1) }, 2, followed(Core::Time(1000)));
+    ASSERT_TRUE(replica.server("s")->is_draining);
+    // A server that drains ends; one that starts again has another identity.
+    replica.on_records(FactTopic::BackendServers, { server_fact("s", false, 2) }, 3, followed(Core::Time(2000)));
+    EXPECT_TRUE(replica.server("s")->is_draining);
+}
+
 RC_GTEST_PROP(FactReplica, TheNewestVersionAndWhatIsKnownOfItNeverMoveBack, ())
 {
     FactReplica replica;
--- a/Tests/LibDistribution/TestStagedLoad.cpp
+++ b/Tests/LibDistribution/TestStagedLoad.cpp
@@ -302,3 +302,23 @@
     ASSERT_TRUE(order.has_value());
     EXPECT_EQ(order->manner, Platform::LoadManner::WaitForRunning);
 }
+
+TEST(StagedLoad, AnEngineThatServesANewerVersionIsNotTurnedBack)
+{
+    static constexpr size_t chunks = 2;
+    StagedLoad load(2, chunks, {});
+    for (size_t i = 0; i < chunks; ++i)
+        load.on_held(i);
+    for (int step = 1; step < 400; ++step) {
+        Core::Time const now(step * 50);
+        load.on_report(report(3, false, 7), layers, now);
+        for (auto const& action : load.step(now)) {
+            if (auto const* stage = std::get_if<StageChunk>(&action))
+                load.on_staged(stage->chunk, true);
+            else if (auto const* read = std::get_if<ReadBackChunk>(&action))
+                load.on_read_back(read->chunk, true, now);
+            else
+                FAIL() << "an older version is ordered " << step;
+        }
+    }
+}
--- a/Tests/LibPlatform/TestKeptVersions.cpp
+++ b/Tests/LibPlatform/TestKeptVersions.cpp
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: BSD-2-Clause
+#include <LibCore/Hash.h>
 #include <LibPlatform/KeptVersions.h>
 #include <gtest/gtest.h>
 #include <map>
+#include <set>
 
 using namespace Platform;
 
@@ -12,14 +14,17 @@
 public:
     std::map<std::pair<std::string, int64_t>, Schema::KeptVersion> records;
     bool is_away { false };
+    /// Those whose writes are turned away, while the others are served.
+    std::set<std::string> refused;
     int reads { 0 };
     int writes { 0 };
 };
 
 class RecordsOfOne final : public VersionRecords {
 public:
-    explicit RecordsOfOne(SharedRecords& shared)
+    RecordsOfOne(SharedRecords& shared, std::string identity)
         : m_shared(shared)
+        , m_identity(std::move(identity))
     {
     }
 
@@ -39,22 +44,24 @@
     void write(Schema::KeptVersion const& version, std::vector<Schema::ModelVersion> const& forgotten, std::function<void(bool)> callback) override
     {
         m_shared.writes += 1;
-        if (!m_shared.is_away) {
+        bool const is_taken = !m_shared.is_away && !m_shared.refused.contains(m_identity);
+        if (is_taken) {
             m_shared.records[{ version.model, version.version }] = version;
             for (auto const& each : forgotten)
                 m_shared.records.erase({ each.model, each.version });
         }
-        callback(!m_shared.is_away);
+        callback(is_taken);
     }
 
 private:
     SharedRecords& m_shared;
+    std::string m_identity;
 };
 
 /// An entry, as far as versions go.
 struct Process {
     Process(Core::EventLoop& loop, SharedRecords& shared, std::string const& identity, std::vector<std::string> const& linked)
-        : kept(loop, std::make_unique<RecordsOfOne>(shared), identity, facts, metrics,
+        : kept(loop, std::make_unique<RecordsOfOne>(shared, identity), identity, facts, metrics,
             { .read = [this](auto const& known) { facts.on_known_versions(known, Core::monotonic_now()); }, .entries = [linked] { return linked; } })
     {
         kept.start([this] { is_started = true; });
@@ -161,3 +168,58 @@
     EXPECT_TRUE(shared.records.contains({ "m", 40 }));
     EXPECT_FALSE(shared.records.contains({ "m", 24 }));
 }
+
+TEST(KeptVersions, AVersionIsWrittenDownByOthersWhereTheStoreTurnsAwayThoseWhoseTurnItIs)
+{
+    Core::EventLoop loop;
+    SharedRecords shared;
+    std::vector<std::string> const all { "a", "b", "c", "d", "e" };
+    auto const ranked = Core::rendezvous_order("m/3", all);
+    shared.refused = { ranked[0], ranked[1] };
+    std::vector<std::unique_ptr<Process>> processes;
+    for (auto const& identity : all) {
+        auto others = all;
+        std::erase(others, identity);
+        processes.push_back(std::make_unique<Process>(loop, shared, identity, others));
+    }
+    for (auto const& process : processes)
+        process->learn(3);
+    run_for(loop, Core::Duration(4000));
+    EXPECT_TRUE(shared.records.contains({ "m", 3 }));
+}
+
+TEST(KeptVersions, AVersionThatWasNamedJustBeforeARestartKeepsItsBound)
+{
+    Core::EventLoop loop;
+    SharedRecords shared;
+    {
+        Process first(loop, shared, "a", {});
+        first.learn(2);
+        run_for(loop, Core::Duration(10));
+    }
+    Process second(loop, shared, "b", {});
+    second.learn(2);
+    // Long after the start, as far as the time goes in which a version without a date is let off, and long before the bound.
+    auto const soon = Core::monotonic_now() + Core::Duration(3000);
+    EXPECT_EQ(second.facts.versions().at("m").newest_of(soon - Core::Duration(6500), soon - Core::Duration(2500)), 0);
+}
+
+TEST(KeptVersions, AnInstanceWhoseTimeOfDayIsBehindDatesNoVersionBeforeItsNaming)
+{
+    Core::EventLoop loop;
+    SharedRecords shared;
+    Process running(loop, shared, "a", {});
+    running.learn(2);
+    auto const before = Core::monotonic_now();
+    run_for(loop, Core::Duration(10));
+    // Written down by another, an hour behind, just as this one read it.
+    running.learn(3);
+    shared.records[{ "m", 3 }] = { .known_at_ms = (Core::wall_now() - Core::Duration(3600000)).count(), .model = "m", .version = 3 };
+    Process started(loop, shared, "b", {});
+    started.learn(3);
+    auto const now = Core::monotonic_now();
+    running.facts.on_peer(started.facts.facts_since({}, Core::Duration(0), now), { now, now });
+    // This one had read on without it until just now.
+    EXPECT_GE(running.facts.versions().at("m").find(3)->known, before);
+    EXPECT_EQ(running.facts.versions().at("m").newest_of(before - Core::Duration(1000), Core::Time(0)), 0);
+}
