Tests: An agent keeps the first date that it hears of a version (review, red)

Cause: found in review of the mend; nothing is mended here. Ruled out: nothing. Change: one unit test. Conclusion: open.

--- a/Tests/Weights/TestCopyGoal.cpp
+++ b/Tests/Weights/TestCopyGoal.cpp
@@ -99,3 +99,18 @@
     EXPECT_FALSE(name(2)) << "it is older";
     EXPECT_EQ(m_turned_to, (std::vector<int64_t> { 1, 3 }));
 }
+
+TEST_F(CopyGoalTest, ABetterDateOfThePresentVersionIsTaken)
+{
+    Schema::WeightsGoal goal {};
+    goal.model = "m";
+    goal.version = 3;
+    goal.origin_address = "origin";
+    goal.chunks = HeldBackOrigin::chunk_count;
+    goal.bound_ms = 8000;
+    auto const now = Core::monotonic_now();
+    // The first to tell has just started and cannot date it; the next one followed the records.
+    EXPECT_TRUE(m_goal.name(goal, now));
+    m_goal.name(goal, now - Core::Duration(5000));
+    EXPECT_EQ(m_goal.named_at(), now - Core::Duration(5000));
+}
