DirectEntry: Judge whether a key may be known by the age of the configuration alone

Cause: an entry that knows no key of a request's answers 401, or 503 while a newer configuration may allow it. Whether one may was judged by the age of all facts, the backend servers' list among them: an entry with the newest configuration answered 503 to a bad key for as long as only its reads of the list failed. Ruled out, by reading: an unreadable list of customers is remembered (has_unreadable_customers belongs to the configuration in force, and an unreadable record never comes into force); no configuration (it was in force by the metrics). Change: is_stale goes by the operator's records. mountbarrow_fact_age_ms still tells the older of both. The stand-in of the store can turn away the calls for one topic; the fleet reads any plain metric.

--- a/Libraries/LibPlatform/FactFollower.h
+++ b/Libraries/LibPlatform/FactFollower.h
@@ -62,6 +62,9 @@
     /// Time since the older of both topics was known to be current.
     Core::Duration age(Core::Time now) const;
 
+    /// Time since the operator's records were known to be current, whatever is known of the backend servers.
+    Core::Duration configuration_age(Core::Time now) const { return now - m_configuration.current_at; }
+
 private:
     struct Topic {
         Configuration::FactTopic topic;
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -454,7 +454,7 @@
 
 bool DirectEntry::is_stale() const
 {
-    return m_facts.age(Core::monotonic_now()) > stale_after;
+    return m_facts.configuration_age(Core::monotonic_now()) > stale_after;
 }
 
 bool DirectEntry::is_ready() const
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -49,6 +49,7 @@
     bool knows_kept_versions() const { return m_kept.is_read(); }
     /// Time since the older of both topics was known to be current.
     Core::Duration age(Core::Time now) const { return m_follower.age(now); }
+    Core::Duration configuration_age(Core::Time now) const { return m_follower.configuration_age(now); }
 
     /// A backend server was found to be another than the list says: the list is read again soon.
     void on_servers_doubted() { m_follower.on_servers_doubted(); }
--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -217,13 +217,16 @@
                     return text
                 text += part
 
-    def configuration_in_force(self, entry):
-        """The version of the configuration that an entry goes by, as its metrics tell it."""
+    def metric(self, entry, name):
         for line in self.call(entry, "GET", "/metrics", port=CHUNK_PORT).body.decode().splitlines():
-            if line.startswith("mountbarrow_configuration_version "):
-                return int(float(line.split()[1]))
+            if line.startswith(name + " "):
+                return float(line.split()[1])
         return 0
 
+    def configuration_in_force(self, entry):
+        """The version of the configuration that an entry goes by, as its metrics tell it."""
+        return int(self.metric(entry, "mountbarrow_configuration_version"))
+
     def runs(self, request_id, servers=None):
         return sum(1 for server in servers or self.engines + self.plains for run in server.runs if run[0] == request_id)
 
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -122,6 +122,8 @@
         self.silent_up_to = 0
         # So many of the next reads of the operator's records that do not wait are turned away.
         self.turned_away = 0
+        # All calls for this topic are turned away, if it is one's name.
+        self.closed_topic = ""
         self.taken = 0
         # Where the next answer that brings the operator's records falls silent: "", "head" or "body".
         self.silent_within = ""
@@ -151,6 +153,8 @@
         if self.turned_away > 0 and "WaitMs" not in request.query and request.query.get("topic") == "keyed.op":
             self.turned_away -= 1
             return await self.reply(request, 429)
+        if self.closed_topic and request.query.get("topic") == self.closed_topic:
+            return await self.reply(request, 503)
         if self.mode == "reset":
             self.reset(request)
             return False
--- a/Tests/Platform/test_silent_store.py
+++ b/Tests/Platform/test_silent_store.py
@@ -15,6 +15,8 @@
 # With this bound on being in touch a read waits longer than the pause, so that it is answered and not given up.
 CONTACT_OF_PAUSED_MS = 5000
 PAUSE_SECONDS = 2.8
+# Past this an entry no longer takes what it knows to be the newest.
+STALE_MS = 4000
 
 
 def name_version_that_cannot_be_had(fleet):
@@ -127,3 +129,25 @@
             after_silence = [query for (_, is_answered), (query, _) in zip(reads, reads[1:]) if not is_answered]
             assert after_silence, "no read fell silent"
             assert not any("WaitMs" in query for query in after_silence), after_silence
+
+
+def status_for_a_bad_key_without(build, folders, topic):
+    """What an entry without peers answers to a key that no configuration holds, long after the store last told of a topic."""
+    with Fleet(build, folders, entries=1) as fleet:
+        entry = entry_that_follows(fleet)
+        fleet.doors[entry].closed_topic = topic
+        wait_until(lambda: fleet.metric(entry, "mountbarrow_fact_age_ms") > STALE_MS, f"the entry's facts to be old without {topic}")
+        return fleet.call(entry, "POST", "/once/a", body=b"x", key="key-unknown").status
+
+
+def test_a_bad_key_is_refused_for_good_while_only_the_list_of_servers_is_old(build, folders):
+    """
+    Seen: a key that no readable configuration had held was answered 503, once, by an entry that had the newest configuration.
+    How: its reads of the servers' list had failed for longer than those of the configuration; suspected for the run that was
+    seen, which left no lines.
+    Cause: an entry took its configuration to be old where its list of servers was.
+    Proof: with only the list turned away the entry answered 503; with only the configuration turned away it must.
+    """
+    for topic, expected in (("keyed.servers", 401), ("keyed.op", 503)):
+        status = status_for_a_bad_key_without(build, folders, topic)
+        assert status == expected, (topic, status)
