LibTransport, Entry: Answer the connections that wait as a listener closes

Cause: the system resets what waits in a listener's queue as it closes, and to their callers those are open connections; the same where bytes that nobody has read lie in a connection that is closed. An entry that stops did both: IngressServer::stop_accepting closed listener and idle connections as they were, and the entry of the product's own interface ended its loop 1 s after the signal with its listener open. Ruled out: an answer cut in its middle (both entries stopped with nothing unfinished; the answers' ends are waited for already). Change: IngressServer accepts all that waits before it closes its listener, and keeps a connection that was never asked on for 0.5 s and one with unread bytes until they are answered. HttpServer closes its listener once nothing waits there, and says with each answer of a stopping entry that the connection ends; the entry answers for 0.25 s past that. DirectEntry::finish_drain calls stop_accepting as before and waits for what it accepted. Left: a request that crosses the close on the network; a connection that comes within the microseconds between the last look and the close; idle connections of the product's own interface, whose unread bytes evhttp does not show.

--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -239,17 +239,29 @@
     auto on_request = [](evhttp_request* request, void* self) {
         auto* server = static_cast<HttpServer*>(self);
         server->bound_sending(request);
+        if (server->m_is_ending)
+            evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
         std::shared_ptr<HttpExchange> exchange(new HttpExchange(request));
         server->m_handler(std::move(exchange));
     };
     evhttp_set_gencb(server->m_server, on_request, server.get());
-    auto* socket = evhttp_bind_socket_with_handle(server->m_server, address.c_str(), port);
-    if (!socket)
+    server->m_listener = evhttp_bind_socket_with_handle(server->m_server, address.c_str(), port);
+    if (!server->m_listener)
         return Core::failure(Core::ErrorCode::AddressInUse, address + ":" + std::to_string(port));
-    server->m_port = local_port(evhttp_bound_socket_get_fd(socket));
+    server->m_port = local_port(evhttp_bound_socket_get_fd(server->m_listener));
     return server;
 }
 
+bool HttpServer::stop_listening()
+{
+    if (!m_listener)
+        return true;
+    if (has_unread(evhttp_bound_socket_get_fd(m_listener)))
+        return false;
+    evhttp_del_accept_socket(m_server, std::exchange(m_listener, nullptr));
+    return true;
+}
+
 void HttpServer::bound_sending(evhttp_request* request) const
 {
     if (!m_options.send_patience)
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 struct evhttp;
+struct evhttp_bound_socket;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -96,12 +97,21 @@
 
     uint16_t port() const { return m_port; }
 
+    /// From now on each answer says that its connection ends.
+    void end_connections_gently() { m_is_ending = true; }
+    /// Closes the listener, unless a connection waits to be accepted: the system would reset it. Then it stays open, and the
+    /// caller asks again after a turn of the loop, in which the connection is accepted.
+    /// @return whether the listener is closed.
+    bool stop_listening();
+
 private:
     HttpServer() = default;
-
-    evhttp* m_server { nullptr };
     void bound_sending(evhttp_request*) const;
 
+    evhttp* m_server { nullptr };
+    // Null once it is closed.
+    evhttp_bound_socket* m_listener { nullptr };
+    bool m_is_ending { false };
     uint16_t m_port { 0 };
     HttpServerOptions m_options;
     Handler m_handler;
--- a/Libraries/LibTransport/IngressServer.cpp
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibTransport/IngressServer.h>
 
+#include <LibCore/Log.h>
 #include <LibTransport/SocketAddress.h>
+#include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -23,6 +26,9 @@
 // A caller's machine takes what comes even where the caller only waits. An answer of which nothing is taken for so long gets
 // through to nobody, and its work at a backend server ends with its connection.
 static constexpr Core::Duration untaken_answer_limit { 5000 };
+// A caller sends its first request right behind its connection, so within a round trip and the resending of a lost packet
+// (200 ms at least). A server that stops waits no longer for callers that only hold a connection ready.
+static constexpr Core::Duration first_request_patience { 500 };
 
 char const* reason_phrase(int status)
 {
@@ -206,6 +212,7 @@
 void IngressConnection::on_request()
 {
     m_has_request = true;
+    m_has_asked = true;
     m_closes = !m_head.keeps_connection;
     auto request = std::make_shared<IngressRequest>(weak_from_this(), std::exchange(m_head, {}), std::exchange(m_body, {}));
     m_request = request;
@@ -322,6 +329,19 @@
         m_server->m_connections.erase(keep);
 }
 
+/// Whether closing would cut off no request: none is under way, and none has come that nobody has read.
+bool IngressConnection::may_end_at_rest(Core::Time now) const
+{
+    // The end of an answer may still be on its way out.
+    if (m_has_request || m_is_closing || !m_reader.is_between_messages())
+        return false;
+    if (evbuffer_get_length(bufferevent_get_output(m_stream)) > 0)
+        return false;
+    if (!m_has_asked && now - m_quiet_since < first_request_patience)
+        return false;
+    return !has_unread(bufferevent_getfd(m_stream));
+}
+
 void IngressConnection::look_at_time(Core::Time now)
 {
     auto const& limits = m_server->limits();
@@ -335,7 +355,7 @@
     if (m_has_request)
         return;
     if (m_reader.is_between_messages()) {
-        if (quiet >= limits.idle_timeout)
+        if (quiet >= limits.idle_timeout || (m_server->has_stopped_accepting() && may_end_at_rest(now)))
             drop();
         return;
     }
@@ -385,16 +405,36 @@
         connection->look_at_time(now);
 }
 
+/// The system resets what waits in a listener's queue as it closes, and to the callers those are open connections.
+void IngressServer::accept_waiting()
+{
+    auto const listener = evconnlistener_get_fd(m_listener);
+    for (;;) {
+        auto const socket = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket >= 0) {
+            accept(socket);
+            continue;
+        }
+        if (errno == EINTR || errno == ECONNABORTED)
+            continue;
+        if (errno != EAGAIN)
+            Core::log_event(Core::LogLevel::Warn, "accept_failed", { { "error", std::strerror(errno) } });
+        return;
+    }
+}
+
 void IngressServer::stop_accepting()
 {
     m_is_ending = true;
-    if (m_listener)
+    if (m_listener) {
+        accept_waiting();
         evconnlistener_free(std::exchange(m_listener, nullptr));
+    }
+    auto const now = Core::monotonic_now();
     auto const connections = m_connections;
     for (auto const& connection : connections) {
-        // The end of an answer may still be on its way out.
-        if (!connection->m_has_request && connection->m_reader.is_between_messages() && !connection->m_is_closing)
-            connection->close_when_written();
+        if (connection->may_end_at_rest(now))
+            connection->drop();
     }
 }
 
--- a/Libraries/LibTransport/IngressServer.h
+++ b/Libraries/LibTransport/IngressServer.h
@@ -94,9 +94,11 @@
 
     /// From now on each answer says that its connection ends.
     void end_connections_gently() { m_is_ending = true; }
-    /// Takes no new connections and closes those that are at rest.
+    /// Takes no new connections but those that wait already, and closes those that are at rest. A connection that has only
+    /// just come may still bring its first request.
     void stop_accepting();
     bool is_ending() const { return m_is_ending; }
+    bool has_stopped_accepting() const { return m_listener == nullptr; }
 
     size_t connection_count() const { return m_connections.size(); }
 
@@ -104,6 +106,7 @@
     friend class IngressConnection;
     IngressServer() = default;
     void accept(int socket);
+    void accept_waiting();
     void look_for_idle();
 
     Core::EventLoop* m_loop { nullptr };
@@ -138,6 +141,7 @@
     void close_when_written();
     void reset();
     void drop();
+    bool may_end_at_rest(Core::Time now) const;
     void look_at_time(Core::Time now);
 
     Core::EventLoop& m_loop;
@@ -149,6 +153,7 @@
     std::string m_body;
     std::weak_ptr<IngressRequest> m_request;
     bool m_has_request { false };
+    bool m_has_asked { false };
     bool m_closes { false };
     bool m_is_closing { false };
     Core::Time m_quiet_since;
--- a/Libraries/LibTransport/SocketAddress.h
+++ b/Libraries/LibTransport/SocketAddress.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <cstdlib>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string>
 #include <sys/socket.h>
 #include <utility>
@@ -40,4 +41,11 @@
     return ntohs(bound.sin_port);
 }
 
+/// Whether a listening socket has a connection that was not accepted, or another one bytes, or an end, that were not read.
+inline bool has_unread(int socket)
+{
+    pollfd waiting { .fd = socket, .events = POLLIN, .revents = 0 };
+    return poll(&waiting, 1, 0) > 0;
+}
+
 }
--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -28,6 +28,8 @@
 // The balancer's health checks need this long to send callers elsewhere.
 static constexpr Core::Duration health_grace { 500 };
 static constexpr Core::Duration drain_check { 20 };
+// A caller whose connection was the last to be accepted sends its request within this, a resent packet (200 ms) included.
+static constexpr Core::Duration last_request_patience { 250 };
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
 
@@ -361,9 +363,21 @@
     Core::log_event(Core::LogLevel::Info, "draining", { { "in_flight", std::to_string(m_callers->in_flight()) } });
     m_is_draining = true;
     m_draining_since = Core::monotonic_now();
+    m_http->end_connections_gently();
     m_drain_timer = m_loop.every(drain_check, [this] { finish_when_idle(); });
 }
 
+/// Whether nobody can connect any more, and whoever did last has had the time to ask.
+bool Entry::have_last_callers_asked()
+{
+    if (!m_http->stop_listening())
+        return false;
+    auto const now = Core::monotonic_now();
+    if (!m_listening_ended)
+        m_listening_ended = now;
+    return now - *m_listening_ended >= last_request_patience;
+}
+
 void Entry::finish_when_idle()
 {
     auto const waited = Core::monotonic_now() - m_draining_since;
@@ -375,7 +389,7 @@
     bool const is_out_of_time = waited >= Settings::duration_or(m_settings.drain_ms, default_drain);
     // A little longer for the last bytes to leave.
     bool const is_flushed = waited >= 2 * health_grace;
-    if (!is_out_of_time && !(is_idle && is_flushed))
+    if (!is_out_of_time && !(is_idle && is_flushed && have_last_callers_asked()))
         return;
     Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped", { { "unfinished", std::to_string(m_callers->in_flight()) } });
     m_loop.stop();
--- a/Services/Entry/Entry.h
+++ b/Services/Entry/Entry.h
@@ -44,6 +44,7 @@
     void write_snapshot_if_due();
     void drop_silent_links();
     void update_links();
+    bool have_last_callers_asked();
     void finish_when_idle();
     bool is_list_confirmed() const;
     Core::Duration lease() const;
@@ -71,6 +72,7 @@
     Core::Time m_last_check { 0 };
     bool m_is_draining { false };
     Core::Time m_draining_since { 0 };
+    std::optional<Core::Time> m_listening_ended;
     std::unique_ptr<Core::Timer> m_list_timer;
     std::unique_ptr<Core::Timer> m_log_timer;
     std::unique_ptr<Core::Timer> m_tally_timer;
--- a/Tests/LibTransport/TestHttpServer.cpp
+++ b/Tests/LibTransport/TestHttpServer.cpp
@@ -24,6 +24,25 @@
     run_until([&] { return requests == 1 && body.use_count() == 1; });
 }
 
+// The loop does not turn between the caller's connect and the stop, so its connection still waits to be accepted.
+TEST_F(HttpServerTest, AConnectionThatWaitsToBeAcceptedAsTheServerStopsIsAnswered)
+{
+    auto const server = HttpServer::create(m_loop, "127.0.0.1", 0, {}, [](auto const& exchange) { exchange->reply(200, {}, "done"); }).value();
+    RawClient client(server->port());
+    client.send_text("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    server->end_connections_gently();
+    EXPECT_FALSE(server->stop_listening());
+    bool is_closed = false;
+    run_until([&] {
+        is_closed = server->stop_listening();
+        return client.read_more();
+    });
+    EXPECT_TRUE(is_closed);
+    EXPECT_FALSE(client.was_reset());
+    EXPECT_NE(client.text().find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(client.text().ends_with("done"));
+}
+
 // A process that ends while calls wait for their turn must end well.
 TEST_F(HttpServerTest, AServerMayEndBeforeTheCallsThatItHasNotAnswered)
 {
--- a/Tests/LibTransport/TestIngressServer.cpp
+++ b/Tests/LibTransport/TestIngressServer.cpp
@@ -160,3 +160,42 @@
     m_requests[0]->on_gone([&] { is_gone = true; });
     run_until([&] { return is_gone && m_server->connection_count() == 0; });
 }
+
+// The loop does not turn between the caller's connect and the stop, so its connection still waits to be accepted.
+TEST_F(IngressServerTest, AConnectionThatWaitsToBeAcceptedAsTheServerStopsIsAnswered)
+{
+    RawClient client(m_server->port());
+    client.send_text("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    m_on_request = [](IngressRequest& request) { request.reply(200, {}, "done"); };
+    m_server->stop_accepting();
+    run_until([&] { return client.read_more(); });
+    EXPECT_FALSE(client.was_reset());
+    EXPECT_NE(client.text().find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(client.text().ends_with("done"));
+}
+
+TEST_F(IngressServerTest, ARequestThatNobodyHasReadAsTheServerStopsIsAnswered)
+{
+    m_on_request = [](IngressRequest& request) { request.reply(200, {}, request.head().target); };
+    RawClient client(m_server->port());
+    client.send_text("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] {
+        client.read_more();
+        return client.text().ends_with("/1");
+    });
+    client.send_text("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    m_server->stop_accepting();
+    run_until([&] { return client.read_more(); });
+    EXPECT_FALSE(client.was_reset());
+    EXPECT_TRUE(client.text().ends_with("/2"));
+}
+
+TEST_F(IngressServerTest, AConnectionThatNeverAsksIsClosedSoonAfterTheServerStops)
+{
+    RawClient client(m_server->port());
+    m_server->stop_accepting();
+    EXPECT_EQ(m_server->connection_count(), 1U);
+    run_until([&] { return client.read_more(); });
+    EXPECT_FALSE(client.was_reset());
+    EXPECT_EQ(m_server->connection_count(), 0U);
+}
--- a/Tests/Processes/test_requests.py
+++ b/Tests/Processes/test_requests.py
@@ -3,6 +3,7 @@
 
 import json
 import signal
+import socket
 import threading
 import time
 
@@ -94,6 +95,24 @@
             assert {r.split(":")[-1] for r in report["reasons"]} <= allowed, report["reasons"]
 
 
+def test_a_call_that_waits_to_be_accepted_in_an_entrys_last_moment_is_answered(build, folders):
+    with start(build, folders, engines=0, ledgers=1) as cluster:
+        entry = cluster.entries()[0]
+        entry.process.send_signal(signal.SIGTERM)
+        wait_until(lambda: http("GET", cluster.entry_url(entry, "/healthz"))[0] == 503, "the entry to drain")
+        entry.process.send_signal(signal.SIGSTOP)
+        # Once it goes on, all that it waits for before it ends has passed.
+        time.sleep(2)
+        request = f"POST /{LEDGER}/redeem HTTP/1.1\r\nHost: {entry.address}\r\nContent-Length: 2\r\n\r\n{{}}"
+        with socket.create_connection((entry.address, HTTP_PORT), timeout=20) as caller:
+            caller.sendall(request.encode())
+            entry.process.send_signal(signal.SIGCONT)
+            answer = b"".join(iter(lambda: caller.recv(65536), b""))
+        assert answer.startswith(b"HTTP/1.1 503 "), answer
+        assert json.loads(answer.split(b"\r\n\r\n", 1)[1])["type"].endswith(":stopping"), answer
+        assert entry.process.wait(timeout=60) == 0
+
+
 def links(cluster, entry):
     code, _, body = http("GET", cluster.entry_url(entry, "/api/v1/status"))
     return json.loads(body)["links"] if code == 200 else -1
