Tests: Tell why a bad key was not refused for good, and how old the facts were

Ruled out: a change of what is judged; only the line's text is longer. Change: the answer's body, which holds the refusal's type, and mountbarrow_fact_age_ms.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -372,7 +372,8 @@
             for key in [*self.revoked, UNREADABLE_KEY]:
                 answer = self.fleet.call(entry, "POST", "/once/after", body=b"x", key=key)
                 if answer.status != 401:
-                    self.own_ends.append(f"denied: {entry} answers {answer.status} to {key} in the last configuration")
+                    ages = self.fleet.metric(entry, "mountbarrow_fact_age_ms")
+                    self.own_ends.append(f"denied: {entry} answers {answer.status} to {key} in the last configuration ({answer.body.decode(errors='replace')}, facts {ages:.0f} ms old)")
         self.wait(lambda: all(engine.version == self.version for engine in self.fleet.engines), f"version {self.version} everywhere")
 
     def serves(self, entry, path):
