LibPlatform, Entry: Ask entries of the same region for facts before those of others

Cause: an entry whose read of the list of backend servers was late asked three others, wherever they are, for all that it lacked; so it did, once a second, when it was 400 ms behind one that had read further. Each answer carries the whole configuration, a third of a megabyte for 1,640 routes. The link between two regions has 27 Mbit/s, which the entries' own reads of such a configuration nearly fill: what was asked for because a read was late made the reads later. Ruled out, each by a trial with the same command: answers of the store that are a part (none was: the operator's writes of this size take 1.4 s each, so they do not come each 80 ms); smaller parts; a pause of two seconds after a large configuration and then a listing (longest 8.9 s). Change: `AskedPeers` decides whom to ask. A late list is asked of entries in the same region; others are asked from the third failed read in a row, at once (one of three) where the operator's records cannot be read, and at once where nobody is near. One that is ahead in another region is asked after 1.5 s instead of 0.4 s. The tests of `AskedPeers`: with the choice as it was 4 of 5 failed, now 5 of 5 pass, built alone with the sanitizers.

--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -375,9 +375,25 @@
         .changed = [this](FactChanges const& changes) { on_facts(changes); },
         .send = [this](std::string const& entry, Schema::Message const& message) { m_hub->send(entry, message); },
         .entries = [this] { return m_hub->peers(Schema::Role::Entry); },
+        .distance = [this](std::string const& entry) { return distance(entry); },
     };
 }
 
+/// Nobody knows where an entry is before it has told its load.
+Platform::Distance DirectEntry::distance(std::string const& entry) const
+{
+    auto const region = [this](std::string const& failure_domain) {
+        auto const found = m_settings.regions.find(failure_domain);
+        return found == m_settings.regions.end() ? failure_domain : found->second;
+    };
+    for (auto const& each : m_sharing.entries()) {
+        bool const is_near = each.identity == entry && region(each.failure_domain) == region(m_settings.failure_domain);
+        if (is_near)
+            return Platform::Distance::Near;
+    }
+    return Platform::Distance::Far;
+}
+
 void DirectEntry::on_facts(FactChanges const& changes)
 {
     auto const now = Core::monotonic_now();
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -58,6 +58,7 @@
     std::vector<Routing::SharedEngine> listed_engines() const;
     void introduce_entries();
 
+    Platform::Distance distance(std::string const& entry) const;
     void on_facts(Configuration::FactChanges const&);
     void on_configuration();
     Schema::Message news() const;
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -19,10 +19,6 @@
 static constexpr Core::Duration late_on_link = Transport::LinkKeepAlive {}.silence;
 // Two entries that have run for long know when versions were named; of two that have just started neither does.
 static constexpr int most_asked_for_dates = 2;
-// A configuration of a thousand routes takes an entry a second to read: each further answer costs as much again.
-static constexpr size_t asked_at_once = 3;
-// An entry that is behind for this long has a read that hangs; before, its own read is about to bring what others have.
-static constexpr Core::Duration behind_patience { 400 };
 static constexpr Core::Duration ask_interval { 1000 };
 
 Platform::FactFollowerSettings follower_settings(Schema::DirectEntrySettingsBounds const& bounds)
@@ -93,14 +89,17 @@
     if (m_failing.insert(topic).second)
         Core::log_event(Core::LogLevel::Warn, "log_lost", { { "topic", topic_name(topic) }, { "reason", reason }, { "age_ms", std::to_string(age(Core::monotonic_now()).count()) } });
     auto const message = request();
-    auto const entries = m_callbacks.entries();
-    for (size_t i = 0; i < std::min(entries.size(), asked_at_once); ++i)
-        m_callbacks.send(entries[m_next_asked++ % entries.size()], message);
+    std::vector<Platform::Peer> peers;
+    for (auto const& entry : m_callbacks.entries())
+        peers.push_back({ entry, m_callbacks.distance(entry) });
+    for (auto const& entry : m_asked.on_failing(topic, peers))
+        m_callbacks.send(entry, message);
 }
 
 void EntryFacts::on_regained(Configuration::FactTopic topic, Core::Duration lost_for)
 {
     m_failing.erase(topic);
+    m_asked.on_regained(topic);
     // What was read just now is dated by a guess: an entry that went on reading knows better.
     if (topic == Configuration::FactTopic::Configuration)
         m_asked_for_dates = 0;
@@ -127,7 +126,7 @@
 
 void EntryFacts::on_entry_linked(std::string const& entry)
 {
-    if (!m_failing.empty())
+    if (m_asked.may_ask_linked(m_callbacks.distance(entry)))
         m_callbacks.send(entry, request());
     ask_for_dates(entry);
 }
@@ -153,7 +152,8 @@
     auto const now = Core::monotonic_now();
     auto const behind_since = m_behind_since.value_or(now);
     m_behind_since = behind_since;
-    if (now - behind_since < behind_patience || now - m_asked_at < ask_interval)
+    bool const may_ask = Platform::AskedPeers::may_ask_ahead(m_callbacks.distance(entry), now - behind_since);
+    if (!may_ask || now - m_asked_at < ask_interval)
         return;
     m_asked_at = now;
     m_callbacks.send(entry, request());
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -5,6 +5,7 @@
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibCore/PauseWatch.h>
+#include <LibPlatform/AskedPeers.h>
 #include <LibPlatform/FactFollower.h>
 #include <LibPlatform/FactLog.h>
 #include <LibPlatform/KeptVersions.h>
@@ -30,6 +31,8 @@
         std::function<void(std::string const& entry, Schema::Message const&)> send;
         /// The other entries that a message can be sent to.
         std::function<std::vector<std::string>()> entries;
+        /// Where another entry is.
+        std::function<Platform::Distance(std::string const& entry)> distance;
     };
 
     /// Where the facts come from.
@@ -83,8 +86,7 @@
     // Since when others are known to have read further.
     std::optional<Core::Time> m_behind_since;
     Core::Time m_asked_at { 0 };
-    // Which entries are asked next where the log brings nothing.
-    size_t m_next_asked { 0 };
+    Platform::AskedPeers m_asked;
 };
 
 }
