--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -73,8 +73,7 @@
 
 ReadPatience FactFollower::patience(Topic const& topic) const
 {
-    // A listing is answered at once.
-    bool const may_wait = topic.topic == Configuration::FactTopic::Configuration && topic.failures == 0 && !topic.needs_listing;
+    bool const may_wait = topic.topic == Configuration::FactTopic::Configuration && topic.failures == 0;
     ReadPatience patience;
     patience.wait = may_wait ? m_settings.configuration_wait : Core::Duration(0);
     patience.answer = topic.failures > 1 ? m_settings.longest_answer_patience : m_settings.answer_patience;
@@ -112,23 +111,20 @@
     Configuration::ReadTime const read { now, written_after(topic, now) };
     bool const is_regained = topic.failures > 0;
     auto const lost_for = now - topic.current_at;
-    bool const is_configuration = topic.topic == Configuration::FactTopic::Configuration;
     topic.failures = 0;
     topic.blind_since.reset();
     // What the next part brings may be as old as what this one brought.
-    if (page.is_part())
+    if (page.end < page.log_end)
         topic.blind_since = read.written_after;
     topic.has_been_read = true;
-    topic.needs_listing = page.is_part() && is_configuration;
-    if (!topic.needs_listing)
-        topic.current_at = now;
+    topic.needs_listing = false;
+    topic.current_at = now;
     if (is_regained)
         m_callbacks.regained(topic.topic, lost_for);
     for (auto const& bad : page.bad)
         m_callbacks.bad_record(bad);
-    // Peers are asked for what was written from this offset on, and a part left some of that out.
-    auto const end = topic.needs_listing ? m_replica.end(topic.topic) : page.end;
-    auto const changes = is_listing ? m_replica.on_listing(topic.topic, page.facts, end, read) : m_replica.on_records(topic.topic, page.facts, end, read);
+    auto const changes = is_listing ? m_replica.on_listing(topic.topic, page.facts, page.end, read) : m_replica.on_records(topic.topic, page.facts, page.end, read);
+    bool const is_configuration = topic.topic == Configuration::FactTopic::Configuration;
     read_later(topic, is_configuration ? Core::Duration(0) : m_settings.servers_interval);
     if (changes.has_any())
         m_callbacks.changed(changes);
--- a/Libraries/LibPlatform/FactFollower.h
+++ b/Libraries/LibPlatform/FactFollower.h
@@ -32,9 +32,6 @@
 /// a read is given up soon enough for the next one to be answered within the time that the platform allows, and until one
 /// is answered the next ones wait for nothing. What is found after such a read counts as written when that read began, and
 /// what is found after a pause of this process as written when the pause began.
-///
-/// Configurations can come faster than an instance with a small share of a processor translates them. Where an answer is a
-/// part of what there is, the newest record of each key is read next, so that only the newest configuration is translated.
 class FactFollower {
 public:
     struct Callbacks {
@@ -68,7 +65,7 @@
 private:
     struct Topic {
         Configuration::FactTopic topic;
-        // Nothing was read yet, what should be read next is gone, or there is more of it than one answer holds.
+        // Nothing was read yet, or what should be read next is gone.
         bool needs_listing { true };
         bool is_reading { false };
         bool has_been_read { false };
--- a/Libraries/LibPlatform/FactLog.h
+++ b/Libraries/LibPlatform/FactLog.h
@@ -31,12 +31,8 @@
     std::vector<BadRecord> bad;
     /// Offset behind the last record of the page.
     int64_t end { 0 };
-    /// Offset behind the last record that the log held then.
+    /// Offset behind the last record that the log held then: where that is more, the page is a part of what there is.
     int64_t log_end { 0 };
-
-    /// Whether there was more than one answer holds. A part lacks the routing configuration: a newer one is likely to be
-    /// behind it, and translating one of a thousand routes is dear.
-    bool is_part() const { return end < log_end; }
 };
 
 /// How long a read may take.
