platform, LibSchema: Read the start of an engine's incarnation

Cause: the users' page says that an engine may start again under the id that it had, and that `born`, in its list record and its report, is the Unix millisecond of its start. It was read nowhere. Ruled out: taking a missing `born` for unreadable: older records lack it, and would all count as faulty. Making one up (0, or the time of reading): two incarnations would be told apart that are one. The records that the field faults are made from have `born`, so each of its faults is tried. Conclusion: the start is known at the boundary; where it is absent nothing changes. A process from before this change refuses a message that has the field, as with every field that was added so far.

--- a/Libraries/LibPlatform/EngineApi.h
+++ b/Libraries/LibPlatform/EngineApi.h
@@ -14,6 +14,8 @@
 /// What an engine reports of itself.
 struct EngineReport {
     std::vector<Schema::HeldLayers> held;
+    /// Start of the engine's incarnation, milliseconds of the Unix clock; nothing if the engine does not say.
+    std::optional<int64_t> started_at_ms {};
     /// An order is under way.
     bool is_busy { false };
     /// Orders taken since the engine's start; nothing if the engine does not say.
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -311,7 +311,7 @@
          */
         std::vector<HeldLayers> held;
         /**
-         * Incarnation: a restarted backend server has another.
+         * Identity, under which a backend server may start again.
          */
         std::string id;
         /**
@@ -326,6 +326,11 @@
          * Requests run at once.
          */
         int64_t slots;
+        /**
+         * Start of the incarnation, milliseconds of the Unix clock; absent where the platform does
+         * not tell it.
+         */
+        std::optional<int64_t> started_at_ms;
         /**
          * Paths of the fields that could not be read.
          */
@@ -1332,6 +1337,11 @@
          * Incarnation of the engine, empty if unknown.
          */
         std::string server_id;
+        /**
+         * Start of the engine's incarnation, milliseconds of the Unix clock; absent where it does
+         * not tell it.
+         */
+        std::optional<int64_t> started_at_ms;
         /**
          * Version of which the engine holds all layers; 0 for none.
          */
@@ -2801,6 +2811,7 @@
         x.is_draining = j.at("is_draining").get<bool>();
         x.service = j.at("service").get<std::string>();
         x.slots = j.at("slots").get<int64_t>();
+        x.started_at_ms = get_stack_optional<int64_t>(j, "started_at_ms");
         x.unreadable_fields = j.at("unreadable_fields").get<std::vector<std::string>>();
     }
 
@@ -2814,6 +2825,7 @@
         j["is_draining"] = x.is_draining;
         j["service"] = x.service;
         j["slots"] = x.slots;
+        j["started_at_ms"] = x.started_at_ms;
         j["unreadable_fields"] = x.unreadable_fields;
     }
 
@@ -3446,6 +3458,7 @@
         x.pace = j.at("pace").get<double>();
         x.running = j.at("running").get<int64_t>();
         x.server_id = j.at("server_id").get<std::string>();
+        x.started_at_ms = get_stack_optional<int64_t>(j, "started_at_ms");
         x.version = j.at("version").get<int64_t>();
         x.waiting = j.at("waiting").get<int64_t>();
     }
@@ -3456,6 +3469,7 @@
         j["pace"] = x.pace;
         j["running"] = x.running;
         j["server_id"] = x.server_id;
+        j["started_at_ms"] = x.started_at_ms;
         j["version"] = x.version;
         j["waiting"] = x.waiting;
     }
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -143,3 +143,20 @@
     EXPECT_EQ(report->held.at(0).version, 1);
     EXPECT_TRUE(read_report(R"({"Busy":false})")->held.empty());
 }
+
+TEST(Records, TheStartOfAnIncarnationIsReadWhereItIsTold)
+{
+    EXPECT_EQ(read_server("i-1", R"({"Service":"s","Address":"10.0.0.9:80","State":"ready","born":1796600000123})")->started_at_ms, 1796600000123);
+    EXPECT_EQ(read_report(R"({"Busy":false,"CallSeq":2,"born":1796600000123})")->started_at_ms, 1796600000123);
+    auto const older = read_server("i-1", R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":1,"State":"ready"})");
+    EXPECT_EQ(older->started_at_ms, std::nullopt);
+    EXPECT_TRUE(older->unreadable_fields.empty());
+    EXPECT_EQ(read_report(R"({"Busy":false,"CallSeq":2})")->started_at_ms, std::nullopt);
+}
+
+TEST(Records, AStateThatIsNoneOfThePagesIsNoted)
+{
+    auto const server = read_server("i-1", R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":1,"State":"resting"})");
+    EXPECT_TRUE(server->is_draining);
+    EXPECT_EQ(server->unreadable_fields, std::vector<std::string> { "State" });
+}
--- a/Tests/Platform/TestFieldFaults.cpp
+++ b/Tests/Platform/TestFieldFaults.cpp
@@ -31,12 +31,12 @@
 
 static Json server_record()
 {
-    return Json::parse(R"({"Service":"engines","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":16,"State":"ready","ColdLeftMs":0,"Stage":"both","Models":[{"Name":"m","Version":3,"Adapters":[]}],"layers":{"From":0,"TargetVersion":16,"Version":3},"CallSeq":4})");
+    return Json::parse(R"({"Service":"engines","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":16,"State":"ready","ColdLeftMs":0,"Stage":"both","Models":[{"Name":"m","Version":3,"Adapters":[]}],"layers":{"From":0,"TargetVersion":16,"Version":3},"CallSeq":4,"born":1796600000123})");
 }
 
 static Json report_record()
 {
-    return Json::parse(R"({"Stage":"both","Models":[{"Name":"m","Version":3,"Adapters":[]}],"layers":{"From":0,"TargetVersion":16,"Version":3},"Busy":false,"CallSeq":2,"Waiting":1,"Running":12,"KvUsed":41000,"KvTotal":90000,"Handles":0,"pace":1.5})");
+    return Json::parse(R"({"Stage":"both","Models":[{"Name":"m","Version":3,"Adapters":[]}],"layers":{"From":0,"TargetVersion":16,"Version":3},"Busy":false,"CallSeq":2,"Waiting":1,"Running":12,"KvUsed":41000,"KvTotal":90000,"Handles":0,"pace":1.5,"born":1796600000123})");
 }
 
 /// Every field, element and nested field of a record.
@@ -219,6 +219,12 @@
     EXPECT_TRUE(is_typed_reason(read_configuration(record.dump(), CustomerKeys::Expected).error()));
 }
 
+/// A start that cannot be read is not made up.
+static void expect_start(std::optional<int64_t> started_at_ms, std::string const& faulty_path)
+{
+    EXPECT_EQ(started_at_ms, faulty_path == "/born" ? std::nullopt : std::optional<int64_t>(1796600000123)) << faulty_path;
+}
+
 TEST(FieldFaults, OneFieldOfAListedServerLeavesItListedOrDraining)
 {
     std::set<std::string> const needed { "/Service", "/Address" };
@@ -232,6 +238,7 @@
         }
         EXPECT_EQ(read->service, "engines") << what;
         EXPECT_EQ(read->is_draining, fault.path == "/State") << what;
+        expect_start(read->started_at_ms, fault.path);
         bool const is_about_model = fault.path.starts_with("/Models") || fault.path.starts_with("/layers");
         if (!is_about_model) {
             EXPECT_EQ(read->held.at(0).version, 3) << what;
@@ -258,6 +265,7 @@
         if (fault.path == "/CallSeq") {
             EXPECT_EQ(read->order_sequence, std::nullopt) << what;
         }
+        expect_start(read->started_at_ms, fault.path);
     }
 }
 
