LibConfiguration: Keep the latest incarnation of a server, whatever older record comes late

Cause: FactReplica told an engine from its successor by id and address alone. A record that the one before had written, and that the store took after the new one's first, replaced it; one that was leaving became ready by a late record; and a server whose address had gone to another was never listed again, also after it had started anew under its id. Ruled out: the order in the log alone: it is the order of the store's work, not of the engine's. Taking an older start after some records in a row: an engine may have several writes open, and all may be late. Change: of two records with a start the later start holds, wherever they stand and whoever tells them; within one start `draining` holds. A removal of the record lets in whatever is written behind it, and nothing written before it. A later start under an id that was superseded is a server again, and takes its address from whom it was listed after. The held record takes the place of the late one, so that peers that read only the late one are told. Without a start on both sides the log decides, as before. What is remembered of an engine by its id here, and what a later start does: first listed, superseded: begun anew; removed, revision: survive; is_same: the start is part of it, so a restart is a change; draining: gone with the old record. A state that could not be read is no such word, and passes with its record. A record that an ended engine wrote, taken after its removal, lists it once more until the platform removes it again, as before. Before / after (the same 98 tests): failed first: AnOlderIncarnationsLateRecordChangesNothing, WithinOneIncarnationWhoIsLeaving..., AServerWhoseAddressWasTaken..., APeerThatSawTheNewerIncarnation..., and the property WithoutARemovalNoIncarnationMovesBack...; the guards WhoseStateCouldNotBeReadOnce..., WithoutAStartTheOrderOfTheRecordsDecides and ARemovalBetween... passed before and after. All pass now. Conclusion: no record of an earlier start changes what is held of a later one.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -17,6 +17,12 @@
     return Schema::to_value(a) == Schema::to_value(b);
 }
 
+/// A state that could not be read counts as leaving, for as long as the record stands.
+static bool is_unread(Schema::BackendServer const& server)
+{
+    return server.is_draining && !server.unreadable_fields.empty();
+}
+
 static std::optional<Core::Time> time_before(Core::Time now, std::optional<int64_t> milliseconds)
 {
     if (!milliseconds)
@@ -61,42 +67,106 @@
 
 void FactReplica::apply(Fact const& fact, ReadTime const& read, FactChanges& changes)
 {
+    if (fact.kind == Schema::FactKind::BackendServer) {
+        apply_server(fact, changes);
+        return;
+    }
     auto const key = Key(fact.kind, fact.key);
     auto const known = m_facts.find(key);
     if (known != m_facts.end() && known->second.revision >= fact.revision)
         return;
-    bool const is_server = fact.kind == Schema::FactKind::BackendServer;
     // The configuration and named versions are never taken back.
-    if (!is_server && std::holds_alternative<Removed>(fact.value))
+    if (std::holds_alternative<Removed>(fact.value))
+        return;
+    if (take_value(fact, read, changes))
+        m_facts[key] = fact;
+}
+
+/// Whether a record is to be taken that was read behind the one that is held, or before it.
+enum class RecordOrder {
+    /// It says something newer, wherever it stands.
+    Newer,
+    /// It was written late, or told by one that is behind.
+    Older,
+    /// The place in the log decides.
+    AsLogged,
+};
+
+static RecordOrder order_of(Schema::BackendServer const& held, Schema::BackendServer const& told)
+{
+    // Without a start on both sides no more is known of incarnations than the order in which they were logged.
+    if (!held.started_at_ms || !told.started_at_ms)
+        return RecordOrder::AsLogged;
+    if (*held.started_at_ms != *told.started_at_ms)
+        return *held.started_at_ms < *told.started_at_ms ? RecordOrder::Newer : RecordOrder::Older;
+    // An incarnation that says that it is leaving ends. One that takes requests again is told by a new start, or by a
+    // removal of its record; without either, what says that it is ready was written before.
+    if (held.is_draining != told.is_draining && !is_unread(held) && !is_unread(told))
+        return told.is_draining ? RecordOrder::Newer : RecordOrder::Older;
+    return RecordOrder::AsLogged;
+}
+
+void FactReplica::apply_server(Fact const& fact, FactChanges& changes)
+{
+    auto const removed_at = m_removed_at.find(fact.key);
+    if (removed_at != m_removed_at.end() && fact.revision <= removed_at->second)
+        return;
+    auto const key = Key(fact.kind, fact.key);
+    auto const known = m_facts.find(key);
+    auto const* before = known == m_facts.end() ? nullptr : std::get_if<Schema::BackendServer>(&known->second.value);
+    auto const* after = std::get_if<Schema::BackendServer>(&fact.value);
+    auto const order = before && after ? order_of(*before, *after) : RecordOrder::AsLogged;
+    bool const is_behind = known != m_facts.end() && known->second.revision >= fact.revision;
+    if (order == RecordOrder::AsLogged && is_behind)
         return;
-    if (!take_value(fact, read, changes))
+    if (order == RecordOrder::Older) {
+        // Peers that have read as far may lack what is held, so it counts as told by the later record.
+        known->second.revision = std::max(known->second.revision, fact.revision);
         return;
-    bool is_at_new_address = false;
-    if (is_server) {
-        auto const* before = known == m_facts.end() ? nullptr : std::get_if<Schema::BackendServer>(&known->second.value);
-        auto const* after = std::get_if<Schema::BackendServer>(&fact.value);
-        bool const is_unchanged = before && after ? is_same(*before, *after) : before == after;
-        if (!is_unchanged)
-            changes.servers.push_back(fact.key);
-        is_at_new_address = after && (!before || before->address != after->address);
     }
+    bool const is_unchanged = before && after ? is_same(*before, *after) : before == after;
+    if (!is_unchanged)
+        changes.servers.push_back(fact.key);
+    bool const is_at_new_address = after && (!before || before->address != after->address);
+    auto const revision = is_behind ? known->second.revision : fact.revision;
+    bool const is_restart = before && after && order == RecordOrder::Newer && before->started_at_ms != after->started_at_ms;
     m_facts[key] = fact;
+    m_facts[key].revision = revision;
+    if (!after) {
+        m_removed_at[fact.key] = fact.revision;
+        return;
+    }
+    note_incarnation(*after, fact.revision);
     // A heartbeat alone takes no address from anybody, and need not be held against the whole list.
-    if (is_at_new_address)
-        supersede(std::get<Schema::BackendServer>(fact.value), fact.revision, changes);
+    if (is_at_new_address || is_restart)
+        supersede(*after, changes);
+}
+
+void FactReplica::note_incarnation(Schema::BackendServer const& server, int64_t revision)
+{
+    auto const [found, is_first] = m_incarnations.try_emplace(server.id, Incarnation { revision, server.started_at_ms });
+    auto& latest = found->second;
+    if (is_first || !server.started_at_ms)
+        return;
+    bool const is_later = latest.started_at_ms && *latest.started_at_ms < *server.started_at_ms;
+    if (is_later)
+        latest = { revision, server.started_at_ms };
+    else if (!latest.started_at_ms)
+        latest.started_at_ms = server.started_at_ms;
 }
 
-void FactReplica::supersede(Schema::BackendServer const& server, int64_t revision, FactChanges& changes)
+void FactReplica::supersede(Schema::BackendServer const& server, FactChanges& changes)
 {
-    auto const first = m_first_listed.try_emplace(server.id, revision).first->second;
+    auto& own = m_incarnations.at(server.id);
     if (server.address.empty())
         return;
     for (auto const* other : servers()) {
         if (other->id == server.id || other->address != server.address)
             continue;
-        auto const& earlier = m_first_listed.at(other->id) < first ? other->id : server.id;
-        m_superseded.insert(earlier);
-        changes.servers.push_back(earlier);
+        auto& others = m_incarnations.at(other->id);
+        bool const is_other_earlier = others.first_listed < own.first_listed;
+        (is_other_earlier ? others : own).is_superseded = true;
+        changes.servers.push_back(is_other_earlier ? other->id : server.id);
     }
 }
 
@@ -206,7 +276,8 @@
 
 Schema::BackendServer const* FactReplica::server(std::string const& id) const
 {
-    if (m_superseded.contains(id))
+    auto const incarnation = m_incarnations.find(id);
+    if (incarnation != m_incarnations.end() && incarnation->second.is_superseded)
         return nullptr;
     auto const found = m_facts.find({ Schema::FactKind::BackendServer, id });
     return found == m_facts.end() ? nullptr : std::get_if<Schema::BackendServer>(&found->second.value);
@@ -217,7 +288,7 @@
     std::vector<Schema::BackendServer const*> servers;
     for (auto const& [key, fact] : m_facts) {
         auto const* server = std::get_if<Schema::BackendServer>(&fact.value);
-        if (server && !m_superseded.contains(server->id))
+        if (server && !m_incarnations.at(server->id).is_superseded)
             servers.push_back(server);
     }
     return servers;
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -101,14 +101,26 @@
     /// Null until a configuration was read.
     std::shared_ptr<Schema::RoutingConfiguration const> const& configuration() const { return m_configuration; }
     std::map<std::string, NamedVersions> const& versions() const { return m_versions; }
-    /// Null for one that is not listed, or whose address a later incarnation has: what crashed stays listed for a while,
-    /// and of two incarnations at one address only the later one lives.
+    /// Null for one that is not listed, or whose address a later server has: what crashed stays listed for a while,
+    /// and of two servers at one address only the later one lives. Of one that started again under its identity it is the
+    /// latest incarnation: an earlier one's record, which may be written or told late, changes nothing.
     Schema::BackendServer const* server(std::string const& id) const;
     std::vector<Schema::BackendServer const*> servers() const;
 
 private:
     using Key = std::pair<Schema::FactKind, std::string>;
 
+    /// The latest incarnation that was seen of a backend server.
+    struct Incarnation {
+        /// Revision at which it was first seen.
+        int64_t first_listed { 0 };
+        /// Nothing where no record told it.
+        std::optional<int64_t> started_at_ms;
+        /// Its address went to another. It never lives again, whatever late heartbeat of its own comes; only its server's
+        /// next start does.
+        bool is_superseded { false };
+    };
+
     void apply(Fact const&, ReadTime const&, FactChanges&);
     bool take_value(Fact const&, ReadTime const&, FactChanges&);
     void take_version(std::string const& model, NamedVersion const&, FactChanges&);
@@ -117,16 +129,19 @@
     /// Adds all known versions of a model to a fact that goes to a peer.
     void add_versions(Fact const&, Core::Time now, Schema::Fact&) const;
     void take_versions(std::string const& model, Schema::Fact const&, ReadTime const&, FactChanges&);
+    /// Takes a record of the list of backend servers, if it says something newer than what is held.
+    void apply_server(Fact const&, FactChanges&);
+    /// Begins an incarnation that is later than all that were seen under its identity.
+    void note_incarnation(Schema::BackendServer const&, int64_t revision);
     /// Of the servers at this one's address only the one that was listed last remains.
-    void supersede(Schema::BackendServer const&, int64_t revision, FactChanges&);
+    void supersede(Schema::BackendServer const&, FactChanges&);
 
     std::map<Key, Fact> m_facts;
     std::shared_ptr<Schema::RoutingConfiguration const> m_configuration;
     std::map<std::string, NamedVersions> m_versions;
-    // Revision at which each incarnation was first seen. One that was superseded never lives again, whatever late
-    // heartbeat of its own comes.
-    std::map<std::string, int64_t> m_first_listed;
-    std::set<std::string> m_superseded;
+    std::map<std::string, Incarnation> m_incarnations;
+    // Revision of the last removal of each server: what was written before it is over, whoever tells it.
+    std::map<std::string, int64_t> m_removed_at;
     int64_t m_configuration_end { 0 };
     int64_t m_servers_end { 0 };
     // Removals of servers before this offset may be missing here.
--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -409,3 +409,130 @@
     replica.on_records(FactTopic::BackendServers, { server_at("a:1", "old", 30) }, 31, followed(Core::Time(0)));
     EXPECT_EQ(ids(replica), (std::vector<std::string> { "new" }));
 }
+
+static Fact born(int64_t started_at_ms, Fact fact)
+{
+    std::get<Schema::BackendServer>(fact.value).started_at_ms = started_at_ms;
+    return fact;
+}
+
+static FactChanges take_server(FactReplica& replica, Fact const& fact)
+{
+    return replica.on_records(FactTopic::BackendServers, { fact }, fact.revision + 1, followed(Core::Time(0)));
+}
+
+TEST(FactReplica, AnOlderIncarnationsLateRecordChangesNothing)
+{
+    FactReplica replica;
+    take_server(replica, born(1000, server_at("a:1", "s", 1)));
+    EXPECT_EQ(take_server(replica, born(2000, server_at("a:1", "s", 2))).servers, std::vector<std::string> { "s" });
+    EXPECT_FALSE(take_server(replica, born(1000, server_at("a:2", "s", 3))).has_any());
+    EXPECT_EQ(replica.server("s")->started_at_ms, 2000);
+    EXPECT_EQ(replica.server("s")->address, "a:1");
+    // What it says afterwards is heard, whatever was written between.
+    EXPECT_TRUE(take_server(replica, born(2000, server_fact("s", true, 4))).has_any());
+}
+
+TEST(FactReplica, WithinOneIncarnationWhoIsLeavingDoesNotComeBack)
+{
+    FactReplica replica;
+    take_server(replica, born(1000, server_fact("s", false, 1)));
+    take_server(replica, born(1000, server_fact("s", true, 2)));
+    EXPECT_FALSE(take_server(replica, born(1000, server_fact("s", false, 3))).has_any());
+    EXPECT_TRUE(replica.server("s")->is_draining);
+    // Its next start is another matter.
+    take_server(replica, born(2000, server_fact("s", false, 4)));
+    EXPECT_FALSE(replica.server("s")->is_draining);
+}
+
+TEST(FactReplica, WhoseStateCouldNotBeReadOnceMayBeReadyAgain)
+{
+    FactReplica replica;
+    auto unreadable = born(1000, server_fact("s", true, 1));
+    std::get<Schema::BackendServer>(unreadable.value).unreadable_fields = { "state" };
+    take_server(replica, unreadable);
+    take_server(replica, born(1000, server_fact("s", false, 2)));
+    EXPECT_FALSE(replica.server("s")->is_draining);
+}
+
+TEST(FactReplica, WithoutAStartTheOrderOfTheRecordsDecides)
+{
+    FactReplica replica;
+    take_server(replica, server_fact("s", true, 1));
+    take_server(replica, server_fact("s", false, 2));
+    EXPECT_FALSE(replica.server("s")->is_draining);
+    take_server(replica, born(1000, server_fact("s", true, 3)));
+    take_server(replica, server_fact("s", false, 4));
+    EXPECT_FALSE(replica.server("s")->is_draining);
+}
+
+TEST(FactReplica, ARemovalBetweenLetsAClockThatWasSetBackIn)
+{
+    FactReplica replica;
+    take_server(replica, born(2000, server_fact("s", true, 1)));
+    take_server(replica, removed_fact("s", 2));
+    take_server(replica, born(1000, server_fact("s", false, 3)));
+    ASSERT_NE(replica.server("s"), nullptr);
+    EXPECT_FALSE(replica.server("s")->is_draining);
+    // What was written before the removal is over, however late it is told.
+    Schema::FactBatch batch {};
+    batch.facts = { to_message(born(2000, server_fact("s", true, 1))) };
+    replica.on_peer(batch, told_at(Core::Time(1)));
+    EXPECT_EQ(replica.server("s")->started_at_ms, 1000);
+}
+
+TEST(FactReplica, AServerWhoseAddressWasTakenStartsAgainUnderItsIdentity)
+{
+    FactReplica replica;
+    take_server(replica, born(1000, server_at("a:1", "s", 1)));
+    take_server(replica, born(2000, server_at("a:1", "other", 2)));
+    EXPECT_EQ(ids(replica), (std::vector<std::string> { "other" }));
+    take_server(replica, born(1000, server_at("a:1", "s", 3)));
+    EXPECT_EQ(ids(replica), (std::vector<std::string> { "other" }));
+    EXPECT_TRUE(take_server(replica, born(3000, server_at("a:2", "s", 4))).has_any());
+    EXPECT_EQ(ids(replica), (std::vector<std::string> { "other", "s" }));
+    // It may take an address in its turn.
+    take_server(replica, born(4000, server_at("a:1", "s", 5)));
+    EXPECT_EQ(ids(replica), (std::vector<std::string> { "s" }));
+}
+
+TEST(FactReplica, APeerThatSawTheNewerIncarnationCorrectsAListingThatEndsWithALateRecord)
+{
+    FactReplica peer;
+    take_server(peer, born(1000, server_fact("s", false, 1)));
+    take_server(peer, born(2000, server_fact("s", false, 2)));
+    take_server(peer, born(1000, server_fact("s", true, 3)));
+    FactReplica replica;
+    replica.on_listing(FactTopic::BackendServers, { born(1000, server_fact("s", true, 3)) }, 4, followed(Core::Time(1)));
+    EXPECT_TRUE(replica.on_peer(told_by(peer, Core::Time(2)), told_at(Core::Time(2))).has_any());
+    EXPECT_EQ(replica.server("s")->started_at_ms, 2000);
+    EXPECT_FALSE(replica.server("s")->is_draining);
+    // A peer that is behind does not undo it.
+    Schema::FactBatch behind {};
+    behind.facts = { to_message(born(1000, server_fact("s", true, 3))) };
+    EXPECT_FALSE(replica.on_peer(behind, told_at(Core::Time(3))).has_any());
+}
+
+RC_GTEST_PROP(FactReplica, WithoutARemovalNoIncarnationMovesBackAndNoneThatIsLeavingReturns, ())
+{
+    FactReplica replica;
+    int64_t newest = 0;
+    bool was_leaving = false;
+    auto const steps = *rc::gen::inRange(1, 40);
+    for (int step = 0; step < steps; ++step) {
+        auto const started = *rc::gen::inRange<int64_t>(1, 5);
+        bool const is_leaving = *rc::gen::arbitrary<bool>();
+        auto const fact = born(started, server_fact("s", is_leaving, *rc::gen::inRange<int64_t>(0, 40)));
+        if (*rc::gen::arbitrary<bool>()) {
+            take_server(replica, fact);
+        } else {
+            Schema::FactBatch batch {};
+            batch.facts = { to_message(fact) };
+            replica.on_peer(batch, told_at(Core::Time(step)));
+        }
+        was_leaving = (started > newest ? false : was_leaving) || (started >= newest && is_leaving);
+        newest = std::max(newest, started);
+        RC_ASSERT(replica.server("s")->started_at_ms == newest);
+        RC_ASSERT(replica.server("s")->is_draining == was_leaving);
+    }
+}
