LibRouting, DirectEntry: Forget of an engine that started again what was its predecessor's

Cause: ServerTable knew servers by id and reports by address. After a restart under the id, the suspension, the failure rate, the places of requests that could not end any more and the version of the one before held on; a send to the one before that ended late counted against the next; a request that had been cut there never went back to the engine, also where it is the only one. Ruled out: removing and adding the server at each restart: the ends of open sends would then count against the new one, and its record may be older than its agent's word. Taking requests without a known start for restarted: each would be tried twice at one engine. Change, by what is remembered: a later start, listed or reported, begins anew: pending, suspended, unreachable, faults in a row, full, misdirected, failure rate, heard. Sends to earlier starts still end, and say nothing. A report of an earlier start than is known is not believed, and one after a newer report is not taken, each for as long as a report is fresh (2.5 s): past that the agent, which asks the engine itself, is right, and a clock was set back. A list record that is older than the agent's word gives no version. m_tried holds the start that was tried: another start may be tried, as far as AttemptPolicy lets the request be sent at all. Walked, nothing due: EngineOwners, FollowedEngines, goals to agents (the engine's place and zone, which survive); EngineTimes (of the service, not of an engine); retry shares (of the service; they survive: a restart earns no sends); AttemptPolicy (may_have_run is the request's own, and survives whichever incarnation ran it); BackendCall (a connection each); EngineControl (another way, fenced by its own ids). Left: on_heard has no request, so bytes of the one before that are read after the news lengthen the patience by 0.6 s at most. Conclusion: nothing of an earlier start is held against or credited to a later one; what may have run stays as it was.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -36,21 +36,58 @@
 static constexpr double helper_ms = 40;
 static constexpr double other_ms = 160;
 
+static bool is_earlier_start(std::optional<int64_t> started_at_ms, std::optional<int64_t> known)
+{
+    return started_at_ms && known && *started_at_ms < *known;
+}
+
 ServerTable::ServerTable(ServerTableSettings settings, uint64_t seed)
     : m_settings(std::move(settings))
     , m_random(seed)
 {
 }
 
-void ServerTable::set_server(Schema::BackendServer const& entry, Core::Time)
+void ServerTable::set_server(Schema::BackendServer const& entry, Core::Time now)
 {
     auto& server = m_servers[entry.id];
     server.entry = entry;
     server.ip = entry.address.substr(0, entry.address.rfind(':'));
+    note_start(server, entry.started_at_ms, now);
     auto const* model = engine_service(entry.service);
     server.listed_version = model ? Configuration::whole_version(entry.held, model->layers) : 0;
 }
 
+void ServerTable::begin_incarnation(Server& server)
+{
+    for (auto const& [request, pending] : server.pending)
+        server.sent_before.insert(request);
+    server.pending.clear();
+    server.heard_at.reset();
+    server.suspended_until = Core::Time(0);
+    server.unreachable_at.reset();
+    server.full_until = Core::Time(0);
+    server.faults_in_a_row = 0;
+    server.misdirected_in_a_row = 0;
+    server.failure_rate = 0;
+}
+
+void ServerTable::note_start(Server& server, std::optional<int64_t> started_at_ms, Core::Time now)
+{
+    if (!started_at_ms || (server.started_at_ms && *started_at_ms <= *server.started_at_ms))
+        return;
+    // The first start that is told of a known server may be the one that it had all along.
+    if (server.started_at_ms)
+        begin_incarnation(server);
+    server.started_at_ms = started_at_ms;
+    server.known_since = now;
+}
+
+std::optional<int64_t> ServerTable::started_at_ms(std::string const& id) const
+{
+    auto const found = m_servers.find(id);
+    return found == m_servers.end() ? std::nullopt : found->second.started_at_ms;
+}
+
 void ServerTable::remove_server(std::string const& id)
 {
     m_servers.erase(id);
@@ -73,9 +110,19 @@
 
 void ServerTable::on_engine_state(std::string const& ip, Schema::EngineState const& state, Core::Time now)
 {
+    auto const known = m_reported.find(ip);
+    bool const is_earlier = known != m_reported.end() && is_earlier_start(state.started_at_ms, known->second.state.started_at_ms);
+    // An agent's words come in order, but those of two links may not.
+    if (is_earlier && now - known->second.at <= report_is_fresh)
+        return;
     int64_t own = 0;
-    for (auto const& [id, server] : m_servers) {
-        if (server.is_in_reach && server.ip == ip)
+    for (auto& [id, server] : m_servers) {
+        if (server.ip != ip)
+            continue;
+        // Of what shares the address only the engine is its agent's.
+        if (engine_service(server.entry.service))
+            note_start(server, state.started_at_ms, now);
+        if (server.is_in_reach)
             own += static_cast<int64_t>(server.pending.size());
     }
     m_reported[ip] = { .state = state, .at = now, .own_in_flight = own, .own_sent = 0 };
@@ -91,7 +138,15 @@
     auto const found = m_reported.find(server.ip);
     if (found == m_reported.end() || now - found->second.at > report_is_fresh)
         return nullptr;
-    return &found->second;
+    return is_overtaken(server, found->second) ? nullptr : &found->second;
+}
+
+bool ServerTable::is_overtaken(Server const& server, Reported const& report)
+{
+    if (!is_earlier_start(report.state.started_at_ms, server.started_at_ms))
+        return false;
+    // An agent that still tells of the earlier start when its word must have come anew is right: a clock was set back.
+    return report.at - server.known_since <= report_is_fresh;
 }
 
 ServerTable::EngineService const* ServerTable::engine_service(std::string const& service) const
@@ -102,8 +157,11 @@
 
 int64_t ServerTable::version_of(Server const& server, Core::Time now) const
 {
-    auto const* report = reported(server, now);
-    return report ? report->state.version : server.listed_version;
+    if (auto const* report = reported(server, now))
+        return report->state.version;
+    // What is listed of an earlier incarnation is gone with it.
+    bool const is_listed_before = is_earlier_start(server.entry.started_at_ms, server.started_at_ms);
+    return is_listed_before ? 0 : server.listed_version;
 }
 
 int64_t ServerTable::version_of(std::string const& id, Core::Time now) const
@@ -445,6 +503,8 @@
     if (found == m_servers.end())
         return;
     auto& server = found->second;
+    if (server.sent_before.erase(request) > 0 && !server.pending.contains(request))
+        return;
     auto const pending = server.pending.extract(request);
     // All connections of one moment may fall silent together, while new ones work: that is one fault, however many there were.
     bool const is_same_silence = outcome == ServerOutcome::Unreachable && pending && server.unreachable_at && pending.mapped().sent_at <= *server.unreachable_at;
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -93,7 +93,8 @@
 public:
     ServerTable(ServerTableSettings, uint64_t seed);
 
-    /// Adds or changes a server; nothing else that is known of it changes.
+    /// Adds or changes a server; nothing else that is known of it changes, unless it has started again: then what was known of
+    /// the incarnation before is forgotten.
     void set_server(Schema::BackendServer const&, Core::Time now);
     void remove_server(std::string const& id);
     void set_timing(std::string const& service, Schema::EngineTiming const&);
@@ -111,7 +112,8 @@
     /// has places for it only where those that are left to all who see it are at least one for each entry.
     bool is_of_use(std::string const& id) const;
 
-    /// What the agent at an IP number read at its engine.
+    /// What the agent at an IP number read at its engine. What is told of an earlier incarnation than is known counts only once
+    /// nothing else was heard of the engine for a while.
     void on_engine_state(std::string const& ip, Schema::EngineState const&, Core::Time now);
     void on_agent_gone(std::string const& ip);
 
@@ -130,6 +132,9 @@
     /// The server has answered some request just now: one that hears nothing there waits behind others.
     bool is_answering(std::string const& id, Core::Time now) const;
 
+    /// Start of the latest incarnation of the server that was listed or reported; nothing if none was told.
+    std::optional<int64_t> started_at_ms(std::string const& id) const;
+
     /// The server, or null.
     Schema::BackendServer const* find(std::string const& id) const;
     /// The whole version that the server holds; 0 if none, or if it serves no model.
@@ -182,7 +187,12 @@
         // Of an engine: its agent is followed. All others are always in reach.
         bool is_in_reach { true };
         int64_t listed_version { 0 };
+        /// Start of the latest incarnation that was listed or reported, and when it was first heard of here.
+        std::optional<int64_t> started_at_ms;
+        Core::Time known_since { 0 };
         std::map<std::string, Pending> pending;
+        // Requests that were sent to earlier incarnations and have not ended: how they end says nothing of this one.
+        std::set<std::string> sent_before;
         std::optional<Core::Time> heard_at;
         Core::Time suspended_until { 0 };
         /// When it last became unreachable.
@@ -202,7 +212,13 @@
         double unread_ms { 0 };
     };
 
+    /// Forgets what an incarnation leaves behind, if this start is later than the one known.
+    static void note_start(Server&, std::optional<int64_t> started_at_ms, Core::Time now);
+    static void begin_incarnation(Server&);
+    /// Null where the agent is silent, or told of an earlier incarnation.
     Reported const* reported(Server const&, Core::Time now) const;
+    /// Whether a report is of an earlier incarnation than the known one, by which it was overtaken.
+    static bool is_overtaken(Server const&, Reported const&);
     /// Null for a plain service.
     EngineService const* engine_service(std::string const& service) const;
     int64_t version_of(Server const&, Core::Time now) const;
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -391,7 +391,7 @@
             m_servers.remove_server(id);
         Core::log_event(Core::LogLevel::Info, "server_changed", { { "server", id }, { "state", !server ? "removed" : server->is_draining ? "draining"
                                                                                                                                          : "ready" },
-                                                                    { "service", server ? server->service : "" }, { "address", server ? server->address : "" }, { "version", std::to_string(m_servers.version_of(id, now)) }, { "unreadable", server && !server->unreadable_fields.empty() ? server->unreadable_fields.front() : "" } });
+                                                                    { "service", server ? server->service : "" }, { "address", server ? server->address : "" }, { "started_at_ms", server && server->started_at_ms ? std::to_string(*server->started_at_ms) : "" }, { "version", std::to_string(m_servers.version_of(id, now)) }, { "unreadable", server && !server->unreadable_fields.empty() ? server->unreadable_fields.front() : "" } });
     }
     if (changes.has_versions) {
         for (auto const& [model, named] : m_facts.replica().versions())
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -277,11 +277,24 @@
     needs.required_version = m_context.required_version(m_service);
     needs.newest_version = m_context.newest_version(m_service);
     needs.prompt_tokens = m_head.prompt_tokens;
-    needs.excluded = m_tried;
+    needs.excluded = tried_servers();
     needs.longest_pause = Core::Duration(m_route.objective_gap_ms);
     return needs;
 }
 
+/// One that has started again since it was tried may be tried again, as far as the request may be sent again at all.
+std::set<std::string> ProxiedRequest::tried_servers() const
+{
+    std::set<std::string> tried;
+    for (auto const& [id, started_at_ms] : m_tried) {
+        auto const latest = m_context.servers.started_at_ms(id);
+        bool const has_started_again = started_at_ms && latest && *started_at_ms < *latest;
+        if (!has_started_again)
+            tried.insert(id);
+    }
+    return tried;
+}
+
 bool ProxiedRequest::try_send()
 {
     if (is_over())
@@ -336,6 +349,7 @@
     m_has_head = false;
     m_has_event = false;
     m_sent_version = m_context.servers.version_of(choice.id, now);
+    m_sent_start = m_context.servers.started_at_ms(choice.id);
     m_answer_body.clear();
     m_events = {};
 
@@ -540,7 +554,7 @@
     bool const is_miss = end == SendEnd::NotConnected || end == SendEnd::NotRun;
     // One that was only full may have room by the time that another is wanted.
     if (outcome != ServerOutcome::Full)
-        m_tried.insert(m_server);
+        m_tried[m_server] = m_sent_start;
     if (is_miss) {
         m_misses += 1;
         if (end == SendEnd::NotRun)
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -8,7 +8,10 @@
 #include <LibRouting/EventStream.h>
 #include <LibTransport/BackendCall.h>
 #include <LibTransport/IngressServer.h>
+#include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace DirectEntry {
@@ -61,6 +64,7 @@
     Core::Duration retry_after(Core::Time now) const;
     bool is_outdated(Core::Time now) const;
     Routing::ServerNeeds needs(Core::Time now) const;
+    std::set<std::string> tried_servers() const;
     void send_to(Routing::ServerChoice const&, Core::Time now);
 
     void on_head(Transport::MessageHead const&);
@@ -109,12 +113,15 @@
     bool m_has_event { false };
     // Version that the backend server held when the request was sent; 0 for a plain service.
     int64_t m_sent_version { 0 };
+    // Start of the incarnation that it was sent to, if that is known.
+    std::optional<int64_t> m_sent_start;
     Platform::BackendHead m_answer;
     std::string m_answer_body;
     Routing::EventStream m_events;
 
     // Over all sends.
-    std::set<std::string> m_tried;
+    // Backend servers that it was sent to, each with the start of the last such incarnation.
+    std::map<std::string, std::optional<int64_t>> m_tried;
     int64_t m_sends { 0 };
     int64_t m_misses { 0 };
     bool m_may_have_run { false };
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -420,3 +420,99 @@
     EXPECT_TRUE(m_table.is_of_use("1"));
     EXPECT_FALSE(m_table.is_of_use("unknown"));
 }
+
+static Schema::BackendServer born(int64_t started_at_ms, Schema::BackendServer server)
+{
+    server.started_at_ms = started_at_ms;
+    return server;
+}
+
+static Schema::EngineState state_of(int64_t started_at_ms, int64_t version, int64_t running = 0)
+{
+    Schema::EngineState state {};
+    state.started_at_ms = started_at_ms;
+    state.version = version;
+    state.running = running;
+    state.pace = 1;
+    return state;
+}
+
+TEST_F(ServerTableTest, AServerThatStartedAgainHasNoneOfItsPredecessorsFaults)
+{
+    m_table.set_server(born(1000, engine("1", "a")), m_now);
+    m_table.on_sent("r1", { .id = "1" }, 900, m_now);
+    m_table.on_sent("r2", { .id = "1" }, 900, m_now);
+    m_table.on_ended("1", "r1", ServerOutcome::Unreachable, m_now);
+    EXPECT_FALSE(choose().has_value());
+    m_table.set_server(born(2000, engine("1", "a")), m_now);
+    EXPECT_TRUE(choose().has_value());
+    // What was sent to the one before ends now: that says nothing of this one.
+    m_table.on_ended("1", "r2", ServerOutcome::Unreachable, m_now);
+    EXPECT_TRUE(choose().has_value());
+}
+
+TEST_F(ServerTableTest, TheSameIncarnationListedAgainKeepsItsFaults)
+{
+    m_table.set_server(born(1000, engine("1", "a")), m_now);
+    m_table.on_sent("r1", { .id = "1" }, 900, m_now);
+    m_table.on_ended("1", "r1", ServerOutcome::Unreachable, m_now);
+    m_table.set_server(born(1000, engine("1", "b")), m_now);
+    EXPECT_FALSE(choose().has_value());
+    // Nor does a record that tells no start make another of it.
+    m_table.set_server(engine("1", "a"), m_now);
+    EXPECT_FALSE(choose().has_value());
+}
+
+TEST_F(ServerTableTest, WhatWasSentToThePredecessorTakesNoPlace)
+{
+    m_table.set_server(born(1000, engine("1", "a")), m_now);
+    for (int i = 0; i < 5; ++i)
+        m_table.on_sent("r" + std::to_string(i), { .id = "1" }, 900, m_now);
+    EXPECT_EQ(choose().error(), NoServer::AllFull);
+    m_table.set_server(born(2000, engine("1", "a")), m_now);
+    EXPECT_TRUE(choose().has_value());
+}
+
+TEST_F(ServerTableTest, AReportOfThePredecessorTellsNothingOfWhoIsListedNow)
+{
+    m_table.set_server(born(1000, engine("1", "a")), m_now);
+    m_table.on_engine_state("10.0.0.1", state_of(1000, 3), m_now);
+    EXPECT_EQ(m_table.version_of("1", m_now), 3);
+    m_table.set_server(born(2000, engine("1", "a", 0)), m_now);
+    EXPECT_EQ(m_table.version_of("1", m_now), 0);
+    m_table.on_engine_state("10.0.0.1", state_of(2000, 2), m_now);
+    EXPECT_EQ(m_table.version_of("1", m_now), 2);
+    // A late word of the one before is not heard.
+    m_table.on_engine_state("10.0.0.1", state_of(1000, 3), m_now);
+    EXPECT_EQ(m_table.version_of("1", m_now), 2);
+}
+
+TEST_F(ServerTableTest, AReportOfASuccessorEndsWhatIsKnownAndListedOfThePredecessor)
+{
+    m_table.set_server(born(1000, engine("1", "a", 3)), m_now);
+    m_table.on_sent("r1", { .id = "1" }, 900, m_now);
+    m_table.on_ended("1", "r1", ServerOutcome::Unreachable, m_now);
+    m_table.on_engine_state("10.0.0.1", state_of(2000, 3), m_now);
+    EXPECT_TRUE(choose(3).has_value());
+    // Once its agent is silent, the list speaks of the one before only.
+    m_table.on_agent_gone("10.0.0.1");
+    EXPECT_EQ(m_table.version_of("1", m_now), 0);
+    EXPECT_FALSE(choose().has_value());
+    // A heartbeat of the one before makes nobody younger.
+    m_table.set_server(born(1000, engine("1", "b", 3)), m_now);
+    EXPECT_EQ(m_table.version_of("1", m_now), 0);
+    m_table.set_server(born(2000, engine("1", "a", 2)), m_now);
+    EXPECT_EQ(m_table.version_of("1", m_now), 2);
+}
+
+TEST_F(ServerTableTest, AnAgentThatGoesOnTellingOfAnEarlierStartIsBelievedInTheEnd)
+{
+    m_table.set_server(born(2000, engine("1", "a", 3)), m_now);
+    m_table.on_engine_state("10.0.0.1", state_of(2000, 3), m_now);
+    // Its clock was set back between.
+    for (int i = 0; i < 10; ++i) {
+        m_now += Core::Duration(1000);
+        m_table.on_engine_state("10.0.0.1", state_of(1000, 2), m_now);
+    }
+    EXPECT_EQ(m_table.version_of("1", m_now), 2);
+}
