LibDistribution, EngineAgent: Tell an engine's restart by its start, and read back all before the next order

Cause: StagedLoad saw a restart by a sequence that was lower than in the last report: not where the engine had taken no order, and not where a report had failed between, which is how most restarts look. The wait for the old order's effect went on for up to 1.5 s, and chunks that had been read back before a loss of power counted as there. Ruled out: forgetting what is staged: it outlasts a crash, so it is read back and only what is gone is laid there again. Change: another start than the last one told, also past failed reports, is a new incarnation: the order under way, the wait after it, the drain and every read back are over; an answer to an order or to a read of the one before says nothing. A report of an earlier start right behind a later one counts as no report; the next one is believed whatever its start, for a clock may have been set back. The agent logs engine_restarted, and tells entries of the start with its state at once. Walked, nothing due: CopyKeeper's adopted chunks and its store (checked by digest, this process's own), UnmetGoals (the version's bound survives a restart), what peers tell of chunks and of versions served (the agent says that it is seeking as soon as its engine is empty), the kept connection for reports (it breaks with the engine, and a report that was waited for in vain is never delivered). Weighed: an order for the older one that meets the newer: refused by the sequence, unless both have taken as many orders. Then it asks for the version that is wanted, of what lies there; after a loss of power between its last report and the order that may be nothing, which the engine has to refuse. Before / after (the same 98 tests): six new ones of StagedLoad failed first and pass now. Conclusion: an engine that started again is ordered at once, and only for what was read back since.

--- a/Libraries/LibDistribution/StagedLoad.cpp
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -3,9 +3,15 @@
 
 #include <LibConfiguration/HeldVersion.h>
 #include <algorithm>
+#include <utility>
 
 namespace Distribution {
 
+bool is_of_earlier_incarnation(Platform::EngineReport const& report, std::optional<Platform::EngineReport> const& last)
+{
+    return last && last->started_at_ms && report.started_at_ms && *report.started_at_ms < *last->started_at_ms;
+}
+
 StagedLoad::StagedLoad(int64_t version, size_t chunks, StagedLoadSettings settings)
     : m_version(version)
     , m_settings(settings)
@@ -23,6 +29,7 @@
     auto& state = m_chunks[chunk];
     state.is_in_call = false;
     state.is_staged = is_done;
+    state.is_call_overtaken = false;
     state.right_at.reset();
     m_calls -= 1;
 }
@@ -32,6 +39,9 @@
     auto& state = m_chunks[chunk];
     state.is_in_call = false;
     m_calls -= 1;
+    // What lay there before the engine started again may be gone since.
+    if (std::exchange(state.is_call_overtaken, false))
+        return;
     if (is_right) {
         state.right_at = now;
         return;
@@ -43,15 +53,41 @@
 
 void StagedLoad::on_report(Platform::EngineReport const& report, int64_t layers, Core::Time now)
 {
-    bool const has_sequences = m_report && m_report->order_sequence && report.order_sequence;
-    bool const is_new_life = has_sequences && *report.order_sequence < *m_report->order_sequence;
+    if (is_of_earlier_incarnation(report, m_report)) {
+        on_unreachable();
+        return;
+    }
+    if (is_restart(report))
+        begin_incarnation();
     bool const has_answered = m_ordered_at && !report.is_busy && now - *m_ordered_at >= m_settings.order_patience;
     m_report = report;
+    if (report.started_at_ms)
+        m_started_at_ms = report.started_at_ms;
     m_is_serving = Configuration::whole_version(report.held, layers) == m_version;
-    if (m_is_serving || is_new_life || has_answered)
+    if (m_is_serving || has_answered)
         m_ordered_at.reset();
 }
 
+bool StagedLoad::is_restart(Platform::EngineReport const& report) const
+{
+    if (m_started_at_ms && report.started_at_ms)
+        return *m_started_at_ms != *report.started_at_ms;
+    // An engine that tells no start is known to have started again by its sequence, if that is lower.
+    bool const has_sequences = m_report && m_report->order_sequence && report.order_sequence;
+    return has_sequences && *report.order_sequence < *m_report->order_sequence;
+}
+
+void StagedLoad::begin_incarnation()
+{
+    m_ordered_at.reset();
+    m_draining_since.reset();
+    m_is_order_overtaken = m_is_ordering;
+    for (auto& chunk : m_chunks) {
+        chunk.is_call_overtaken = chunk.is_in_call;
+        chunk.right_at.reset();
+    }
+}
+
 void StagedLoad::on_unreachable()
 {
     m_report.reset();
@@ -61,6 +97,10 @@
 void StagedLoad::on_ordered(Platform::OrderOutcome outcome, Core::Time now)
 {
     m_is_ordering = false;
+    // Its engine is gone. If the one that is there now has taken it after all, its report tells, and its sequence keeps
+    // the next order from taking effect beside it.
+    if (std::exchange(m_is_order_overtaken, false))
+        return;
     // A refused order leaves nothing to wait for but a newer report.
     if (outcome == Platform::OrderOutcome::Refused) {
         m_ordered_at.reset();
--- a/Libraries/LibDistribution/StagedLoad.h
+++ b/Libraries/LibDistribution/StagedLoad.h
@@ -51,11 +51,15 @@
     bool may_evict { false };
 };
 
+/// Whether a report is of an earlier incarnation of the engine than the last one, and thus came late.
+bool is_of_earlier_incarnation(Platform::EngineReport const&, std::optional<Platform::EngineReport> const& last);
+
 /// Decides what is laid beside the engine and when the engine is ordered to take it.
 ///
 /// An order goes out only when every chunk of one version lies there and was read back and found right just before.
 /// An order that nobody answered may have been taken: the engine's report tells, and the sequence that the next
-/// order expects keeps two orders from both taking effect.
+/// order expects keeps two orders from both taking effect. An engine may start again under its identity: nothing that was
+/// answered before says anything then, but what was laid beside it may still lie there.
 class StagedLoad {
 public:
     StagedLoad(int64_t version, size_t chunks, StagedLoadSettings);
@@ -67,6 +71,8 @@
     void on_staged(size_t chunk, bool is_done);
     /// The chunk was read back: whether it is the version's.
     void on_read_back(size_t chunk, bool is_right, Core::Time now);
+    /// A report of an earlier incarnation than the last one counts as none; one that comes after none is believed in any case,
+    /// for the engine's clock may have been set back.
     void on_report(Platform::EngineReport const&, int64_t layers, Core::Time now);
     void on_unreachable();
     void on_ordered(Platform::OrderOutcome, Core::Time now);
@@ -87,9 +93,14 @@
         bool is_held { false };
         bool is_staged { false };
         bool is_in_call { false };
+        /// The call went to an earlier incarnation.
+        bool is_call_overtaken { false };
         std::optional<Core::Time> right_at;
     };
 
+    /// Whether the engine has started again since it was last heard of.
+    bool is_restart(Platform::EngineReport const&) const;
+    void begin_incarnation();
     bool is_complete() const;
     bool stage_next(std::vector<LoadAction>&);
     bool read_back_next(Core::Time now, std::vector<LoadAction>&);
@@ -101,8 +112,12 @@
     std::vector<Chunk> m_chunks;
     size_t m_calls { 0 };
     std::optional<Platform::EngineReport> m_report;
+    // What the engine last told of its start, also where it has not been heard of since.
+    std::optional<int64_t> m_started_at_ms;
     bool m_is_serving { false };
     bool m_is_ordering { false };
+    // The order that is under way went to an earlier incarnation.
+    bool m_is_order_overtaken { false };
     Core::Time m_order_sent_at { 0 };
     std::optional<Core::Time> m_ordered_at;
     std::optional<Core::Time> m_draining_since;
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -353,6 +353,24 @@
 }
 
 void CopyKeeper::on_report(Core::ErrorOr<Platform::EngineReport> const& report)
+{
+    bool const is_late = report.has_value() && Distribution::is_of_earlier_incarnation(*report, m_report);
+    if (is_late)
+        take_report(Core::failure(Core::ErrorCode::UnreadableField, "of an earlier incarnation"));
+    else
+        take_report(report);
+}
+
+void CopyKeeper::log_restart(std::optional<int64_t> started_at_ms)
+{
+    if (!started_at_ms || started_at_ms == m_started_at_ms)
+        return;
+    if (m_started_at_ms)
+        Core::log_event(Core::LogLevel::Info, "engine_restarted", { { "started_at_ms", std::to_string(*started_at_ms) }, { "before_ms", std::to_string(*m_started_at_ms) } });
+    m_started_at_ms = started_at_ms;
+}
+
+void CopyKeeper::take_report(Core::ErrorOr<Platform::EngineReport> const& report)
 {
     note_report(report);
     if (!report.has_value()) {
@@ -363,6 +381,7 @@
             m_older->load->on_unreachable();
     } else {
         m_report = *report;
+        log_restart(report->started_at_ms);
         auto const now = Core::monotonic_now();
         if (m_load)
             m_load->on_report(*m_report, goal()->layers, now);
@@ -376,8 +395,10 @@
 {
     auto const is_busy = this->is_busy();
     auto const version = serving_version();
-    if (version == m_last_version && is_busy == m_was_busy)
+    bool const is_same = version == m_last_version && is_busy == m_was_busy && m_told_start == m_started_at_ms;
+    if (is_same)
         return;
+    m_told_start = m_started_at_ms;
     Core::log_event(Core::LogLevel::Info, "engine_changed", { { "version", std::to_string(version) }, { "busy", is_busy ? "yes" : "no" }, { "reachable", m_report ? "yes" : "no" } });
     bool const is_other_version = version != m_last_version;
     m_unmet_goals.on_serving(version);
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -93,6 +93,8 @@
     void poll_engine();
     void note_report(Core::ErrorOr<Platform::EngineReport> const&);
     void on_report(Core::ErrorOr<Platform::EngineReport> const&);
+    void take_report(Core::ErrorOr<Platform::EngineReport> const&);
+    void log_restart(std::optional<int64_t> started_at_ms);
     void adopt_staged();
     void begin_transfer();
     void run_load(Core::Time now);
@@ -126,6 +128,9 @@
     std::optional<Platform::EngineReport> m_report;
     // What was wrong with the last report; empty if nothing.
     std::string m_report_fault;
+    // The start that the engine told last; entries are told of each.
+    std::optional<int64_t> m_started_at_ms;
+    std::optional<int64_t> m_told_start;
     int64_t m_last_version { -1 };
     bool m_was_busy { false };
     bool m_is_polling { false };
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -226,6 +226,7 @@
     state.pace = 1;
     state.is_busy = copy.is_busy();
     if (auto const& report = copy.report()) {
+        state.started_at_ms = report->started_at_ms;
         state.running = report->running;
         state.waiting = report->waiting;
         state.pace = report->pace;
--- a/Tests/LibDistribution/TestStagedLoad.cpp
+++ b/Tests/LibDistribution/TestStagedLoad.cpp
@@ -302,3 +302,103 @@
     ASSERT_TRUE(order.has_value());
     EXPECT_EQ(order->manner, Platform::LoadManner::WaitForRunning);
 }
+
+static Platform::EngineReport born(int64_t started_at_ms, Platform::EngineReport report)
+{
+    report.started_at_ms = started_at_ms;
+    return report;
+}
+
+TEST(StagedLoad, ARestartIsSeenByItsStartWhereTheSequenceIsNoLower)
+{
+    StagedLoad load(2, 1, {});
+    load.on_held(0);
+    load.on_report(born(1000, report(0, false, 0)), layers, Core::Time(0));
+    std::optional<OrderLoad> order;
+    finish_calls(load, Core::Time(1), order);
+    ASSERT_TRUE(order.has_value());
+    load.on_ordered(Platform::OrderOutcome::Unknown, Core::Time(2));
+    load.on_report(born(2000, report(0, false, 0)), layers, Core::Time(100));
+    EXPECT_FALSE(load.is_switching());
+    order.reset();
+    finish_calls(load, Core::Time(101), order);
+    ASSERT_TRUE(order.has_value());
+    EXPECT_EQ(order->expected_sequence, 0);
+}
+
+TEST(StagedLoad, ARestartIsSeenPastAReportThatFailed)
+{
+    StagedLoad load(2, 1, {});
+    load.on_held(0);
+    load.on_report(born(1000, report(0, false, 0)), layers, Core::Time(0));
+    std::optional<OrderLoad> order;
+    finish_calls(load, Core::Time(1), order);
+    load.on_ordered(Platform::OrderOutcome::Taken, Core::Time(2));
+    load.on_unreachable();
+    load.on_report(born(2000, report(0, false, 0)), layers, Core::Time(100));
+    EXPECT_FALSE(load.is_switching());
+}
+
+TEST(StagedLoad, ARestartedEngineGetsNoOrderForWhatWasReadBackBefore)
+{
+    StagedLoad load(2, 1, {});
+    load.on_held(0);
+    auto serving = born(1000, report(1, false, 0));
+    load.on_report(serving, layers, Core::Time(0));
+    std::optional<OrderLoad> order;
+    finish_calls(load, Core::Time(10), order);
+    ASSERT_FALSE(order.has_value());
+    EXPECT_TRUE(load.is_switching());
+    // What was staged may have gone with the power.
+    load.on_report(born(2000, report(0, false, 0)), layers, Core::Time(100));
+    EXPECT_FALSE(load.is_switching());
+    auto const actions = load.step(Core::Time(101));
+    ASSERT_EQ(actions.size(), 1u);
+    EXPECT_TRUE(std::holds_alternative<ReadBackChunk>(actions[0]));
+}
+
+TEST(StagedLoad, AChunkReadBackFromThePredecessorIsReadAgain)
+{
+    StagedLoad load(2, 1, {});
+    load.on_held(0);
+    load.on_report(born(1000, report(0, false, 0)), layers, Core::Time(0));
+    ASSERT_TRUE(std::holds_alternative<StageChunk>(load.step(Core::Time(1)).at(0)));
+    load.on_staged(0, true);
+    ASSERT_TRUE(std::holds_alternative<ReadBackChunk>(load.step(Core::Time(2)).at(0)));
+    load.on_report(born(2000, report(0, false, 0)), layers, Core::Time(3));
+    load.on_read_back(0, true, Core::Time(4));
+    auto const actions = load.step(Core::Time(5));
+    ASSERT_EQ(actions.size(), 1u);
+    EXPECT_TRUE(std::holds_alternative<ReadBackChunk>(actions[0]));
+}
+
+TEST(StagedLoad, ThePredecessorsAnswerToAnOrderHoldsNothingUp)
+{
+    StagedLoad load(2, 1, {});
+    load.on_held(0);
+    load.on_report(born(1000, report(0, false, 0)), layers, Core::Time(0));
+    std::optional<OrderLoad> order;
+    finish_calls(load, Core::Time(1), order);
+    ASSERT_TRUE(order.has_value());
+    load.on_report(born(2000, report(0, false, 0)), layers, Core::Time(100));
+    load.on_ordered(Platform::OrderOutcome::Unknown, Core::Time(1000));
+    EXPECT_FALSE(load.is_switching());
+    order.reset();
+    finish_calls(load, Core::Time(1001), order);
+    EXPECT_TRUE(order.has_value());
+}
+
+TEST(StagedLoad, ALateReportOfThePredecessorIsNone)
+{
+    StagedLoad load(2, 1, {});
+    load.on_held(0);
+    load.on_report(born(2000, report(0, false, 0)), layers, Core::Time(0));
+    load.on_report(born(1000, report(2, false, 7)), layers, Core::Time(1));
+    EXPECT_FALSE(load.is_serving());
+    std::optional<OrderLoad> order;
+    finish_calls(load, Core::Time(2), order);
+    EXPECT_FALSE(order.has_value());
+    // Who goes on telling of an earlier start lives: its clock was set back.
+    load.on_report(born(1000, report(2, false, 7)), layers, Core::Time(100));
+    EXPECT_TRUE(load.is_serving());
+}
