LibRouting: Let no list record of a leaving predecessor keep work from its successor

Cause: the list is read by the newest record of each key, so where the store takes the predecessor's last word (`draining`) late, an entry may never see the successor's first record. It knew of the successor from its agent, and still took it for leaving until its next heartbeat: `no_server` for all requests of a service with that engine alone. Ruled out: asking peers for what was read between: they read the same way. Change: `draining` of a list record counts only where the agent has not told of a later start. Conclusion: the agent's word on the start goes before the list's on the state. Left: EngineSharing deals no owner to such an engine until its next heartbeat, and EntryWeights takes it for one that leaves as long.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -41,6 +41,12 @@
     return started_at_ms && known && *started_at_ms < *known;
 }
 
+/// The server's latest incarnation says that it is leaving. What the list still says of an earlier one ended with that.
+static bool is_leaving(Schema::BackendServer const& entry, std::optional<int64_t> latest_start)
+{
+    return entry.is_draining && !is_earlier_start(entry.started_at_ms, latest_start);
+}
+
 ServerTable::ServerTable(ServerTableSettings settings, uint64_t seed)
     : m_settings(std::move(settings))
     , m_random(seed)
@@ -160,8 +166,7 @@
     if (auto const* report = reported(server, now))
         return report->state.version;
     // What is listed of an earlier incarnation is gone with it.
-    bool const is_listed_before = is_earlier_start(server.entry.started_at_ms, server.started_at_ms);
-    return is_listed_before ? 0 : server.listed_version;
+    return is_earlier_start(server.entry.started_at_ms, server.started_at_ms) ? 0 : server.listed_version;
 }
 
 int64_t ServerTable::version_of(std::string const& id, Core::Time now) const
@@ -179,7 +184,7 @@
 
 bool ServerTable::is_usable(Server const& server, ServerNeeds const& needs, Core::Time now) const
 {
-    if (server.entry.is_draining || now < server.suspended_until)
+    if (is_leaving(server.entry, server.started_at_ms) || now < server.suspended_until)
         return false;
     // One that holds a model belongs to a service whose versions must be known.
     if (!engine_service(server.entry.service))
@@ -321,7 +326,7 @@
 {
     std::optional<Core::Duration> next;
     for (auto const& [id, server] : m_servers) {
-        if (!server.is_in_reach || server.entry.service != service || server.entry.is_draining)
+        if (!server.is_in_reach || server.entry.service != service || is_leaving(server.entry, server.started_at_ms))
             continue;
         auto const* report = reported(server, now);
         if (!report)
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -516,3 +516,20 @@
     }
     EXPECT_EQ(m_table.version_of("1", m_now), 2);
 }
+
+TEST_F(ServerTableTest, WhatTheListSaysOfALeavingPredecessorKeepsNobodyFromItsSuccessor)
+{
+    auto leaving = born(1000, engine("1", "a"));
+    leaving.is_draining = true;
+    m_table.set_server(leaving, m_now);
+    m_table.on_engine_state("10.0.0.1", state_of(1000, 1), m_now);
+    EXPECT_EQ(choose().error(), NoServer::NoneUsable);
+    m_table.on_engine_state("10.0.0.1", state_of(2000, 1), m_now);
+    EXPECT_TRUE(choose().has_value());
+    // A list that is read by its newest records may never show the successor's first one.
+    m_table.set_server(leaving, m_now);
+    EXPECT_TRUE(choose().has_value());
+    leaving.started_at_ms = 2000;
+    m_table.set_server(leaving, m_now);
+    EXPECT_EQ(choose().error(), NoServer::NoneUsable);
+}
