Tests, docs: Crash engines and start them again under their id

Cause: no stand-in started again under its id, and none told its start. Change: class Engine tells `born` in its list entry and its report, and learns crash and start_again; the restart under another id stays. Conclusion: a restart under the id is known by its start, sooner through the agent than through the list.

--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -332,6 +332,8 @@
         self.version = version
         self.staged = {}
         self.order_sequence = 0
+        # Unix millisecond of its start; None as in older records, which lack it.
+        self.born = time.time_ns() // 1000000
         # What each load took: (version, the staged bytes' digests in order).
         self.loads = []
         self.refuses_staging = False
@@ -343,7 +345,10 @@
         super().__init__(loop, address, port, store, service, zone)
 
     def own_entry(self):
-        return {"Stage": "both", **self.held()}
+        return {"Stage": "both", **self.start(), **self.held()}
+
+    def start(self):
+        return {} if self.born is None else {"born": self.born}
 
     def held(self):
         if self.version == 0:
@@ -352,18 +357,34 @@
                 "layers": {"From": 0, "TargetVersion": self.layers, "Version": self.version}}
 
     def restart(self):
-        """A crash: a new incarnation with no layers; what was staged stays."""
+        """A crash: a new incarnation with another id and no layers; what was staged stays."""
         self.delist()
         self.id = f"i-{random.SystemRandom().randrange(16 ** 10):010x}"
+        self.forget()
+        self.enlist()
+
+    def forget(self):
+        """A start: it holds nothing and counts anew."""
         self.version = 0
         self.order_sequence = 0
+        if self.born is not None:
+            self.born = max(self.born + 1, time.time_ns() // 1000000)
+
+    def crash(self):
+        """Ends at once, with all its connections. The list says nothing of it."""
+        self.close()
+
+    def start_again(self):
+        """Starts under the id that it had; what was staged stays."""
+        self.forget()
+        self.listen()
         self.enlist()
 
     async def answer(self, request):
         if self.is_frozen:
             await asyncio.sleep(3600)
         if request.path == "/report":
-            body = {"Stage": "both", "Busy": False, "CallSeq": self.order_sequence, "Waiting": 0, "Running": self.running, "pace": 1.0, **self.held()}
+            body = {"Stage": "both", "Busy": False, "CallSeq": self.order_sequence, "Waiting": 0, "Running": self.running, "pace": 1.0, **self.start(), **self.held()}
             return await self.reply(request, 200, body=json.dumps(body).encode())
         if request.path.startswith("/stage-put/"):
             if self.refuses_staging:
