platform, LibConfiguration, LibRouting: Take no backend server from an entry of the list that lacks what its use needs

Cause: an entry of the list may come from another writer. An entry that is not in use took the address of one that is, for good, and so did one record of a server with the address of another. A record that was cut left an engine in use that may have said that it was leaving, while a listing with the same record removed it.

Ruled out: removing a server whose newer record cannot be read: what is in flight there would be forgotten, and the engine filled beyond its slots when it is back. Leaving it in use: an engine that is leaving must get nothing new within the bound on draining.

An unreadable record of a known server makes it draining, in records and listings alike, until a record of it can be read; under an unknown key nothing is kept. Only a server that is in use takes an address, within its service, and gives it back when it moves.

A link is still dialled to the agent of an entry that counts as leaving, as to that of any engine.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -4,6 +4,7 @@
 #include <LibSchema/Json.h>
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Configuration {
 
@@ -59,8 +60,28 @@
     return true;
 }
 
+/// A record that cannot be read may have said that the server is leaving, so no new work goes there; what runs there goes on,
+/// as the rest of what was known still holds. A heartbeat of the server itself brings it back.
+void FactReplica::take_unreadable(Fact const& fact, FactChanges& changes)
+{
+    auto const known = m_facts.find({ fact.kind, fact.key });
+    // Nothing is kept under a key that nobody knew: other writers' keys may be many.
+    if (known == m_facts.end() || known->second.revision >= fact.revision)
+        return;
+    known->second.revision = fact.revision;
+    auto* server = std::get_if<Schema::BackendServer>(&known->second.value);
+    if (!server || server->is_draining)
+        return;
+    server->is_draining = true;
+    changes.servers.push_back(fact.key);
+}
+
 void FactReplica::apply(Fact const& fact, ReadTime const& read, FactChanges& changes)
 {
+    if (std::holds_alternative<Unreadable>(fact.value)) {
+        take_unreadable(fact, changes);
+        return;
+    }
     auto const key = Key(fact.kind, fact.key);
     auto const known = m_facts.find(key);
     if (known != m_facts.end() && known->second.revision >= fact.revision)
@@ -71,19 +92,43 @@
         return;
     if (!take_value(fact, read, changes))
         return;
-    bool is_at_new_address = false;
     if (is_server) {
         auto const* before = known == m_facts.end() ? nullptr : std::get_if<Schema::BackendServer>(&known->second.value);
         auto const* after = std::get_if<Schema::BackendServer>(&fact.value);
         bool const is_unchanged = before && after ? is_same(*before, *after) : before == after;
         if (!is_unchanged)
             changes.servers.push_back(fact.key);
-        is_at_new_address = after && (!before || before->address != after->address);
+        if (after)
+            take_address(before, *after, fact.revision, changes);
     }
     m_facts[key] = fact;
-    // A heartbeat alone takes no address from anybody, and need not be held against the whole list.
-    if (is_at_new_address)
-        supersede(std::get<Schema::BackendServer>(fact.value), fact.revision, changes);
+}
+
+void FactReplica::take_address(Schema::BackendServer const* before, Schema::BackendServer const& after, int64_t revision, FactChanges& changes)
+{
+    m_first_listed.try_emplace(after.id, revision);
+    bool const has_moved = before && before->address != after.address;
+    if (has_moved)
+        give_back(after.id, changes);
+    // An entry that names nothing to use takes no address from anybody.
+    if (after.is_draining)
+        return;
+    // Nor does a heartbeat alone, which need not be held against the whole list.
+    auto& place = m_places[after.id];
+    auto const now_at = after.service + '@' + after.address;
+    if (std::exchange(place, now_at) != now_at)
+        supersede(after, revision, changes);
+}
+
+void FactReplica::give_back(std::string const& id, FactChanges& changes)
+{
+    std::erase_if(m_superseded, [&](auto const& entry) {
+        auto const& [superseded, successor] = entry;
+        bool const is_over = superseded == id || successor == id;
+        if (is_over)
+            changes.servers.push_back(superseded);
+        return is_over;
+    });
 }
 
 void FactReplica::supersede(Schema::BackendServer const& server, int64_t revision, FactChanges& changes)
@@ -92,10 +137,11 @@
     if (server.address.empty())
         return;
     for (auto const* other : servers()) {
-        if (other->id == server.id || other->address != server.address)
+        if (other->id == server.id || other->address != server.address || other->service != server.service)
             continue;
-        auto const& earlier = m_first_listed.at(other->id) < first ? other->id : server.id;
-        m_superseded.insert(earlier);
+        bool const is_later = m_first_listed.at(other->id) < first;
+        auto const& earlier = is_later ? other->id : server.id;
+        m_superseded[earlier] = is_later ? server.id : other->id;
         changes.servers.push_back(earlier);
     }
 }
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -26,7 +26,10 @@
 /// A key that was removed.
 struct Removed { };
 
-using FactValue = std::variant<Removed, std::shared_ptr<Schema::RoutingConfiguration const>, Schema::ModelVersion, Schema::BackendServer>;
+/// A record of a backend server that could not be read.
+struct Unreadable { };
+
+using FactValue = std::variant<Removed, Unreadable, std::shared_ptr<Schema::RoutingConfiguration const>, Schema::ModelVersion, Schema::BackendServer>;
 
 /// One key's value at the offset of its record.
 struct Fact {
@@ -117,8 +120,12 @@
     /// Adds all known versions of a model to a fact that goes to a peer.
     void add_versions(Fact const&, Core::Time now, Schema::Fact&) const;
     void take_versions(std::string const& model, Schema::Fact const&, ReadTime const&, FactChanges&);
-    /// Of the servers at this one's address only the one that was listed last remains.
+    void take_unreadable(Fact const&, FactChanges&);
+    void take_address(Schema::BackendServer const* before, Schema::BackendServer const&, int64_t revision, FactChanges&);
+    /// Of a service's servers at this one's address only the one that was listed last remains.
     void supersede(Schema::BackendServer const&, int64_t revision, FactChanges&);
+    /// Of a server that is at another address now, nothing holds that its address before decided.
+    void give_back(std::string const& id, FactChanges&);
 
     std::map<Key, Fact> m_facts;
     std::shared_ptr<Schema::RoutingConfiguration const> m_configuration;
@@ -126,7 +133,10 @@
     // Revision at which each incarnation was first seen. One that was superseded never lives again, whatever late
     // heartbeat of its own comes.
     std::map<std::string, int64_t> m_first_listed;
-    std::set<std::string> m_superseded;
+    // The service and address at which each incarnation was last in use.
+    std::map<std::string, std::string> m_places;
+    // Each with the one that has its address.
+    std::map<std::string, std::string> m_superseded;
     int64_t m_configuration_end { 0 };
     int64_t m_servers_end { 0 };
     // Removals of servers before this offset may be missing here.
--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -105,6 +105,15 @@
     m_callbacks.failing(topic.topic, fault);
 }
 
+/// The facts of a page of the list, among them the servers whose records could not be read.
+static std::vector<Configuration::Fact> with_unreadable_servers(FactPage const& page)
+{
+    auto facts = page.facts;
+    for (auto const& bad : page.bad)
+        facts.push_back({ Schema::FactKind::BackendServer, bad.key, bad.revision, Configuration::Unreadable {} });
+    return facts;
+}
+
 void FactFollower::take(Topic& topic, FactPage const& page, bool is_listing)
 {
     auto const now = Core::monotonic_now();
@@ -123,7 +132,11 @@
         m_callbacks.regained(topic.topic, lost_for);
     for (auto const& bad : page.bad)
         m_callbacks.bad_record(bad);
-    auto const changes = is_listing ? m_replica.on_listing(topic.topic, page.facts, page.end, read) : m_replica.on_records(topic.topic, page.facts, page.end, read);
+    // Of the operator's records what was in force stays in force, so these are no facts.
+    bool const has_unreadable_servers = topic.topic == Configuration::FactTopic::BackendServers && !page.bad.empty();
+    auto const extended = has_unreadable_servers ? with_unreadable_servers(page) : std::vector<Configuration::Fact> {};
+    auto const& facts = has_unreadable_servers ? extended : page.facts;
+    auto const changes = is_listing ? m_replica.on_listing(topic.topic, facts, page.end, read) : m_replica.on_records(topic.topic, facts, page.end, read);
     bool const is_configuration = topic.topic == Configuration::FactTopic::Configuration;
     read_later(topic, is_configuration ? Core::Duration(0) : m_settings.servers_interval);
     if (changes.has_any())
--- a/Libraries/LibPlatform/FactLog.h
+++ b/Libraries/LibPlatform/FactLog.h
@@ -19,7 +19,8 @@
     HistoryGone,
 };
 
-/// A record that could not be read; what was in force stays in force.
+/// A record that could not be read. Of the operator's, what was in force stays in force; of a backend server's, no new work
+/// goes to the server until a record of it can be read.
 struct BadRecord {
     std::string key;
     int64_t revision { 0 };
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -42,13 +42,21 @@
 {
 }
 
+/// The version of its service's model that an engine holds whole; that of another model is none.
+static int64_t listed_version(Schema::BackendServer const& entry, Schema::EngineTiming const& timing)
+{
+    auto held = entry.held;
+    std::erase_if(held, [&](auto const& part) { return part.model != timing.model; });
+    return Configuration::whole_version(std::move(held), timing.layers.value_or(0));
+}
+
 void ServerTable::set_server(Schema::BackendServer const& entry, Core::Time)
 {
     auto& server = m_servers[entry.id];
     server.entry = entry;
     server.ip = entry.address.substr(0, entry.address.rfind(':'));
-    auto const* model = engine_service(entry.service);
-    server.listed_version = model ? Configuration::whole_version(entry.held, model->layers) : 0;
+    auto const* service = engine_service(entry.service);
+    server.listed_version = service ? listed_version(entry, service->timing) : 0;
 }
 
 void ServerTable::remove_server(std::string const& id)
@@ -67,7 +75,7 @@
     m_engine_services.insert_or_assign(service, EngineService { timing, EngineTimes(timing), layers });
     for (auto& [id, server] : m_servers) {
         if (server.entry.service == service)
-            server.listed_version = Configuration::whole_version(server.entry.held, layers);
+            server.listed_version = listed_version(server.entry, timing);
     }
 }
 
--- a/Libraries/LibTransport/SocketAddress.h
+++ b/Libraries/LibTransport/SocketAddress.h
@@ -31,6 +31,16 @@
     return { text.substr(0, colon), port <= UINT16_MAX ? static_cast<uint16_t>(port) : uint16_t { 0 } };
 }
 
+/// Whether a text is IP:PORT of something that can be called, and nothing else.
+inline bool is_address(std::string const& text)
+{
+    auto const [ip, port] = split_address(text);
+    in_addr parsed {};
+    bool const has_ip = inet_pton(AF_INET, ip.c_str(), &parsed) == 1 && parsed.s_addr != INADDR_ANY;
+    // What reads as a port may be more than its digits: spaces, a sign, what follows.
+    return has_ip && port != 0 && text == ip + ':' + std::to_string(port);
+}
+
 /// The port that a bound socket got.
 inline uint16_t local_port(int socket)
 {
