--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -44,6 +44,7 @@
 EntryFacts::EntryFacts(Core::EventLoop& loop, std::string const& identity, Sources sources, Platform::FactFollowerSettings settings, Core::Metrics& metrics, Callbacks callbacks)
     : m_log(std::move(sources.log))
     , m_metrics(metrics)
+    , m_bad_records(metrics)
     , m_callbacks(std::move(callbacks))
     , m_pauses(loop)
     , m_follower(loop, m_pauses, *m_log, m_replica, settings, follower_callbacks())
@@ -80,7 +81,7 @@
         .changed = [this](Configuration::FactChanges const& changes) { on_changed(changes); },
         .failing = [this](Configuration::FactTopic topic, Platform::FactLogFault fault) { on_failing(topic, fault); },
         .regained = [this](Configuration::FactTopic topic, Core::Duration lost_for) { on_regained(topic, lost_for); },
-        .bad_record = [this](Platform::BadRecord const& bad) { on_bad_record(bad); },
+        .bad_record = [this](Platform::BadRecord const& bad) { m_bad_records.note(bad); },
     };
 }
 
@@ -107,12 +108,6 @@
     Core::log_event(Core::LogLevel::Info, "log_regained", { { "topic", topic_name(topic) }, { "lost_for_ms", std::to_string(lost_for.count()) } });
 }
 
-void EntryFacts::on_bad_record(Platform::BadRecord const& bad)
-{
-    m_metrics.count("mountbarrow_bad_records_total", "reason=\"" + std::string(Core::error_name(bad.error.code)) + "\"");
-    Core::log_event(Core::LogLevel::Error, "bad_record", { { "key", bad.key }, { "revision", std::to_string(bad.revision) }, { "reason", Core::error_name(bad.error.code) }, { "detail", bad.error.detail } });
-}
-
 // Other entries.
 
 /// Asks for whatever the receiver has and this entry lacks.
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -5,6 +5,7 @@
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibCore/PauseWatch.h>
+#include <LibPlatform/BadRecords.h>
 #include <LibPlatform/FactFollower.h>
 #include <LibPlatform/FactLog.h>
 #include <LibPlatform/KeptVersions.h>
@@ -66,12 +67,12 @@
     void on_changed(Configuration::FactChanges const&);
     void on_failing(Configuration::FactTopic, Platform::FactLogFault);
     void on_regained(Configuration::FactTopic, Core::Duration lost_for);
-    void on_bad_record(Platform::BadRecord const&);
     Schema::Message request() const;
     void ask_for_dates(std::string const& entry);
 
     std::unique_ptr<Platform::FactLog> m_log;
     Core::Metrics& m_metrics;
+    Platform::BadRecords m_bad_records;
     Callbacks m_callbacks;
     Core::PauseWatch m_pauses;
     Configuration::FactReplica m_replica;
