Entry: Let an entry of the list that is not in use change nothing for the engine at the same address

Cause: an entry that names nothing to use no longer takes an address away, so two entries may stand at one address. Its agent would be told by turns that its engine is of use and that it is not, and goals would name the failure domain of whichever came last.

Ruled out: hiding the entry that is not in use: an incarnation that is leaving still runs what it has.

Change: an engine is of use if any entry at its address is; of two entries the one in use tells the failure domain.

Before / after: not measured apart; found by reading the uses of the list. test_foreign_records.py, which has such entries at an engine's address, passed with this change.

--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -308,11 +308,15 @@
 /// Agents tell each change of the load at once only to those that use their engine.
 void DirectEntry::tell_engine_use()
 {
+    // Another entry of the list may name the same address, such as one of a writer that is no engine.
+    std::map<std::string, bool> uses;
     for (auto const* server : m_facts.replica().servers()) {
-        auto const ip = Transport::split_address(server->address).first;
+        auto& is_used = uses[Transport::split_address(server->address).first];
+        is_used = is_used || m_servers.is_of_use(server->id);
+    }
+    for (auto const& [ip, is_used] : uses) {
         if (!m_followed.contains(ip) || !m_hub->is_up(ip))
             continue;
-        bool const is_used = m_servers.is_of_use(server->id);
         auto const [told, is_new] = m_told_use.try_emplace(ip, is_used);
         if (!is_new && std::exchange(told->second, is_used) == is_used)
             continue;
--- a/Services/DirectEntry/GoalTeller.cpp
+++ b/Services/DirectEntry/GoalTeller.cpp
@@ -18,8 +18,12 @@
 std::map<std::string, std::string> GoalTeller::domains() const
 {
     std::map<std::string, std::string> domains;
-    for (auto const* server : m_facts.servers())
-        domains[Transport::split_address(server->address).first] = server->failure_domain;
+    for (auto const* server : m_facts.servers()) {
+        auto const ip = Transport::split_address(server->address).first;
+        // Of two entries at one address the one that is in use tells where it is.
+        if (!server->is_draining || !domains.contains(ip))
+            domains[ip] = server->failure_domain;
+    }
     return domains;
 }
 
