--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -4,6 +4,7 @@
 #include <LibSchema/Json.h>
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Configuration {
 
@@ -78,8 +79,30 @@
     return true;
 }
 
+/// A record that cannot be read may have said that the server is leaving, so no new work goes there; what runs there goes on,
+/// as the rest of what was known still holds. A heartbeat of the server itself brings it back.
+void FactReplica::take_unreadable(Fact const& fact, FactChanges& changes)
+{
+    auto const known = m_facts.find({ fact.kind, fact.key });
+    // Nothing is kept under a key that nobody knew: other writers' keys may be many.
+    if (known == m_facts.end() || known->second.revision >= fact.revision)
+        return;
+    known->second.revision = fact.revision;
+    auto* server = std::get_if<Schema::BackendServer>(&known->second.value);
+    if (!server || server->is_draining)
+        return;
+    server->is_draining = true;
+    // That it is leaving is presumed, and not said: its own next word counts.
+    server->unreadable_fields.push_back("record");
+    changes.servers.push_back(fact.key);
+}
+
 void FactReplica::apply(Fact const& fact, ReadTime const& read, FactChanges& changes)
 {
+    if (std::holds_alternative<Unreadable>(fact.value)) {
+        take_unreadable(fact, changes);
+        return;
+    }
     if (fact.kind == Schema::FactKind::BackendServer) {
         apply_server(fact, changes);
         return;
@@ -142,9 +165,7 @@
     bool const is_unchanged = before && after ? is_same(*before, *after) : before == after;
     if (!is_unchanged)
         changes.servers.push_back(fact.key);
-    bool const is_at_new_address = after && (!before || before->address != after->address);
     auto const revision = is_behind ? known->second.revision : fact.revision;
-    bool const is_restart = before && after && order == RecordOrder::Newer && before->started_at_ms != after->started_at_ms;
     m_facts[key] = fact;
     m_facts[key].revision = revision;
     if (!after) {
@@ -152,9 +173,33 @@
         return;
     }
     note_incarnation(*after, fact.revision);
-    // A heartbeat alone takes no address from anybody, and need not be held against the whole list.
-    if (is_at_new_address || is_restart)
-        supersede(*after, changes);
+    take_address(before, *after, changes);
+}
+
+void FactReplica::take_address(Schema::BackendServer const* before, Schema::BackendServer const& after, FactChanges& changes)
+{
+    bool const has_moved = before && before->address != after.address;
+    if (has_moved)
+        give_back(after.id, changes);
+    // An entry that names nothing to use takes no address from anybody.
+    if (after.is_draining)
+        return;
+    // Nor does a heartbeat alone, which need not be held against the whole list.
+    auto& place = m_incarnations.at(after.id).place;
+    auto const now_at = after.service + '@' + after.address;
+    if (std::exchange(place, now_at) != now_at)
+        supersede(after, changes);
+}
+
+void FactReplica::give_back(std::string const& id, FactChanges& changes)
+{
+    for (auto& [superseded, incarnation] : m_incarnations) {
+        bool const is_over = !incarnation.successor.empty() && (superseded == id || incarnation.successor == id);
+        if (!is_over)
+            continue;
+        incarnation.successor.clear();
+        changes.servers.push_back(superseded);
+    }
 }
 
 void FactReplica::note_incarnation(Schema::BackendServer const& server, int64_t revision)
@@ -176,11 +221,11 @@
     if (server.address.empty())
         return;
     for (auto const* other : servers()) {
-        if (other->id == server.id || other->address != server.address)
+        if (other->id == server.id || other->address != server.address || other->service != server.service)
             continue;
         auto& others = m_incarnations.at(other->id);
         bool const is_other_earlier = others.first_listed < own.first_listed;
-        (is_other_earlier ? others : own).is_superseded = true;
+        (is_other_earlier ? others : own).successor = is_other_earlier ? server.id : other->id;
         changes.servers.push_back(is_other_earlier ? other->id : server.id);
     }
 }
@@ -296,7 +341,7 @@
 Schema::BackendServer const* FactReplica::server(std::string const& id) const
 {
     auto const incarnation = m_incarnations.find(id);
-    if (incarnation != m_incarnations.end() && incarnation->second.is_superseded)
+    if (incarnation != m_incarnations.end() && !incarnation->second.successor.empty())
         return nullptr;
     auto const found = m_facts.find({ Schema::FactKind::BackendServer, id });
     return found == m_facts.end() ? nullptr : std::get_if<Schema::BackendServer>(&found->second.value);
@@ -307,7 +352,7 @@
     std::vector<Schema::BackendServer const*> servers;
     for (auto const& [key, fact] : m_facts) {
         auto const* server = std::get_if<Schema::BackendServer>(&fact.value);
-        if (server && !m_incarnations.at(server->id).is_superseded)
+        if (server && m_incarnations.at(server->id).successor.empty())
             servers.push_back(server);
     }
     return servers;
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -26,7 +26,10 @@
 /// A key that was removed.
 struct Removed { };
 
-using FactValue = std::variant<Removed, std::shared_ptr<Schema::RoutingConfiguration const>, Schema::ModelVersion, Schema::BackendServer>;
+/// A record of a backend server that could not be read.
+struct Unreadable { };
+
+using FactValue = std::variant<Removed, Unreadable, std::shared_ptr<Schema::RoutingConfiguration const>, Schema::ModelVersion, Schema::BackendServer>;
 
 /// One key's value at the offset of its record.
 struct Fact {
@@ -118,9 +121,11 @@
         int64_t first_listed { 0 };
         /// Nothing where no record told it.
         std::optional<int64_t> started_at_ms;
-        /// Its address went to another. It never lives again, whatever late heartbeat of its own comes; only its server's
-        /// next start does.
-        bool is_superseded { false };
+        /// The service and address at which it was last in use; empty before it was.
+        std::string place {};
+        /// The server that its address went to; empty if none. One that was superseded never lives again, whatever late
+        /// heartbeat of its own comes; only its server's next start does.
+        std::string successor {};
     };
 
     void apply(Fact const&, ReadTime const&, FactChanges&);
@@ -137,10 +142,14 @@
     void take_versions(std::string const& model, Schema::Fact const&, ReadTime const&, FactChanges&);
     /// Takes a record of the list of backend servers, if it says something newer than what is held.
     void apply_server(Fact const&, FactChanges&);
+    void take_unreadable(Fact const&, FactChanges&);
     /// Begins an incarnation that is later than all that were seen under its identity.
     void note_incarnation(Schema::BackendServer const&, int64_t revision);
-    /// Of the servers at this one's address only the one that was listed last remains.
+    void take_address(Schema::BackendServer const* before, Schema::BackendServer const&, FactChanges&);
+    /// Of a service's servers at this one's address only the one that was listed last remains.
     void supersede(Schema::BackendServer const&, FactChanges&);
+    /// Of a server that is at another address now, nothing holds that its address before decided.
+    void give_back(std::string const& id, FactChanges&);
 
     std::map<Key, Fact> m_facts;
     std::shared_ptr<Schema::RoutingConfiguration const> m_configuration;
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -6,6 +6,7 @@
 #include <LibCore/Metrics.h>
 #include <LibCore/PauseWatch.h>
 #include <LibPlatform/AskedPeers.h>
+#include <LibPlatform/BadRecords.h>
 #include <LibPlatform/FactFollower.h>
 #include <LibPlatform/FactLog.h>
 #include <LibPlatform/KeptVersions.h>
@@ -76,13 +77,13 @@
     void take_known(std::vector<Configuration::KnownVersion> const&);
     void on_failing(Configuration::FactTopic, Platform::FactLogFault);
     void on_regained(Configuration::FactTopic, Core::Duration lost_for);
-    void on_bad_record(Platform::BadRecord const&);
     Schema::Message request() const;
     void ask_for_dates(std::string const& entry);
     bool may_ask_again(std::string const& entry, Core::Time now);
 
     std::unique_ptr<Platform::FactLog> m_log;
     Core::Metrics& m_metrics;
+    Platform::BadRecords m_bad_records;
     Callbacks m_callbacks;
     Core::PauseWatch m_pauses;
     Configuration::FactReplica m_replica;
