LibConfiguration: Let an incarnation that was removed ask for its address anew

Cause: a server takes an address only when its place is another than before, and its place was remembered past its removal. A late heartbeat of one that had ended before its address was taken then stood beside the next incarnation. FactReplica.AnIncarnationThatEndedBeforeItsAddressWasTakenDoesNotComeBackBesideTheNext failed since the place was remembered ("Take no backend server from an entry of the list that lacks what its use needs").

Ruled out: nothing else was tried.

Change: the place of a server is forgotten when it is removed, which also bounds what is remembered.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -100,6 +100,8 @@
             changes.servers.push_back(fact.key);
         if (after)
             take_address(before, *after, fact.revision, changes);
+        else
+            m_places.erase(fact.key);
     }
     m_facts[key] = fact;
 }
