--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -170,6 +170,7 @@
     m_facts[key].revision = revision;
     if (!after) {
         m_removed_at[fact.key] = fact.revision;
+        forget_place(fact.key);
         return;
     }
     note_incarnation(*after, fact.revision);
@@ -191,6 +192,13 @@
         supersede(after, changes);
 }
 
+void FactReplica::forget_place(std::string const& id)
+{
+    auto const incarnation = m_incarnations.find(id);
+    if (incarnation != m_incarnations.end())
+        incarnation->second.place.clear();
+}
+
 void FactReplica::give_back(std::string const& id, FactChanges& changes)
 {
     for (auto& [superseded, incarnation] : m_incarnations) {
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -148,6 +148,8 @@
     void take_address(Schema::BackendServer const* before, Schema::BackendServer const&, FactChanges&);
     /// Of a service's servers at this one's address only the one that was listed last remains.
     void supersede(Schema::BackendServer const&, FactChanges&);
+    /// One that was removed asks for its address anew, if it comes back.
+    void forget_place(std::string const& id);
     /// Of a server that is at another address now, nothing holds that its address before decided.
     void give_back(std::string const& id, FactChanges&);
 
