LibConfiguration: Look at a server's address before what was held of it is overwritten

Cause: the parts were joined so that the address before was read after the record had been replaced; a server that moved gave nothing back. Ruled out: nothing else. Change: the address is taken first. Before / after: ForeignRecords.AnAddressThatWasMisreadOnceIsGivenBack failed, passes.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -166,6 +166,8 @@
     if (!is_unchanged)
         changes.servers.push_back(fact.key);
     auto const revision = is_behind ? known->second.revision : fact.revision;
+    // What was held is overwritten below.
+    auto const address_before = before ? std::optional(before->address) : std::nullopt;
     m_facts[key] = fact;
     m_facts[key].revision = revision;
     if (!after) {
@@ -174,12 +176,12 @@
         return;
     }
     note_incarnation(*after, fact.revision);
-    take_address(before, *after, changes);
+    take_address(address_before, *after, changes);
 }
 
-void FactReplica::take_address(Schema::BackendServer const* before, Schema::BackendServer const& after, FactChanges& changes)
+void FactReplica::take_address(std::optional<std::string> const& before, Schema::BackendServer const& after, FactChanges& changes)
 {
-    bool const has_moved = before && before->address != after.address;
+    bool const has_moved = before && *before != after.address;
     if (has_moved)
         give_back(after.id, changes);
     // An entry that names nothing to use takes no address from anybody.
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -145,7 +145,7 @@
     void take_unreadable(Fact const&, FactChanges&);
     /// Begins an incarnation that is later than all that were seen under its identity.
     void note_incarnation(Schema::BackendServer const&, int64_t revision);
-    void take_address(Schema::BackendServer const* before, Schema::BackendServer const&, FactChanges&);
+    void take_address(std::optional<std::string> const& before, Schema::BackendServer const&, FactChanges&);
     /// Of a service's servers at this one's address only the one that was listed last remains.
     void supersede(Schema::BackendServer const&, FactChanges&);
     /// One that was removed asks for its address anew, if it comes back.
