--- a/Tests/LibRouting/TestDirectRouting.cpp
+++ b/Tests/LibRouting/TestDirectRouting.cpp
@@ -3,6 +3,7 @@
 #include <LibRouting/EventStream.h>
 #include <LibRouting/RetryShare.h>
 #include <LibRouting/RouteTable.h>
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -186,3 +187,36 @@
     EXPECT_TRUE(share.has_left("b", Core::Time(0)));
     EXPECT_TRUE(share.has_left("a", Core::Time(20000)));
 }
+
+TEST(RetryShare, ARestartOfAllEntriesWhileRetriesAreSpentStaysWithinTheBound)
+{
+    static constexpr size_t entries = 5;
+    static constexpr int64_t window = 10000;
+    RetryBound const bound { .ratio = 0.2, .window = Core::Duration(window), .slack = 106 };
+    std::vector<RetryShare> shares;
+    auto const start_all = [&](int64_t now) {
+        shares.clear();
+        for (size_t i = 0; i < entries; ++i) {
+            shares.emplace_back(bound, Core::Time(now));
+            shares.back().set_entries(entries);
+        }
+    };
+    start_all(0);
+    std::vector<int64_t> requests;
+    std::vector<int64_t> retries;
+    // Steady requests; from 6 s on whatever may be sent again is.
+    for (int64_t now = 0; now < 20000; now += 6) {
+        if (now == 10002)
+            start_all(now);
+        auto& share = shares[static_cast<size_t>(now / 6) % entries];
+        share.on_request("s", Core::Time(now));
+        requests.push_back(now);
+        if (now >= 6000 && share.try_spend("s", Core::Time(now)))
+            retries.push_back(now);
+    }
+    for (int64_t begin = 0; begin <= 10000; begin += 250) {
+        auto const in_window = [](std::vector<int64_t> const& times, int64_t from) { return static_cast<double>(std::count_if(times.begin(), times.end(), [from](int64_t time) { return time >= from && time < from + window; })); };
+        auto const asked = std::max({ in_window(requests, begin), in_window(requests, begin - window / 2), in_window(requests, begin - window) });
+        EXPECT_LE(in_window(retries, begin), bound.ratio * asked + bound.slack) << "window from " << begin;
+    }
+}
