--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -18,7 +18,7 @@
 // What a link still brings this long after a pause may have been sent before it; one that is silent longer is dropped.
 static constexpr Core::Duration late_on_link = Transport::LinkKeepAlive {}.silence;
 // Two entries that have run for long know when versions were named; of two that have just started neither does.
-static constexpr int most_asked_for_dates = 2;
+static constexpr int most_asked_for_versions = 2;
 static constexpr Core::Duration ask_interval { 1000 };
 
 Platform::FactFollowerSettings follower_settings(Schema::DirectEntrySettingsBounds const& bounds)
@@ -116,7 +116,7 @@
     m_asked.on_regained(topic);
     // What was read just now is dated by a guess: an entry that went on reading knows better.
     if (topic == Configuration::FactTopic::Configuration)
-        m_asked_for_dates = 0;
+        m_asked_for_versions = 0;
     Core::log_event(Core::LogLevel::Info, "log_regained", { { "topic", topic_name(topic) }, { "lost_for_ms", std::to_string(lost_for.count()) } });
 }
 
@@ -136,16 +136,16 @@
 {
     if (m_asked.may_ask_linked(m_callbacks.distance(entry)))
         m_callbacks.send(entry, request());
-    ask_for_dates(entry);
+    ask_for_versions(entry);
 }
 
 /// Others may know of a version that the log told this one nothing of, or when one was named.
-void EntryFacts::ask_for_dates(std::string const& entry)
+void EntryFacts::ask_for_versions(std::string const& entry)
 {
     // Without a configuration of its own it would be sent a whole one, and serves nothing yet.
-    if (m_asked_for_dates >= most_asked_for_dates || !m_replica.configuration())
+    if (m_asked_for_versions >= most_asked_for_versions || !m_replica.configuration())
         return;
-    m_asked_for_dates += 1;
+    m_asked_for_versions += 1;
     m_callbacks.send(entry, request());
 }
 
@@ -163,7 +163,7 @@
     bool const has_older = own_version && configuration_version && *configuration_version > *own_version;
     if (!is_behind && !has_older) {
         m_behind_since.reset();
-        ask_for_dates(entry);
+        ask_for_versions(entry);
         return;
     }
     // Its read brought what this one's has not: perhaps this one waits on a dead connection.
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -78,7 +78,7 @@
     void on_failing(Configuration::FactTopic, Platform::FactLogFault);
     void on_regained(Configuration::FactTopic, Core::Duration lost_for);
     Schema::Message request() const;
-    void ask_for_dates(std::string const& entry);
+    void ask_for_versions(std::string const& entry);
     bool may_ask_again(std::string const& entry, Core::Time now);
 
     std::unique_ptr<Platform::FactLog> m_log;
@@ -91,7 +91,7 @@
     Platform::KeptVersions m_kept;
     std::set<Configuration::FactTopic> m_failing;
     // Entries that were asked what they know of versions, since the start or since the log answers again.
-    int m_asked_for_dates { 0 };
+    int m_asked_for_versions { 0 };
     // Since when others are known to have read further.
     std::optional<Core::Time> m_behind_since;
     Core::Time m_asked_at { 0 };
