Entry, LibPlatform, Tests: Call what there is for distances and bad records, and keep the platform's words beside it

Cause: read again, the change wrote three things a second time: where an entry is (beside Routing::distance_between, over a copy of all entries at each call), how a bad record is counted and logged (KeptVersions beside BadRecords), and how a test starts linked entries. Ruled out: one check of earlier incarnations in CopyKeeper and StagedLoad: each is used without the other. No assertion changes.

--- a/Libraries/LibPlatform/KeptVersions.cpp
+++ b/Libraries/LibPlatform/KeptVersions.cpp
@@ -83,10 +83,8 @@
         auto const age = wall_now - known_at;
         known.push_back({ each.model, each.version, now - age });
     }
-    for (auto const& bad : page.bad) {
-        m_metrics.count("mountbarrow_bad_records_total", "reason=\"" + std::string(Core::error_name(bad.error.code)) + "\"");
-        Core::log_event(Core::LogLevel::Error, "bad_record", { { "key", bad.key }, { "revision", std::to_string(bad.revision) }, { "reason", Core::error_name(bad.error.code) }, { "detail", bad.error.detail } });
-    }
+    for (auto const& bad : page.bad)
+        m_callbacks.bad_record(bad);
     Core::log_event(Core::LogLevel::Info, "kept_versions_read", { { "versions", std::to_string(known.size()) } });
     m_callbacks.read(known);
 }
--- a/Libraries/LibPlatform/KeptVersions.h
+++ b/Libraries/LibPlatform/KeptVersions.h
@@ -27,6 +27,7 @@
         std::function<void(std::vector<Configuration::KnownVersion> const&)> read;
         /// The other entries that are linked.
         std::function<std::vector<std::string>()> entries;
+        std::function<void(BadRecord const&)> bad_record;
     };
 
     /// `records`: null where the platform keeps none.
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -404,16 +404,12 @@
 /// Nobody knows where an entry is before it has told its load.
 Platform::Distance DirectEntry::distance(std::string const& entry) const
 {
-    auto const region = [this](std::string const& failure_domain) {
-        auto const found = m_settings.regions.find(failure_domain);
-        return found == m_settings.regions.end() ? failure_domain : found->second;
-    };
-    for (auto const& each : m_sharing.entries()) {
-        bool const is_near = each.identity == entry && region(each.failure_domain) == region(m_settings.failure_domain);
-        if (is_near)
-            return Platform::Distance::Near;
-    }
-    return Platform::Distance::Far;
+    auto const& loads = m_sharing.peer_loads();
+    auto const load = loads.find(entry);
+    if (load == loads.end())
+        return Platform::Distance::Far;
+    auto const distance = Routing::distance_between(m_settings.failure_domain, load->second.failure_domain, m_settings.regions);
+    return distance == Routing::Distance::OtherRegion ? Platform::Distance::Far : Platform::Distance::Near;
 }
 
 void DirectEntry::on_facts(FactChanges const& changes)
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -59,6 +59,7 @@
     return {
         .read = [this](std::vector<Configuration::KnownVersion> const& known) { take_known(known); },
         .entries = [this] { return m_callbacks.entries(); },
+        .bad_record = [this](Platform::BadRecord const& bad) { m_bad_records.note(bad); },
     };
 }
 
--- a/Tests/LibPlatform/TestKeptVersions.cpp
+++ b/Tests/LibPlatform/TestKeptVersions.cpp
@@ -62,7 +62,7 @@
 struct Process {
     Process(Core::EventLoop& loop, SharedRecords& shared, std::string const& identity, std::vector<std::string> const& linked)
         : kept(loop, std::make_unique<RecordsOfOne>(shared, identity), identity, facts, metrics,
-            { .read = [this](auto const& known) { facts.on_known_versions(known, Core::monotonic_now()); }, .entries = [linked] { return linked; } })
+            { .read = [this](auto const& known) { facts.on_known_versions(known, Core::monotonic_now()); }, .entries = [linked] { return linked; }, .bad_record = [](auto const&) {} })
     {
         kept.start([this] { is_started = true; });
     }
@@ -86,6 +86,18 @@
     int64_t m_revision { 0 };
 };
 
+/// Entries that are all linked to each other.
+std::vector<std::unique_ptr<Process>> start_linked(Core::EventLoop& loop, SharedRecords& shared, std::vector<std::string> const& all)
+{
+    std::vector<std::unique_ptr<Process>> processes;
+    for (auto const& identity : all) {
+        auto others = all;
+        std::erase(others, identity);
+        processes.push_back(std::make_unique<Process>(loop, shared, identity, others));
+    }
+    return processes;
+}
+
 void run_for(Core::EventLoop& loop, Core::Duration duration)
 {
     auto const end = loop.after(duration, [&] { loop.stop(); });
@@ -119,12 +131,7 @@
     Core::EventLoop loop;
     SharedRecords shared;
     std::vector<std::string> const all { "a", "b", "c", "d", "e" };
-    std::vector<std::unique_ptr<Process>> processes;
-    for (auto const& identity : all) {
-        auto others = all;
-        std::erase(others, identity);
-        processes.push_back(std::make_unique<Process>(loop, shared, identity, others));
-    }
+    auto const processes = start_linked(loop, shared, all);
     for (auto const& process : processes)
         process->learn(2);
     run_for(loop, Core::Duration(50));
@@ -176,12 +183,7 @@
     std::vector<std::string> const all { "a", "b", "c", "d", "e" };
     auto const ranked = Core::rendezvous_order("m/3", all);
     shared.refused = { ranked[0], ranked[1] };
-    std::vector<std::unique_ptr<Process>> processes;
-    for (auto const& identity : all) {
-        auto others = all;
-        std::erase(others, identity);
-        processes.push_back(std::make_unique<Process>(loop, shared, identity, others));
-    }
+    auto const processes = start_linked(loop, shared, all);
     for (auto const& process : processes)
         process->learn(3);
     run_for(loop, Core::Duration(4000));
--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -39,6 +39,11 @@
     return fields
 
 
+def answer_marks(answer):
+    """The request that an answer belongs to, and the server's seal; None for one that it lacks."""
+    return answer.getheader("X-Request-Id"), answer.getheader("X-Response-Seal")
+
+
 class Answer:
     def __init__(self, status, headers, body, is_whole):
         self.status = status
--- a/Tests/Soak/callers.py
+++ b/Tests/Soak/callers.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from fleet import CALLERS_PORT, KEY, caller_fields
+from fleet import CALLERS_PORT, KEY, answer_marks, caller_fields
 
 DEADLINE_MS = 4000
 # How long a caller waits for the next byte: past every deadline of its own.
@@ -81,8 +81,7 @@
             connection.request("GET" if kind == "safe" else "POST", path, body=None if kind == "safe" else b"x", headers=headers)
             answer = connection.getresponse()
             seen.status = answer.status
-            seen.answered_id = answer.getheader("X-Request-Id")
-            seen.seal = answer.getheader("X-Response-Seal")
+            seen.answered_id, seen.seal = answer_marks(answer)
             seen.has_left = kind == "stream" and seen.status == 200 and self.random.randrange(LEAVE_ONE_IN) == 0
             seen.body = answer.read(1 if seen.has_left else None)
             seen.is_whole = not seen.has_left
