--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -56,6 +56,7 @@
         self.port = port
         self.server = None
         self.tasks = set()
+        self.writers = set()
         self.listen()
 
     def listen(self):
@@ -71,6 +72,7 @@
     async def serve(self, reader, writer):
         task = asyncio.current_task()
         self.tasks.add(task)
+        self.writers.add(writer)
         try:
             while True:
                 request = await self.read(reader, writer)
@@ -80,6 +82,7 @@
             pass
         finally:
             self.tasks.discard(task)
+            self.writers.discard(writer)
             writer.close()
 
     @staticmethod
@@ -185,14 +188,16 @@
 
     def write(self, topic, key, value):
         """Appends a record; None removes the key."""
-        body = b"" if value is None else json.dumps(value).encode()
-
         async def append():
-            self.topics[topic].append((key, body))
-            self.changed.set()
-            self.changed = asyncio.Event()
+            self.append(topic, key, value)
         self.loop.run(append())
 
+    def append(self, topic, key, value):
+        """The same, on the loop of the stand-ins."""
+        self.topics[topic].append((key, b"" if value is None else json.dumps(value).encode()))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def forget_history(self):
         for topic, records in self.topics.items():
             self.first[topic] = len(records)
@@ -346,6 +351,13 @@
         self.event_seconds = 0.01
         self.running = 0
         self.is_frozen = False
+        # A request with one of these bodies ends the engine so long after it began there; it is back after some seconds.
+        self.crashing_bodies = set()
+        self.crash_seconds = 0.08
+        self.back_seconds = 3.0
+        # (body, when) of each send of such a request that reached the engine, and of each end by one.
+        self.crashing_sends = []
+        self.crashes = []
         super().__init__(loop, address, port, store, service, zone)
 
     def own_entry(self):
@@ -384,6 +396,23 @@
         self.listen()
         self.enlist()
 
+    async def end_by(self, body):
+        """The request ends the engine: all connections are reset at once, and new ones refused until it is back."""
+        if not self.server.is_serving():
+            return
+        self.crashes.append((body, time.monotonic()))
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        for task in self.tasks - {asyncio.current_task()}:
+            task.cancel()
+        asyncio.get_running_loop().call_later(self.back_seconds, lambda: asyncio.ensure_future(self.be_back()))
+
+    async def be_back(self):
+        self.forget()
+        self.server = await asyncio.start_server(self.serve, self.address, self.port, reuse_address=True)
+        self.store.append("keyed.servers", self.id, self.entry())
+
     async def answer(self, request):
         if self.is_frozen:
             await asyncio.sleep(3600)
@@ -417,6 +446,8 @@
         return await self.reply(request, 202)
 
     async def stream(self, request):
+        if request.body in self.crashing_bodies:
+            self.crashing_sends.append((request.body, time.monotonic()))
         wanted = request.headers.get("x-expect-version")
         if self.is_misdirected(request) or (wanted and int(wanted) != self.version):
             return await self.refuse(request, 421)
@@ -432,6 +463,11 @@
         request.writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{fields}\r\n".encode())
         self.running += 1
         try:
+            if request.body in self.crashing_bodies:
+                await request.writer.drain()
+                await asyncio.sleep(self.crash_seconds)
+                await self.end_by(request.body)
+                return False
             first = int(request.headers.get("last-event-id", "0")) + 1
             for number in range(first, self.events + 1):
                 event = f"id: {number}\ndata: token-{number}\n\n".encode()
