Entry, LibRouting, LibPlatform, platform: Requests that end the servers which run them are found out, and stopped at all entries

Change: an entry whose answer broke off asks whether anybody listens at the server (one connect; a cut says nothing, an end refuses). All that ran on a server that ended are suspects, told to all entries in one message a turn; what runs to its end is cleared; one of two ends runs by itself, where no other suspect is; the end of that server blames it, and explains the ends of all that ran beside. A server that ended is no attempt of the route's, so harmless streams go on elsewhere. GET and DELETE /suspects on the metrics address show and take back. What is remembered on the platform shares one topic class and one rule of who writes.

--- /dev/null
+++ b/Libraries/LibPlatform/KeptBlames.cpp
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibPlatform/KeptBlames.h>
+
+#include <LibCore/Log.h>
+#include <LibPlatform/WriterTurns.h>
+#include <algorithm>
+
+namespace Platform {
+
+static constexpr Core::Duration read_patience { 600 };
+static constexpr Core::Duration retry_interval { 300 };
+static constexpr Core::Duration longest_retry_interval { 2400 };
+static constexpr int most_doublings = 3;
+// Ends of servers come in groups, and each read is paid for.
+static constexpr Core::Duration least_read_interval { 2000 };
+static constexpr Core::Duration turn_interval { 500 };
+// Longer than any stand-in waits: whose turn it is not by then, it never will be.
+static constexpr Core::Duration others_write_within { 6000 };
+// As long as entries remember them themselves.
+static constexpr Core::Duration kept_for { std::chrono::hours(24) };
+// What a writer that is none of ours may add; the newest count.
+static constexpr size_t most_kept = 256;
+
+KeptBlames::KeptBlames(Core::EventLoop& loop, std::unique_ptr<BlameRecords> records, std::string identity, Core::Metrics& metrics, Callbacks callbacks)
+    : m_loop(loop)
+    , m_records(std::move(records))
+    , m_identity(std::move(identity))
+    , m_metrics(metrics)
+    , m_callbacks(std::move(callbacks))
+{
+}
+
+void KeptBlames::read()
+{
+    if (!m_records || m_is_reading)
+        return;
+    m_is_reading = true;
+    m_read_at = Core::monotonic_now();
+    m_records->read({ .wait = Core::Duration(0), .answer = read_patience }, [this](auto const& page) { on_read(page); });
+}
+
+void KeptBlames::read_soon()
+{
+    if (Core::monotonic_now() - m_read_at >= least_read_interval)
+        read();
+}
+
+void KeptBlames::on_read(tl::expected<BlameRecords::Page, FactLogFault> const& page)
+{
+    m_is_reading = false;
+    if (!page.has_value()) {
+        auto const wait = std::min(longest_retry_interval, retry_interval * (1 << std::min(m_failures++, most_doublings)));
+        Core::log_event(Core::LogLevel::Warn, "kept_blames_unread", { { "failures", std::to_string(m_failures) } });
+        m_read_timer = m_loop.after(wait, [this] { read(); });
+        return;
+    }
+    m_failures = 0;
+    for (auto const& bad : page->bad) {
+        m_metrics.count("mountbarrow_bad_blame_records_total");
+        Core::log_event(Core::LogLevel::Warn, "bad_blame_record", { { "key", bad.key }, { "reason", bad.error.detail } });
+    }
+    auto blames = page->blames;
+    std::sort(blames.begin(), blames.end(), [](auto const& a, auto const& b) { return a.blamed_at_ms > b.blamed_at_ms; });
+    std::vector<std::string> outlived;
+    auto const now = Core::wall_now();
+    for (size_t i = 0; i < blames.size(); ++i) {
+        auto const& blame = blames[i];
+        // A time to come was told by a wrong clock.
+        auto const age = std::max(Core::Duration(0), now - Core::WallTime(blame.blamed_at_ms));
+        if (i >= most_kept || age >= kept_for) {
+            outlived.push_back(blame.digest);
+            continue;
+        }
+        m_kept.insert(blame.digest);
+        Schema::CrashSuspect suspect {};
+        suspect.digest = blame.digest;
+        suspect.times_blamed = blame.times_blamed;
+        suspect.blamed_ms_ago = age.count();
+        for (auto const& server : blame.servers)
+            suspect.ends.push_back({ .alone = false, .server = server });
+        m_callbacks.read(suspect);
+    }
+    if (!outlived.empty())
+        drop(outlived);
+}
+
+void KeptBlames::keep(Schema::CrashSuspect const& suspect)
+{
+    if (!m_records || !suspect.blamed_ms_ago || m_kept.contains(suspect.digest))
+        return;
+    Schema::KeptBlame blame {};
+    blame.digest = suspect.digest;
+    blame.times_blamed = suspect.times_blamed;
+    blame.blamed_at_ms = (Core::wall_now() - Core::Duration(*suspect.blamed_ms_ago)).count();
+    for (auto const& end : suspect.ends)
+        blame.servers.push_back(end.server);
+    m_unwritten[suspect.digest] = { std::move(blame), Core::monotonic_now() };
+    if (!m_write_timer)
+        m_write_timer = m_loop.every(turn_interval, [this] { write_due(); });
+    write_due();
+}
+
+void KeptBlames::write_due()
+{
+    if (m_unwritten.empty()) {
+        m_write_timer.reset();
+        return;
+    }
+    if (m_is_writing)
+        return;
+    auto const now = Core::monotonic_now();
+    auto const is_turn = [&](std::string const& digest, Unwritten const& unwritten) {
+        return is_turn_to_write(digest, m_identity, m_callbacks.entries(), now - unwritten.known_since);
+    };
+    std::erase_if(m_unwritten, [&](auto const& entry) { return now - entry.second.known_since >= others_write_within && !is_turn(entry.first, entry.second); });
+    for (auto const& [digest, unwritten] : m_unwritten) {
+        if (!is_turn(digest, unwritten))
+            continue;
+        m_is_writing = true;
+        m_records->write(unwritten.blame, [this, digest = digest](bool is_done) { on_written(digest, is_done); });
+        return;
+    }
+}
+
+void KeptBlames::on_written(std::string const& digest, bool is_done)
+{
+    m_is_writing = false;
+    m_metrics.count("mountbarrow_blame_records_total", std::string("outcome=\"") + (is_done ? "written" : "failed") + "\"");
+    Core::log_event(is_done ? Core::LogLevel::Info : Core::LogLevel::Warn, "blame_kept", { { "digest", digest }, { "outcome", is_done ? "written" : "failed" } });
+    if (!is_done)
+        return;
+    m_kept.insert(digest);
+    m_unwritten.erase(digest);
+}
+
+void KeptBlames::forget(std::string const& digest)
+{
+    on_forgotten(digest);
+    drop({ digest });
+}
+
+void KeptBlames::on_forgotten(std::string const& digest)
+{
+    m_unwritten.erase(digest);
+    m_kept.erase(digest);
+}
+
+void KeptBlames::drop(std::vector<std::string> const& digests)
+{
+    if (!m_records)
+        return;
+    m_records->forget(digests, [this, digests](bool is_done) {
+        m_metrics.count("mountbarrow_blame_records_total", std::string("outcome=\"") + (is_done ? "dropped" : "failed") + "\"");
+        // One that stays behind is over in a day, and is tried again within it.
+        Core::log_event(is_done ? Core::LogLevel::Info : Core::LogLevel::Warn, "blames_dropped", { { "count", std::to_string(digests.size()) }, { "outcome", is_done ? "written" : "failed" } });
+    });
+}
+
+}
--- a/Libraries/LibPlatform/KeptVersions.cpp
+++ b/Libraries/LibPlatform/KeptVersions.cpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibPlatform/KeptVersions.h>
 
-#include <LibCore/Hash.h>
 #include <LibCore/Log.h>
+#include <LibPlatform/WriterTurns.h>
 #include <algorithm>
 
 namespace Platform {
@@ -16,11 +16,6 @@
 static constexpr int most_doublings = 3;
 // Who is linked changes seldom; an entry whose turn it was may be gone.
 static constexpr Core::Duration turn_interval { 500 };
-// One may end before its write is taken. Each write is paid for.
-static constexpr size_t writers = 2;
-// The store may turn both away, and who else is served cannot be told: these follow one after another.
-static constexpr size_t stand_ins = 3;
-static constexpr Core::Duration stand_in_interval { 1500 };
 // Older ones are over for long.
 static constexpr size_t kept_of_a_model = 16;
 
@@ -91,14 +86,7 @@
 
 bool KeptVersions::falls_to_this(Version const& version, Core::Duration known_for) const
 {
-    auto ids = m_callbacks.entries();
-    ids.push_back(m_identity);
-    auto const ranked = Core::rendezvous_order(version.first + "/" + std::to_string(version.second), std::move(ids));
-    auto const place = std::find(ranked.begin(), ranked.end(), m_identity);
-    auto const rank = static_cast<size_t>(place - ranked.begin());
-    if (rank < writers)
-        return true;
-    return rank < writers + stand_ins && known_for >= stand_in_interval * static_cast<int64_t>(rank - writers + 1);
+    return is_turn_to_write(version.first + "/" + std::to_string(version.second), m_identity, m_callbacks.entries(), known_for);
 }
 
 void KeptVersions::keep_new()
--- a/Libraries/LibRouting/AttemptPolicy.cpp
+++ b/Libraries/LibRouting/AttemptPolicy.cpp
@@ -7,6 +7,8 @@
 static constexpr Core::Duration least_time_for_a_send { 30 };
 // Sends that ran nothing are tried again a few times, beside the attempts that the route allows.
 static constexpr int64_t most_misses = 3;
+// Servers that end are no attempts of the route's. A harmless request meets a second such end seldom and a third hardly ever.
+static constexpr int64_t most_ended_servers = 3;
 
 bool is_repeatable(AttemptState const& state)
 {
@@ -26,7 +28,7 @@
         return false;
     if (ran_nothing(end))
         return state.misses <= most_misses;
-    return is_repeatable(state) && state.sends < state.max_attempts;
+    return is_repeatable(state) && state.sends < state.max_attempts && state.ended_servers <= most_ended_servers;
 }
 
 NextStep next_step(SendEnd end, AttemptState const& state)
--- a/Libraries/LibRouting/AttemptPolicy.h
+++ b/Libraries/LibRouting/AttemptPolicy.h
@@ -16,6 +16,8 @@
     ServerFailure,
     /// The answer broke off, was no answer, or belonged to another request.
     BrokenOff,
+    /// The backend server ended while it ran the request.
+    ServerEnded,
     /// Nothing came for longer than the request can wait.
     Silent,
     /// It had not begun when the version there became too old to begin on.
@@ -35,6 +37,8 @@
     int64_t max_attempts { 1 };
     /// Sends that ended as not run or not connected, this one included.
     int64_t misses { 0 };
+    /// Sends to backend servers that ended meanwhile, this one included; `sends` leaves them out.
+    int64_t ended_servers { 0 };
     bool has_budget { true };
     Core::Duration remaining { 0 };
 };
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -35,6 +35,10 @@
 // these before all others.
 static constexpr double helper_ms = 40;
 static constexpr double other_ms = 160;
+// A server that may end at any moment, against half of the usual aim for a first event.
+static constexpr double avoided_ms = 250;
+// What one more request costs that the end of a server would break off, against a place far away.
+static constexpr double company_ms = 50;
 
 static bool is_earlier_start(std::optional<int64_t> started_at_ms, std::optional<int64_t> known)
 {
@@ -434,7 +438,9 @@
     case Schema::ServerChoice::Predicted:
         break;
     }
-    return predicted_ms(server, needs, now) + distance_ms(server) + role_ms(server) + failure;
+    auto const risk = needs.avoided.contains(server.entry.id) ? avoided_ms : 0;
+    auto const company = needs.wants_idle ? company_ms * static_cast<double>(others_in_flight(server, now) + static_cast<int64_t>(server.pending.size())) : 0;
+    return predicted_ms(server, needs, now) + distance_ms(server) + role_ms(server) + failure + risk + company;
 }
 
 tl::expected<ServerChoice, NoServer> ServerTable::choose(ServerNeeds const& needs, Core::Time now)
@@ -449,7 +455,7 @@
             continue;
         if (!is_usable(server, needs, now))
             continue;
-        bool const is_open = has_room(server, now) && !would_stall(server, needs, now) && (!needs.takes_leftover || has_leftover(server, now));
+        bool const is_open = !needs.closed.contains(id) && has_room(server, now) && !would_stall(server, needs, now) && (!needs.takes_leftover || has_leftover(server, now));
         if (!is_open) {
             saw_full = true;
             continue;
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -26,6 +26,12 @@
     int64_t prompt_tokens { 0 };
     /// Incarnations that were tried already.
     std::set<std::string> excluded {};
+    /// Servers that may not be chosen now, and may be soon.
+    std::set<std::string> closed {};
+    /// Servers that are chosen only where the others are far worse: they may end.
+    std::set<std::string> avoided {};
+    /// Goes where the fewest run: the server may end.
+    bool wants_idle { false };
     /// The first event must be expected within this; nothing if it may come at any time.
     std::optional<Core::Duration> begins_within {};
     /// Longest pause between events that the streams of the service may see; 0 if there is no bound.
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -11,6 +11,7 @@
 //     EngineFaults data = nlohmann::json::parse(jsonString);
 //     EngineStatus data = nlohmann::json::parse(jsonString);
 //     EntrySettings data = nlohmann::json::parse(jsonString);
+//     KeptBlame data = nlohmann::json::parse(jsonString);
 //     KeptVersion data = nlohmann::json::parse(jsonString);
 //     LoadOrder data = nlohmann::json::parse(jsonString);
 //     LogPage data = nlohmann::json::parse(jsonString);
@@ -777,6 +778,29 @@
         std::optional<std::string> tokens_file;
     };
 
+    /**
+     * What outlives the processes that blamed a request for ending the backend servers which
+     * ran it.
+     */
+    struct KeptBlame {
+        /**
+         * Time of day at which it was last blamed, milliseconds since the Unix epoch.
+         */
+        int64_t blamed_at_ms;
+        /**
+         * Of what makes it the same request, whatever its id.
+         */
+        std::string digest;
+        /**
+         * Incarnations of the servers that ended under it.
+         */
+        std::vector<std::string> servers;
+        /**
+         * How often it was blamed.
+         */
+        int64_t times_blamed;
+    };
+
     /**
      * What outlives the processes that knew of a version: that it was named, and by when.
      */
@@ -1196,6 +1220,82 @@
         std::string digest;
     };
 
+    /**
+     * A suspect that runs on a server.
+     */
+    struct SuspectRun {
+        /**
+         * No other suspect may go there meanwhile.
+         */
+        bool alone;
+        /**
+         * Of the request.
+         */
+        std::string digest;
+        /**
+         * It has ended, however it did.
+         */
+        bool is_over;
+        /**
+         * Id of the server.
+         */
+        std::string server;
+    };
+
+    /**
+     * A run that the server's end cut off.
+     */
+    struct EndedRun {
+        /**
+         * The server ran no other suspect.
+         */
+        bool alone;
+        /**
+         * Incarnation of the server.
+         */
+        std::string server;
+    };
+
+    /**
+     * A request, and the servers that ended while they ran it.
+     */
+    struct CrashSuspect {
+        /**
+         * Time since it was last blamed, milliseconds; absent if it is not.
+         */
+        std::optional<int64_t> blamed_ms_ago;
+        /**
+         * Of what makes it the same request, whatever its id.
+         */
+        std::string digest;
+        /**
+         * Servers that ended under it, without those that another request is blamed for.
+         */
+        std::vector<EndedRun> ends;
+        /**
+         * How often it was blamed.
+         */
+        int64_t times_blamed;
+    };
+
+    /**
+     * What an entry tells the others of requests that end the backend servers which run them.
+     */
+    struct CrashNews {
+        /**
+         * Digests of requests that ran to their end, or that the operator has cleared.
+         */
+        std::vector<std::string> cleared;
+        /**
+         * Suspects that begin to run at the sender, or have ended.
+         */
+        std::vector<SuspectRun> runs;
+        /**
+         * Requests that ran on servers which ended.
+         */
+        std::vector<CrashSuspect> suspects;
+    };
+
     /**
      * What a customer asks of one entry.
      */
@@ -1937,6 +2037,10 @@
         std::optional<Cancel> cancel;
         std::optional<Challenge> challenge;
         std::optional<ChunkMap> chunk_map;
+        /**
+         * What an entry tells the others of requests that end the backend servers which run them.
+         */
+        std::optional<CrashNews> crash_news;
         std::optional<Demands> demands;
         /**
          * Entries that the sender has links with, or has just met.
@@ -2470,6 +2574,9 @@
     void from_json(const json & j, EntrySettings & x);
     void to_json(json & j, const EntrySettings & x);
 
+    void from_json(const json & j, KeptBlame & x);
+    void to_json(json & j, const KeptBlame & x);
+
     void from_json(const json & j, KeptVersion & x);
     void to_json(json & j, const KeptVersion & x);
 
@@ -2533,6 +2640,18 @@
     void from_json(const json & j, ChunkMap & x);
     void to_json(json & j, const ChunkMap & x);
 
+    void from_json(const json & j, SuspectRun & x);
+    void to_json(json & j, const SuspectRun & x);
+
+    void from_json(const json & j, EndedRun & x);
+    void to_json(json & j, const EndedRun & x);
+
+    void from_json(const json & j, CrashSuspect & x);
+    void to_json(json & j, const CrashSuspect & x);
+
+    void from_json(const json & j, CrashNews & x);
+    void to_json(json & j, const CrashNews & x);
+
     void from_json(const json & j, Demand & x);
     void to_json(json & j, const Demand & x);
 
@@ -3087,6 +3206,21 @@
         j["tokens_file"] = x.tokens_file;
     }
 
+    inline void from_json(const json & j, KeptBlame& x) {
+        x.blamed_at_ms = j.at("blamed_at_ms").get<int64_t>();
+        x.digest = j.at("digest").get<std::string>();
+        x.servers = j.at("servers").get<std::vector<std::string>>();
+        x.times_blamed = j.at("times_blamed").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const KeptBlame & x) {
+        j = json::object();
+        j["blamed_at_ms"] = x.blamed_at_ms;
+        j["digest"] = x.digest;
+        j["servers"] = x.servers;
+        j["times_blamed"] = x.times_blamed;
+    }
+
     inline void from_json(const json & j, KeptVersion& x) {
         x.known_at_ms = j.at("known_at_ms").get<int64_t>();
         x.model = j.at("model").get<std::string>();
@@ -3380,6 +3514,60 @@
         j["digest"] = x.digest;
     }
 
+    inline void from_json(const json & j, SuspectRun& x) {
+        x.alone = j.at("alone").get<bool>();
+        x.digest = j.at("digest").get<std::string>();
+        x.is_over = j.at("is_over").get<bool>();
+        x.server = j.at("server").get<std::string>();
+    }
+
+    inline void to_json(json & j, const SuspectRun & x) {
+        j = json::object();
+        j["alone"] = x.alone;
+        j["digest"] = x.digest;
+        j["is_over"] = x.is_over;
+        j["server"] = x.server;
+    }
+
+    inline void from_json(const json & j, EndedRun& x) {
+        x.alone = j.at("alone").get<bool>();
+        x.server = j.at("server").get<std::string>();
+    }
+
+    inline void to_json(json & j, const EndedRun & x) {
+        j = json::object();
+        j["alone"] = x.alone;
+        j["server"] = x.server;
+    }
+
+    inline void from_json(const json & j, CrashSuspect& x) {
+        x.blamed_ms_ago = get_stack_optional<int64_t>(j, "blamed_ms_ago");
+        x.digest = j.at("digest").get<std::string>();
+        x.ends = j.at("ends").get<std::vector<EndedRun>>();
+        x.times_blamed = j.at("times_blamed").get<int64_t>();
+    }
+
+    inline void to_json(json & j, const CrashSuspect & x) {
+        j = json::object();
+        j["blamed_ms_ago"] = x.blamed_ms_ago;
+        j["digest"] = x.digest;
+        j["ends"] = x.ends;
+        j["times_blamed"] = x.times_blamed;
+    }
+
+    inline void from_json(const json & j, CrashNews& x) {
+        x.cleared = j.at("cleared").get<std::vector<std::string>>();
+        x.runs = j.at("runs").get<std::vector<SuspectRun>>();
+        x.suspects = j.at("suspects").get<std::vector<CrashSuspect>>();
+    }
+
+    inline void to_json(json & j, const CrashNews & x) {
+        j = json::object();
+        j["cleared"] = x.cleared;
+        j["runs"] = x.runs;
+        j["suspects"] = x.suspects;
+    }
+
     inline void from_json(const json & j, Demand& x) {
         x.customer = j.at("customer").get<std::string>();
         x.per_second = j.at("per_second").get<double>();
@@ -3869,6 +4057,7 @@
         x.cancel = get_stack_optional<Cancel>(j, "cancel");
         x.challenge = get_stack_optional<Challenge>(j, "challenge");
         x.chunk_map = get_stack_optional<ChunkMap>(j, "chunk_map");
+        x.crash_news = get_stack_optional<CrashNews>(j, "crash_news");
         x.demands = get_stack_optional<Demands>(j, "demands");
         x.directory = get_stack_optional<EntryDirectory>(j, "directory");
         x.dispatch = get_stack_optional<Dispatch>(j, "dispatch");
@@ -3900,6 +4089,7 @@
         j["cancel"] = x.cancel;
         j["challenge"] = x.challenge;
         j["chunk_map"] = x.chunk_map;
+        j["crash_news"] = x.crash_news;
         j["demands"] = x.demands;
         j["directory"] = x.directory;
         j["dispatch"] = x.dispatch;
--- a/Libraries/LibTransport/BackendCall.cpp
+++ b/Libraries/LibTransport/BackendCall.cpp
@@ -95,7 +95,7 @@
         return;
     }
     if (!m_is_connected) {
-        fail(CallFailure::NotConnected);
+        fail(EVUTIL_SOCKET_ERROR() == ECONNREFUSED ? CallFailure::Refused : CallFailure::NotConnected);
         return;
     }
     // Only an orderly close may end an answer that has no length; a reset never does.
--- a/Libraries/LibTransport/BackendCall.h
+++ b/Libraries/LibTransport/BackendCall.h
@@ -11,6 +11,8 @@
 
 /// Why a call to a backend server brought no whole answer.
 enum class CallFailure {
+    /// Nobody listens there: the server's instance answered so, and nothing was run.
+    Refused,
     /// Not one byte of the request was written: it was not run.
     NotConnected,
     /// The connection ended, or said nothing for too long, after the request was sent: it may have run.
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -27,7 +27,9 @@
 static constexpr Core::Duration acquaintance { 2000 };
 static constexpr size_t queue_limit = 256;
 static constexpr int status_ok = 200;
+static constexpr int status_not_found = 404;
 static constexpr int status_unavailable = 503;
+static constexpr std::string_view suspects_path = "/suspects";
 static constexpr double milliseconds_per_second = 1000;
 
 static Routing::ServerTableSettings table_settings(Schema::DirectEntrySettings const& settings)
@@ -68,6 +70,7 @@
     std::unique_ptr<DirectEntry> entry(new DirectEntry(loop, settings, std::move(parts)));
     TRY(entry->listen());
     entry->m_facts.start();
+    entry->m_crashes.start();
     return entry;
 }
 
@@ -84,11 +87,13 @@
     , m_started_at(Core::monotonic_now())
     , m_servers(table_settings(settings), m_random())
     , m_retries(retry_bound(settings), Core::monotonic_now())
+    , m_crashes(loop, settings.identity, std::move(parts.blames), m_metrics, crash_callbacks())
     , m_context { .loop = loop,
         .metrics = m_metrics,
         .heads = *m_heads,
         .servers = m_servers,
         .retries = m_retries,
+        .crashes = m_crashes,
         .random = m_random,
         .waiting = waiting_policy(settings),
         .routes = nullptr,
@@ -175,6 +180,7 @@
         // What either asked the other for over the link before may be gone with it.
         m_hub->send(hello.identity, news());
         m_facts.on_entry_linked(hello.identity);
+        m_crashes.on_entry_linked(hello.identity);
         Schema::Message directory;
         directory.directory.emplace();
         directory.directory->entries = m_hub->peers(Schema::Role::Entry);
@@ -197,6 +203,7 @@
 {
     Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
     m_sharing.on_peer_down(identity);
+    m_crashes.on_entry_gone(identity);
     m_told_use.erase(identity);
     // One whose link was only found silent is perhaps there, and its last word is good until it is old.
     if (m_silent_peers.erase(identity) == 0)
@@ -238,6 +245,8 @@
         m_facts.on_request(from.identity, *message.fact_request);
     } else if (message.facts) {
         m_facts.on_batch(from.identity, *message.facts);
+    } else if (message.crash_news) {
+        m_crashes.on_news(from.identity, *message.crash_news);
     } else if (message.ping && message.ping->configuration_end) {
         m_facts.on_peer_end(from.identity, *message.ping->configuration_end, message.ping->configuration_version);
     }
@@ -506,6 +515,20 @@
     request->begin();
 }
 
+CrashWatch::Callbacks DirectEntry::crash_callbacks()
+{
+    return {
+        .entries = [this] { return m_hub->peers(Schema::Role::Entry); },
+        .send = [this](std::string const& entry, Schema::Message const& message) { m_hub->send(entry, message); },
+        // The request whose send showed it is in the middle of that.
+        .blamed = [this](std::string const& digest) { m_loop.soon([this, digest] {
+                                                          auto const requests = m_requests;
+                                                          for (auto const& [number, request] : requests)
+                                                              request->on_blamed(digest);
+                                                      }); },
+    };
+}
+
 void DirectEntry::offer_places()
 {
     // A place becomes free by an answer, a report, a new server, or by time alone. Each request that waits looks at all
@@ -583,10 +606,27 @@
 
 void DirectEntry::on_internal_request(std::shared_ptr<Transport::HttpExchange> const& exchange)
 {
-    if (!m_weights || !m_weights->serve(exchange))
+    if (exchange->path().starts_with(suspects_path))
+        reply_suspects(*exchange);
+    else if (!m_weights || !m_weights->serve(exchange))
         reply_metrics(*exchange);
 }
 
+/// GET tells all suspects, DELETE of one lets it run again everywhere.
+void DirectEntry::reply_suspects(Transport::HttpExchange& exchange)
+{
+    if (exchange.method() == "GET") {
+        Schema::CrashNews news {};
+        news.suspects = m_crashes.suspects().all(Core::monotonic_now());
+        exchange.reply(status_ok, { { "Content-Type", "application/json" } }, Schema::to_text(news));
+        return;
+    }
+    auto const& path = exchange.path();
+    auto const digest = path.substr(std::min(path.size(), suspects_path.size() + 1));
+    bool const is_pardoned = exchange.method() == "DELETE" && m_crashes.pardon(digest);
+    exchange.reply(is_pardoned ? status_ok : status_not_found, {}, {});
+}
+
 size_t DirectEntry::unreadable_server_fields() const
 {
     size_t count = 0;
@@ -598,6 +638,7 @@
 void DirectEntry::reply_metrics(Transport::HttpExchange& exchange)
 {
     m_metrics.set("mountbarrow_in_hand", static_cast<double>(m_requests.size()));
+    m_crashes.report_metrics();
     m_metrics.set("mountbarrow_fact_age_ms", static_cast<double>(m_facts.age(Core::monotonic_now()).count()));
     m_metrics.set("mountbarrow_configuration_version", m_context.routes ? static_cast<double>(m_context.routes->version()) : 0);
     m_metrics.set("mountbarrow_unreadable_fields", m_context.routes ? static_cast<double>(m_context.routes->configuration().unreadable_fields.size()) : 0, "record=\"configuration\"");
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include "CrashWatch.h"
 #include "EngineSharing.h"
 #include "EntryFacts.h"
 #include "EntryWeights.h"
@@ -27,6 +28,8 @@
 public:
     struct PlatformParts {
         EntryFacts::Sources facts;
+        /// Null where the platform keeps nothing of the product's own.
+        std::unique_ptr<Platform::BlameRecords> blames;
         std::unique_ptr<Platform::RequestHeads> heads;
         std::unique_ptr<Platform::WeightOrigin> origin;
     };
@@ -72,9 +75,11 @@
     bool is_ready() const;
 
     void on_request(std::shared_ptr<Transport::IngressRequest>);
+    CrashWatch::Callbacks crash_callbacks();
     void offer_places();
     void tick();
     void finish_drain();
+    void reply_suspects(Transport::HttpExchange&);
     void on_internal_request(std::shared_ptr<Transport::HttpExchange> const&);
     size_t unreadable_server_fields() const;
     void reply_metrics(Transport::HttpExchange&);
@@ -109,6 +114,7 @@
     Core::Time m_started_at;
     Routing::ServerTable m_servers;
     Routing::RetryShare m_retries;
+    CrashWatch m_crashes;
     // Null where the settings give it no port or no bandwidth.
     std::unique_ptr<EntryWeights> m_weights;
     Routing::CallerDeadlines m_deadlines;
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -73,6 +73,8 @@
         return "server_failure";
     case Refusal::BrokenOff:
         return "broken_off";
+    case Refusal::EndsServers:
+        return "ends_servers";
     case Refusal::DeadlinePassed:
         return "deadline_passed";
     case Refusal::CallerGone:
@@ -96,6 +98,8 @@
         return "server_failure";
     case SendEnd::BrokenOff:
         return "broken_off";
+    case SendEnd::ServerEnded:
+        return "server_ended";
     case SendEnd::Silent:
         return "silent";
     case SendEnd::Outdated:
@@ -114,6 +118,7 @@
     , m_caller(std::move(caller))
     , m_number(number)
     , m_started(Core::monotonic_now())
+    , m_suspected(context.crashes, [this] { return content(); })
 {
 }
 
@@ -131,6 +136,8 @@
     });
     if (!admit())
         return;
+    if (refuse_if_blamed())
+        return;
     set_terms();
     m_context.retries.on_request(m_service, m_started);
     m_context.asked(m_service);
@@ -270,7 +277,7 @@
         refuse_waiting(now);
 }
 
-Routing::ServerNeeds ProxiedRequest::needs(Core::Time) const
+Routing::ServerNeeds ProxiedRequest::needs()
 {
     Routing::ServerNeeds needs;
     needs.service = m_service;
@@ -279,6 +286,7 @@
     needs.prompt_tokens = m_head.prompt_tokens;
     needs.excluded = tried_servers();
     needs.longest_pause = Core::Duration(m_route.objective_gap_ms);
+    m_suspected.add_to(needs);
     return needs;
 }
 
@@ -297,8 +305,12 @@
 
 bool ProxiedRequest::try_send()
 {
-    if (is_over())
+    if (is_over() || refuse_if_blamed())
         return true;
+    if (!m_suspected.may_send()) {
+        m_no_server = Routing::NoServer::AllFull;
+        return false;
+    }
     auto const now = Core::monotonic_now();
     if (m_has_delivered || now <= m_terms.in_time_until)
         return try_send_in_time(now);
@@ -307,7 +319,7 @@
 
 bool ProxiedRequest::try_send_in_time(Core::Time now)
 {
-    auto needs = this->needs(now);
+    auto needs = this->needs();
     if (!m_has_delivered)
         needs.begins_within = m_terms.in_time_until - now;
     auto const choice = m_context.servers.choose(needs, now);
@@ -324,7 +336,7 @@
 
 bool ProxiedRequest::try_send_late(Core::Time now)
 {
-    auto needs = this->needs(now);
+    auto needs = this->needs();
     needs.takes_leftover = m_context.waiting.orders_by_timeliness;
     auto const choice = m_context.servers.choose(needs, now);
     if (!choice.has_value()) {
@@ -343,6 +355,7 @@
     leave_line();
     m_phase = Phase::Sent;
     m_server = choice.id;
+    m_server_address = server->address;
     m_sent_at = now;
     m_heard_at = now;
     m_is_connected = false;
@@ -370,6 +383,7 @@
     if (m_caller->head().method == "HEAD")
         call.body_expectation = Transport::BodyExpectation::None;
     m_context.servers.on_sent(m_head.request_id, choice, m_head.prompt_tokens, now);
+    m_suspected.on_sent(choice.id);
     Core::log_event(Core::LogLevel::Info, "request_sent",
         { { "request", m_head.request_id }, { "route", m_route.name }, { "server", choice.id }, { "address", server->address }, { "domain", server->failure_domain }, { "predicted_ms", milliseconds(choice.predicted) }, { "in_time_for_ms", milliseconds(m_terms.in_time_until - now) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "answer_tokens", std::to_string(m_head.answer_tokens) }, { "attempt", std::to_string(m_sends + m_misses + 1) }, { "after_ms", milliseconds(now - m_started) }, { "remaining_ms", milliseconds(terms.remaining) }, { "configuration", std::to_string(m_configuration_version) }, { "expected_version", terms.expected_version ? std::to_string(*terms.expected_version) : "any" }, { "resume_after", m_last_event ? std::to_string(*m_last_event) : "" } });
     m_call = Transport::BackendCall::start(m_context.loop, std::move(call),
@@ -486,12 +500,13 @@
         return;
     }
     if (m_events.has_partial_event() || !m_has_delivered) {
-        end_send(SendEnd::BrokenOff, ServerOutcome::Failure);
+        on_broken_off();
         return;
     }
     m_caller->end();
     m_call.reset();
-    m_context.servers.on_ended(m_server, m_head.request_id, ServerOutcome::Success, Core::monotonic_now());
+    m_suspected.on_ran_to_end();
+    leave_server(ServerOutcome::Success, Core::monotonic_now());
     finish(Refusal::None, m_answer.status);
 }
 
@@ -499,7 +514,8 @@
 {
     m_call.reset();
     m_caller->reply(m_answer.status, m_answer.headers, m_answer_body);
-    m_context.servers.on_ended(m_server, m_head.request_id, ServerOutcome::Success, Core::monotonic_now());
+    m_suspected.on_ran_to_end();
+    leave_server(ServerOutcome::Success, Core::monotonic_now());
     finish(Refusal::None, m_answer.status);
 }
 
@@ -516,6 +532,7 @@
         pass_whole_answer();
         return;
     }
+    m_suspected.on_ran_to_end();
     end_send(SendEnd::ServerFailure, ServerOutcome::Failure);
 }
 
@@ -523,10 +540,57 @@
 {
     if (is_over())
         return;
-    if (failure == Transport::CallFailure::NotConnected)
+    bool const is_unsent = failure == Transport::CallFailure::NotConnected || failure == Transport::CallFailure::Refused;
+    if (is_unsent)
         end_send(SendEnd::NotConnected, ServerOutcome::Unreachable);
     else
-        end_send(SendEnd::BrokenOff, m_context.servers.is_switching(m_server, Core::monotonic_now()) ? ServerOutcome::Neutral : ServerOutcome::Failure);
+        on_broken_off();
+}
+
+/// A server that ended speaks against what it ran, and is no attempt that the caller had; a cut connection says nothing of either.
+/// The answer to this comes after one way there and back.
+void ProxiedRequest::on_broken_off()
+{
+    m_call.reset();
+    m_phase = Phase::Asking;
+    m_context.crashes.ask_whether_ended(m_server, m_server_address, [weak = weak_from_this()](bool has_ended) {
+        if (auto self = weak.lock(); self && self->m_phase == Phase::Asking)
+            self->on_asked(has_ended);
+    });
+}
+
+void ProxiedRequest::on_asked(bool has_ended)
+{
+    m_phase = Phase::Sent;
+    if (has_ended) {
+        m_suspected.on_ended_under(incarnation());
+        end_send(SendEnd::ServerEnded, ServerOutcome::Unreachable);
+        return;
+    }
+    end_send(SendEnd::BrokenOff, m_context.servers.is_switching(m_server, Core::monotonic_now()) ? ServerOutcome::Neutral : ServerOutcome::Failure);
+}
+
+/// What the request is told by from others, whatever its id. What a server runs is given by these, and not by the key.
+Routing::RequestContent ProxiedRequest::content() const
+{
+    std::string_view caller;
+    if (m_customer)
+        caller = *m_customer;
+    else if (m_head.key)
+        caller = *m_head.key;
+    return { m_caller->head().method, m_head.host, m_caller->head().target, caller, m_caller->body() };
+}
+
+/// The one start of the server that the request was sent to.
+std::string ProxiedRequest::incarnation() const
+{
+    return m_sent_start ? m_server + "@" + std::to_string(*m_sent_start) : m_server;
+}
+
+void ProxiedRequest::leave_server(ServerOutcome outcome, Core::Time now)
+{
+    m_suspected.on_send_over();
+    m_context.servers.on_ended(m_server, m_head.request_id, outcome, now);
 }
 
 Routing::AttemptState ProxiedRequest::attempt_state(Core::Time now) const
@@ -539,6 +603,7 @@
     state.sends = m_sends;
     state.max_attempts = m_route.max_attempts;
     state.misses = m_misses;
+    state.ended_servers = m_ended_servers;
     state.has_budget = m_context.retries.has_left(m_service, now);
     state.remaining = deadline() - now;
     return state;
@@ -548,7 +613,7 @@
 {
     auto const now = Core::monotonic_now();
     m_call.reset();
-    m_context.servers.on_ended(m_server, m_head.request_id, outcome, now);
+    leave_server(outcome, now);
     if (outcome == ServerOutcome::Misdirected && m_context.servers.is_doubtful(m_server))
         m_context.list_doubted();
     bool const is_miss = end == SendEnd::NotConnected || end == SendEnd::NotRun;
@@ -560,6 +625,10 @@
         if (end == SendEnd::NotRun)
             m_sends -= 1;
     }
+    if (end == SendEnd::ServerEnded) {
+        m_sends -= 1;
+        m_ended_servers += 1;
+    }
     auto const step = Routing::next_step(end, attempt_state(now));
     if (!is_miss)
         m_may_have_run = true;
@@ -622,11 +691,11 @@
     if (is_over())
         return;
     if (now >= deadline()) {
-        bool const was_sent = m_phase == Phase::Sent && m_is_connected;
+        bool const was_sent = is_at_server() && m_is_connected;
         bool const may_have_run = m_may_have_run || was_sent;
-        if (m_phase == Phase::Sent) {
+        if (is_at_server()) {
             m_call.reset();
-            m_context.servers.on_ended(m_server, m_head.request_id, ServerOutcome::Neutral, now);
+            leave_server(ServerOutcome::Neutral, now);
         }
         if (m_has_delivered)
             break_off(Refusal::DeadlinePassed);
@@ -638,6 +707,8 @@
         check_waiting(now);
         return;
     }
+    if (m_phase == Phase::Asking)
+        return;
     if (is_outdated(now)) {
         end_send(SendEnd::Outdated, ServerOutcome::Neutral);
         return;
@@ -696,10 +767,13 @@
     Schema::Problem problem {};
     problem.type = std::string("urn:mountbarrow:problem:") + refusal_name(refusal);
     problem.status = status;
-    bool const is_not_run = promises_not_run(status);
+    bool const is_not_run = promises_not_run(status) || (refusal == Refusal::EndsServers && !m_may_have_run);
     problem.outcome = is_not_run ? Schema::Outcome::NotRun : status < status_server_error ? Schema::Outcome::Rejected
                                                                                           : Schema::Outcome::Unknown;
-    problem.title = is_not_run ? "Refused: the request was not run." : "The request got no answer.";
+    if (refusal == Refusal::EndsServers)
+        problem.title = "Servers end that run this request: do not send it again.";
+    else
+        problem.title = is_not_run ? "Refused: the request was not run." : "The request got no answer.";
     if (retry_after)
         problem.retry_after_ms = retry_after->count();
     m_caller->reply(status, m_context.heads.own_answer(m_head.request_id, retry_after), Schema::to_text(problem));
@@ -712,11 +786,36 @@
     finish(refusal, 0);
 }
 
+void ProxiedRequest::on_blamed(std::string const& digest)
+{
+    auto keep = shared_from_this();
+    if (is_over() || m_phase == Phase::Admitting || !m_suspected.is(digest))
+        return;
+    m_may_have_run = m_may_have_run || (is_at_server() && m_is_connected);
+    // A server that has not begun it yet drops it with its connection.
+    m_call.reset();
+    refuse_if_blamed();
+}
+
+/// A caller is told at once, and not to come back: an answer that promises that nothing ran would have it come again, and one that
+/// finds fault with the request's form would be wrong.
+bool ProxiedRequest::refuse_if_blamed()
+{
+    if (m_suspected.standing() != Routing::CrashStanding::Blamed)
+        return false;
+    leave_line();
+    if (m_has_delivered)
+        break_off(Refusal::EndsServers);
+    else
+        refuse(m_may_have_run ? status_bad_gateway : status_server_error, Refusal::EndsServers, {});
+    return true;
+}
+
 void ProxiedRequest::give_up()
 {
     if (is_over())
         return;
-    bool const may_have_run = m_may_have_run || m_phase == Phase::Sent;
+    bool const may_have_run = m_may_have_run || is_at_server();
     m_call.reset();
     if (m_has_delivered)
         break_off(Refusal::Stopping);
@@ -728,11 +827,10 @@
 {
     auto const now = Core::monotonic_now();
     leave_line();
-    bool const was_sent = m_phase == Phase::Sent;
+    bool const was_sent = is_at_server();
     m_phase = Phase::Over;
-    if (was_sent) {
-        m_context.servers.on_ended(m_server, m_head.request_id, ServerOutcome::Neutral, now);
-    }
+    if (was_sent)
+        leave_server(ServerOutcome::Neutral, now);
     m_context.metrics.count("mountbarrow_requests_total", std::string("end=\"") + refusal_name(refusal) + "\"");
     m_context.metrics.observe_ms("mountbarrow_request_ms", static_cast<double>((now - m_started).count()));
     auto const level = refusal == Refusal::None ? Core::LogLevel::Info : Core::LogLevel::Warn;
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "RequestContext.h"
+#include "SuspectedRequest.h"
 #include <LibPlatform/RequestHeads.h>
 #include <LibRouting/AnswerTerms.h>
 #include <LibRouting/AttemptPolicy.h>
@@ -38,6 +39,9 @@
     /// The process ends: what is not over by now is broken off.
     void give_up();
 
+    /// A request is blamed for ending servers: if it is this one, it ends now.
+    void on_blamed(std::string const& digest);
+
     uint64_t number() const { return m_number; }
     bool is_over() const { return m_phase == Phase::Over; }
 
@@ -46,6 +50,8 @@
         Admitting,
         Waiting,
         Sent,
+        /// The answer broke off, and the server is asked whether it has ended.
+        Asking,
         Over,
     };
 
@@ -63,7 +69,7 @@
     void refuse_waiting(Core::Time now);
     Core::Duration retry_after(Core::Time now) const;
     bool is_outdated(Core::Time now) const;
-    Routing::ServerNeeds needs(Core::Time now) const;
+    Routing::ServerNeeds needs();
     std::set<std::string> tried_servers() const;
     void send_to(Routing::ServerChoice const&, Core::Time now);
 
@@ -71,6 +77,8 @@
     void on_data(std::string_view);
     void on_done();
     void on_failed(Transport::CallFailure);
+    void on_broken_off();
+    void on_asked(bool has_ended);
     void pass_events(std::string_view);
     void deliver(std::string const& events);
     void pass_whole_answer();
@@ -78,6 +86,11 @@
     void on_failure_status();
 
     void end_send(Routing::SendEnd, Routing::ServerOutcome);
+    void leave_server(Routing::ServerOutcome, Core::Time now);
+    bool is_at_server() const { return m_phase == Phase::Sent || m_phase == Phase::Asking; }
+    std::string incarnation() const;
+    Routing::RequestContent content() const;
+    bool refuse_if_blamed();
     Routing::AttemptState attempt_state(Core::Time now) const;
     void take_step(Routing::NextStep, Routing::SendEnd);
     void refuse_not_run();
@@ -106,6 +119,7 @@
     // The send under way.
     std::unique_ptr<Transport::BackendCall> m_call;
     std::string m_server;
+    std::string m_server_address;
     Core::Time m_sent_at { 0 };
     Core::Time m_heard_at { 0 };
     bool m_is_connected { false };
@@ -124,6 +138,9 @@
     std::map<std::string, std::optional<int64_t>> m_tried;
     int64_t m_sends { 0 };
     int64_t m_misses { 0 };
+    // Sends to servers that ended.
+    int64_t m_ended_servers { 0 };
+    SuspectedRequest m_suspected;
     bool m_may_have_run { false };
     bool m_has_delivered { false };
     std::optional<int64_t> m_last_event;
--- a/Services/DirectEntry/RequestContext.h
+++ b/Services/DirectEntry/RequestContext.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include "CrashWatch.h"
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibPlatform/RequestHeads.h>
@@ -33,6 +34,8 @@
     OutcomeUnknown,
     ServerFailure,
     BrokenOff,
+    /// Servers end that run it.
+    EndsServers,
     DeadlinePassed,
     CallerGone,
     CallerTooSlow,
@@ -69,6 +72,7 @@
     Platform::RequestHeads const& heads;
     Routing::ServerTable& servers;
     Routing::RetryShare& retries;
+    CrashWatch& crashes;
     std::mt19937_64& random;
     WaitingPolicy waiting;
     /// Null until a configuration was read.
--- a/Services/DirectEntry/main.cpp
+++ b/Services/DirectEntry/main.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "DirectEntry.h"
 
+#include "../../platform/HttpBlameRecords.h"
 #include "../../platform/HttpEngine.h"
 #include "../../platform/HttpFactLog.h"
 #include "../../platform/HttpRequestHeads.h"
@@ -15,6 +16,7 @@
         DirectEntry::DirectEntry::PlatformParts parts;
         parts.facts.log = std::make_unique<PlatformAdapter::HttpFactLog>(loop, settings.platform_address, PlatformAdapter::expected_customer_keys(settings.platform_features.value_or(std::vector<std::string> {})));
         parts.facts.versions = std::make_unique<PlatformAdapter::HttpVersionRecords>(loop, settings.platform_address);
+        parts.blames = std::make_unique<PlatformAdapter::HttpBlameRecords>(loop, settings.platform_address);
         parts.heads = std::make_unique<PlatformAdapter::HttpRequestHeads>();
         parts.origin = std::make_unique<PlatformAdapter::HttpOrigin>(loop);
         return DirectEntry::DirectEntry::create(loop, settings, std::move(parts));
