LibPlatform, LibConfiguration, platform: An entry that starts looks through the history for versions that an older record stands behind

Cause: an entry that starts read the newest record of each key only; where a write was carried out late that record holds an older version, and where nobody lived through it nobody knew better. The log still holds the record that was replaced. Ruled out: a copy of each configuration in a topic of our own (a record holds 256 kB, large configurations have more; a write for each configuration is paid for).

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -31,6 +31,15 @@
     return now - Core::Duration(*milliseconds);
 }
 
+void FactChanges::add(FactChanges const& later)
+{
+    has_configuration = has_configuration || later.has_configuration;
+    has_versions = has_versions || later.has_versions;
+    dated_versions.insert(dated_versions.end(), later.dated_versions.begin(), later.dated_versions.end());
+    older_records.insert(older_records.end(), later.older_records.begin(), later.older_records.end());
+    servers.insert(servers.end(), later.servers.begin(), later.servers.end());
+}
+
 void FactReplica::take_version(std::string const& model, NamedVersion const& named, FactChanges& changes)
 {
     auto const taken = m_versions[model].take(named);
@@ -120,6 +129,25 @@
         m_facts[key] = fact;
 }
 
+void FactReplica::apply_history(Fact const& fact, ReadTime const& read, FactChanges& changes)
+{
+    if (auto const* named = std::get_if<Schema::ModelVersion>(&fact.value)) {
+        auto const newest_before = m_versions[named->model].newest();
+        // Nobody can tell when it was named, only that it was.
+        take_version(named->model, { named->version, read.earliest(), std::nullopt, read.now }, changes);
+        if (newest_before > 0 && named->version > newest_before)
+            changes.older_records.push_back(fact.key);
+        return;
+    }
+    auto const* configuration = std::get_if<std::shared_ptr<Schema::RoutingConfiguration const>>(&fact.value);
+    bool const is_newer = configuration && m_configuration && (*configuration)->version > m_configuration->version;
+    if (!is_newer)
+        return;
+    apply(fact, read, changes);
+    m_log_has_older_configuration = true;
+    changes.older_records.push_back(fact.key);
+}
+
 /// Whether a record is to be taken that was read behind the one that is held, or before it.
 enum class RecordOrder {
     /// It says something newer, wherever it stands.
@@ -270,6 +298,14 @@
     return changes;
 }
 
+FactChanges FactReplica::on_history(std::vector<Fact> const& facts, ReadTime const& read)
+{
+    FactChanges changes;
+    for (auto const& fact : facts)
+        apply_history(fact, read, changes);
+    return changes;
+}
+
 FactChanges FactReplica::on_peer(Schema::FactBatch const& batch, ReadTime const& told)
 {
     FactChanges changes;
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -51,6 +51,8 @@
     std::vector<std::string> servers;
 
     bool has_any() const { return has_configuration || has_versions || !older_records.empty() || !servers.empty(); }
+    /// Adds what other facts changed after these.
+    void add(FactChanges const&);
 };
 
 /// When records were read, and since when what is new among them can have been written.
@@ -85,6 +87,10 @@
     /// Keys that are not among them were removed.
     FactChanges on_listing(FactTopic, std::vector<Fact> const&, int64_t end, ReadTime const&);
 
+    /// Takes records that later ones of the same keys have replaced. A write may be carried out after one that was made later, so
+    /// of versions the highest counts, wherever its record stands.
+    FactChanges on_history(std::vector<Fact> const&, ReadTime const&);
+
     /// Takes what a peer sent. Facts that cannot be read change nothing. What is new was written after both the peer and this
     /// process had last read without it.
     FactChanges on_peer(Schema::FactBatch const&, ReadTime const&);
@@ -129,6 +135,7 @@
     };
 
     void apply(Fact const&, ReadTime const&, FactChanges&);
+    void apply_history(Fact const&, ReadTime const&, FactChanges&);
     bool take_value(Fact const&, ReadTime const&, FactChanges&);
     void take_version(std::string const& model, NamedVersion const&, FactChanges&);
     /// Whether the log may have told a peer less of such facts than is known here, however far it has read.
--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibPlatform/FactFollower.h>
 
+#include <LibCore/Log.h>
 #include <algorithm>
 
 namespace Platform {
@@ -85,12 +86,33 @@
     topic.is_reading = false;
     if (!m_is_running)
         return;
-    if (page.has_value())
+    bool const is_operators = topic.topic == Configuration::FactTopic::Configuration;
+    if (page.has_value() && is_listing && is_operators && !topic.has_read_history)
+        read_history(topic, *page);
+    else if (page.has_value())
         take(topic, *page, is_listing);
     else
         on_failed(topic, page.error());
 }
 
+/// The newest record of a key may hold an older version, where its write was carried out late. Who lived through it knows the newer
+/// one; a process that starts finds it in the history, before anything is in force here.
+void FactFollower::read_history(Topic& topic, FactPage const& listing)
+{
+    topic.is_reading = true;
+    ReadPatience patience;
+    patience.answer = m_settings.answer_patience;
+    m_log.read_history(topic.topic, listing.end, patience, [this, &topic, listing](auto const& history) {
+        topic.is_reading = false;
+        topic.has_read_history = true;
+        if (!m_is_running)
+            return;
+        if (!history.has_value())
+            Core::log_event(Core::LogLevel::Warn, "history_unread", { { "end", std::to_string(listing.end) } });
+        take(topic, listing, true, history.has_value() ? history->facts : std::vector<Configuration::Fact> {});
+    });
+}
+
 void FactFollower::on_failed(Topic& topic, FactLogFault fault)
 {
     bool const is_outage = topic.failures + 1 >= failures_of_an_outage;
@@ -114,7 +136,7 @@
     return facts;
 }
 
-void FactFollower::take(Topic& topic, FactPage const& page, bool is_listing)
+void FactFollower::take(Topic& topic, FactPage const& page, bool is_listing, std::vector<Configuration::Fact> const& history)
 {
     auto const now = Core::monotonic_now();
     Configuration::ReadTime const read { now, written_after(topic, now) };
@@ -136,7 +158,9 @@
     bool const has_unreadable_servers = topic.topic == Configuration::FactTopic::BackendServers && !page.bad.empty();
     auto const extended = has_unreadable_servers ? with_unreadable_servers(page) : std::vector<Configuration::Fact> {};
     auto const& facts = has_unreadable_servers ? extended : page.facts;
-    auto const changes = is_listing ? m_replica.on_listing(topic.topic, facts, page.end, read) : m_replica.on_records(topic.topic, facts, page.end, read);
+    auto changes = is_listing ? m_replica.on_listing(topic.topic, facts, page.end, read) : m_replica.on_records(topic.topic, facts, page.end, read);
+    if (!history.empty())
+        changes.add(m_replica.on_history(history, read));
     bool const is_configuration = topic.topic == Configuration::FactTopic::Configuration;
     read_later(topic, is_configuration ? Core::Duration(0) : m_settings.servers_interval);
     if (changes.has_any())
--- a/Libraries/LibPlatform/FactFollower.h
+++ b/Libraries/LibPlatform/FactFollower.h
@@ -68,6 +68,8 @@
 private:
     struct Topic {
         Configuration::FactTopic topic;
+        // What was replaced before this process began was looked through.
+        bool has_read_history { false };
         // Nothing was read yet, or what should be read next is gone.
         bool needs_listing { true };
         bool is_reading { false };
@@ -87,8 +89,9 @@
 
     void read(Topic&);
     void on_page(Topic&, tl::expected<FactPage, FactLogFault> const&, bool is_listing);
+    void read_history(Topic&, FactPage const& listing);
     void on_failed(Topic&, FactLogFault);
-    void take(Topic&, FactPage const&, bool is_listing);
+    void take(Topic&, FactPage const&, bool is_listing, std::vector<Configuration::Fact> const& history = {});
     void read_later(Topic&, Core::Duration);
     std::optional<Core::Time> written_after(Topic const&, Core::Time now) const;
     ReadPatience patience(Topic const&) const;
--- a/Libraries/LibPlatform/FactLog.h
+++ b/Libraries/LibPlatform/FactLog.h
@@ -56,6 +56,10 @@
 
     /// Reads the newest record of every key, at once.
     virtual void read_newest(Configuration::FactTopic, ReadPatience, Callback) = 0;
+
+    /// Reads records before an offset that later ones of the same keys have replaced: the last ones, as far as they are kept and are
+    /// not too large together. A log that keeps no history brings none.
+    virtual void read_history(Configuration::FactTopic, int64_t /*end*/, ReadPatience, Callback callback) { callback(FactPage {}); }
 };
 
 }
--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibConfiguration/FactReplica.h>
 #include <LibConfiguration/HeldVersion.h>
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -582,3 +583,47 @@
         RC_ASSERT(replica.server("s")->is_draining == was_leaving);
     }
 }
+
+TEST(FactReplica, HistoryHoldsTheNewerVersionThatAnOlderRecordStandsBehind)
+{
+    FactReplica replica;
+    Core::Time const now { 1000 };
+    replica.on_listing(FactTopic::Configuration, { configuration_fact(4, 8), version_fact(2, 9) }, 10, told_at(now));
+    auto const changes = replica.on_history({ configuration_fact(4, 2), version_fact(3, 6), configuration_fact(7, 7), version_fact(1, 1) }, told_at(now));
+    EXPECT_TRUE(changes.has_configuration);
+    EXPECT_TRUE(changes.has_versions);
+    EXPECT_EQ(changes.older_records.size(), 2u);
+    EXPECT_EQ(replica.configuration()->version, 7);
+    EXPECT_EQ(replica.versions().at("m").newest(), 3);
+    EXPECT_EQ(replica.end(FactTopic::Configuration), 10) << "what comes next is read from behind the listing";
+}
+
+TEST(FactReplica, HistoryInItsOrderChangesNothing)
+{
+    FactReplica replica;
+    Core::Time const now { 1000 };
+    replica.on_listing(FactTopic::Configuration, { configuration_fact(7, 8), version_fact(3, 9) }, 10, told_at(now));
+    auto const changes = replica.on_history({ configuration_fact(4, 2), version_fact(2, 6) }, told_at(now));
+    EXPECT_FALSE(changes.has_any());
+    EXPECT_EQ(replica.configuration()->version, 7);
+    EXPECT_EQ(replica.versions().at("m").newest(), 3);
+}
+
+// However the records of versions and configurations were ordered, a process that starts goes by the highest that the log still holds.
+RC_GTEST_PROP(FactReplica, AStartGoesByTheHighestOfWhateverTheLogHolds, ())
+{
+    auto const numbers = *rc::gen::nonEmpty(rc::gen::container<std::vector<int64_t>>(rc::gen::inRange<int64_t>(1, 50)));
+    std::vector<Fact> history;
+    for (size_t i = 0; i < numbers.size(); ++i) {
+        history.push_back(configuration_fact(numbers[i], static_cast<int64_t>(2 * i)));
+        history.push_back(version_fact(numbers[i], static_cast<int64_t>(2 * i + 1)));
+    }
+    FactReplica replica;
+    Core::Time const now { 1000 };
+    std::vector<Fact> const newest { history[history.size() - 2], history.back() };
+    replica.on_listing(FactTopic::Configuration, newest, static_cast<int64_t>(history.size()), told_at(now));
+    replica.on_history(history, told_at(now));
+    auto const highest = *std::max_element(numbers.begin(), numbers.end());
+    RC_ASSERT(replica.configuration()->version == highest);
+    RC_ASSERT(replica.versions().at("m").newest() == highest);
+}
--- a/Tests/Platform/TestVersionRecords.cpp
+++ b/Tests/Platform/TestVersionRecords.cpp
@@ -1,11 +1,10 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "../../platform/HttpVersionRecords.h"
-#include "ForeignJson.h"
+#include "StoreListing.h"
 #include <LibSchema/Json.h>
 #include <LibTransport/HttpServer.h>
 #include <gtest/gtest.h>
 #include <limits>
-#include <openssl/evp.h>
 #include <optional>
 #include <rapidcheck/gtest.h>
 
@@ -17,24 +16,6 @@
 
 static constexpr int most_calls = 20;
 
-static std::string to_base64(std::string const& bytes)
-{
-    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    auto const size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), reinterpret_cast<unsigned char const*>(bytes.data()), static_cast<int>(bytes.size()));
-    text.resize(static_cast<size_t>(size));
-    return text;
-}
-
-static Json item(std::string const& key, std::string const& value, int64_t offset)
-{
-    return { { "Key", key }, { "Value", to_base64(value) }, { "offset", offset } };
-}
-
-static Json listing(std::vector<Json> const& items)
-{
-    return { { "Items", items }, { "more", false }, { "end", 9 } };
-}
-
 static std::string kept_record(int64_t version)
 {
     return Schema::to_text(Schema::KeptVersion { .known_at_ms = 1000, .model = "m", .version = version });
