LibCore, Entry, EngineAgent, LibPlatform, LibTransport: A suspended instance acts on nothing that it knew before

Cause: all decisions read the steady clock, which does not count the time that an instance is suspended: ages, deadlines and bounds stood still, and what waited in sockets was taken as new. Ruled out: a check in each place (some eighty read the time); timers of the loop on the other clock (libevent has none). Nothing until heard anew, after a pause of 1.6 s or more, stopped or suspended: links, with what waits in them; configuration, versions and list (read anew without waiting; 503 with Retry-After meanwhile, up to 3 s where neither store nor entry answers); the engine's report and the wanted version at an agent (no order meanwhile). A request read within 0.1 s of a wake counts from the pause's beginning; one whose time has passed is answered and not sent. PauseWatch sees the wake at whatever comes first: timer, request, message, report. woke and awake in the log, mountbarrow_wakes_total.

--- a/Libraries/LibCore/PauseWatch.cpp
+++ b/Libraries/LibCore/PauseWatch.cpp
@@ -11,7 +11,7 @@
 
 PauseWatch::PauseWatch(EventLoop& loop)
     : m_awake_at(monotonic_now())
-    , m_timer(loop.every(turn_interval, [this] { on_turn(); }))
+    , m_timer(loop.every(turn_interval, [this] { look(); }))
 {
 }
 
@@ -30,11 +30,20 @@
     return std::max(pause->began, waited_since);
 }
 
-void PauseWatch::on_turn()
+void PauseWatch::on_woke(Duration shortest, std::function<void(Duration)> callback)
+{
+    m_shortest_told = shortest;
+    m_on_woke = std::move(callback);
+}
+
+void PauseWatch::look()
 {
     auto const now = monotonic_now();
+    auto const paused_for = now - m_awake_at;
     m_last = last(now);
     m_awake_at = now;
+    if (m_on_woke && paused_for >= std::max(m_shortest_told, shortest_pause))
+        m_on_woke(paused_for);
 }
 
 }
--- a/Libraries/LibCore/PauseWatch.h
+++ b/Libraries/LibCore/PauseWatch.h
@@ -3,12 +3,14 @@
 
 #include <LibCore/EventLoop.h>
 #include <LibCore/Time.h>
+#include <functional>
 #include <memory>
 #include <optional>
 
 namespace Core {
 
-/// Notices that the whole process stood still: stopped by a signal, on an instance that froze, or short of processor time.
+/// Notices that the whole process stood still: stopped by a signal, on an instance that froze or was suspended, or short of processor
+/// time.
 ///
 /// What such a process finds in its sockets when it goes on may have been there for as long as it stood still, so nothing
 /// that was read then is as new as the clock says.
@@ -21,6 +23,13 @@
 
     explicit PauseWatch(EventLoop&);
 
+    /// Called once after each pause of at least `shortest`, with its length. The timers of the loop may be behind what waits in its
+    /// sockets, so whoever reads from these calls look() first.
+    void on_woke(Duration shortest, std::function<void(Duration)> callback);
+
+    /// Whether a pause has just ended; tells those who want to know.
+    void look();
+
     /// The last pause that is over, also one that ended just now.
     std::optional<Pause> last(Time now) const;
 
@@ -29,9 +38,9 @@
     Time earliest_arrival(Time waited_since, Time now) const;
 
 private:
-    void on_turn();
-
     Time m_awake_at;
+    Duration m_shortest_told { 0 };
+    std::function<void(Duration)> m_on_woke;
     std::optional<Pause> m_last;
     std::unique_ptr<Timer> m_timer;
 };
--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -66,10 +66,28 @@
     topic.is_hurried = false;
     topic.read_before_began_at = topic.read_began_at;
     topic.read_began_at = Core::monotonic_now();
+    auto const number = ++topic.read_number;
+    auto const take_answer = [this, &topic, number, is_listing = topic.needs_listing](auto page) {
+        if (number == topic.read_number)
+            on_page(topic, page, is_listing);
+    };
     if (topic.needs_listing)
-        m_log.read_newest(topic.topic, patience(topic), [this, &topic](auto page) { on_page(topic, page, true); });
+        m_log.read_newest(topic.topic, patience(topic), take_answer);
     else
-        m_log.read(topic.topic, m_replica.end(topic.topic), patience(topic), [this, &topic](auto page) { on_page(topic, page, false); });
+        m_log.read(topic.topic, m_replica.end(topic.topic), patience(topic), take_answer);
+}
+
+void FactFollower::read_anew()
+{
+    if (!m_is_running)
+        return;
+    for (auto* topic : { &m_configuration, &m_servers }) {
+        topic->is_reading = false;
+        // One that does not wait is answered at once, whatever there is.
+        topic->failures = std::max(topic->failures, 1);
+        topic->blind_since = topic->blind_since.value_or(topic->read_began_at);
+        read(*topic);
+    }
 }
 
 ReadPatience FactFollower::patience(Topic const& topic) const
@@ -102,7 +120,9 @@
     topic.is_reading = true;
     ReadPatience patience;
     patience.answer = m_settings.answer_patience;
-    m_log.read_history(topic.topic, listing.end, patience, [this, &topic, listing](auto const& history) {
+    m_log.read_history(topic.topic, listing.end, patience, [this, &topic, listing, number = topic.read_number](auto const& history) {
+        if (number != topic.read_number)
+            return;
         topic.is_reading = false;
         topic.has_read_history = true;
         if (!m_is_running)
@@ -150,6 +170,7 @@
     topic.has_been_read = true;
     topic.needs_listing = false;
     topic.current_at = now;
+    topic.read_at = now;
     if (is_regained)
         m_callbacks.regained(topic.topic, lost_for);
     for (auto const& bad : page.bad)
--- a/Libraries/LibPlatform/FactFollower.h
+++ b/Libraries/LibPlatform/FactFollower.h
@@ -50,6 +50,9 @@
     void stop();
     bool is_running() const { return m_is_running; }
 
+    /// The process woke from a pause: what is being read may be dead, or old, so all is read anew at once.
+    void read_anew();
+
     /// A peer's facts that were read from the log `age` ago were taken over.
     void on_peer_facts(Core::Duration age);
 
@@ -62,6 +65,9 @@
     /// Time since the older of both topics was known to be current.
     Core::Duration age(Core::Time now) const;
 
+    /// When both topics were last read from the log itself.
+    Core::Time read_at() const { return std::min(m_configuration.read_at, m_servers.read_at); }
+
     /// Time since the operator's records were known to be current, whatever is known of the backend servers.
     Core::Duration configuration_age(Core::Time now) const { return now - m_configuration.current_at; }
 
@@ -73,8 +79,11 @@
         // Nothing was read yet, or what should be read next is gone.
         bool needs_listing { true };
         bool is_reading { false };
+        // Of the read under way; the answer to an earlier one is passed over.
+        uint64_t read_number { 0 };
         bool has_been_read { false };
         Core::Time current_at { 0 };
+        Core::Time read_at { 0 };
         Core::Time read_began_at { 0 };
         Core::Time read_before_began_at { 0 };
         // Tries in a row that brought no answer.
--- a/Libraries/LibTransport/LinkHub.cpp
+++ b/Libraries/LibTransport/LinkHub.cpp
@@ -196,12 +196,28 @@
 }
 
 void LinkHub::drop_silent(LinkKey const& key, Core::Duration silent_for)
+{
+    if (!m_links.contains(key))
+        return;
+    m_callbacks.silent(key.first, silent_for);
+    reset_link(key);
+}
+
+void LinkHub::drop_all()
+{
+    std::vector<LinkKey> keys;
+    for (auto const& [key, link] : m_links)
+        keys.push_back(key);
+    for (auto const& key : keys)
+        reset_link(key);
+}
+
+void LinkHub::reset_link(LinkKey const& key)
 {
     auto const found = m_links.find(key);
     if (found == m_links.end())
         return;
     auto const link = found->second;
-    m_callbacks.silent(key.first, silent_for);
     link->reset();
     auto const wanted_identity = key.second == Direction::Dialled ? key.first : std::string();
     on_closed(key.second, wanted_identity, *link, Core::ErrorCode::ConnectFailed);
--- a/Libraries/LibTransport/LinkHub.h
+++ b/Libraries/LibTransport/LinkHub.h
@@ -46,6 +46,9 @@
     /// Ends all links to a peer, as if they had broken.
     void drop(std::string const& identity);
 
+    /// Ends all links, with all that waits to be read from them, and dials those that were dialled anew at once.
+    void drop_all();
+
     bool is_up(std::string const& identity) const;
     Schema::Hello const* peer(std::string const& identity) const;
     std::vector<std::string> peers(Schema::Role) const;
@@ -78,6 +81,7 @@
     void ping_quiet_links(Core::Time now);
     void drop_silent_links(Core::Time now);
     void drop_silent(LinkKey const&, Core::Duration silent_for);
+    void reset_link(LinkKey const&);
 
     Core::EventLoop& m_loop;
     LinkOptions m_options;
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -25,6 +25,10 @@
 static constexpr Core::Duration least_roles_interval { 100 };
 // Within this an entry that starts is linked to a seed and has heard from it of the others, where the seed is up.
 static constexpr Core::Duration acquaintance { 2000 };
+// Whoever stood still for this long has lost its links.
+static constexpr Core::Duration told_pause = Transport::LinkKeepAlive {}.silence;
+// What waited in a socket during a pause is read within this after it.
+static constexpr Core::Duration first_reads_after_pause { 100 };
 static constexpr size_t queue_limit = 256;
 static constexpr int status_ok = 200;
 static constexpr int status_not_found = 404;
@@ -98,6 +102,8 @@
         .waiting = waiting_policy(settings),
         .routes = nullptr,
         .is_stale = [this] { return is_stale(); },
+        .is_awake = [this] { return m_facts.is_awake(); },
+        .arrival = [this] { return arrival(); },
         .required_version = [this](std::string const& service) { return m_goals.required(service, version_bound(), Core::monotonic_now()); },
         .newest_version = [this](std::string const& service) { return m_goals.newest(service); },
         .deadlines = m_deadlines,
@@ -115,6 +121,7 @@
     m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
     m_goal_teller = std::make_unique<GoalTeller>(*m_hub, m_facts.replica(), m_settings.regions);
     keep_weights();
+    m_facts.pauses().on_woke(told_pause, [this](Core::Duration paused_for) { on_woke(paused_for); });
     m_tick_timer = loop.every(tick_interval, [this] { tick(); });
     m_link_timer = loop.every(link_check_interval, [this] { check_links(); });
 }
@@ -214,8 +221,30 @@
     }
 }
 
+/// What waits in sockets when the process wakes is as old as the pause is long. Links go with all that they still hold, which their
+/// peers gave up by then; the list, the configuration and the versions are read anew, and until then nothing is sent.
+void DirectEntry::on_woke(Core::Duration paused_for)
+{
+    m_metrics.count("mountbarrow_wakes_total");
+    Core::log_event(Core::LogLevel::Warn, "woke", { { "paused_ms", std::to_string(paused_for.count()) }, { "in_hand", std::to_string(m_requests.size()) } });
+    m_hub->drop_all();
+    m_facts.on_woke();
+}
+
+/// The time of a request that is read now: of one that waited in its socket while the process stood still, the beginning of that.
+Core::Time DirectEntry::arrival()
+{
+    m_facts.pauses().look();
+    auto const now = Core::monotonic_now();
+    return m_facts.pauses().earliest_arrival(now - first_reads_after_pause, now);
+}
+
 void DirectEntry::on_link_message(Schema::Hello const& from, Schema::Message const& message)
 {
+    m_facts.pauses().look();
+    // One that waited while the process stood still went with its link.
+    if (!m_hub->is_up(from.identity))
+        return;
     auto const now = Core::monotonic_now();
     if (message.engine_state) {
         auto const before = m_servers.version_at(from.identity, now);
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -20,6 +20,8 @@
 // Two entries that have run for long know when versions were named; of two that have just started neither does.
 static constexpr int most_asked_for_versions = 2;
 static constexpr Core::Duration ask_interval { 1000 };
+// Links are back and the log has been tried twice well before this.
+static constexpr Core::Duration alone_after { 3000 };
 
 Platform::FactFollowerSettings follower_settings(Schema::DirectEntrySettingsBounds const& bounds)
 {
@@ -95,6 +97,34 @@
     };
 }
 
+// Pauses.
+
+void EntryFacts::on_woke()
+{
+    m_woke_at = Core::monotonic_now();
+    m_has_heard_peer = false;
+    // What others were asked before is lost with the links.
+    m_behind_since.reset();
+    m_asked_for_versions = 0;
+    m_follower.read_anew();
+}
+
+bool EntryFacts::is_awake()
+{
+    m_pauses.look();
+    if (!m_woke_at)
+        return true;
+    auto const now = Core::monotonic_now();
+    // While the log is away a peer that has gone on knows as much as there is; without either, all that is left is to go on.
+    bool const is_over = m_follower.read_at() >= *m_woke_at || m_has_heard_peer || now - *m_woke_at >= alone_after;
+    if (is_over) {
+        Core::log_event(Core::LogLevel::Info, "awake", { { "after_ms", std::to_string((now - *m_woke_at).count()) }, { "heard", m_follower.read_at() >= *m_woke_at ? "log" : m_has_heard_peer ? "entry"
+                                                                                                                                                                                              : "nobody" } });
+        m_woke_at.reset();
+    }
+    return is_over;
+}
+
 // The platform's log.
 
 void EntryFacts::on_failing(Configuration::FactTopic topic, Platform::FactLogFault fault)
@@ -200,6 +230,7 @@
 {
     auto const now = Core::monotonic_now();
     auto const batch_age = Core::Duration(batch.age_ms);
+    m_has_heard_peer = true;
     auto const complete_at = m_follower.configuration_complete_at(now);
     // A peer that is itself behind must not make this one believe that it is current.
     if (batch_age < age(now))
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -51,6 +51,13 @@
     Configuration::FactReplica const& replica() const { return m_replica; }
     /// Whether all that entries before this one knew of versions is known.
     bool knows_kept_versions() const { return m_kept.is_read(); }
+    Core::PauseWatch& pauses() { return m_pauses; }
+
+    /// The process woke from a pause: everything is read anew.
+    void on_woke();
+    /// Whether everything was heard anew since the last pause of the process, or nobody is there who could tell.
+    bool is_awake();
+
     /// Time since the older of both topics was known to be current.
     Core::Duration age(Core::Time now) const { return m_follower.age(now); }
     Core::Duration configuration_age(Core::Time now) const { return m_follower.configuration_age(now); }
@@ -86,6 +93,9 @@
     Platform::BadRecords m_bad_records;
     Callbacks m_callbacks;
     Core::PauseWatch m_pauses;
+    std::optional<Core::Time> m_woke_at;
+    // Since then another entry has told what it knows.
+    bool m_has_heard_peer { false };
     Configuration::FactReplica m_replica;
     Platform::FactFollower m_follower;
     Platform::KeptVersions m_kept;
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -117,7 +117,7 @@
     : m_context(context)
     , m_caller(std::move(caller))
     , m_number(number)
-    , m_started(Core::monotonic_now())
+    , m_started(context.arrival())
     , m_suspected(context.crashes, [this] { return content(); })
 {
 }
@@ -161,6 +161,10 @@
         return false;
     }
     m_configuration_version = routes->version();
+    if (!m_context.is_awake()) {
+        refuse(status_unavailable, Refusal::StaleConfiguration, retry_when_unready);
+        return false;
+    }
     auto const* route = routes->find(m_head.host, m_head.path);
     auto const* customer = m_head.key ? routes->customer_of(*m_head.key) : nullptr;
     bool const needs_key = route && routes->configuration().has_customers && !route->is_public;
@@ -307,11 +311,12 @@
 {
     if (is_over() || refuse_if_blamed())
         return true;
-    if (!m_suspected.may_send()) {
+    auto const now = Core::monotonic_now();
+    // Its time may have passed while the process stood still; then it is answered at the next look at the time.
+    if (!m_context.is_awake() || now >= deadline() || !m_suspected.may_send()) {
         m_no_server = Routing::NoServer::AllFull;
         return false;
     }
-    auto const now = Core::monotonic_now();
     if (m_has_delivered || now <= m_terms.in_time_until)
         return try_send_in_time(now);
     return try_send_late(now);
--- a/Services/DirectEntry/RequestContext.h
+++ b/Services/DirectEntry/RequestContext.h
@@ -79,6 +79,10 @@
     std::shared_ptr<Routing::RouteTable const> routes;
     /// True while what is believed of the configuration may be behind what is in force.
     std::function<bool()> is_stale;
+    /// False from a pause of the process until all was heard anew: nothing is sent meanwhile.
+    std::function<bool()> is_awake;
+    /// The earliest time at which a request can have come that is read now.
+    std::function<Core::Time()> arrival;
     /// The version that an engine of the service must serve by now, if any.
     std::function<std::optional<int64_t>(std::string const& service)> required_version;
     /// The newest version that is named of the model of a service; 0 if none is.
--- a/Services/EngineAgent/CopyKeeper.cpp
+++ b/Services/EngineAgent/CopyKeeper.cpp
@@ -12,6 +12,8 @@
 
 static constexpr Core::Duration turn_interval { 50 };
 static constexpr Core::Duration poll_interval { 100 };
+// Entries dial an agent again well before this.
+static constexpr Core::Duration alone_after { 3000 };
 // A third of the engines may be out of service at once for a new version.
 static constexpr size_t switched_at_once = 3;
 // Entries send nothing to an engine that lacks a version from 1.5 s before its bound: by then it is out of service in any
@@ -89,6 +91,7 @@
 
 void CopyKeeper::set_goal(Schema::WeightsGoal const& goal)
 {
+    m_woke_at.reset();
     if (m_goal.name(goal, Core::monotonic_now() - Core::Duration(goal.age_ms)))
         turn();
 }
@@ -159,8 +162,25 @@
     m_callbacks.announce(map);
 }
 
+void CopyKeeper::on_woke()
+{
+    m_woke_at = Core::monotonic_now();
+    m_is_polling = false;
+    take_report(Core::failure(Core::ErrorCode::ConnectFailed, "not asked since a pause"));
+    poll_engine();
+}
+
+/// Where no entry is linked again within this, the last word of one still holds.
+bool CopyKeeper::knows_present_goal(Core::Time now)
+{
+    if (m_woke_at && now - *m_woke_at >= alone_after)
+        m_woke_at.reset();
+    return !m_woke_at;
+}
+
 void CopyKeeper::turn()
 {
+    m_callbacks.look();
     if (!goal())
         return;
     m_goal.take_next();
@@ -241,6 +261,9 @@
 
 void CopyKeeper::run_load(Core::Time now)
 {
+    m_callbacks.look();
+    if (!knows_present_goal(now))
+        return;
     if (m_older && is_older_load_over(now))
         m_older.reset();
     // Only one version lies beside the engine: the newer one waits here until the older one is taken.
@@ -328,9 +351,12 @@
 
 void CopyKeeper::poll_engine()
 {
+    m_callbacks.look();
     if (std::exchange(m_is_polling, true))
         return;
-    m_engine.read_report([this](Core::ErrorOr<Platform::EngineReport> const& report) {
+    m_engine.read_report([this, number = ++m_poll_number](Core::ErrorOr<Platform::EngineReport> const& report) {
+        if (number != m_poll_number)
+            return;
         m_is_polling = false;
         on_report(report);
     });
--- a/Services/EngineAgent/CopyKeeper.h
+++ b/Services/EngineAgent/CopyKeeper.h
@@ -36,6 +36,8 @@
         std::function<void(Schema::PieceMap const&)> announce;
         /// What the engine holds, or whether it is busy, has changed.
         std::function<void()> changed;
+        /// Notices a pause of the process that has just ended, before anything is done on what was known before.
+        std::function<void()> look;
     };
 
     CopyKeeper(Core::EventLoop&, CopyKeeperSettings, Core::Metrics&, Platform::EngineApi&, Platform::WeightOrigin&, Callbacks);
@@ -45,6 +47,10 @@
     /// the transfer of the present one ends.
     void set_goal(Schema::WeightsGoal const&);
 
+    /// The process woke from a pause: the engine's report is asked for anew, and no order is given before an entry has said again what
+    /// is wanted.
+    void on_woke();
+
     void on_peer_pieces(std::string const& peer, Schema::PieceMap const&);
     void on_peer_down(std::string const& peer);
     /// What an entry of this region holds for its agents.
@@ -98,6 +104,7 @@
     void adopt_staged();
     void begin_transfer();
     void run_load(Core::Time now);
+    bool knows_present_goal(Core::Time now);
     void perform(Distribution::LoadAction const&, int64_t version);
     void stage(int64_t version, size_t chunk);
     void read_back(int64_t version, size_t chunk);
@@ -134,6 +141,10 @@
     int64_t m_last_version { -1 };
     bool m_was_busy { false };
     bool m_is_polling { false };
+    // Of the report that is asked for; the answer to an earlier question is passed over.
+    uint64_t m_poll_number { 0 };
+    // When the process woke from a pause after which no entry has told what is wanted.
+    std::optional<Core::Time> m_woke_at;
     std::unique_ptr<Core::Timer> m_turn_timer;
     std::unique_ptr<Core::Timer> m_poll_timer;
 };
--- a/Services/EngineAgent/EngineAgent.h
+++ b/Services/EngineAgent/EngineAgent.h
@@ -5,6 +5,7 @@
 #include "CopyKeeper.h"
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
+#include <LibCore/PauseWatch.h>
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/LinkHub.h>
 #include <memory>
@@ -35,6 +36,7 @@
     Transport::LinkHub::Callbacks link_callbacks();
     void on_link_up(Schema::Hello const&);
     void on_link_message(Schema::Hello const&, Schema::Message const&);
+    void on_woke(Core::Duration paused_for);
     void on_goal(Schema::WeightsGoal const&);
     /// The list that entries go by names this agent's engine.
     bool is_listed() const;
@@ -53,6 +55,7 @@
     Core::EventLoop& m_loop;
     Schema::EngineAgentSettings m_settings;
     Core::Metrics m_metrics;
+    Core::PauseWatch m_pauses;
     std::unique_ptr<Platform::EngineApi> m_engine;
     std::unique_ptr<Platform::WeightOrigin> m_origin;
     std::unique_ptr<Transport::LinkHub> m_hub;
--- a/Tests/LibCore/TestPauseWatch.cpp
+++ b/Tests/LibCore/TestPauseWatch.cpp
@@ -54,3 +54,30 @@
     EXPECT_GE(later - Duration(100), ended_by);
     EXPECT_EQ(pauses.earliest_arrival(later, later), later);
 }
+
+TEST(PauseWatch, APauseIsToldOnceToWhoeverLooksFirst)
+{
+    EventLoop loop;
+    PauseWatch pauses(loop);
+    std::vector<Duration> told;
+    pauses.on_woke(Duration(600), [&](Duration paused_for) { told.push_back(paused_for); });
+    std::this_thread::sleep_for(stand_still);
+    pauses.look();
+    pauses.look();
+    ASSERT_EQ(told.size(), 1u);
+    EXPECT_GE(told[0], stand_still);
+    auto const end = loop.after(Duration(250), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(told.size(), 1u);
+}
+
+TEST(PauseWatch, TheClockOfDecisionsCountsSuspendedTime)
+{
+    // Only where an instance was suspended since its start do the two differ at all.
+    timespec boot {};
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    auto const before = std::chrono::duration_cast<Time>(std::chrono::seconds(boot.tv_sec) + std::chrono::nanoseconds(boot.tv_nsec));
+    auto const now = monotonic_now();
+    EXPECT_GE(now, before);
+    EXPECT_LE(now - before, Duration(5000));
+}
--- a/Tests/LibPlatform/TestFactFollower.cpp
+++ b/Tests/LibPlatform/TestFactFollower.cpp
@@ -145,6 +145,10 @@
         return page;
     }
 
+    void read_anew() { m_follower.read_anew(); }
+    bool was_read_since(Core::Time time) const { return m_follower.read_at() >= time; }
+    HeldLog& log() { return m_log; }
+
     Configuration::NamedVersion const& newest() const { return m_replica.versions().at("m").versions.back(); }
 
     int regained { 0 };
@@ -268,3 +272,48 @@
     parked.callback(HeldFollower::naming(2, 0));
     EXPECT_LE(*follower.newest().named, paused_at);
 }
+
+TEST(FactFollower, AfterAPauseAllIsReadAnewAndWhatWasBeingReadIsPassedOver)
+{
+    HeldFollower follower;
+    auto const before = follower.next_read();
+    auto const begun_by = Core::monotonic_now();
+    follower.read_anew();
+    ASSERT_TRUE(follower.log().has_configuration_read());
+    auto const anew = follower.log().take_configuration_read();
+    EXPECT_EQ(anew.patience.wait.count(), 0) << "it is answered at once";
+    before.callback(HeldFollower::naming(2, 0));
+    anew.callback(HeldFollower::naming(3, 1));
+    EXPECT_EQ(follower.newest().version, 3);
+    EXPECT_EQ(follower.newest().named.has_value() ? follower.newest().named.value() <= begun_by : true, true) << "it may have been named in the pause";
+}
+
+TEST(FactFollower, TheHistoryIsReadOnceAtTheStartBeforeAnythingIsInForce)
+{
+    class LogWithHistory final : public FactLog {
+    public:
+        void read(Configuration::FactTopic, int64_t, ReadPatience, Callback) override { }
+        void read_newest(Configuration::FactTopic topic, ReadPatience, Callback callback) override
+        {
+            callback(topic == Configuration::FactTopic::Configuration ? HeldFollower::naming(2, 9) : FactPage {});
+        }
+        void read_history(Configuration::FactTopic, int64_t end, ReadPatience, Callback callback) override
+        {
+            EXPECT_EQ(end, 10);
+            reads += 1;
+            callback(HeldFollower::naming(3, 4));
+        }
+        int reads { 0 };
+    };
+    Core::EventLoop loop;
+    Core::PauseWatch const pauses(loop);
+    LogWithHistory log;
+    Configuration::FactReplica replica;
+    std::vector<Configuration::FactChanges> told;
+    FactFollower follower(loop, pauses, log, replica, {}, { .changed = [&](auto const& changes) { told.push_back(changes); }, .failing = [](auto, auto) {}, .regained = [](auto, auto) {}, .bad_record = [](auto const&) {} });
+    follower.start();
+    EXPECT_EQ(log.reads, 1);
+    ASSERT_EQ(told.size(), 1u);
+    EXPECT_EQ(replica.versions().at("m").newest(), 3);
+    EXPECT_EQ(told[0].older_records, std::vector<std::string> { "version/m" });
+}
--- a/Tests/LibPlatform/TestKeptBlames.cpp
+++ b/Tests/LibPlatform/TestKeptBlames.cpp
@@ -109,8 +109,9 @@
         auto others = all;
         std::erase(others, identity);
         processes.push_back(std::make_unique<Process>(loop, shared, identity, others));
-        processes.back()->kept.keep(blamed("d"));
     }
+    for (auto const& process : processes)
+        process->kept.keep(blamed("d"));
     run_for(loop, Core::Duration(50));
     EXPECT_EQ(shared.writes, 2);
 }
--- a/Tests/LibRouting/TestDirectRouting.cpp
+++ b/Tests/LibRouting/TestDirectRouting.cpp
@@ -98,6 +98,7 @@
     state.sends = *rc::gen::inRange<int64_t>(0, 5);
     state.max_attempts = *rc::gen::inRange<int64_t>(1, 4);
     state.misses = *rc::gen::inRange<int64_t>(0, 6);
+    state.ended_servers = *rc::gen::inRange<int64_t>(0, 6);
     state.has_budget = *rc::gen::arbitrary<bool>();
     state.remaining = Core::Duration(*rc::gen::inRange(-100, 5000));
     return state;
@@ -105,7 +106,7 @@
 
 static SendEnd any_end()
 {
-    return *rc::gen::element(SendEnd::NotConnected, SendEnd::NotRun, SendEnd::ServerFailure, SendEnd::BrokenOff, SendEnd::Silent, SendEnd::Outdated);
+    return *rc::gen::element(SendEnd::NotConnected, SendEnd::NotRun, SendEnd::ServerFailure, SendEnd::BrokenOff, SendEnd::ServerEnded, SendEnd::Silent, SendEnd::Outdated);
 }
 
 static bool may_have_run_now(SendEnd end, AttemptState const& state)
@@ -148,6 +149,7 @@
     RC_ASSERT(state.has_budget);
     RC_ASSERT(state.remaining.count() > 0);
     RC_ASSERT(end == SendEnd::NotConnected || end == SendEnd::NotRun || state.sends < state.max_attempts);
+    RC_ASSERT(end == SendEnd::NotConnected || end == SendEnd::NotRun || state.ended_servers <= 3);
 }
 
 RC_GTEST_PROP(RetryShare, AllEntriesTogetherStayWithinTheBoundInEveryWindow, ())
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -533,3 +533,33 @@
     m_table.set_server(leaving, m_now);
     EXPECT_EQ(choose().error(), NoServer::NoneUsable);
 }
+
+TEST_F(ServerTableTest, AServerThatIsClosedIsTakenForFullAndOneThatIsAvoidedGoesLast)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.set_server(engine("2", "b"), m_now);
+    ServerNeeds needs { .service = "llm" };
+    needs.prompt_tokens = 900;
+    EXPECT_EQ(m_table.choose(needs, m_now)->id, "1");
+    needs.avoided = { "1" };
+    EXPECT_EQ(m_table.choose(needs, m_now)->id, "2");
+    needs.avoided = { "1", "2" };
+    EXPECT_EQ(m_table.choose(needs, m_now)->id, "1") << "one is better than none";
+    needs.closed = { "1" };
+    EXPECT_EQ(m_table.choose(needs, m_now)->id, "2");
+    needs.closed = { "1", "2" };
+    EXPECT_EQ(m_table.choose(needs, m_now).error(), NoServer::AllFull) << "they are open again soon";
+}
+
+TEST_F(ServerTableTest, WhatMayEndItsServerGoesWhereTheFewestRun)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.set_server(engine("2", "b"), m_now);
+    m_table.on_sent("r", { "1" }, 100, m_now);
+    m_table.on_first_event("1", "r", m_now);
+    ServerNeeds needs { .service = "llm" };
+    needs.prompt_tokens = 900;
+    EXPECT_EQ(m_table.choose(needs, m_now)->id, "1");
+    needs.wants_idle = true;
+    EXPECT_EQ(m_table.choose(needs, m_now)->id, "2");
+}
--- a/Tests/LibTransport/TestBackendCall.cpp
+++ b/Tests/LibTransport/TestBackendCall.cpp
@@ -159,5 +159,6 @@
         port = server.port();
     }
     call(port);
-    EXPECT_EQ(m_failures, std::vector<CallFailure> { CallFailure::NotConnected });
+    // The instance answered that nobody listens, which silence would not say.
+    EXPECT_EQ(m_failures, std::vector<CallFailure> { CallFailure::Refused });
 }
--- a/Tests/LibTransport/TestLinkHub.cpp
+++ b/Tests/LibTransport/TestLinkHub.cpp
@@ -172,6 +172,20 @@
     EXPECT_EQ(m_a.heard, std::vector<int64_t> { 3 });
 }
 
+TEST_F(LinkHubTest, LinksThatAreDroppedTakeWhatTheyHeldWithThemAndAreMadeAnewAtOnce)
+{
+    m_a.dial("b", m_b.port);
+    run_until([&] { return m_a.ups == 1 && m_b.ups == 1; });
+    EXPECT_TRUE(m_b.tell("a", 1));
+    m_a.hub->drop_all();
+    EXPECT_EQ(m_a.downs, 1u);
+    EXPECT_FALSE(m_a.hub->is_up("b"));
+    run_until([&] { return m_a.ups == 2 && m_b.ups == 2; });
+    EXPECT_TRUE(m_b.tell("a", 2));
+    run_until([&] { return !m_a.heard.empty(); });
+    EXPECT_EQ(m_a.heard, std::vector<int64_t> { 2 });
+}
+
 TEST_F(LinkHubTest, ADeadLinkDoesNotHideALiveOneOfTheOtherDirection)
 {
     SilencingRelay relay(m_loop, m_b.port);
--- a/Tests/Platform/TestBlameRecords.cpp
+++ b/Tests/Platform/TestBlameRecords.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "../../platform/HttpBlameRecords.h"
+#include "../../platform/HttpFactLog.h"
 #include "StoreListing.h"
 #include <LibSchema/Json.h>
 #include <LibTransport/HttpServer.h>
@@ -60,3 +61,91 @@
     RC_ASSERT(read->blames.front().digest == "a");
     RC_ASSERT(read->blames.back().digest == "c");
 }
+
+// What an entry that starts reads of the operator's history, beside the newest records.
+
+namespace {
+
+/// A store of the operator's records, which holds those from an offset on.
+class HistoryStore {
+public:
+    HistoryStore(Core::EventLoop& loop, std::vector<std::pair<std::string, std::string>> records, int64_t first)
+        : m_records(std::move(records))
+        , m_first(first)
+        , m_server(*Transport::HttpServer::create(loop, "127.0.0.1", 0, {}, [this](auto const& exchange) { answer(*exchange); }))
+    {
+    }
+
+    uint16_t port() const { return m_server->port(); }
+    std::vector<int64_t> asked_from;
+
+private:
+    static std::string big_endian(uint64_t value, size_t size)
+    {
+        std::string bytes;
+        for (size_t i = 0; i < size; ++i)
+            bytes.push_back(static_cast<char>(value >> (8 * (size - 1 - i))));
+        return bytes;
+    }
+
+    void answer(Transport::HttpExchange& exchange)
+    {
+        auto const from = std::stoll(exchange.query("From").value_or("0"));
+        asked_from.push_back(from);
+        if (from < m_first) {
+            exchange.reply(410, {}, Json { { "first", m_first } }.dump());
+            return;
+        }
+        std::string body = big_endian(m_records.size(), 8) + big_endian(static_cast<uint64_t>(m_first), 8);
+        for (size_t i = static_cast<size_t>(from); i < m_records.size(); ++i) {
+            auto const& [key, value] = m_records[i];
+            auto const record = static_cast<char>(key.size()) + key + value;
+            body += big_endian(record.size(), 4) + record;
+        }
+        exchange.reply(200, {}, body);
+    }
+
+    std::vector<std::pair<std::string, std::string>> m_records;
+    int64_t m_first;
+    std::unique_ptr<Transport::HttpServer> m_server;
+};
+
+}
+
+static std::pair<std::string, std::string> naming(int64_t version)
+{
+    return { "version/m", Json { { "Model", "m" }, { "Version", version } }.dump() };
+}
+
+static std::vector<int64_t> versions_in_history(int64_t first, std::vector<int64_t>& asked_from)
+{
+    Core::EventLoop loop;
+    HistoryStore store(loop, { naming(1), naming(3), { "version/m", "no version" }, naming(2) }, first);
+    HttpFactLog log(loop, "127.0.0.1:" + std::to_string(store.port()), CustomerKeys::NotExpected);
+    std::vector<int64_t> versions;
+    log.read_history(Configuration::FactTopic::Configuration, 4, { .wait = Core::Duration(0), .answer = Core::Duration(10000) }, [&](auto const& page) {
+        if (page.has_value()) {
+            for (auto const& fact : page->facts)
+                versions.push_back(std::get<Schema::ModelVersion>(fact.value).version);
+        }
+        loop.stop();
+    });
+    loop.run();
+    asked_from = store.asked_from;
+    return versions;
+}
+
+TEST(FactLogHistory, EachRecordIsReadAlsoThoseThatWereReplaced)
+{
+    std::vector<int64_t> asked_from;
+    EXPECT_EQ(versions_in_history(0, asked_from), (std::vector<int64_t> { 1, 3, 2 }));
+    EXPECT_EQ(asked_from, std::vector<int64_t> { 0 });
+}
+
+TEST(FactLogHistory, WhatIsNoLongerKeptIsLeftOut)
+{
+    std::vector<int64_t> asked_from;
+    EXPECT_EQ(versions_in_history(1, asked_from), (std::vector<int64_t> { 3, 2 }));
+    EXPECT_EQ(asked_from, (std::vector<int64_t> { 0, 1 }));
+    EXPECT_TRUE(versions_in_history(4, asked_from).empty());
+}
--- a/Tests/Platform/test_crashing_requests.py
+++ b/Tests/Platform/test_crashing_requests.py
@@ -1,7 +1,11 @@
 # SPDX-License-Identifier: BSD-2-Clause
 """Requests that end each engine that begins to run them."""
 
+import json
+
 from crashing_requests import ALLOWED_LATE_SENDS, play
+from fleet import CHUNK_PORT, LLM, Fleet, route, wait_until
+from test_direct_path import wait_linked
 
 SECONDS = 10
 
@@ -21,3 +25,78 @@
         assert all(count <= ALLOWED_LATE_SENDS for count in outcome.late_sends.values()), outcome.line()
         assert not outcome.refused_for_good, outcome.line()
         assert outcome.harmless > sum(outcome.unserved.values()), outcome.line()
+
+
+CRASHING = b"crashing"
+
+
+def ends(fleet):
+    return sum(len(engine.crashes) for engine in fleet.engines)
+
+
+def blame(fleet):
+    """Asks until the request is refused as one that ends its servers. Returns how many it ended."""
+    for engine in fleet.engines:
+        engine.crashing_bodies = {CRASHING}
+    wait_until(lambda: ask(fleet, fleet.entries[0]).status == 500, "the request to be blamed")
+    return ends(fleet)
+
+
+def ask(fleet, entry):
+    return fleet.call(entry, "POST", "/stream/crash", body=CRASHING)
+
+
+def wait_back(fleet):
+    wait_until(lambda: all(engine.server.is_serving() and engine.version == 1 for engine in fleet.engines), "all engines to be back")
+
+
+def test_a_blame_outlives_all_entries_until_the_operator_takes_it_back(build, folders):
+    with Fleet(build, folders, entries=2, engines=5) as fleet:
+        wait_linked(fleet)
+        ended = blame(fleet)
+        assert ended <= 5, ended
+        wait_until(lambda: fleet.store.topics["keyed.mountbarrow-blames"], "the blame to be written down")
+        for entry in fleet.entries:
+            fleet.kill(entry)
+        for entry in fleet.entries:
+            fleet.start_entry(entry)
+        for entry in fleet.entries:
+            wait_until(lambda entry=entry: fleet.times_logged(entry, "request_blamed", **{"from": "store"}) > 0, "the blame to be read")
+            fleet.wait_ready(entry)
+        wait_back(fleet)
+        wait_linked(fleet)
+        for entry in fleet.entries:
+            answer = ask(fleet, entry)
+            assert answer.status == 500 and "retry-after" not in answer.headers, (answer.status, answer.headers)
+        assert ends(fleet) == ended, "a blamed request was sent"
+        # Another request of the same caller is another matter.
+        assert fleet.call(fleet.entries[0], "POST", "/stream/crash", body=b"harmless").status == 200
+
+        suspects = json.loads(fleet.call(fleet.entries[0], "GET", "/suspects", port=CHUNK_PORT).body)["suspects"]
+        assert len(suspects) == 1 and len(suspects[0]["ends"]) >= 3, suspects
+        digest = suspects[0]["digest"]
+        for engine in fleet.engines:
+            engine.crashing_bodies = set()
+        assert fleet.call(fleet.entries[0], "DELETE", f"/suspects/{digest}", port=CHUNK_PORT).status == 200
+        assert fleet.call(fleet.entries[0], "DELETE", f"/suspects/{digest}", port=CHUNK_PORT).status == 404
+        for entry in fleet.entries:
+            wait_until(lambda entry=entry: ask(fleet, entry).status == 200, "the request to run again")
+        wait_until(lambda: fleet.store.topics["keyed.mountbarrow-blames"][-1] == (digest, b""), "the blame to be dropped from the store")
+
+
+def test_a_request_that_may_not_repeat_and_ends_its_engines_is_stopped_too(build, folders):
+    """Each try of the caller ends one engine, and runs once at most."""
+    with Fleet(build, folders, entries=2, engines=5) as fleet:
+        fleet.configure(Routes=[*fleet.routes(), route("solo", "/solo/", "stream", LLM, TargetGapMs=400)])
+        wait_linked(fleet)
+        for entry in fleet.entries:
+            wait_until(lambda entry=entry: fleet.call(entry, "POST", "/solo/warm").status == 200, "the route that may not be repeated")
+        for engine in fleet.engines:
+            engine.crashing_bodies = {CRASHING}
+        statuses = []
+        for number in range(12):
+            answer = fleet.call(fleet.entries[number % 2], "POST", "/solo/crash", body=CRASHING, request_id=f"solo-{number}")
+            statuses.append(answer.status)
+            assert fleet.runs(f"solo-{number}") <= 1
+            assert answer.status != 503 or fleet.runs(f"solo-{number}") == 0
+        assert ends(fleet) == 3 and statuses[-1] == 500, (ends(fleet), statuses)
--- a/Tests/Soak/SteppingClock.cpp
+++ b/Tests/Soak/SteppingClock.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
-// Linked into programs that the soak runs, in the place of the C library's: their time of day steps and drifts, all other
-// clocks are the machine's. The file that SOAK_CLOCK names holds the disturbance; the soak changes it as it runs.
+// Linked into programs that the soak runs, in the place of the C library's: their time of day steps and drifts, and their steady clock
+// leaves out the time for which they were suspended. The clock that counts such time is the machine's. The file that SOAK_CLOCK
+// names holds the disturbance; the soak changes it as it runs.
 
 #include <cstdint>
 #include <cstdlib>
@@ -23,6 +24,8 @@
     int64_t drift { 0 };
     /// Real time in nanoseconds since the Unix epoch.
     int64_t drifts_since { 0 };
+    /// Nanoseconds that the steady clock does not count.
+    int64_t suspended { 0 };
 };
 
 Disturbance read_disturbance()
@@ -38,9 +41,21 @@
     return disturbance;
 }
 
-int64_t disturbed(int64_t real)
+bool is_time_of_day(clockid_t clock)
+{
+    return clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE;
+}
+
+bool is_steady(clockid_t clock)
+{
+    return clock == CLOCK_MONOTONIC || clock == CLOCK_MONOTONIC_RAW || clock == CLOCK_MONOTONIC_COARSE;
+}
+
+int64_t disturbed(clockid_t clock, int64_t real)
 {
     auto const disturbance = read_disturbance();
+    if (is_steady(clock))
+        return real - disturbance.suspended;
     int64_t const drifted = (real - disturbance.drifts_since) / nanoseconds_per_second * disturbance.drift;
     return real + disturbance.offset + drifted;
 }
@@ -50,9 +65,9 @@
 extern "C" int clock_gettime(clockid_t clock, timespec* result) noexcept
 {
     auto const code = static_cast<int>(syscall(SYS_clock_gettime, clock, result));
-    if (code != 0 || (clock != CLOCK_REALTIME && clock != CLOCK_REALTIME_COARSE))
+    if (code != 0 || !(is_time_of_day(clock) || is_steady(clock)))
         return code;
-    auto const now = disturbed(result->tv_sec * nanoseconds_per_second + result->tv_nsec);
+    auto const now = disturbed(clock, result->tv_sec * nanoseconds_per_second + result->tv_nsec);
     *result = { now / nanoseconds_per_second, now % nanoseconds_per_second };
     return code;
 }
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -63,6 +63,7 @@
         # Processes that were told to end, and those of them that are about to be started again.
         self.told_to_end = set()
         self.returning = set()
+        self.suspended = set()
         self.undo = []
         self.order = 0
         self.version = 1
@@ -186,6 +187,25 @@
     def freeze(self):
         self.pause(self.any_process(), self.random.uniform(0.3, 4.0))
 
+    def suspend(self):
+        """An instance is suspended: its steady clock does not count that time."""
+        identity, seconds = self.any_process(), self.random.uniform(0.5, 5.0)
+        # Its clocks are moved while it cannot read them; one that is stopped already is left alone.
+        if identity in self.suspended or self.fleet.processes[identity].poll() is not None:
+            return
+        begin = time.monotonic()
+        self.suspended.add(identity)
+        self.send(identity, signal.SIGSTOP)
+        self.disturbances.add(identity, begin, begin + seconds)
+
+        def wake_up():
+            self.suspended.discard(identity)
+            self.disturbances.add(identity, begin, time.monotonic())
+            if self.fleet.processes[identity].poll() is None:
+                self.fleet.wake_up(identity, int(begin * 10 ** 9))
+        self.later(seconds, wake_up)
+        self.note("suspend", identity=identity, seconds=seconds)
+
     def reload(self):
         self.send(self.any_process(), signal.SIGHUP)
 
@@ -340,11 +360,11 @@
     # The run.
 
     def play(self, seconds):
-        faults = [self.kill, self.stop, self.freeze, self.freeze, self.reload, self.signal_series, self.stop_in_turn, self.step_clock, self.press,
+        faults = [self.kill, self.stop, self.freeze, self.freeze, self.reload, self.signal_series, self.stop_in_turn, self.press,
                   self.harm_store, self.harm_store, self.forget_history, self.silence_store, self.harm_way_to_server, self.harm_link, self.harm_way_to_origin,
                   self.silence_ways, self.harm_plain, self.harm_engine, self.restart_engine, self.change_keys, self.change_series, self.refuse_configuration]
-        if not self.fleet.has_clocks:
-            faults.remove(self.step_clock)
+        if self.fleet.has_clocks:
+            faults += [self.step_clock, self.suspend]
         end = time.monotonic() + seconds
         for caller in self.callers:
             caller.start()
--- a/Tests/Soak/soak_fleet.py
+++ b/Tests/Soak/soak_fleet.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import os
+import signal
 import struct
 import time
 
@@ -64,6 +65,8 @@
     def __init__(self, build, folders, has_clocks, **shape):
         self.has_clocks = has_clocks
         self.server_proxies, self.link_proxies, self.origin_proxy, self.standstills = {}, {}, None, None
+        # What each process's clocks were told: (offset, drift, since when, suspended), nanoseconds.
+        self.clocks = {}
         super().__init__(build, folders, **shape)
         self.server_proxies = {server.address: self.put_proxy_before(server) for server in self.engines + self.plains}
         self.link_proxies = {engine.address: FaultProxy(self.loop, engine.address, self.entry_link_port, LINK_PORT) for engine in self.engines}
@@ -93,8 +96,25 @@
 
     def set_clock(self, identity, offset_seconds, drift_share=0.0):
         """Moves a process's time of day; it then runs faster by a share."""
-        with open(self.clock_path(identity), "wb") as file:
-            file.write(struct.pack("<qqq", int(offset_seconds * NANOSECONDS), int(drift_share * NANOSECONDS), time.time_ns()))
+        suspended = self.clocks.get(identity, (0, 0, 0, 0))[3]
+        self.write_clock(identity, (int(offset_seconds * NANOSECONDS), int(drift_share * NANOSECONDS), time.time_ns(), suspended))
+
+    def write_clock(self, identity, clock):
+        """Replaces a process's clocks in one step, as it may read them at any moment."""
+        self.clocks[identity] = clock
+        with open(self.clock_path(identity) + ".new", "wb") as file:
+            file.write(struct.pack("<qqqq", *clock))
+        os.replace(self.clock_path(identity) + ".new", self.clock_path(identity))
+
+    def suspend(self, identity):
+        """Stops a process until wake_up(): to its steady clock that time does not pass."""
+        self.processes[identity].send_signal(signal.SIGSTOP)
+        return time.monotonic_ns()
+
+    def wake_up(self, identity, since):
+        offset, drift, drifts_since, suspended = self.clocks.get(identity, (0, 0, 0, 0))
+        self.write_clock(identity, (offset, drift, drifts_since, suspended + time.monotonic_ns() - since))
+        self.processes[identity].send_signal(signal.SIGCONT)
 
     def environment(self, identity):
         return {"SOAK_CLOCK": self.clock_path(identity)} if self.has_clocks else {}
