Entry, LibTransport, LibSchema, Soak: Builds that know more and less stand side by side

Cause: a link ended at any member or kind of message that its receiver does not know, so news of crashes would end links to entries of a build before, again at each new link; nothing in a handshake can tell what a peer understands, for the same reason. Ruled out: a member in the handshake (the link would never stand); a kind of message that carries something else under an old name. Change: from this build on, unknown members and kinds are passed over and counted, and records of our own topics are read so too. An entry is asked over HTTP what it understands once there is something to tell it (PeerAbilities); builds before answer with their metrics, and are told nothing.

--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -284,15 +284,21 @@
 
 std::vector<Schema::CrashSuspect> CrashSuspects::worth_telling(Core::Time now) const
 {
-    std::vector<Schema::CrashSuspect> told;
-    for (auto const& [digest, suspect] : m_suspects) {
-        bool const matters = suspect.blamed_at || suspect.unexplained.size() >= ends_to_run_alone;
-        if (matters && told.size() < most_told)
-            told.push_back(to_tell(digest, now));
-    }
+    auto told = all(now);
+    auto const weight = [](Schema::CrashSuspect const& suspect) { return std::pair(suspect.blamed_ms_ago.has_value(), suspect.ends.size()); };
+    std::sort(told.begin(), told.end(), [&](auto const& a, auto const& b) { return weight(a) > weight(b); });
+    told.resize(std::min(told.size(), most_told));
     return told;
 }
 
+std::vector<Schema::SuspectRun> CrashSuspects::own_runs() const
+{
+    std::vector<Schema::SuspectRun> runs;
+    for (auto const& [digest, run] : m_own)
+        runs.push_back({ .alone = run.is_alone, .digest = digest, .is_over = false, .server = run.server });
+    return runs;
+}
+
 std::vector<Schema::CrashSuspect> CrashSuspects::all(Core::Time now) const
 {
     std::vector<Schema::CrashSuspect> suspects;
--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -80,8 +80,10 @@
     };
     std::set<std::string> servers_with_suspects(Among, Core::Time now) const;
 
-    /// What an entry that comes must know: the blamed, and those that run alone.
+    /// What an entry that comes must know: the suspects, first those that most speaks against.
     std::vector<Schema::CrashSuspect> worth_telling(Core::Time now) const;
+    /// The suspects that run, sent from here.
+    std::vector<Schema::SuspectRun> own_runs() const;
     /// All suspects, for the operator.
     std::vector<Schema::CrashSuspect> all(Core::Time now) const;
     /// What another entry may learn of one request.
--- a/Libraries/LibSchema/Json.h
+++ b/Libraries/LibSchema/Json.h
@@ -63,23 +63,44 @@
     return to_value(object).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-/// Reads a schema type strictly: a wrong type, an unknown enumerator or an unknown member is an error.
+/// Reads what another build of the product may have written: a wrong type or an unknown enumerator is an error; members that this build
+/// does not know are passed over, and `unknown` names the first of them.
 /// This is the one place where what the generated code throws becomes a typed error.
 template<typename T>
-Core::ErrorOr<T> from_value(nlohmann::json const& value)
+Core::ErrorOr<T> from_value_of_any_build(nlohmann::json const& value, std::string& unknown)
 {
     try {
         T object = value.get<T>();
         nlohmann::json known = object;
-        auto unknown = unknown_member(without_nulls(value), known);
-        if (!unknown.empty())
-            return Core::failure(Core::ErrorCode::UnknownKey, unknown);
+        unknown = unknown_member(without_nulls(value), known);
         return object;
     } catch (std::exception const& exception) {
         return Core::failure(Core::ErrorCode::WrongType, exception.what());
     }
 }
 
+/// Reads a schema type strictly: as above, but an unknown member is an error too.
+template<typename T>
+Core::ErrorOr<T> from_value(nlohmann::json const& value)
+{
+    std::string unknown;
+    auto object = from_value_of_any_build<T>(value, unknown);
+    if (object.has_value() && !unknown.empty())
+        return Core::failure(Core::ErrorCode::UnknownKey, unknown);
+    return object;
+}
+
+/// Reads a record that another build of the product may have written.
+template<typename T>
+Core::ErrorOr<T> from_text_of_any_build(std::string_view text)
+{
+    auto value = nlohmann::json::parse(text, nullptr, false);
+    if (value.is_discarded())
+        return Core::failure(Core::ErrorCode::MalformedJson, "not JSON");
+    std::string unknown;
+    return from_value_of_any_build<T>(value, unknown);
+}
+
 template<typename T>
 Core::ErrorOr<T> from_text(std::string_view text)
 {
--- a/Libraries/LibTransport/Link.cpp
+++ b/Libraries/LibTransport/Link.cpp
@@ -110,11 +110,14 @@
 {
     if (m_is_over)
         return;
-    auto message = decode_message(payload);
+    std::string unknown;
+    auto message = decode_message(payload, unknown);
     if (!message.has_value()) {
         fail(message.error().code);
         return;
     }
+    if (!unknown.empty())
+        m_options.traffic->unknown_members += 1;
     if (!m_is_ready) {
         on_handshake(*message);
         return;
--- a/Libraries/LibTransport/Link.h
+++ b/Libraries/LibTransport/Link.h
@@ -20,6 +20,8 @@
 struct LinkTraffic {
     uint64_t sent { 0 };
     uint64_t received { 0 };
+    /// Messages with something in them that this build does not know.
+    uint64_t unknown_members { 0 };
 };
 
 /// How a dead link is told from one that has nothing to say: a connection may fall silent for good without a word.
--- a/Libraries/LibTransport/MessageCodec.cpp
+++ b/Libraries/LibTransport/MessageCodec.cpp
@@ -24,14 +24,14 @@
     }
 }
 
-Core::ErrorOr<Schema::Message> decode_message(std::string_view bytes)
+Core::ErrorOr<Schema::Message> decode_message(std::string_view bytes, std::string& unknown)
 {
     auto value = value_of(bytes);
     if (value.is_discarded() || !value.is_object())
         return Core::failure(Core::ErrorCode::MalformedMessage, "not a CBOR map");
     if (value.size() != 1)
         return Core::failure(Core::ErrorCode::MalformedMessage, "not exactly one member");
-    auto message = Schema::from_value<Schema::Message>(value);
+    auto message = Schema::from_value_of_any_build<Schema::Message>(value, unknown);
     if (!message.has_value())
         return Core::failure(Core::ErrorCode::MalformedMessage, message.error().detail);
     return message;
--- a/Services/DirectEntry/CrashWatch.cpp
+++ b/Services/DirectEntry/CrashWatch.cpp
@@ -158,6 +158,7 @@
     Schema::Message message;
     message.crash_news.emplace();
     message.crash_news->suspects = m_suspects.worth_telling(Core::monotonic_now());
+    message.crash_news->runs = m_suspects.own_runs();
     if (!message.crash_news->suspects.empty())
         m_callbacks.send(entry, message);
 }
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -91,6 +91,7 @@
     , m_started_at(Core::monotonic_now())
     , m_servers(table_settings(settings), m_random())
     , m_retries(retry_bound(settings), Core::monotonic_now())
+    , m_abilities(loop, settings.metrics_port, [this](std::string const& entry) { m_crashes.on_entry_linked(entry); })
     , m_crashes(loop, settings.identity, std::move(parts.blames), m_metrics, crash_callbacks())
     , m_context { .loop = loop,
         .metrics = m_metrics,
@@ -211,6 +212,7 @@
     Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
     m_sharing.on_peer_down(identity);
     m_crashes.on_entry_gone(identity);
+    m_abilities.forget(identity);
     m_told_use.erase(identity);
     // One whose link was only found silent is perhaps there, and its last word is good until it is old.
     if (m_silent_peers.erase(identity) == 0)
@@ -548,7 +550,9 @@
 {
     return {
         .entries = [this] { return m_hub->peers(Schema::Role::Entry); },
-        .send = [this](std::string const& entry, Schema::Message const& message) { m_hub->send(entry, message); },
+        .send = [this](std::string const& entry, Schema::Message const& message) {
+            if (m_abilities.understands(entry))
+                m_hub->send(entry, message); },
         // The request whose send showed it is in the middle of that.
         .blamed = [this](std::string const& digest) { m_loop.soon([this, digest] {
                                                           auto const requests = m_requests;
@@ -635,7 +639,9 @@
 
 void DirectEntry::on_internal_request(std::shared_ptr<Transport::HttpExchange> const& exchange)
 {
-    if (exchange->path().starts_with(suspects_path))
+    if (exchange->path() == PeerAbilities::path)
+        exchange->reply(status_ok, { { "Content-Type", "application/json" } }, PeerAbilities::answer());
+    else if (exchange->path().starts_with(suspects_path))
         reply_suspects(*exchange);
     else if (!m_weights || !m_weights->serve(exchange))
         reply_metrics(*exchange);
@@ -675,6 +681,7 @@
     m_metrics.set("mountbarrow_links", static_cast<double>(m_hub->peers(Schema::Role::Entry).size() + m_hub->peers(Schema::Role::Agent).size()));
     m_metrics.set("mountbarrow_link_bytes", static_cast<double>(m_hub->traffic().sent), "direction=\"sent\"");
     m_metrics.set("mountbarrow_link_bytes", static_cast<double>(m_hub->traffic().received), "direction=\"received\"");
+    m_metrics.set("mountbarrow_link_unknown_members", static_cast<double>(m_hub->traffic().unknown_members));
     exchange.reply(status_ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.to_prometheus());
 }
 
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -6,6 +6,7 @@
 #include "EntryFacts.h"
 #include "EntryWeights.h"
 #include "GoalTeller.h"
+#include "PeerAbilities.h"
 #include "ProxiedRequest.h"
 #include "RequestContext.h"
 #include "VersionGoals.h"
@@ -116,6 +117,7 @@
     Core::Time m_started_at;
     Routing::ServerTable m_servers;
     Routing::RetryShare m_retries;
+    PeerAbilities m_abilities;
     CrashWatch m_crashes;
     // Null where the settings give it no port or no bandwidth.
     std::unique_ptr<EntryWeights> m_weights;
--- a/Tests/LibTransport/TestDecoders.cpp
+++ b/Tests/LibTransport/TestDecoders.cpp
@@ -8,6 +8,8 @@
 
 using namespace Transport;
 
+static std::string s_unknown;
+
 TEST(MessageCodec, AMessageComesBackAsItWent)
 {
     Schema::Message message;
@@ -16,7 +18,7 @@
     message.dispatch->body = std::string("\0\xff binary", 9);
     message.dispatch->deadline_ms = 7;
     message.dispatch->repeatability = Schema::Repeatability::Once;
-    auto const decoded = decode_message(encode_message(message));
+    auto const decoded = decode_message(encode_message(message), s_unknown);
     ASSERT_TRUE(decoded.has_value());
     EXPECT_EQ(decoded->dispatch->body, message.dispatch->body);
     EXPECT_EQ(decoded->dispatch->repeatability, Schema::Repeatability::Once);
@@ -25,7 +27,7 @@
 
 RC_GTEST_PROP(MessageCodec, NoBytesCrashTheDecoder, (std::string const& bytes))
 {
-    auto const decoded = decode_message(bytes);
+    auto const decoded = decode_message(bytes, s_unknown);
     RC_ASSERT(!decoded.has_value() || bytes.size() > 2);
 }
 
@@ -36,7 +38,7 @@
                                           "aaaaaaaa",
              "\xBB"
              "aaaaaaaa" }) {
-        auto const decoded = decode_message(bytes);
+        auto const decoded = decode_message(bytes, s_unknown);
         ASSERT_FALSE(decoded.has_value());
         EXPECT_EQ(decoded.error().code, Core::ErrorCode::MalformedMessage);
     }
@@ -54,20 +56,57 @@
         bytes[seed % bytes.size()] = static_cast<char>(seed >> 32);
         seed = seed * 6364136223846793005ULL + 1;
     }
-    decode_message(bytes);
-    decode_message(bytes.substr(0, seed % bytes.size()));
+    decode_message(bytes, s_unknown);
+    decode_message(bytes.substr(0, seed % bytes.size()), s_unknown);
+}
+
+static Core::ErrorOr<Schema::Message> decode_json(nlohmann::json const& value, std::string& unknown)
+{
+    auto const cbor = nlohmann::json::to_cbor(value);
+    return decode_message(std::string(cbor.begin(), cbor.end()), unknown);
 }
 
-TEST(MessageCodec, UnknownMembersAndTwoAtOnceAreRefused)
+TEST(MessageCodec, WrongTypesAndTwoMembersAtOnceAreRefused)
 {
-    for (auto const& value : { R"({"nothing":{}})", R"({"cancel":{"attempt":"a"},"accepted":{"attempt":"a"}})", R"({"cancel":{"attempt":"a","more":1}})", R"({"cancel":{"attempt":7}})", R"({"refused":{"attempt":"a","reason":"whim","retry_after_ms":0}})" }) {
-        auto const cbor = nlohmann::json::to_cbor(nlohmann::json::parse(value));
-        auto const decoded = decode_message(std::string(cbor.begin(), cbor.end()));
+    for (auto const* value : { R"({"cancel":{"attempt":"a"},"accepted":{"attempt":"a"}})", R"({"cancel":{"attempt":7}})", R"({"refused":{"attempt":"a","reason":"whim","retry_after_ms":0}})", R"({})" }) {
+        std::string unknown;
+        auto const decoded = decode_json(nlohmann::json::parse(value), unknown);
         ASSERT_FALSE(decoded.has_value()) << value;
         EXPECT_EQ(decoded.error().code, Core::ErrorCode::MalformedMessage);
     }
 }
 
+// A build that knows more may stand on the other side; what it says beside costs nothing of what this build knows.
+TEST(MessageCodec, WhatAnotherBuildKnowsBesideIsPassedOverAndNamed)
+{
+    std::string unknown;
+    auto const kind = decode_json(nlohmann::json::parse(R"({"nothing":{}})"), unknown);
+    ASSERT_TRUE(kind.has_value());
+    EXPECT_EQ(Schema::to_value(*kind), nlohmann::json::object());
+    EXPECT_EQ(unknown, "nothing");
+    auto const member = decode_json(nlohmann::json::parse(R"({"cancel":{"attempt":"a","more":1}})"), unknown);
+    ASSERT_TRUE(member.has_value() && member->cancel);
+    EXPECT_EQ(member->cancel->attempt, "a");
+    EXPECT_EQ(unknown, "cancel.more");
+}
+
+RC_GTEST_PROP(MessageCodec, MembersThatAreAddedAnywhereChangeNothingElse, ())
+{
+    Schema::Message message;
+    message.ping.emplace();
+    message.ping->sent_at_ms = *rc::gen::arbitrary<int64_t>();
+    message.ping->list_version = *rc::gen::arbitrary<int64_t>();
+    auto value = Schema::to_value(message);
+    auto const before = value;
+    auto const name = "added_" + std::to_string(*rc::gen::inRange(0, 1000));
+    value["ping"][name] = *rc::gen::element(nlohmann::json(1), nlohmann::json("text"), nlohmann::json { { "a", { 1, 2 } } }, nlohmann::json(true));
+    std::string unknown;
+    auto const decoded = decode_json(value, unknown);
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(Schema::to_value(*decoded) == before);
+    RC_ASSERT(unknown == "ping." + name);
+}
+
 RC_GTEST_PROP(WebSocketCodec, NoBytesCrashEitherSide, (std::string const& bytes))
 {
     for (auto side : { WebSocketCodec::Side::Client, WebSocketCodec::Side::Server }) {
--- a/Tests/Platform/crashing_requests.py
+++ b/Tests/Platform/crashing_requests.py
@@ -109,7 +109,7 @@
         if len(ends) < ENOUGH_ENDS:
             return 0
         known = ends[ENOUGH_ENDS - 1] + KNOWN_SECONDS
-        return sum(sent == body and when > known for engine in self.fleet.engines for sent, when in engine.crashing_sends)
+        return sum(sent == body and when > known for engine in self.fleet.engines for sent, when, _ in engine.crashing_sends)
 
     def outcome(self):
         ends = collections.Counter(body for engine in self.fleet.engines for body, _ in engine.crashes)
--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -61,6 +61,8 @@
 
     def __init__(self, build, folders, entries=2, engines=3, plains=2, version_bound_ms=8000, contact_ms=CONTACT_MS):
         self.build = build
+        # Processes that run another build, by identity.
+        self.builds = {}
         # Time from the naming of a version within which engines must serve it.
         self.version_bound_ms = version_bound_ms
         # Time within which an entry is to be in touch again after trouble.
@@ -163,7 +165,7 @@
             json.dump(settings, file)
         self.starts[identity] += 1
         with open(os.path.join(self.folder, f"{identity}.log"), "ab") as log, open(os.path.join(self.folder, f"{identity}.err"), "ab") as errors:
-            self.processes[identity] = subprocess.Popen([os.path.join(self.build, program)], stdout=log, stderr=errors,
+            self.processes[identity] = subprocess.Popen([os.path.join(self.builds.get(identity, self.build), program)], stdout=log, stderr=errors,
                                                         env={**os.environ, "MOUNTBARROW_SETTINGS": path, **self.environment(identity)})
 
     def environment(self, identity):
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -355,7 +355,9 @@
         self.crashing_bodies = set()
         self.crash_seconds = 0.08
         self.back_seconds = 3.0
-        # (body, when) of each send of such a request that reached the engine, and of each end by one.
+        # What callers are led through, if anything: nobody listens there either while the engine is gone.
+        self.proxy = None
+        # (body, when, request id) of each send of such a request that reached the engine, and (body, when) of each end by one.
         self.crashing_sends = []
         self.crashes = []
         super().__init__(loop, address, port, store, service, zone)
@@ -402,6 +404,8 @@
             return
         self.crashes.append((body, time.monotonic()))
         self.server.close()
+        if self.proxy:
+            self.proxy.stop_listening()
         for writer in list(self.writers):
             writer.transport.abort()
         for task in self.tasks - {asyncio.current_task()}:
@@ -411,6 +415,8 @@
     async def be_back(self):
         self.forget()
         self.server = await asyncio.start_server(self.serve, self.address, self.port, reuse_address=True)
+        if self.proxy:
+            await self.proxy.listen()
         self.store.append("keyed.servers", self.id, self.entry())
 
     async def answer(self, request):
@@ -447,7 +453,7 @@
 
     async def stream(self, request):
         if request.body in self.crashing_bodies:
-            self.crashing_sends.append((request.body, time.monotonic()))
+            self.crashing_sends.append((request.body, time.monotonic(), request.headers.get("x-request-id", "")))
         wanted = request.headers.get("x-expect-version")
         if self.is_misdirected(request) or (wanted and int(wanted) != self.version):
             return await self.refuse(request, 421)
--- a/Tests/Soak/callers.py
+++ b/Tests/Soak/callers.py
@@ -95,6 +95,35 @@
         seen.ended_at = time.monotonic()
 
 
+class CrashingCaller(threading.Thread):
+    """Asks for a stream that ends each engine which begins it, again and again, at any entry."""
+
+    again_seconds = (0.1, 0.8)
+
+    def __init__(self, number, seed, entries):
+        super().__init__(daemon=True)
+        self.random = random.Random(f"{seed} crashing {number}")
+        self.body = f"crashing-{number}".encode()
+        self.entries = entries
+        self.is_over = threading.Event()
+        # Request id: the entry that was asked.
+        self.asked = {}
+        self.start()
+
+    def run(self):
+        while not self.is_over.is_set():
+            request_id, entry = f"soak-{self.body.decode()}-{len(self.asked)}", self.random.choice(self.entries)
+            self.asked[request_id] = entry
+            connection = http.client.HTTPConnection(entry, CALLERS_PORT, timeout=PATIENCE_SECONDS)
+            try:
+                connection.request("POST", "/stream/" + self.body.decode(), body=self.body, headers=caller_fields(request_id, KEY, DEADLINE_MS))
+                connection.getresponse().read()
+            except (OSError, http.client.HTTPException):
+                pass
+            connection.close()
+            self.is_over.wait(self.random.uniform(*self.again_seconds))
+
+
 class Press:
     """Many connections that each hold an almost whole body at an entry, so that its memory is pressed."""
 
--- a/Tests/Soak/fault_proxy.py
+++ b/Tests/Soak/fault_proxy.py
@@ -22,7 +22,16 @@
         # Ends of connections that carry nothing for good, not even their end.
         self.silenced = set()
         self.closed = asyncio.Event()
-        self.server = loop.run(asyncio.start_server(self.serve, address, port, reuse_address=True))
+        self.server = None
+        loop.run(self.listen())
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.serve, self.address, self.port, reuse_address=True)
+
+    def stop_listening(self):
+        """What it leads to is gone: connections are reset, and new ones refused."""
+        self.server.close()
+        self.reset_all()
 
     def set_mode(self, mode):
         self.mode = mode
--- a/Tests/Soak/promises.py
+++ b/Tests/Soak/promises.py
@@ -13,6 +13,8 @@
 # A process is answerable for what it does from this long after its last disturbance on.
 CONTACT_SECONDS = 3
 VERSION_BOUND_SECONDS = 8
+# Ends of engines after which a request must be stopped everywhere, and the sends that may still reach one.
+ENOUGH_ENDS, ALLOWED_LATE_SENDS = 3, 3
 # From an engine's beginning of work back to the entry's sending, beside load.
 VERSION_SLACK_SECONDS = 0.5
 
@@ -29,6 +31,7 @@
     "unasked": "a server runs only what a caller sent, for the customer who holds the key",
     "denied": "no key runs that no readable configuration holds",
     "reverted": "within one life an entry goes back behind no configuration",
+    "stopped": "a request that ends its engines reaches three more at the most, once it has ended three and all must know",
     "version": "no stream begins on an old version past its bound",
     "weights": "an engine loads only the exact bytes of a version",
     "ended": "no process ends by itself",
@@ -83,6 +86,8 @@
     # Key: when a configuration without it was written.
     revoked: dict
     disturbances: Disturbances
+    # Body: (when it ended an engine, in order; (when it reached one, the entry that sent it)).
+    crashing: dict
     # What touches a server or the way to it.
     server_names: list
     link_names: list
@@ -160,6 +165,17 @@
                 break
 
 
+def not_stopped(record):
+    """Requests that ended three engines and went on reaching some, sent by entries that nothing had been done to."""
+    for body, (ends, sends) in record.crashing.items():
+        if len(ends) < ENOUGH_ENDS:
+            continue
+        known = ends[ENOUGH_ENDS - 1] + CONTACT_SECONDS
+        late = [entry for when, entry in sends if when > known and not record.disturbances.touches([entry, f"door {entry}", STAND_INS], when - CONTACT_SECONDS, when)]
+        if len(late) > ALLOWED_LATE_SENDS:
+            yield f"stopped: {body.decode()} reached engines {len(late)} times from {CONTACT_SECONDS} s after its third end on; {len(ends)} ended"
+
+
 def request_faults(record):
     """All promises that requests break."""
     for seen in record.seen:
@@ -172,9 +188,10 @@
         if seen.kind == "stream":
             yield from begun_late(seen, runs, record)
     yield from reverted(record)
+    yield from not_stopped(record)
     known = {seen.request_id for seen in record.seen}
     for request_id in record.runs:
-        if request_id.startswith("soak-") and request_id not in known:
+        if request_id.startswith("soak-") and not request_id.startswith("soak-crashing-") and request_id not in known:
             yield f"unasked: {request_id} ran, and no caller sent it"
         if not request_id.startswith(("soak-", "r")):
             yield f"unasked: {request_id!r} ran, and no caller sent it"
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -27,7 +27,7 @@
 sys.path[:0] = [HERE, os.path.join(os.path.dirname(HERE), "Platform"), os.path.join(os.path.dirname(HERE), "Processes")]
 
 import promises  # noqa: E402
-from callers import UNREADABLE_KEY, Caller, Press  # noqa: E402
+from callers import UNREADABLE_KEY, Caller, CrashingCaller, Press  # noqa: E402
 from cluster import wait_until  # noqa: E402
 from fault_proxy import MODES  # noqa: E402
 from fleet import CUSTOMER, KEY  # noqa: E402
@@ -36,6 +36,9 @@
 CALLERS = 4
 # One seed in so many plays with clocks that step, in programs linked for it; the others play with the programs as shipped.
 CLOCKS_ONE_IN = 3
+# One seed in so many plays with requests that end their engines.
+CRASHING_ONE_IN, CRASHING_REST = 5, 3
+CRASHING_SECONDS = (2.0, 6.0)
 WIDE_ONE_IN = 10
 WIDE_ENTRIES, WIDE_ENGINES = 6, 30
 STORE_MODES = ("busy", "many", "reset", "silent")
@@ -75,6 +78,7 @@
         self.injected = collections.Counter()
         self.disturbances = promises.Disturbances()
         self.fault_log = open(os.path.join(self.fleet.folder, "faults.log"), "w", encoding="utf-8")
+        self.crashing_callers = []
         self.callers = [Caller(number, seed, self) for number in range(CALLERS)]
 
     def note(self, kind, **details):
@@ -239,6 +243,14 @@
         press = Press(entry)
         self.later(self.random.uniform(0.5, 3.0), press.end)
 
+    def ask_crashing(self):
+        caller = CrashingCaller(len(self.crashing_callers), self.seed, self.fleet.entries)
+        self.crashing_callers.append(caller)
+        for engine in self.fleet.engines:
+            engine.crashing_bodies = {each.body for each in self.crashing_callers}
+        self.note("crashing_caller", body=caller.body.decode())
+        self.later(self.random.uniform(*CRASHING_SECONDS), caller.is_over.set)
+
     # Faults to the store and to links.
 
     def harm_store(self):
@@ -365,6 +377,8 @@
                   self.silence_ways, self.harm_plain, self.harm_engine, self.restart_engine, self.change_keys, self.change_series, self.refuse_configuration]
         if self.fleet.has_clocks:
             faults += [self.step_clock, self.suspend]
+        if self.seed % CRASHING_ONE_IN == CRASHING_REST:
+            faults += [self.ask_crashing]
         end = time.monotonic() + seconds
         for caller in self.callers:
             caller.start()
@@ -429,12 +443,26 @@
                 result[request_id].append(promises.Run(server.address, customer, version, began_at, f"seal.{incarnation}"))
         return result
 
+    def crashing(self):
+        """When each crashing request ended an engine, and when it reached one from which entry. Each end disturbs its server."""
+        result = {}
+        asked = {request_id: entry for caller in self.crashing_callers for request_id, entry in caller.asked.items()}
+        for caller in self.crashing_callers:
+            ends = sorted(when for engine in self.fleet.engines for body, when in list(engine.crashes) if body == caller.body)
+            sends = [(when, asked[request_id]) for engine in self.fleet.engines for body, when, request_id in list(engine.crashing_sends) if body == caller.body]
+            result[caller.body] = (ends, sends)
+        for engine in self.fleet.engines:
+            for _, when in list(engine.crashes):
+                self.disturbances.add(f"server {engine.address}", when, when + engine.back_seconds)
+        return result
+
     def record(self):
+        crashing = self.crashing()
         servers = self.fleet.engines + self.fleet.plains
         links = [f"link {engine.address}" for engine in self.fleet.engines]
         ways = [promises.STAND_INS, *(f"server {server.address}" for server in servers)]
         return promises.Record([seen for caller in self.callers for seen in caller.seen], self.runs(), set().union(*(server.faulted for server in servers)),
-                               self.named, self.revoked, self.disturbances, ways, [*links, *ways])
+                               self.named, self.revoked, self.disturbances, crashing, ways, [*links, *ways])
 
     def broken_promises(self):
         for begin, end in self.fleet.standstills.spans:
--- a/Tests/Soak/soak_fleet.py
+++ b/Tests/Soak/soak_fleet.py
@@ -89,7 +89,8 @@
         """From now on callers of the server are led through a proxy; its agent is not."""
         server.listed_port = PROXY_PORT
         server.enlist()
-        return FaultProxy(self.loop, server.address, PROXY_PORT, server.port)
+        server.proxy = FaultProxy(self.loop, server.address, PROXY_PORT, server.port)
+        return server.proxy
 
     def clock_path(self, identity):
         return os.path.join(self.folder, f"{identity}.clock")
--- a/Tests/Soak/test_promises.py
+++ b/Tests/Soak/test_promises.py
@@ -27,10 +27,10 @@
     return Run(SERVER, customer, version, began_at, seal)
 
 
-def found(requests, runs, named=(), revoked=None, disturbances=None, faulted=()):
+def found(requests, runs, named=(), revoked=None, disturbances=None, faulted=(), crashing=None):
     """The names of the promises that a record breaks; `runs`: those of each request, in the same order."""
     by_id = {request.request_id: its for request, its in zip(requests, runs)}
-    record = Record(list(requests), by_id, set(faulted), list(named), revoked or {}, disturbances or Disturbances(), [f"server {SERVER}"], [f"link {SERVER}"])
+    record = Record(list(requests), by_id, set(faulted), list(named), revoked or {}, disturbances or Disturbances(), crashing or {}, [f"server {SERVER}"], [f"link {SERVER}"])
     return [fault.split(":")[0] for fault in request_faults(record)]
 
 
@@ -57,12 +57,22 @@
     assert found([seen("safe")], [[run(), run(seal="seal.i-2")]]) == []
 
 
+def test_a_request_that_ends_its_engines_and_is_not_stopped_is_found(_build, _folders):
+    ends = [10.0, 11.0, 12.0, 13.0]
+    late = [(when, ENTRY) for when in (15.1, 16.0, 17.0, 18.0)]
+    assert found([], [], crashing={b"crashing-0": (ends, late)}) == ["stopped"]
+    assert found([], [], crashing={b"crashing-0": (ends, late[1:])}) == [], "three more are allowed"
+    assert found([], [], crashing={b"crashing-0": (ends, [(14.9, ENTRY), *late[1:]])}) == [], "not all must know yet"
+    assert found([], [], crashing={b"crashing-0": (ends[:2], late)}) == []
+    assert found([], [], crashing={b"crashing-0": (ends, late)}, disturbances=disturbed(ENTRY, 17.0, 17.5)) == []
+
+
 def test_runs_that_must_not_be_are_found(_build, _folders):
     assert found([seen()], [[run(), run()]]) == ["doubled"]
     assert found([seen(status=503)], [[run()]]) == ["refused"]
     assert found([seen(key=callers.UNKNOWN_KEY)], [[run()]]) == ["denied"]
     assert found([seen()], [[run(customer="another")]]) == ["unasked"]
-    assert list(request_faults(Record([], {"press-1": [run()]}, set(), [], {}, Disturbances(), [], [])))
+    assert list(request_faults(Record([], {"press-1": [run()]}, set(), [], {}, Disturbances(), {}, [], [])))
 
 
 def test_answers_that_are_another_s_or_not_whole_are_found(_build, _folders):
--- a/Tests/Soak/test_soak.py
+++ b/Tests/Soak/test_soak.py
@@ -5,7 +5,8 @@
 
 from soak import HERE, run_seed
 
-FIXED_SEED = 20261202
+# The second plays with requests that end their engines.
+FIXED_SEEDS = (20261202, 20261203)
 SECONDS = 8
 
 
@@ -15,7 +16,7 @@
 
 
 def test_promises_hold_under_random_faults(build, folders):
-    for seed in [FIXED_SEED, *failed_seeds()]:
+    for seed in [*FIXED_SEEDS, *failed_seeds()]:
         outcome = run_seed(build, seed, SECONDS, folders=folders)
         assert not outcome.broken, (seed, outcome.broken)
         assert outcome.good > 0
