--- a/Libraries/LibRouting/AttemptPolicy.cpp
+++ b/Libraries/LibRouting/AttemptPolicy.cpp
@@ -10,6 +10,27 @@
 // Servers that end are no attempts of the route's. A harmless request meets a second such end seldom and a third hardly ever.
 static constexpr int64_t most_ended_servers = 3;
 
+char const* send_end_name(SendEnd end)
+{
+    switch (end) {
+    case SendEnd::NotConnected:
+        return "not_connected";
+    case SendEnd::NotRun:
+        return "not_run";
+    case SendEnd::ServerFailure:
+        return "server_failure";
+    case SendEnd::BrokenOff:
+        return "broken_off";
+    case SendEnd::ServerEnded:
+        return "server_ended";
+    case SendEnd::Silent:
+        return "silent";
+    case SendEnd::Outdated:
+        return "outdated";
+    }
+    return "";
+}
+
 bool is_repeatable(AttemptState const& state)
 {
     if (state.kind == Schema::RouteKind::Repeatable)
--- a/Libraries/LibRouting/AttemptPolicy.h
+++ b/Libraries/LibRouting/AttemptPolicy.h
@@ -24,6 +24,9 @@
     Outdated,
 };
 
+/// The name of an end in logs and metrics.
+char const* send_end_name(SendEnd);
+
 /// What is known of a request when a send has ended.
 struct AttemptState {
     Schema::RouteKind kind { Schema::RouteKind::Once };
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -44,70 +44,6 @@
 static constexpr size_t most_unread_bytes = size_t { 1 } << 20;
 static constexpr size_t most_buffered_answer = size_t { 8 } << 20;
 
-char const* refusal_name(Refusal refusal)
-{
-    switch (refusal) {
-    case Refusal::None:
-        return "none";
-    case Refusal::NoConfiguration:
-        return "no_configuration";
-    case Refusal::NoRoute:
-        return "no_route";
-    case Refusal::UnknownKey:
-        return "unknown_key";
-    case Refusal::StaleConfiguration:
-        return "stale_configuration";
-    case Refusal::UnreadableConfiguration:
-        return "unreadable_configuration";
-    case Refusal::NoServer:
-        return "no_server";
-    case Refusal::NoPlace:
-        return "no_place";
-    case Refusal::QueueFull:
-        return "queue_full";
-    case Refusal::NotRunAnywhere:
-        return "not_run_anywhere";
-    case Refusal::OutcomeUnknown:
-        return "outcome_unknown";
-    case Refusal::ServerFailure:
-        return "server_failure";
-    case Refusal::BrokenOff:
-        return "broken_off";
-    case Refusal::EndsServers:
-        return "ends_servers";
-    case Refusal::DeadlinePassed:
-        return "deadline_passed";
-    case Refusal::CallerGone:
-        return "caller_gone";
-    case Refusal::CallerTooSlow:
-        return "caller_too_slow";
-    case Refusal::Stopping:
-        return "stopping";
-    }
-    return "";
-}
-
-static char const* send_end_name(SendEnd end)
-{
-    switch (end) {
-    case SendEnd::NotConnected:
-        return "not_connected";
-    case SendEnd::NotRun:
-        return "not_run";
-    case SendEnd::ServerFailure:
-        return "server_failure";
-    case SendEnd::BrokenOff:
-        return "broken_off";
-    case SendEnd::ServerEnded:
-        return "server_ended";
-    case SendEnd::Silent:
-        return "silent";
-    case SendEnd::Outdated:
-        return "outdated";
-    }
-    return "";
-}
-
 static std::string milliseconds(Core::Duration duration)
 {
     return std::to_string(duration.count());
@@ -637,9 +573,9 @@
     auto const step = Routing::next_step(end, attempt_state(now));
     if (!is_miss)
         m_may_have_run = true;
-    m_context.metrics.count("mountbarrow_sends_ended_total", std::string("reason=\"") + send_end_name(end) + "\"");
+    m_context.metrics.count("mountbarrow_sends_ended_total", std::string("reason=\"") + Routing::send_end_name(end) + "\"");
     Core::log_event(Core::LogLevel::Info, "send_ended",
-        { { "request", m_head.request_id }, { "server", m_server }, { "end", send_end_name(end) }, { "status", std::to_string(m_has_head ? m_answer.status : 0) }, { "after_ms", milliseconds(now - m_sent_at) }, { "next", std::to_string(static_cast<int>(step)) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+        { { "request", m_head.request_id }, { "server", m_server }, { "end", Routing::send_end_name(end) }, { "status", std::to_string(m_has_head ? m_answer.status : 0) }, { "after_ms", milliseconds(now - m_sent_at) }, { "next", std::to_string(static_cast<int>(step)) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
     take_step(step, end);
 }
 
--- /dev/null
+++ b/Services/DirectEntry/Refusal.cpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "Refusal.h"
+
+namespace DirectEntry {
+
+char const* refusal_name(Refusal refusal)
+{
+    switch (refusal) {
+    case Refusal::None:
+        return "none";
+    case Refusal::NoConfiguration:
+        return "no_configuration";
+    case Refusal::NoRoute:
+        return "no_route";
+    case Refusal::UnknownKey:
+        return "unknown_key";
+    case Refusal::StaleConfiguration:
+        return "stale_configuration";
+    case Refusal::UnreadableConfiguration:
+        return "unreadable_configuration";
+    case Refusal::NoServer:
+        return "no_server";
+    case Refusal::NoPlace:
+        return "no_place";
+    case Refusal::QueueFull:
+        return "queue_full";
+    case Refusal::NotRunAnywhere:
+        return "not_run_anywhere";
+    case Refusal::OutcomeUnknown:
+        return "outcome_unknown";
+    case Refusal::ServerFailure:
+        return "server_failure";
+    case Refusal::BrokenOff:
+        return "broken_off";
+    case Refusal::EndsServers:
+        return "ends_servers";
+    case Refusal::DeadlinePassed:
+        return "deadline_passed";
+    case Refusal::CallerGone:
+        return "caller_gone";
+    case Refusal::CallerTooSlow:
+        return "caller_too_slow";
+    case Refusal::Stopping:
+        return "stopping";
+    }
+    return "";
+}
+
+}
--- a/Services/DirectEntry/RequestContext.h
+++ b/Services/DirectEntry/RequestContext.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "CrashWatch.h"
+#include "Refusal.h"
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibPlatform/RequestHeads.h>
@@ -18,32 +19,6 @@
 
 namespace DirectEntry {
 
-/// Why a request ended as it did. Each has a counter and stands in the log.
-enum class Refusal {
-    None,
-    NoConfiguration,
-    NoRoute,
-    UnknownKey,
-    StaleConfiguration,
-    /// What the configuration says of the route or of the customers could not be read.
-    UnreadableConfiguration,
-    NoServer,
-    NoPlace,
-    QueueFull,
-    NotRunAnywhere,
-    OutcomeUnknown,
-    ServerFailure,
-    BrokenOff,
-    /// Servers end that run it.
-    EndsServers,
-    DeadlinePassed,
-    CallerGone,
-    CallerTooSlow,
-    Stopping,
-};
-
-char const* refusal_name(Refusal);
-
 /// The requests of a service that wait here for a place.
 struct ServiceLine {
     explicit ServiceLine(size_t limit)
