Entry, LibRouting: A request that waited through a pause counts from its beginning; one that is no longer blamed goes on

Found by reading: the arrival of a request read right after a pause was dated 0.1 s back and not to the pause's beginning; a request whose blame was taken back in the turn in which it was to end lost its call and stood until its deadline; runs of suspects that a peer never ended stayed for good.

--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -314,6 +314,7 @@
         bool const is_single = suspect.known.ends.size() < ends_to_run_alone && !suspect.blamed_at;
         return now - suspect.last_end >= (is_single ? single_end_remembered_for : remembered_for);
     });
+    std::erase_if(m_peers, [&](auto const& entry) { return now - entry.second.since >= longest_peer_run; });
     count_blamed();
 }
 
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -238,7 +238,9 @@
 {
     m_facts.pauses().look();
     auto const now = Core::monotonic_now();
-    return m_facts.pauses().earliest_arrival(now - first_reads_after_pause, now);
+    auto const pause = m_facts.pauses().last(now);
+    bool const may_have_waited = pause && now - pause->ended <= first_reads_after_pause;
+    return may_have_waited ? pause->began : now;
 }
 
 void DirectEntry::on_link_message(Schema::Hello const& from, Schema::Message const& message)
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -730,7 +730,8 @@
 void ProxiedRequest::on_blamed(std::string const& digest)
 {
     auto keep = shared_from_this();
-    if (is_over() || m_phase == Phase::Admitting || !m_suspected.is(digest))
+    bool const is_this = !is_over() && m_phase != Phase::Admitting && m_suspected.is(digest);
+    if (!is_this || m_suspected.standing() != Routing::CrashStanding::Blamed)
         return;
     m_may_have_run = m_may_have_run || (is_at_server() && m_is_connected);
     // A server that has not begun it yet drops it with its connection.
