--- a/Tests/LibTransport/TestDecoders.cpp
+++ b/Tests/LibTransport/TestDecoders.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibCore/Hash.h>
+#include <LibSchema/Json.h>
 #include <LibTransport/Handshake.h>
 #include <LibTransport/MessageCodec.h>
 #include <LibTransport/WebSocketCodec.h>
--- a/Tests/Platform/TestForeignRecords.cpp
+++ b/Tests/Platform/TestForeignRecords.cpp
@@ -206,7 +206,8 @@
     Schema::Message message;
     message.facts.emplace();
     message.facts->facts.push_back(Configuration::to_message({ Schema::FactKind::BackendServer, key, 1, *read }));
-    auto const received = Transport::decode_message(Transport::encode_message(message));
+    std::string unknown;
+    auto const received = Transport::decode_message(Transport::encode_message(message), unknown);
     RC_ASSERT(received.has_value());
     auto const fact = Configuration::from_message(received->facts->facts.at(0));
     RC_ASSERT(fact.has_value());
