--- a/Libraries/LibPlatform/FactLog.h
+++ b/Libraries/LibPlatform/FactLog.h
@@ -5,6 +5,7 @@
 #include <LibCore/Error.h>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Platform {
@@ -59,7 +60,11 @@
 
     /// Reads records before an offset that later ones of the same keys have replaced: the last ones, as far as they are kept and are
     /// not too large together. A log that keeps no history brings none.
-    virtual void read_history(Configuration::FactTopic, int64_t /*end*/, ReadPatience, Callback callback) { callback(FactPage {}); }
+    virtual void read_history(Configuration::FactTopic, int64_t /*end*/, ReadPatience, Callback callback)
+    {
+        auto const answer = std::move(callback);
+        answer(FactPage {});
+    }
 };
 
 }
--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -184,7 +184,8 @@
 void CrashSuspects::release_explained()
 {
     count_blamed();
-    for (auto& [digest, suspect] : m_suspects) {
+    for (auto& entry : m_suspects) {
+        auto& suspect = entry.second;
         auto const& ends = suspect.known.ends;
         bool const is_beside_others = !ends.empty() && std::all_of(ends.begin(), ends.end(), [&](auto const& end) { return is_explained_by_others(suspect, end); });
         if (suspect.blamed_at && is_beside_others) {
