--- a/Tests/LibRouting/TestCrashSuspects.cpp
+++ b/Tests/LibRouting/TestCrashSuspects.cpp
@@ -310,6 +310,7 @@
         auto const streams = std::exchange(engine.streams, {});
         engine.down_for = 150;
         std::vector<CrashSuspects::Run> runs;
+        runs.reserve(streams.size());
         for (auto const& stream : streams)
             runs.push_back({ stream.digest, stream.sent == CrashSend::Alone });
         for (auto const& digest : m_suspects.on_server_ended(std::to_string(number) + "@" + std::to_string(engine.start++), runs, m_now))
--- a/Tests/Platform/TestBlameRecords.cpp
+++ b/Tests/Platform/TestBlameRecords.cpp
@@ -99,7 +99,9 @@
         std::string body = big_endian(m_records.size(), 8) + big_endian(static_cast<uint64_t>(m_first), 8);
         for (size_t i = static_cast<size_t>(from); i < m_records.size(); ++i) {
             auto const& [key, value] = m_records[i];
-            auto const record = static_cast<char>(key.size()) + key + value;
+            std::string record(1, static_cast<char>(key.size()));
+            record += key;
+            record += value;
             body += big_endian(record.size(), 4) + record;
         }
         exchange.reply(200, {}, body);
