--- a/Libraries/LibDistribution/GoalOrder.h
+++ b/Libraries/LibDistribution/GoalOrder.h
@@ -17,8 +17,7 @@
     /// The other instances hold all of the newer version between them, so that it can be had without the origin.
     bool is_newer_at_peers { false };
     Core::Duration since_named { 0 };
-    Core::Duration since_newer_named { 0 };
-    /// Time from the naming of a version within which it must be served.
+    /// Time from the naming within which the version must be served.
     Core::Duration bound { 0 };
 };
 
@@ -26,8 +25,7 @@
 ///
 /// The older version's bound comes first, and its chunks may be all that can be had: the origin may be gone by the time
 /// that it is asked for the newer ones. Past half of its bound an older version would only hold the newer one up, unless
-/// nearly all of it is here and the newer one is nowhere: then it may still serve for a while after its own bound, until the
-/// newer one is required.
+/// nearly all of it is here and the newer one may not be had at all: then it has another quarter.
 inline bool is_worth_finishing(TransferStand const& stand)
 {
     if (!stand.has_begun || stand.is_complete)
@@ -36,7 +34,7 @@
         return true;
     // What is left then takes a small part of the time that the rest took.
     bool const is_nearly_whole = stand.chunks > 0 && stand.held * 4 >= stand.chunks * 3;
-    return is_nearly_whole && !stand.is_newer_at_peers && stand.since_newer_named < stand.bound * 3 / 4;
+    return is_nearly_whole && !stand.is_newer_at_peers && stand.since_named < stand.bound * 3 / 4;
 }
 
 }
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -92,7 +92,7 @@
     drop_older_if_unneeded();
 }
 
-Distribution::TransferStand CopyFetcher::stand(int64_t newer, Core::Time newer_named_at, Core::Time now) const
+Distribution::TransferStand CopyFetcher::stand(int64_t newer, Core::Time now) const
 {
     Distribution::TransferStand stand;
     if (!m_goal)
@@ -103,7 +103,6 @@
     stand.held = m_transfer ? m_transfer->held_count() : 0;
     stand.is_newer_at_peers = m_peer_chunks.distinct_chunks(m_goal->model, newer) >= stand.chunks;
     stand.since_named = now - m_named_at;
-    stand.since_newer_named = now - newer_named_at;
     stand.bound = Core::Duration(m_goal->bound_ms);
     return stand;
 }
--- a/Services/Weights/CopyFetcher.h
+++ b/Services/Weights/CopyFetcher.h
@@ -91,7 +91,7 @@
     /// The version can be had: its manifest is here, or some instance has told of it.
     bool is_under_way() const { return has_manifest() || (m_goal && !peers_with_manifest().empty()); }
     /// How far the version is, to be weighed against a newer one.
-    Distribution::TransferStand stand(int64_t newer, Core::Time newer_named_at, Core::Time now) const;
+    Distribution::TransferStand stand(int64_t newer, Core::Time now) const;
     bool is_complete() const { return m_transfer && m_transfer->is_complete(); }
     Platform::Manifest const& manifest() const { return m_wanted->manifest; }
     Schema::VersionSpec const& spec() const { return m_wanted->spec; }
--- a/Services/Weights/CopyGoal.cpp
+++ b/Services/Weights/CopyGoal.cpp
@@ -26,7 +26,7 @@
         m_fetcher.set_goal(goal, m_named_at);
         return false;
     }
-    if (is_finishing_first(goal.version, named_at)) {
+    if (is_finishing_first(goal.version)) {
         m_next = Next { goal, named_at };
         return false;
     }
@@ -36,16 +36,16 @@
 
 void CopyGoal::take_next()
 {
-    if (!m_next || is_finishing_first(m_next->goal.version, m_next->named_at))
+    if (!m_next || is_finishing_first(m_next->goal.version))
         return;
     auto const next = *std::exchange(m_next, {});
     turn_to(next.goal, next.named_at);
 }
 
-bool CopyGoal::is_finishing_first(int64_t newer, Core::Time newer_named_at) const
+bool CopyGoal::is_finishing_first(int64_t newer) const
 {
     bool const is_sought = m_present && m_callbacks.is_seeking(m_present->version);
-    return is_sought && Distribution::is_worth_finishing(m_fetcher.stand(newer, newer_named_at, Core::monotonic_now()));
+    return is_sought && Distribution::is_worth_finishing(m_fetcher.stand(newer, Core::monotonic_now()));
 }
 
 void CopyGoal::turn_to(Schema::WeightsGoal const& goal, Core::Time named_at)
--- a/Services/Weights/CopyGoal.h
+++ b/Services/Weights/CopyGoal.h
@@ -38,7 +38,7 @@
         Core::Time named_at { 0 };
     };
 
-    bool is_finishing_first(int64_t newer, Core::Time newer_named_at) const;
+    bool is_finishing_first(int64_t newer) const;
     void turn_to(Schema::WeightsGoal const&, Core::Time named_at);
 
     CopyFetcher& m_fetcher;
