LibDistribution, Weights: Readers of the origin ask it each quarter of a second, and those that stand in for them wait while it fails them too

Cause: the origin is back at 26.5 s, 1.8 s before a bound; its readers wait up to a second after a failure, a manifest up to 0.7 s, and those that stand in for them read the same chunks at once, each 0.4 to 1.6 s after its own failure (1.8 to 4.2 copies over a link that carries one in 2.8 s). Change: after a failure the origin is asked again after 250 ms; a manifest likewise; who stands in for readers and has found the origin failing itself waits up to eight times as long.

--- a/Libraries/LibDistribution/SourceFaults.cpp
+++ b/Libraries/LibDistribution/SourceFaults.cpp
@@ -8,6 +8,9 @@
 // A source that is busy is asked again soon; one that fails is left alone for longer each time.
 static constexpr Core::Duration busy_wait { 50 };
 static constexpr Core::Duration fault_wait { 500 };
+// Nobody else can send what the origin holds, and few ask it: whoever is to read it asks often, so that no version misses its
+// bound for a wait after the origin is back.
+static constexpr Core::Duration origin_fault_wait { 250 };
 static constexpr Core::Duration corrupt_wait { 10000 };
 static constexpr size_t most_fault_doublings = 5;
 static constexpr size_t corrupt_chunks_tolerated = 2;
@@ -21,14 +24,14 @@
 
 Core::Duration SourceFaults::wait_after(Source const& source, FetchFailure failure)
 {
-    // There is no other origin to turn to: whatever it fails by counts alike, and it is asked again sooner than a peer.
-    if (failure == FetchFailure::Corrupt && !source.is_origin())
-        return corrupt_wait;
-    bool const is_busy = failure == FetchFailure::Busy;
-    if (is_busy && !source.is_origin())
+    if (failure == FetchFailure::Busy)
         return busy_wait;
+    if (source.is_origin())
+        return origin_fault_wait;
+    if (failure == FetchFailure::Corrupt)
+        return corrupt_wait;
     auto const doublings = std::min(m_standings[source].faults++, most_fault_doublings);
-    return is_busy ? busy_wait : std::min(m_longest_wait, fault_wait * (1 << doublings));
+    return std::min(m_longest_wait, fault_wait * (1 << doublings));
 }
 
 bool SourceFaults::is_avoided(Source const& source, Core::Time now) const
--- a/Libraries/LibDistribution/SourceFaults.h
+++ b/Libraries/LibDistribution/SourceFaults.h
@@ -12,7 +12,7 @@
 /// How long each source is left alone after its failures.
 class SourceFaults {
 public:
-    /// A source that keeps failing is left alone for twice as long each time, up to `longest_wait`.
+    /// A peer that keeps failing is left alone for twice as long each time, up to `longest_wait`; the origin for the same short time.
     explicit SourceFaults(Core::Duration longest_wait)
         : m_longest_wait(longest_wait)
     {
--- a/Libraries/LibDistribution/Transfer.cpp
+++ b/Libraries/LibDistribution/Transfer.cpp
@@ -14,6 +14,9 @@
 // is not slow before this part of the silence that would end it.
 static constexpr int64_t slow_reads_per_stall = 8;
 
+// An instance that stands in for others waits up to this often twice as long while the origin fails it.
+static constexpr int64_t most_patience_doublings = 3;
+
 /// How often its patience an instance of a rank waits before it does what those before it should have done: each time
 /// twice as many may have begun, so that among hundreds of lost ones the first that is left acts after a few waits, and
 /// seldom more than a few act at once.
@@ -129,6 +132,8 @@
     m_times.on_fetched(now - running.started, bytes_lasted, m_running.size());
     m_last_useful = now;
     m_faults.on_fetched(running.source);
+    if (running.source.is_origin())
+        m_origin_failures = 0;
     end_fetch(fetch);
     auto& chunk = m_chunks[running.chunk];
     if (chunk.is_held)
@@ -164,6 +169,7 @@
         // read it at once when it is back.
         m_origin_failed_at = now;
         m_origin_steps_waited = 0;
+        m_origin_failures += 1;
     }
     // A peer that is gone begins anew when it comes back.
     if (source.is_origin() || m_peers.contains(source.peer))
@@ -329,8 +335,10 @@
     auto const steps = patience_steps(m_ranks.origin_rank(chunk));
     if (steps <= m_origin_steps_waited)
         return true;
+    // One that has found the origin failing itself has no reason to think that those before it are gone.
+    auto const doublings = std::min(m_origin_failures, most_patience_doublings);
     auto const since = std::max({ state.without_holder_since, m_last_useful, m_origin_failed_at });
-    return now - since >= m_settings.origin_patience * steps;
+    return now - since >= m_settings.origin_patience * (steps << doublings);
 }
 
 bool Transfer::start_from_origin(Core::Time now, std::vector<TransferAction>& actions)
--- a/Libraries/LibDistribution/Transfer.h
+++ b/Libraries/LibDistribution/Transfer.h
@@ -178,6 +178,8 @@
     uint64_t m_next_fetch { 1 };
     Core::Time m_last_useful { 0 };
     Core::Time m_origin_failed_at { 0 };
+    // Reads of the origin that failed since one succeeded.
+    int64_t m_origin_failures { 0 };
     // Patience that this instance has shown already before it read from the origin in the place of others.
     int64_t m_origin_steps_waited { 0 };
 };
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -15,6 +15,8 @@
 // only if its first holder is lost.
 static constexpr Core::Duration far_news_interval { 500 };
 static constexpr Core::Duration manifest_retry { 700 };
+// Nothing of a version can be read before its manifest: an origin that failed is asked for it again sooner than one that is slow.
+static constexpr Core::Duration failed_manifest_retry { 250 };
 // The origin's link is narrow, and a manifest takes as long as a seventh of a chunk: a few caches read it there, and the
 // others wait this long for one that has it.
 static constexpr Core::Duration cache_patience { 500 };
@@ -56,7 +58,7 @@
     m_named_at = named_at;
     m_turned_at = Core::monotonic_now();
     m_manifest_tries = 0;
-    m_manifest_asked_at = Core::Time(0);
+    m_next_manifest_try = Core::Time(0);
     m_transfer.reset();
     m_downloads.clear();
     m_fetch_chunks.clear();
@@ -171,12 +173,12 @@
 
 void CopyFetcher::seek_manifest(Core::Time now)
 {
-    if (now - m_manifest_asked_at < manifest_retry && m_manifest_tries > 0)
+    if (now < m_next_manifest_try)
         return;
     auto const peers = peers_with_manifest();
     if (peers.empty() && awaits_cache(now))
         return;
-    m_manifest_asked_at = now;
+    m_next_manifest_try = now + manifest_retry;
     m_manifest_tries += 1;
     // Every other try goes to the origin.
     bool const is_peers_turn = !peers.empty() && m_manifest_tries % 2 == 1;
@@ -189,10 +191,12 @@
 void CopyFetcher::read_manifest_from_origin()
 {
     m_origin.read_manifest(m_goal->origin_address, m_goal->model, m_goal->version, [this](Core::ErrorOr<Platform::Manifest> manifest) {
-        if (manifest.has_value())
+        if (manifest.has_value()) {
             take_manifest(*manifest, "origin");
-        else
-            m_metrics.count("mountbarrow_manifest_failures_total", "source=\"origin\"");
+            return;
+        }
+        m_metrics.count("mountbarrow_manifest_failures_total", "source=\"origin\"");
+        m_next_manifest_try = std::min(m_next_manifest_try, Core::monotonic_now() + failed_manifest_retry);
     });
 }
 
--- a/Services/Weights/CopyFetcher.h
+++ b/Services/Weights/CopyFetcher.h
@@ -151,7 +151,7 @@
     std::optional<KnownVersion> m_wanted;
     // The version before that is kept for others, a whole one if there was one.
     std::optional<KnownVersion> m_older;
-    Core::Time m_manifest_asked_at { 0 };
+    Core::Time m_next_manifest_try { 0 };
     size_t m_manifest_tries { 0 };
     Distribution::ChunkStore m_store;
     std::unique_ptr<Distribution::Transfer> m_transfer;
--- a/Tests/LibDistribution/TestStagedLoad.cpp
+++ b/Tests/LibDistribution/TestStagedLoad.cpp
@@ -230,6 +230,20 @@
     EXPECT_EQ(from_peers, 2u);
 }
 
+// A bound of seconds runs while the origin is away: what its readers wait after its return is missing at the end.
+TEST(TransferDistance, AReaderOfTheOriginAsksItWithinAQuarterOfASecondOfItsReturn)
+{
+    Transfer transfer(spec_of(1), "self", { "self" }, {}, {}, 1, Core::Time(0));
+    Core::Time last_ask { 0 };
+    for (Core::Time now { 0 }; now < Core::Time(6000); now += Core::Duration(10)) {
+        for (auto const& action : transfer.step(now)) {
+            last_ask = now;
+            transfer.on_failed(std::get<Fetch>(action).id, FetchFailure::Unreachable, now);
+        }
+        ASSERT_LE(now - last_ask, Core::Duration(250));
+    }
+}
+
 TEST(TransferDistance, AnOriginThatWasDownIsAskedAgainWithinTheLongestWait)
 {
     // Found by scale-1 of both sites: the origin was back for ten seconds before anybody asked it.
