--- a/Libraries/LibRouting/CallerDeadlines.cpp
+++ b/Libraries/LibRouting/CallerDeadlines.cpp
@@ -15,6 +15,21 @@
 // deadlines lie apart; callers of unusual patience are fewer than that.
 static constexpr size_t common_part = 10;
 static constexpr size_t least_common = 3;
+// A patience that callers share makes a step among the deadlines: within one span there are more than twice as many as within the
+// next four.
+static constexpr int64_t shorter_spans = 4;
+static constexpr int64_t least_step = 2;
+
+bool CallerDeadlines::stands_out(std::vector<Core::Duration> const& longest_first, size_t first)
+{
+    auto const longest = longest_first[first];
+    auto const count_down_to = [&](Core::Duration shortest) {
+        return std::count_if(longest_first.begin() + static_cast<ptrdiff_t>(first), longest_first.end(), [&](auto deadline) { return deadline >= shortest; });
+    };
+    auto const as_long = count_down_to(longest - same_patience);
+    auto const shorter = count_down_to(longest - same_patience * (1 + shorter_spans)) - as_long;
+    return as_long > shorter * least_step;
+}
 
 Core::Duration CallerDeadlines::usual(std::deque<Core::Duration> const& recent)
 {
@@ -23,7 +38,7 @@
     auto const wanted = std::max(least_common, recent.size() / common_part);
     for (size_t first = 0; first + wanted <= sorted.size(); ++first) {
         if (sorted[first] - sorted[first + wanted - 1] <= same_patience)
-            return sorted[first];
+            return stands_out(sorted, first) ? sorted[first] : Core::Duration(0);
     }
     return Core::Duration(0);
 }
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -1812,6 +1812,25 @@
         std::vector<Record> records;
     };
 
+    /**
+     * Requests that an entry refused or failed, so that the others know their callers when they
+     * come back. The lists have an element a request each.
+     */
+    struct RefusalNews {
+        /**
+         * Time since the caller first asked, milliseconds.
+         */
+        std::vector<int64_t> asked_ms_ago;
+        /**
+         * Beginnings of the digests of what makes a request the same, whatever its id.
+         */
+        std::vector<std::string> digests;
+        /**
+         * How much longer the caller waits, milliseconds.
+         */
+        std::vector<int64_t> left_ms;
+    };
+
     /**
      * The attempt was not run and will not be.
      */
@@ -2078,6 +2097,11 @@
         std::optional<Ping> ping;
         std::optional<Pong> pong;
         std::optional<Records> records;
+        /**
+         * Requests that an entry refused or failed, so that the others know their callers when they
+         * come back. The lists have an element a request each.
+         */
+        std::optional<RefusalNews> refusals;
         std::optional<Refused> refused;
         std::optional<Report> report;
         std::optional<Resume> resume;
@@ -2721,6 +2745,9 @@
     void from_json(const json & j, Records & x);
     void to_json(json & j, const Records & x);
 
+    void from_json(const json & j, RefusalNews & x);
+    void to_json(json & j, const RefusalNews & x);
+
     void from_json(const json & j, Refused & x);
     void to_json(json & j, const Refused & x);
 
@@ -3903,6 +3930,19 @@
         j["records"] = x.records;
     }
 
+    inline void from_json(const json & j, RefusalNews& x) {
+        x.asked_ms_ago = j.at("asked_ms_ago").get<std::vector<int64_t>>();
+        x.digests = j.at("digests").get<std::vector<std::string>>();
+        x.left_ms = j.at("left_ms").get<std::vector<int64_t>>();
+    }
+
+    inline void to_json(json & j, const RefusalNews & x) {
+        j = json::object();
+        j["asked_ms_ago"] = x.asked_ms_ago;
+        j["digests"] = x.digests;
+        j["left_ms"] = x.left_ms;
+    }
+
     inline void from_json(const json & j, Refused& x) {
         x.attempt = j.at("attempt").get<std::string>();
         x.reason = j.at("reason").get<Reason>();
@@ -4073,6 +4113,7 @@
         x.ping = get_stack_optional<Ping>(j, "ping");
         x.pong = get_stack_optional<Pong>(j, "pong");
         x.records = get_stack_optional<Records>(j, "records");
+        x.refusals = get_stack_optional<RefusalNews>(j, "refusals");
         x.refused = get_stack_optional<Refused>(j, "refused");
         x.report = get_stack_optional<Report>(j, "report");
         x.resume = get_stack_optional<Resume>(j, "resume");
@@ -4105,6 +4146,7 @@
         j["ping"] = x.ping;
         j["pong"] = x.pong;
         j["records"] = x.records;
+        j["refusals"] = x.refusals;
         j["refused"] = x.refused;
         j["report"] = x.report;
         j["resume"] = x.resume;
--- a/Tests/LibRouting/TestTimeliness.cpp
+++ b/Tests/LibRouting/TestTimeliness.cpp
@@ -3,6 +3,7 @@
 #include <LibRouting/CallerDeadlines.h>
 #include <LibRouting/LeftoverPace.h>
 #include <gtest/gtest.h>
+#include <random>
 #include <rapidcheck/gtest.h>
 
 using Core::Duration;
@@ -44,6 +45,20 @@
         EXPECT_EQ(deadlines.on_request("r", Duration(i % 25 == 0 ? 9000 : 6000)), Duration(0));
 }
 
+// Patience varies by 15 in 100 from caller to caller, and none has asked before.
+TEST(CallerDeadlines, CallersOfVariedPatienceAreNotTakenToHaveAskedBefore)
+{
+    for (auto const usual : { 1200, 6000 }) {
+        CallerDeadlines deadlines;
+        std::mt19937 random(1);
+        std::uniform_int_distribution<int> spread(usual * 85 / 100, usual * 115 / 100);
+        int dated = 0;
+        for (int i = 0; i < 2000; ++i)
+            dated += deadlines.on_request("r", Duration(spread(random))) > Duration(0) ? 1 : 0;
+        EXPECT_LE(dated, 20) << usual;
+    }
+}
+
 TEST(CallerDeadlines, DuringAnOutageTheFewFirstTriesStillTellTheUsualDeadline)
 {
     CallerDeadlines deadlines;
