LibRouting, DirectEntry: Waiting for a place in a module without network; where a request's time goes in the metrics

Cause: who waits, who is refused and when a caller is to come back was decided within ProxiedRequest (784 lines), where no test without network reached it. Change: PlaceWait holds these decisions, with tests that name their loads; behaviour as before. ReturningCallers is wired. Three histograms tell the time before the first send, from a send to the first event, and the longest pause.

--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -51,10 +51,10 @@
     return result;
 }
 
-static WaitingPolicy waiting_policy(Schema::DirectEntrySettings const& settings)
+static Routing::WaitingPolicy waiting_policy(Schema::DirectEntrySettings const& settings)
 {
     auto const policy = settings.policy.value_or(Schema::RoutingPolicy {});
-    WaitingPolicy result;
+    Routing::WaitingPolicy result;
     result.orders_by_timeliness = policy.order_by_timeliness.value_or(result.orders_by_timeliness);
     result.leftover_factor = policy.leftover_factor.value_or(result.leftover_factor);
     return result;
@@ -74,6 +74,7 @@
     std::unique_ptr<DirectEntry> entry(new DirectEntry(loop, settings, std::move(parts)));
     TRY(entry->listen());
     entry->m_facts.start();
+    entry->m_returning.on_outage(Core::monotonic_now());
     entry->m_crashes.start();
     return entry;
 }
@@ -93,6 +94,7 @@
     , m_retries(retry_bound(settings), Core::monotonic_now())
     , m_abilities(loop, settings.metrics_port, [this](std::string const& entry) { m_crashes.on_entry_linked(entry); })
     , m_crashes(loop, settings.identity, std::move(parts.blames), m_metrics, crash_callbacks())
+    , m_returning({ .entries = [this] { return m_hub->peers(Schema::Role::Entry); }, .send = sender_to_able_entries() })
     , m_context { .loop = loop,
         .metrics = m_metrics,
         .heads = *m_heads,
@@ -107,8 +109,8 @@
         .arrival = [this] { return arrival(); },
         .required_version = [this](std::string const& service) { return m_goals.required(service, version_bound(), Core::monotonic_now()); },
         .newest_version = [this](std::string const& service) { return m_goals.newest(service); },
-        .deadlines = m_deadlines,
-        .line = [this](std::string const& service) -> ServiceLine& { return m_lines.try_emplace(service, queue_limit).first->second; },
+        .returning = m_returning,
+        .line = [this](std::string const& service) -> Routing::ServiceLine& { return m_lines.try_emplace(service, queue_limit).first->second; },
         .asked = [this](std::string const& service) { m_sharing.on_asked(service); },
         .list_doubted = [this] { m_facts.on_servers_doubted(); },
         .over = [this](uint64_t number) { m_loop.soon([this, number] { m_requests.erase(number); }); } }
@@ -213,6 +215,8 @@
     m_sharing.on_peer_down(identity);
     m_crashes.on_entry_gone(identity);
     m_abilities.forget(identity);
+    if (m_known_entries.contains(identity))
+        m_returning.on_outage(Core::monotonic_now());
     m_told_use.erase(identity);
     // One whose link was only found silent is perhaps there, and its last word is good until it is old.
     if (m_silent_peers.erase(identity) == 0)
@@ -280,6 +284,8 @@
         m_facts.on_batch(from.identity, *message.facts);
     } else if (message.crash_news) {
         m_crashes.on_news(from.identity, *message.crash_news);
+    } else if (message.refusals) {
+        m_returning.on_news(from.identity, *message.refusals, now);
     } else if (message.ping && message.ping->configuration_end) {
         m_facts.on_peer_end(from.identity, *message.ping->configuration_end, message.ping->configuration_version);
     }
@@ -548,13 +554,20 @@
     request->begin();
 }
 
+/// Sends what builds do not understand that end a link at any member which they do not know.
+std::function<void(std::string const&, Schema::Message const&)> DirectEntry::sender_to_able_entries()
+{
+    return [this](std::string const& entry, Schema::Message const& message) {
+        if (m_abilities.understands(entry))
+            m_hub->send(entry, message);
+    };
+}
+
 CrashWatch::Callbacks DirectEntry::crash_callbacks()
 {
     return {
         .entries = [this] { return m_hub->peers(Schema::Role::Entry); },
-        .send = [this](std::string const& entry, Schema::Message const& message) {
-            if (m_abilities.understands(entry))
-                m_hub->send(entry, message); },
+        .send = sender_to_able_entries(),
         // The request whose send showed it is in the middle of that.
         .blamed = [this](std::string const& digest) { m_loop.soon([this, digest] {
                                                           auto const requests = m_requests;
@@ -586,6 +599,7 @@
     if (m_roles_changed && now - m_roles_at >= least_roles_interval)
         update_roles(now);
     m_goals.log_required(version_bound(), now);
+    m_returning.tell(now);
     offer_places();
     std::vector<std::shared_ptr<ProxiedRequest>> requests;
     requests.reserve(m_requests.size());
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -78,6 +78,7 @@
     bool is_ready() const;
 
     void on_request(std::shared_ptr<Transport::IngressRequest>);
+    std::function<void(std::string const& entry, Schema::Message const&)> sender_to_able_entries();
     CrashWatch::Callbacks crash_callbacks();
     void offer_places();
     void tick();
@@ -121,9 +122,9 @@
     CrashWatch m_crashes;
     // Null where the settings give it no port or no bandwidth.
     std::unique_ptr<EntryWeights> m_weights;
-    Routing::CallerDeadlines m_deadlines;
+    Routing::ReturningCallers m_returning;
     RequestContext m_context;
-    std::map<std::string, ServiceLine> m_lines;
+    std::map<std::string, Routing::ServiceLine> m_lines;
     std::map<uint64_t, std::shared_ptr<ProxiedRequest>> m_requests;
     uint64_t m_next_request { 1 };
     int m_offers { 0 };
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -26,21 +26,13 @@
 static constexpr Core::Duration default_wait { 30000 };
 // The way of a first event from here to the caller, and what a prediction misses in the middle.
 static constexpr Core::Duration answer_margin { 20 };
-// Those that can only be late stand behind all that can be in time, whatever their priority.
-static constexpr int late_rank = 1000;
-// Streams that were cut go on first: their callers wait in the middle of an answer.
-static constexpr int resumed_rank = -1;
-// Callers give up a stream that stands still for about this long.
-static constexpr Core::Duration resume_patience { 2000 };
 static constexpr Core::Duration connect_timeout { 300 };
 static constexpr Core::Duration least_silence { 900 };
 static constexpr double silence_per_objective = 2.5;
 // Where a backend server answers others, a request waits behind them: to send it elsewhere would only add to the load.
 static constexpr int64_t patience_with_answering = 2;
 static constexpr Core::Duration retry_when_unready { 300 };
-static constexpr Core::Duration least_retry_after { 200 };
 static constexpr Core::Duration longest_retry_after { 1500 };
-static constexpr double retry_after_spread = 2;
 static constexpr size_t most_unread_bytes = size_t { 1 } << 20;
 static constexpr size_t most_buffered_answer = size_t { 8 } << 20;
 
@@ -55,6 +47,7 @@
     , m_number(number)
     , m_started(context.arrival())
     , m_suspected(context.crashes, [this] { return content(); })
+    , m_wait(context.servers, context.waiting, context.line)
 {
 }
 
@@ -83,9 +76,11 @@
 
 void ProxiedRequest::set_terms()
 {
+    m_first_asked = m_started;
     if (m_head.deadline)
-        m_asked_before = m_context.deadlines.on_request(m_route.name, *m_head.deadline);
-    m_terms.in_time_until = m_started - m_asked_before + Core::Duration(m_route.objective_ms) - answer_margin;
+        m_first_asked = m_context.returning.first_asked(
+            m_route.name, *m_head.deadline, [this] { return m_suspected.digest(); }, m_started);
+    m_terms.in_time_until = m_first_asked + Core::Duration(m_route.objective_ms) - answer_margin;
     m_terms.deadline = deadline();
 }
 
@@ -138,15 +133,19 @@
 
 // Waiting.
 
-Core::Duration ProxiedRequest::service_time() const
+Routing::WaitingRequest ProxiedRequest::waiting() const
 {
-    auto const answer_tokens = m_head.answer_tokens_hint > 0 ? std::min(m_head.answer_tokens_hint, m_head.answer_tokens) : m_head.answer_tokens;
-    return m_context.servers.service_time(m_service, m_head.prompt_tokens, answer_tokens);
-}
-
-Routing::Timeliness ProxiedRequest::timeliness(Core::Time begins) const
-{
-    return m_terms.of(begins, begins + service_time());
+    Routing::WaitingRequest request;
+    request.number = m_number;
+    request.service = m_service;
+    request.customer = m_customer.value_or("");
+    request.priority = m_priority;
+    request.prompt_tokens = m_head.prompt_tokens;
+    request.answer_tokens = m_head.answer_tokens_hint > 0 ? std::min(m_head.answer_tokens_hint, m_head.answer_tokens) : m_head.answer_tokens;
+    request.terms = m_terms;
+    if (m_has_delivered)
+        request.delivered_at = m_delivered_at;
+    return request;
 }
 
 void ProxiedRequest::wait_for_place()
@@ -155,65 +154,28 @@
         return;
     auto const now = Core::monotonic_now();
     m_phase = Phase::Waiting;
-    m_waits_late = !m_has_delivered && now > m_terms.in_time_until;
-    auto& line = m_context.line(m_service);
-    if (m_waits_late && line.late == 0)
-        line.leftover.on_first_waiting(now);
-    if (is_hopeless(now)) {
+    auto const request = waiting();
+    m_wait.begin(request, now);
+    if (m_wait.is_hopeless(request, m_no_server, now)) {
         refuse_waiting(now);
         return;
     }
-    bool const is_behind = m_waits_late && m_context.waiting.orders_by_timeliness;
-    auto const rank = m_has_delivered ? resumed_rank : static_cast<int>(m_priority) + (is_behind ? late_rank : 0);
-    auto const pushed = line.queue.push(m_number, m_customer.value_or(""), rank, deadline(), now);
-    if (pushed != Routing::RequestQueue::PushResult::Queued) {
+    if (!m_wait.join(request, now)) {
         m_context.metrics.count("mountbarrow_queue_refusals_total");
         refuse_waiting(now);
-        return;
     }
-    line.late += m_waits_late ? 1 : 0;
-    m_is_in_line = true;
-}
-
-void ProxiedRequest::leave_line()
-{
-    if (!std::exchange(m_is_in_line, false))
-        return;
-    auto& line = m_context.line(m_service);
-    line.queue.remove(m_number);
-    if (m_waits_late)
-        line.late -= 1;
-}
-
-/// Whether it is known by now that no place will come while the answer is still worth something.
-bool ProxiedRequest::is_hopeless(Core::Time now) const
-{
-    if (m_has_delivered)
-        return now >= m_delivered_at + resume_patience;
-    if (m_no_server == Routing::NoServer::NoneUsable) {
-        auto const next = m_context.servers.next_engine(m_service, now);
-        return !next || timeliness(now + *next) == Routing::Timeliness::TooLate;
-    }
-    if (!m_waits_late)
-        return false;
-    auto& line = m_context.line(m_service);
-    auto const interval = m_context.servers.place_interval(m_service, now);
-    auto const usual = Core::Duration(static_cast<int64_t>(static_cast<double>(interval.count()) * m_context.waiting.leftover_factor));
-    auto const ahead = m_is_in_line ? 1 : line.late + 1;
-    auto const begins = now + line.leftover.gap(now, usual) * static_cast<int64_t>(ahead);
-    return timeliness(begins) == Routing::Timeliness::TooLate;
 }
 
 void ProxiedRequest::check_waiting(Core::Time now)
 {
-    bool const becomes_late = !m_has_delivered && !m_waits_late && now + m_context.servers.least_first_event(m_service, m_head.prompt_tokens) > m_terms.in_time_until;
-    if (becomes_late) {
-        leave_line();
+    auto const request = waiting();
+    if (m_wait.becomes_late(request, now)) {
+        m_wait.leave();
         m_terms.in_time_until = now - Core::Duration(1);
         wait_for_place();
         return;
     }
-    if (is_hopeless(now))
+    if (m_wait.is_hopeless(request, m_no_server, now))
         refuse_waiting(now);
 }
 
@@ -284,8 +246,6 @@
         m_no_server = choice.error();
         return false;
     }
-    if (m_is_in_line && m_waits_late)
-        m_context.line(m_service).leftover.on_sent(now);
     send_to(*choice, now);
     return true;
 }
@@ -293,7 +253,9 @@
 void ProxiedRequest::send_to(Routing::ServerChoice const& choice, Core::Time now)
 {
     auto const* server = m_context.servers.find(choice.id);
-    leave_line();
+    m_wait.on_sent(now);
+    if (m_sends + m_misses == 0)
+        m_context.metrics.observe_ms("mountbarrow_wait_before_send_ms", static_cast<double>((now - m_started).count()));
     m_phase = Phase::Sent;
     m_server = choice.id;
     m_server_address = server->address;
@@ -407,6 +369,7 @@
         m_has_delivered = true;
         m_first_event_after = m_heard_at - m_started;
         m_context.metrics.observe_ms("mountbarrow_first_event_ms", static_cast<double>(m_first_event_after->count()));
+        m_context.metrics.observe_ms("mountbarrow_server_first_event_ms", static_cast<double>((m_heard_at - m_sent_at).count()));
         m_caller->start(m_answer.status, m_answer.headers, {});
     }
     m_context.servers.on_first_event(m_server, m_head.request_id, m_heard_at);
@@ -672,10 +635,8 @@
 
 void ProxiedRequest::refuse_waiting(Core::Time now)
 {
-    auto& line = m_context.line(m_service);
-    auto const interval = m_context.servers.place_interval(m_service, now);
-    Core::log_event(Core::LogLevel::Info, "no_place_in_time", { { "request", m_head.request_id }, { "in_line", m_is_in_line ? "yes" : "no" }, { "late", m_waits_late ? "yes" : "no" }, { "late_waiting", std::to_string(line.late) }, { "waiting", std::to_string(line.queue.size()) }, { "late_interval_ms", milliseconds(line.leftover.gap(now, interval)) }, { "place_interval_ms", milliseconds(interval) }, { "left_ms", milliseconds(m_terms.deadline - now) }, { "service_ms", milliseconds(service_time()) } });
-    leave_line();
+    m_wait.log_refusal(m_head.request_id, waiting(), now);
+    m_wait.leave();
     if (m_has_delivered) {
         break_off(Refusal::NoPlace);
         return;
@@ -689,18 +650,7 @@
         refuse(status_unavailable, Refusal::NoServer, longest_retry_after);
         return;
     }
-    refuse(status_unavailable, Refusal::NoPlace, retry_after(now));
-}
-
-/// When those that wait in front will have had their places, spread so that callers refused together come back apart.
-Core::Duration ProxiedRequest::retry_after(Core::Time now) const
-{
-    auto& line = m_context.line(m_service);
-    auto const interval = m_context.servers.place_interval(m_service, now);
-    auto const wait = interval * static_cast<int64_t>(1 + line.queue.size());
-    std::uniform_real_distribution<double> spread(1, retry_after_spread);
-    auto const spread_wait = Core::Duration(static_cast<int64_t>(static_cast<double>(wait.count()) * spread(m_context.random)));
-    return std::clamp(spread_wait, least_retry_after, longest_retry_after);
+    refuse(status_unavailable, Refusal::NoPlace, m_wait.retry_after(m_service, now, m_context.random));
 }
 
 void ProxiedRequest::refuse(int status, Refusal refusal, std::optional<Core::Duration> retry_after)
@@ -717,10 +667,19 @@
         problem.title = is_not_run ? "Refused: the request was not run." : "The request got no answer.";
     if (retry_after)
         problem.retry_after_ms = retry_after->count();
+    remember_caller();
     m_caller->reply(status, m_context.heads.own_answer(m_head.request_id, retry_after), Schema::to_text(problem));
     finish(refusal, status);
 }
 
+/// A caller that still has time may ask again, here or at another entry.
+void ProxiedRequest::remember_caller()
+{
+    bool const was_admitted = !m_service.empty();
+    if (was_admitted && m_head.deadline)
+        m_context.returning.on_refused({ m_suspected.digest(), m_first_asked, m_started + *m_head.deadline }, Core::monotonic_now());
+}
+
 void ProxiedRequest::break_off(Refusal refusal)
 {
     m_caller->abort();
@@ -745,7 +704,7 @@
 {
     if (m_suspected.standing() != Routing::CrashStanding::Blamed)
         return false;
-    leave_line();
+    m_wait.leave();
     if (m_has_delivered)
         break_off(Refusal::EndsServers);
     else
@@ -768,16 +727,18 @@
 void ProxiedRequest::finish(Refusal refusal, int status)
 {
     auto const now = Core::monotonic_now();
-    leave_line();
+    m_wait.leave();
     bool const was_sent = is_at_server();
     m_phase = Phase::Over;
     if (was_sent)
         leave_server(ServerOutcome::Neutral, now);
     m_context.metrics.count("mountbarrow_requests_total", std::string("end=\"") + refusal_name(refusal) + "\"");
     m_context.metrics.observe_ms("mountbarrow_request_ms", static_cast<double>((now - m_started).count()));
+    if (m_has_delivered)
+        m_context.metrics.observe_ms("mountbarrow_longest_pause_ms", static_cast<double>(m_longest_pause.count()));
     auto const level = refusal == Refusal::None ? Core::LogLevel::Info : Core::LogLevel::Warn;
     Core::log_event(level, "request_ended",
-        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "longest_pause_ms", milliseconds(m_longest_pause) }, { "objective_ms", std::to_string(m_route.objective_ms) }, { "pause_objective_ms", std::to_string(m_route.objective_gap_ms) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "asked_before_ms", milliseconds(m_asked_before) }, { "server", m_server }, { "sends", std::to_string(m_sends) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "longest_pause_ms", milliseconds(m_longest_pause) }, { "objective_ms", std::to_string(m_route.objective_ms) }, { "pause_objective_ms", std::to_string(m_route.objective_gap_ms) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "asked_before_ms", milliseconds(m_started - m_first_asked) }, { "server", m_server }, { "sends", std::to_string(m_sends) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
     m_context.over(m_number);
 }
 
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -57,17 +57,12 @@
 
     bool admit();
     void set_terms();
-    /// How long the answer takes at a full engine, by what the caller expects of it.
-    Core::Duration service_time() const;
-    Routing::Timeliness timeliness(Core::Time begins) const;
     bool try_send_in_time(Core::Time now);
     bool try_send_late(Core::Time now);
     void wait_for_place();
-    void leave_line();
+    Routing::WaitingRequest waiting() const;
     void check_waiting(Core::Time now);
-    bool is_hopeless(Core::Time now) const;
     void refuse_waiting(Core::Time now);
-    Core::Duration retry_after(Core::Time now) const;
     bool is_outdated(Core::Time now) const;
     Routing::ServerNeeds needs();
     std::set<std::string> tried_servers() const;
@@ -96,6 +91,7 @@
     void refuse_not_run();
     void send_again();
 
+    void remember_caller();
     void refuse(int status, Refusal, std::optional<Core::Duration> retry_after);
     void break_off(Refusal);
     void finish(Refusal, int status);
@@ -145,12 +141,10 @@
     bool m_has_delivered { false };
     std::optional<int64_t> m_last_event;
     std::optional<Core::Duration> m_server_retry_after;
-    // How long before this try the caller first asked.
-    Core::Duration m_asked_before { 0 };
+    // When the caller first asked, as far as is known.
+    Core::Time m_first_asked { 0 };
     Routing::AnswerTerms m_terms;
-    // It waits among those that can only be late.
-    bool m_waits_late { false };
-    bool m_is_in_line { false };
+    Routing::PlaceWait m_wait;
     // Why the last try found no backend server.
     Routing::NoServer m_no_server { Routing::NoServer::NoneUsable };
     std::optional<Core::Duration> m_first_event_after;
--- a/Services/DirectEntry/RequestContext.h
+++ b/Services/DirectEntry/RequestContext.h
@@ -6,10 +6,9 @@
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibPlatform/RequestHeads.h>
-#include <LibRouting/CallerDeadlines.h>
-#include <LibRouting/LeftoverPace.h>
-#include <LibRouting/RequestQueue.h>
+#include <LibRouting/PlaceWait.h>
 #include <LibRouting/RetryShare.h>
+#include <LibRouting/ReturningCallers.h>
 #include <LibRouting/RouteTable.h>
 #include <LibRouting/ServerTable.h>
 #include <functional>
@@ -19,27 +18,6 @@
 
 namespace DirectEntry {
 
-/// The requests of a service that wait here for a place.
-struct ServiceLine {
-    explicit ServiceLine(size_t limit)
-        : queue(limit)
-    {
-    }
-
-    Routing::RequestQueue queue;
-    Routing::LeftoverPace leftover;
-    /// Requests in the queue that can only be late.
-    size_t late { 0 };
-};
-
-/// How requests wait for a place.
-struct WaitingPolicy {
-    /// Requests that can still be in time go before those that can only be late.
-    bool orders_by_timeliness { true };
-    /// How much rarer places for late requests are than places, until it was seen.
-    double leftover_factor { 3 };
-};
-
 /// What all requests of an entry share.
 struct RequestContext {
     Core::EventLoop& loop;
@@ -49,7 +27,7 @@
     Routing::RetryShare& retries;
     CrashWatch& crashes;
     std::mt19937_64& random;
-    WaitingPolicy waiting;
+    Routing::WaitingPolicy waiting;
     /// Null until a configuration was read.
     std::shared_ptr<Routing::RouteTable const> routes;
     /// True while what is believed of the configuration may be behind what is in force.
@@ -62,9 +40,9 @@
     std::function<std::optional<int64_t>(std::string const& service)> required_version;
     /// The newest version that is named of the model of a service; 0 if none is.
     std::function<int64_t(std::string const& service)> newest_version;
-    Routing::CallerDeadlines& deadlines;
+    Routing::ReturningCallers& returning;
     /// Those that wait for a service.
-    std::function<ServiceLine&(std::string const& service)> line;
+    std::function<Routing::ServiceLine&(std::string const& service)> line;
     /// A caller asked for something of the service.
     std::function<void(std::string const& service)> asked;
     /// A backend server was not what the list says, and not for the first time.
--- a/Services/DirectEntry/SuspectedRequest.h
+++ b/Services/DirectEntry/SuspectedRequest.h
@@ -16,6 +16,7 @@
 public:
     SuspectedRequest(CrashWatch&, std::function<Routing::RequestContent()> content);
 
+    std::string const& digest();
     bool is(std::string const& digest) { return this->digest() == digest; }
     Routing::CrashStanding standing();
     /// Whether a copy may go out from this entry now.
@@ -30,7 +31,6 @@
     void on_ran_to_end();
 
 private:
-    std::string const& digest();
     bool has_suspects() const { return !m_watch.suspects().is_empty(); }
 
     CrashWatch& m_watch;
--- /dev/null
+++ b/Tests/LibRouting/TestPlaceWait.cpp
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/PlaceWait.h>
+#include <gtest/gtest.h>
+
+using namespace Routing;
+using Core::Duration;
+using Core::Time;
+
+namespace {
+
+/// One engine with four places, whose answers take about a second, and a line before it.
+class PlaceWaitTest : public testing::Test {
+protected:
+    PlaceWaitTest()
+        : m_servers({ .failure_domain = "a", .region = "ra", .regions = { { "a", "ra" } } }, 1)
+    {
+        Schema::EngineTiming timing {};
+        timing.slots = 4;
+        timing.stride = 5;
+        timing.step_ms = 9;
+        timing.per_sequence_ms = 0;
+        timing.context_ms_per_1000 = 0;
+        timing.pairs_ms_per_million = 0;
+        timing.prompt_tokens_per_second = 19000;
+        timing.usual_prompt_tokens = 900;
+        timing.usual_answer_tokens = 90;
+        timing.model = "m";
+        timing.layers = 16;
+        m_servers.set_timing("llm", timing);
+    }
+
+    void add_engine(int64_t version)
+    {
+        Schema::BackendServer server {};
+        server.id = "1";
+        server.service = "llm";
+        server.address = "10.0.0.1:80";
+        server.failure_domain = "a";
+        server.slots = 4;
+        m_servers.set_server(server, m_now);
+        Schema::EngineState state {};
+        state.version = version;
+        m_servers.on_engine_state("10.0.0.1", state, m_now);
+    }
+
+    PlaceWait wait()
+    {
+        return { m_servers, m_policy, [this](std::string const&) -> ServiceLine& { return m_line; } };
+    }
+
+    /// A request that came now, of a caller that first asked a while ago.
+    WaitingRequest request(uint64_t number, Duration asked_before = Duration(0))
+    {
+        WaitingRequest request;
+        request.number = number;
+        request.service = "llm";
+        request.prompt_tokens = 900;
+        request.answer_tokens = 90;
+        request.terms = { .in_time_until = m_now - asked_before + Duration(400), .deadline = m_now - asked_before + Duration(6000) };
+        return request;
+    }
+
+    ServerTable m_servers;
+    WaitingPolicy m_policy;
+    ServiceLine m_line { 4 };
+    Time m_now { 10000 };
+};
+
+}
+
+// All engines lack the version that is required, and none is about to load it.
+TEST_F(PlaceWaitTest, WhereNoEngineIsAboutToServeARequestIsHopelessAtOnce)
+{
+    auto wait = this->wait();
+    EXPECT_TRUE(wait.is_hopeless(request(1), NoServer::NoneUsable, m_now));
+}
+
+// After a loss of power: engines are there, empty, with a copy beside them.
+TEST_F(PlaceWaitTest, WhereAnEngineIsAboutToLoadARequestWaitsForIt)
+{
+    add_engine(0);
+    auto wait = this->wait();
+    EXPECT_FALSE(wait.is_hopeless(request(1), NoServer::NoneUsable, m_now));
+    auto const impatient = request(2, Duration(5000));
+    EXPECT_TRUE(wait.is_hopeless(impatient, NoServer::NoneUsable, m_now)) << "its caller will have gone";
+}
+
+// More come than engines can serve, and callers that were refused come back among them.
+TEST_F(PlaceWaitTest, CallersThatAreLateAlreadyStandBehindThoseThatCanBeInTime)
+{
+    add_engine(1);
+    auto late = wait();
+    auto const returned = request(1, Duration(700));
+    late.begin(returned, m_now);
+    ASSERT_TRUE(late.join(returned, m_now));
+    auto fresh = wait();
+    fresh.begin(request(2), m_now);
+    ASSERT_TRUE(fresh.join(request(2), m_now));
+    std::vector<uint64_t> offered;
+    m_line.queue.offer([&](uint64_t number) {
+        offered.push_back(number);
+        return false;
+    });
+    EXPECT_EQ(offered, (std::vector<uint64_t> { 2, 1 }));
+    EXPECT_EQ(m_line.late, 1u);
+    late.leave();
+    EXPECT_EQ(m_line.late, 0u);
+}
+
+TEST_F(PlaceWaitTest, ALateCallerIsRefusedOnceThePlacesLeftForItComeTooSeldom)
+{
+    add_engine(1);
+    auto wait = this->wait();
+    auto const returned = request(1, Duration(700));
+    wait.begin(returned, m_now);
+    ASSERT_TRUE(wait.join(returned, m_now));
+    EXPECT_FALSE(wait.is_hopeless(returned, NoServer::AllFull, m_now));
+    EXPECT_TRUE(wait.is_hopeless(returned, NoServer::AllFull, m_now + Duration(3000)));
+}
+
+TEST_F(PlaceWaitTest, ACallerThatWaitsToBeInTimeIsLateOnceTheFirstEventCannotComeInTime)
+{
+    add_engine(1);
+    auto wait = this->wait();
+    auto const fresh = request(1);
+    wait.begin(fresh, m_now);
+    ASSERT_TRUE(wait.join(fresh, m_now));
+    EXPECT_FALSE(wait.becomes_late(fresh, m_now));
+    EXPECT_TRUE(wait.becomes_late(fresh, m_now + Duration(390)));
+}
+
+TEST_F(PlaceWaitTest, AFullLineTakesNoMore)
+{
+    add_engine(1);
+    std::vector<PlaceWait> waits(5, wait());
+    for (uint64_t number = 0; number < 5; ++number) {
+        waits[number].begin(request(number), m_now);
+        EXPECT_EQ(waits[number].join(request(number), m_now), number < 4) << number;
+    }
+}
+
+TEST_F(PlaceWaitTest, CallersThatAreRefusedTogetherComeBackApart)
+{
+    add_engine(1);
+    auto const wait = this->wait();
+    std::mt19937_64 random(1);
+    std::set<Duration> times;
+    for (int i = 0; i < 100; ++i) {
+        auto const after = wait.retry_after("llm", m_now, random);
+        EXPECT_GE(after, Duration(200));
+        EXPECT_LE(after, Duration(1500));
+        times.insert(after);
+    }
+    EXPECT_GE(times.size(), 20u);
+}
