LibTransport: A call made over a kept connection while the last one is under way ends that one first

Cause: an agent that wakes asks its engine anew while its question from before the pause is under way. The new call took the place of the old one, which libevent still pointed to: a use after free once its answer or its connection's end came. Ruled out: the dropping of links at the wake, which the log's last lines showed. Change: get() resets the connection if a call is under way. The test shows the same use after free without it.

--- a/Libraries/LibTransport/KeptConnection.cpp
+++ b/Libraries/LibTransport/KeptConnection.cpp
@@ -72,6 +72,9 @@
 
 void KeptConnection::get(std::string const& path, Callback callback)
 {
+    // Whoever asks anew waits for the last call no longer, but libevent holds it until its connection is gone.
+    if (m_call)
+        reset();
     if (m_connection && has_surplus(m_connection))
         close_connection();
     if (!m_connection)
--- a/Tests/LibTransport/TestKeptConnection.cpp
+++ b/Tests/LibTransport/TestKeptConnection.cpp
@@ -2,6 +2,7 @@
 #include "LoopTest.h"
 #include <LibTransport/KeptConnection.h>
 #include <event2/listener.h>
+#include <utility>
 #include <vector>
 
 using namespace Transport;
@@ -92,6 +93,26 @@
     size_t m_answered { 0 };
 };
 
+// A process that wakes asks anew what it asked before it stood still, and the old answer comes all the same.
+TEST_F(KeptConnectionTest, ACallMadeWhileTheLastOneIsUnderWayTakesItsPlace)
+{
+    bool is_first_heard = false;
+    m_kept.get("/report", [&](auto const&) { is_first_heard = true; });
+    run_until([&] { return m_server.requests() == 1; });
+    m_server.say(answer("first"));
+    std::optional<Answer> second;
+    m_kept.get("/report", [&](auto const& answer) { second = answer; });
+    bool is_answered = false;
+    run_until([&] {
+        if (m_server.connections() == 2 && m_server.requests() == 2 && !std::exchange(is_answered, true))
+            m_server.say(answer("second"));
+        return second.has_value();
+    });
+    ASSERT_TRUE(second->has_value());
+    EXPECT_EQ((*second)->body, "second");
+    EXPECT_FALSE(is_first_heard);
+}
+
 TEST_F(KeptConnectionTest, ManyCallsTakeOneConnection)
 {
     for (auto const* body : { "one", "two", "three" })
