--- a/Libraries/LibRouting/RefusedRequests.h
+++ b/Libraries/LibRouting/RefusedRequests.h
@@ -9,7 +9,7 @@
 
 namespace Routing {
 
-/// A request that some entry refused before it ran.
+/// A request that some entry refused or failed, so that its caller may ask again.
 struct RefusedRequest {
     /// Of its content; see request_digest().
     std::string digest;
