LibRouting, DirectEntry: One longest time after which a refused caller is asked to come back

Cause: taking the waiting out of ProxiedRequest left its constant in both files. Change: PlaceWait.h names it, ProxiedRequest uses it; the value and all behaviour are as before. Checked: both units compiled with the project's warnings, formatted and linted, the seven tests of PlaceWait passed. The process tests were not run again after it.

--- a/Libraries/LibRouting/PlaceWait.cpp
+++ b/Libraries/LibRouting/PlaceWait.cpp
@@ -14,7 +14,6 @@
 // Callers give up a stream that stands still for about this long.
 static constexpr Core::Duration resume_patience { 2000 };
 static constexpr Core::Duration least_retry_after { 200 };
-static constexpr Core::Duration longest_retry_after { 1500 };
 static constexpr double retry_after_spread = 2;
 
 PlaceWait::PlaceWait(ServerTable const& servers, WaitingPolicy const& policy, std::function<ServiceLine&(std::string const&)> line)
--- a/Libraries/LibRouting/PlaceWait.h
+++ b/Libraries/LibRouting/PlaceWait.h
@@ -28,6 +28,9 @@
     size_t late { 0 };
 };
 
+/// The longest time after which a refused caller is asked to come back; also where nothing tells when there will be room.
+inline constexpr Core::Duration longest_retry_after { 1500 };
+
 /// How requests wait for a place.
 struct WaitingPolicy {
     /// Requests that can still be in time go before those that can only be late.
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -9,6 +9,7 @@
 
 namespace DirectEntry {
 
+using Routing::longest_retry_after;
 using Routing::NextStep;
 using Routing::SendEnd;
 using Routing::ServerOutcome;
@@ -32,7 +33,6 @@
 // Where a backend server answers others, a request waits behind them: to send it elsewhere would only add to the load.
 static constexpr int64_t patience_with_answering = 2;
 static constexpr Core::Duration retry_when_unready { 300 };
-static constexpr Core::Duration longest_retry_after { 1500 };
 static constexpr size_t most_unread_bytes = size_t { 1 } << 20;
 static constexpr size_t most_buffered_answer = size_t { 8 } << 20;
 
