LibCore, DirectEntry: Tell of each send that ends how long it was not heard of, and how much of that the entry itself ran

Cause: request_ended and send_ended could not tell an engine that was silent from an entry that did not read what the engine sent. Change: PauseWatch keeps a clock that leaves out the time in which the process stood still; send_ended tells the silence by both clocks, and whether there was budget for a further try. No decision goes by it yet.

--- a/Libraries/LibCore/PauseWatch.cpp
+++ b/Libraries/LibCore/PauseWatch.cpp
@@ -8,6 +8,8 @@
 static constexpr Duration turn_interval { 100 };
 // A loop that is only busy comes round within a tenth of this.
 static constexpr Duration shortest_pause { 500 };
+// A loop that turns looks again within this, also where its instance is short of processor time.
+static constexpr Duration longest_turn { 200 };
 
 PauseWatch::PauseWatch(EventLoop& loop)
     : m_awake_at(monotonic_now())
@@ -22,6 +24,11 @@
     return m_last;
 }
 
+Duration PauseWatch::stood_still(Time now) const
+{
+    return m_stood_still + std::max(Duration(0), now - m_awake_at - longest_turn);
+}
+
 Time PauseWatch::earliest_arrival(Time waited_since, Time now) const
 {
     auto const pause = last(now);
@@ -41,6 +48,7 @@
     auto const now = monotonic_now();
     auto const paused_for = now - m_awake_at;
     m_last = last(now);
+    m_stood_still = stood_still(now);
     m_awake_at = now;
     if (m_on_woke && paused_for >= std::max(m_shortest_told, shortest_pause))
         m_on_woke(paused_for);
--- a/Libraries/LibCore/PauseWatch.h
+++ b/Libraries/LibCore/PauseWatch.h
@@ -33,12 +33,20 @@
     /// The last pause that is over, also one that ended just now.
     std::optional<Pause> last(Time now) const;
 
+    /// How long the process has stood still in all until now, as far as that is more than a busy loop takes for one turn.
+    Duration stood_still(Time now) const;
+
+    /// A clock that does not count the time in which the process stood still: whoever heard nothing then has missed nothing.
+    Time running_time(Time now) const { return now - stood_still(now); }
+
     /// The earliest time at which something can have come that is read now and was waited for since `waited_since`: now, or
     /// the beginning of a pause within that wait.
     Time earliest_arrival(Time waited_since, Time now) const;
 
 private:
     Time m_awake_at;
+    // Until m_awake_at.
+    Duration m_stood_still { 0 };
     Duration m_shortest_told { 0 };
     std::function<void(Duration)> m_on_woke;
     std::optional<Pause> m_last;
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -107,6 +107,7 @@
         .is_stale = [this] { return is_stale(); },
         .is_awake = [this] { return m_facts.is_awake(); },
         .arrival = [this] { return arrival(); },
+        .running_time = [this] { return m_facts.pauses().running_time(Core::monotonic_now()); },
         .required_version = [this](std::string const& service) { return m_goals.required(service, version_bound(), Core::monotonic_now()); },
         .newest_version = [this](std::string const& service) { return m_goals.newest(service); },
         .returning = m_returning,
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -260,7 +260,7 @@
     m_server = choice.id;
     m_server_address = server->address;
     m_sent_at = now;
-    m_heard_at = now;
+    note_heard(now);
     m_is_connected = false;
     m_has_head = false;
     m_has_event = false;
@@ -293,17 +293,23 @@
         { .connected = [this] {
              m_is_connected = true;
              m_sends += 1;
-             m_heard_at = Core::monotonic_now(); },
+             note_heard(Core::monotonic_now()); },
             .head = [this](Transport::MessageHead const& head) { on_head(head); },
             .data = [this](std::string_view data) { on_data(data); },
             .done = [this] { auto keep = shared_from_this(); on_done(); },
             .failed = [this](Transport::CallFailure failure) { auto keep = shared_from_this(); on_failed(failure); } });
 }
 
+void ProxiedRequest::note_heard(Core::Time now)
+{
+    m_heard_at = now;
+    m_heard_running = m_context.running_time();
+}
+
 void ProxiedRequest::on_head(Transport::MessageHead const& head)
 {
     m_has_head = true;
-    m_heard_at = Core::monotonic_now();
+    note_heard(Core::monotonic_now());
     m_answer = m_context.heads.read_backend(head);
 }
 
@@ -317,7 +323,7 @@
     auto keep = shared_from_this();
     if (is_over())
         return;
-    m_heard_at = Core::monotonic_now();
+    note_heard(Core::monotonic_now());
     m_context.servers.on_heard(m_server, m_heard_at);
     if (is_stream() && is_trusted_success()) {
         pass_events(data);
@@ -538,7 +544,7 @@
         m_may_have_run = true;
     m_context.metrics.count("mountbarrow_sends_ended_total", std::string("reason=\"") + Routing::send_end_name(end) + "\"");
     Core::log_event(Core::LogLevel::Info, "send_ended",
-        { { "request", m_head.request_id }, { "server", m_server }, { "end", Routing::send_end_name(end) }, { "status", std::to_string(m_has_head ? m_answer.status : 0) }, { "after_ms", milliseconds(now - m_sent_at) }, { "next", std::to_string(static_cast<int>(step)) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+        { { "request", m_head.request_id }, { "server", m_server }, { "end", Routing::send_end_name(end) }, { "status", std::to_string(m_has_head ? m_answer.status : 0) }, { "after_ms", milliseconds(now - m_sent_at) }, { "heard_ms_ago", milliseconds(now - m_heard_at) }, { "ran_since_heard_ms", milliseconds(m_context.running_time() - m_heard_running) }, { "has_budget", m_context.retries.has_left(m_service, now) ? "yes" : "no" }, { "next", std::to_string(static_cast<int>(step)) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
     take_step(step, end);
 }
 
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -68,6 +68,7 @@
     std::set<std::string> tried_servers() const;
     void send_to(Routing::ServerChoice const&, Core::Time now);
 
+    void note_heard(Core::Time now);
     void on_head(Transport::MessageHead const&);
     void on_data(std::string_view);
     void on_done();
@@ -118,6 +119,8 @@
     std::string m_server_address;
     Core::Time m_sent_at { 0 };
     Core::Time m_heard_at { 0 };
+    // The same by the clock that does not count the time in which the process stood still.
+    Core::Time m_heard_running { 0 };
     bool m_is_connected { false };
     bool m_has_head { false };
     bool m_has_event { false };
--- a/Services/DirectEntry/RequestContext.h
+++ b/Services/DirectEntry/RequestContext.h
@@ -36,6 +36,8 @@
     std::function<bool()> is_awake;
     /// The earliest time at which a request can have come that is read now.
     std::function<Core::Time()> arrival;
+    /// Now, by a clock that does not count the time in which the process stood still.
+    std::function<Core::Time()> running_time;
     /// The version that an engine of the service must serve by now, if any.
     std::function<std::optional<int64_t>(std::string const& service)> required_version;
     /// The newest version that is named of the model of a service; 0 if none is.
--- a/Tests/LibCore/TestPauseWatch.cpp
+++ b/Tests/LibCore/TestPauseWatch.cpp
@@ -81,3 +81,33 @@
     EXPECT_GE(now, before);
     EXPECT_LE(now - before, Duration(5000));
 }
+
+TEST(PauseWatch, TheRunningTimeLeavesOutWhatTheProcessStoodStill)
+{
+    EventLoop loop;
+    PauseWatch pauses(loop);
+    auto const before = pauses.running_time(monotonic_now());
+    std::this_thread::sleep_for(stand_still);
+    auto const during = monotonic_now();
+    EXPECT_LE(pauses.running_time(during) - before, Duration(200));
+    pauses.look();
+    // It goes on from there, and never goes back.
+    auto const after = monotonic_now();
+    EXPECT_GE(pauses.running_time(after), pauses.running_time(during));
+    EXPECT_LE(pauses.running_time(after) - before, Duration(200) + (after - during));
+}
+
+TEST(PauseWatch, TheRunningTimeHardlyGoesOnInAProcessThatRunsInSlices)
+{
+    EventLoop loop;
+    PauseWatch pauses(loop);
+    auto const began = monotonic_now();
+    auto const before = pauses.running_time(began);
+    for (int slice = 0; slice < 3; ++slice) {
+        std::this_thread::sleep_for(stand_still);
+        pauses.look();
+    }
+    auto const now = monotonic_now();
+    EXPECT_GE(now - began, 3 * stand_still);
+    EXPECT_LE(pauses.running_time(now) - before, Duration(3 * 200) + (monotonic_now() - now));
+}
