--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -270,11 +270,12 @@
         self.faults_left = 0
         # The port that the list names: its own, or that of a proxy before it.
         self.listed_port = port
+        self.slots = 16
         super().__init__(loop, address, port)
 
     def entry(self, state="ready"):
         return {"Service": self.service, "Address": f"{self.address}:{self.listed_port}", "Zone": self.zone, "Version": "v1",
-                "Slots": 16, "State": state, "ColdLeftMs": 0, "CallSeq": 0, **self.own_entry()}
+                "Slots": self.slots, "State": state, "ColdLeftMs": 0, "CallSeq": 0, **self.own_entry()}
 
     def own_entry(self):
         return {}
@@ -350,7 +351,11 @@
         self.events = 6
         self.event_seconds = 0.01
         self.running = 0
+        # Whether it refuses what it has no slot for.
+        self.is_bounded = False
         self.is_frozen = False
+        # Until then it neither answers nor goes on with what it runs; afterwards it does as if nothing had been.
+        self.silent_until = 0.0
         # A request with one of these bodies ends the engine so long after it began there; it is back after some seconds.
         self.crashing_bodies = set()
         self.crash_seconds = 0.08
@@ -422,6 +427,7 @@
     async def answer(self, request):
         if self.is_frozen:
             await asyncio.sleep(3600)
+        await self.silence()
         if request.path == "/report":
             body = {"Stage": "both", "Busy": False, "CallSeq": self.order_sequence, "Waiting": 0, "Running": self.running, "pace": 1.0, **self.start(), **self.held()}
             return await self.reply(request, 200, body=json.dumps(body).encode())
@@ -437,6 +443,13 @@
             return await self.take_order(request)
         return await self.stream(request)
 
+    def be_silent(self, seconds):
+        self.silent_until = time.monotonic() + seconds
+
+    async def silence(self):
+        while (left := self.silent_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+
     async def take_order(self, request):
         order = json.loads(request.body)
         if order.get("ExpectRev") != self.order_sequence:
@@ -460,7 +473,7 @@
         if self.version == 0:
             return await self.refuse(request, 503)
         fault = self.take_fault(request)
-        if fault == "full":
+        if fault == "full" or (self.is_bounded and self.running >= self.slots):
             return await self.refuse(request, 503)
         if fault == "wait_long":
             await asyncio.sleep(3600)
@@ -487,6 +500,7 @@
                 request.writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 await request.writer.drain()
                 await asyncio.sleep(self.event_seconds)
+                await self.silence()
             request.writer.write(b"0\r\n\r\n")
             await request.writer.drain()
         finally:
--- /dev/null
+++ b/Tests/Platform/test_streams_under_way.py
@@ -0,0 +1,25 @@
+# SPDX-License-Identifier: BSD-2-Clause
+"""Answers under way while entries and engines stand still: nothing is lost, so nothing may be reset."""
+
+import streams_under_way as under_way
+
+SEED = 1
+
+
+def assert_none_reset(outcome):
+    assert outcome.begun(), outcome.line()
+    assert not outcome.wrong() and not outcome.reset(), outcome.line()
+
+
+def test_no_answer_is_reset_by_an_entry_that_stood_still(build, folders):
+    """
+    Seen: streams were reset whose engines had written all the while.
+    """
+    assert_none_reset(under_way.play(build, folders, under_way.stop_an_entry, SEED))
+
+
+def test_no_answer_is_reset_while_all_its_engines_are_silent(build, folders):
+    """
+    Seen: streams were reset whose engines went on with them a moment later.
+    """
+    assert_none_reset(under_way.play(build, folders, under_way.silence_all_engines, SEED, is_tight=True))
