DirectEntry: What one send of a request holds is a class of its own

Cause: ProxiedRequest kept a dozen members of its one send, so that no second send could be under way beside it. Change: ServerSend holds the target, the call, the answer's head and what came of it. No behaviour changes.

--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -5,6 +5,7 @@
 #include <LibSchema/Json.h>
 #include <LibTransport/SocketAddress.h>
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace DirectEntry {
@@ -59,7 +60,7 @@
     m_time_allowed = default_wait;
     m_caller->on_gone([weak = weak_from_this()] {
         if (auto self = weak.lock(); self && !self->is_over()) {
-            self->m_call.reset();
+            self->end_call();
             self->finish(Refusal::CallerGone, 0);
         }
     });
@@ -257,17 +258,8 @@
     if (m_sends + m_misses == 0)
         m_context.metrics.observe_ms("mountbarrow_wait_before_send_ms", static_cast<double>((now - m_started).count()));
     m_phase = Phase::Sent;
-    m_server = choice.id;
-    m_server_address = server->address;
-    m_sent_at = now;
-    note_heard(now);
-    m_is_connected = false;
-    m_has_head = false;
-    m_has_event = false;
-    m_sent_version = m_context.servers.version_of(choice.id, now);
-    m_sent_start = m_context.servers.started_at_ms(choice.id);
-    m_answer_body.clear();
-    m_events = {};
+    auto const version = m_context.servers.version_of(choice.id, now);
+    m_send = std::make_shared<ServerSend>(ServerSend::Target { choice.id, server->address, version, m_context.servers.started_at_ms(choice.id) }, moment(now));
 
     Platform::BackendTerms terms;
     terms.server_id = choice.id;
@@ -275,47 +267,50 @@
     terms.remaining = deadline() - now;
     // An engine that turned to another version meanwhile refuses it; before the bound any whole version will do.
     if (m_context.required_version(m_service))
-        terms.expected_version = m_sent_version;
+        terms.expected_version = version;
     terms.last_event = m_last_event;
+    m_context.servers.on_sent(m_head.request_id, choice, m_head.prompt_tokens, now);
+    m_suspected.on_sent(choice.id);
+    Core::log_event(Core::LogLevel::Info, "request_sent",
+        { { "request", m_head.request_id }, { "route", m_route.name }, { "server", choice.id }, { "address", server->address }, { "domain", server->failure_domain }, { "predicted_ms", milliseconds(choice.predicted) }, { "in_time_for_ms", milliseconds(m_terms.in_time_until - now) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "answer_tokens", std::to_string(m_head.answer_tokens) }, { "attempt", std::to_string(m_sends + m_misses + 1) }, { "after_ms", milliseconds(now - m_started) }, { "remaining_ms", milliseconds(terms.remaining) }, { "configuration", std::to_string(m_configuration_version) }, { "expected_version", terms.expected_version ? std::to_string(*terms.expected_version) : "any" }, { "resume_after", m_last_event ? std::to_string(*m_last_event) : "" } });
+    start_call(terms);
+}
+
+void ProxiedRequest::start_call(Platform::BackendTerms const& terms)
+{
     Transport::BackendCallRequest call;
-    auto const target = Transport::split_address(server->address);
-    call.address = target.first;
-    call.port = target.second;
+    std::tie(call.address, call.port) = Transport::split_address(m_send->target().address);
     call.bytes = m_context.heads.write_request(m_caller->head(), m_caller->body(), terms);
     call.connect_timeout = std::min(connect_timeout, terms.remaining);
     if (m_caller->head().method == "HEAD")
         call.body_expectation = Transport::BodyExpectation::None;
-    m_context.servers.on_sent(m_head.request_id, choice, m_head.prompt_tokens, now);
-    m_suspected.on_sent(choice.id);
-    Core::log_event(Core::LogLevel::Info, "request_sent",
-        { { "request", m_head.request_id }, { "route", m_route.name }, { "server", choice.id }, { "address", server->address }, { "domain", server->failure_domain }, { "predicted_ms", milliseconds(choice.predicted) }, { "in_time_for_ms", milliseconds(m_terms.in_time_until - now) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "answer_tokens", std::to_string(m_head.answer_tokens) }, { "attempt", std::to_string(m_sends + m_misses + 1) }, { "after_ms", milliseconds(now - m_started) }, { "remaining_ms", milliseconds(terms.remaining) }, { "configuration", std::to_string(m_configuration_version) }, { "expected_version", terms.expected_version ? std::to_string(*terms.expected_version) : "any" }, { "resume_after", m_last_event ? std::to_string(*m_last_event) : "" } });
-    m_call = Transport::BackendCall::start(m_context.loop, std::move(call),
-        { .connected = [this] {
-             m_is_connected = true;
+    // The call ends with its send, so it never calls back for one that is gone.
+    auto* const send = m_send.get();
+    m_send->call = Transport::BackendCall::start(m_context.loop, std::move(call),
+        { .connected = [this, send] {
              m_sends += 1;
-             note_heard(Core::monotonic_now()); },
-            .head = [this](Transport::MessageHead const& head) { on_head(head); },
+             send->on_connected(moment(Core::monotonic_now())); },
+            .head = [this, send](Transport::MessageHead const& head) { send->on_head(m_context.heads.read_backend(head), moment(Core::monotonic_now())); },
             .data = [this](std::string_view data) { on_data(data); },
             .done = [this] { auto keep = shared_from_this(); on_done(); },
             .failed = [this](Transport::CallFailure failure) { auto keep = shared_from_this(); on_failed(failure); } });
 }
 
-void ProxiedRequest::note_heard(Core::Time now)
+ServerSend::Moment ProxiedRequest::moment(Core::Time now) const
 {
-    m_heard_at = now;
-    m_heard_running = m_context.running_time();
+    return { now, m_context.running_time() };
 }
 
-void ProxiedRequest::on_head(Transport::MessageHead const& head)
+void ProxiedRequest::end_call()
 {
-    m_has_head = true;
-    note_heard(Core::monotonic_now());
-    m_answer = m_context.heads.read_backend(head);
+    if (m_send)
+        m_send->call.reset();
 }
 
 bool ProxiedRequest::is_trusted_success() const
 {
-    return m_answer.status / 100 == 2 && m_answer.is_genuine && m_answer.request_id == m_head.request_id;
+    auto const& answer = m_send->answer();
+    return answer.status / 100 == 2 && answer.is_genuine && answer.request_id == m_head.request_id;
 }
 
 void ProxiedRequest::on_data(std::string_view data)
@@ -323,23 +318,24 @@
     auto keep = shared_from_this();
     if (is_over())
         return;
-    note_heard(Core::monotonic_now());
-    m_context.servers.on_heard(m_server, m_heard_at);
+    auto const now = Core::monotonic_now();
+    m_send->on_heard(moment(now));
+    m_context.servers.on_heard(m_send->target().id, now);
     if (is_stream() && is_trusted_success()) {
         pass_events(data);
         return;
     }
-    if (m_answer_body.size() + data.size() > most_buffered_answer) {
+    if (m_send->body.size() + data.size() > most_buffered_answer) {
         end_send(SendEnd::BrokenOff, ServerOutcome::Failure);
         return;
     }
-    m_answer_body.append(data);
+    m_send->body.append(data);
 }
 
 void ProxiedRequest::pass_events(std::string_view data)
 {
-    auto const events = m_events.feed(data);
-    if (m_events.is_overgrown()) {
+    auto const events = m_send->events.feed(data);
+    if (m_send->events.is_overgrown()) {
         end_send(SendEnd::BrokenOff, ServerOutcome::Failure);
         return;
     }
@@ -367,21 +363,21 @@
 
 void ProxiedRequest::deliver(std::string const& events)
 {
-    m_has_event = true;
+    m_send->on_event();
     if (m_has_delivered)
-        m_longest_pause = std::max(m_longest_pause, m_heard_at - m_delivered_at);
-    m_delivered_at = m_heard_at;
+        m_longest_pause = std::max(m_longest_pause, m_send->heard().at - m_delivered_at);
+    m_delivered_at = m_send->heard().at;
     if (!m_has_delivered) {
         m_has_delivered = true;
-        m_first_event_after = m_heard_at - m_started;
+        m_first_event_after = m_send->heard().at - m_started;
         m_context.metrics.observe_ms("mountbarrow_first_event_ms", static_cast<double>(m_first_event_after->count()));
-        m_context.metrics.observe_ms("mountbarrow_server_first_event_ms", static_cast<double>((m_heard_at - m_sent_at).count()));
-        m_caller->start(m_answer.status, m_answer.headers, {});
+        m_context.metrics.observe_ms("mountbarrow_server_first_event_ms", static_cast<double>((m_send->heard().at - m_send->sent_at()).count()));
+        m_caller->start(m_send->answer().status, m_send->answer().headers, {});
     }
-    m_context.servers.on_first_event(m_server, m_head.request_id, m_heard_at);
+    m_context.servers.on_first_event(m_send->target().id, m_head.request_id, m_send->heard().at);
     m_caller->part(events);
     if (m_caller->pending_bytes() > most_unread_bytes) {
-        m_call.reset();
+        end_call();
         break_off(Refusal::CallerTooSlow);
     }
 }
@@ -390,18 +386,18 @@
 {
     if (is_over())
         return;
-    if (m_answer.is_not_run) {
-        m_server_retry_after = m_answer.retry_after;
-        end_send(SendEnd::NotRun, m_answer.status == status_misdirected ? ServerOutcome::Misdirected : ServerOutcome::Full);
+    if (m_send->answer().is_not_run) {
+        m_server_retry_after = m_send->answer().retry_after;
+        end_send(SendEnd::NotRun, m_send->answer().status == status_misdirected ? ServerOutcome::Misdirected : ServerOutcome::Full);
         return;
     }
-    bool const is_other_answer = m_answer.request_id != m_head.request_id;
-    bool const is_false_success = m_answer.status / 100 == 2 && !m_answer.is_genuine;
+    bool const is_other_answer = m_send->answer().request_id != m_head.request_id;
+    bool const is_false_success = m_send->answer().status / 100 == 2 && !m_send->answer().is_genuine;
     if (is_other_answer || is_false_success) {
         end_send(SendEnd::BrokenOff, ServerOutcome::Failure);
         return;
     }
-    if (m_answer.status / 100 != 2) {
+    if (m_send->answer().status / 100 != 2) {
         on_failure_status();
         return;
     }
@@ -409,24 +405,24 @@
         pass_whole_answer();
         return;
     }
-    if (m_events.has_partial_event() || !m_has_delivered) {
+    if (m_send->events.has_partial_event() || !m_has_delivered) {
         on_broken_off();
         return;
     }
     m_caller->end();
-    m_call.reset();
+    end_call();
     m_suspected.on_ran_to_end();
     leave_server(ServerOutcome::Success, Core::monotonic_now());
-    finish(Refusal::None, m_answer.status);
+    finish(Refusal::None, m_send->answer().status);
 }
 
 void ProxiedRequest::pass_whole_answer()
 {
-    m_call.reset();
-    m_caller->reply(m_answer.status, m_answer.headers, m_answer_body);
+    end_call();
+    m_caller->reply(m_send->answer().status, m_send->answer().headers, m_send->body);
     m_suspected.on_ran_to_end();
     leave_server(ServerOutcome::Success, Core::monotonic_now());
-    finish(Refusal::None, m_answer.status);
+    finish(Refusal::None, m_send->answer().status);
 }
 
 /// Statuses that promise that nothing ran. A backend server that ran the request must not make that promise through us.
@@ -437,7 +433,7 @@
 
 void ProxiedRequest::on_failure_status()
 {
-    if (m_answer.status < status_server_error && !promises_not_run(m_answer.status)) {
+    if (m_send->answer().status < status_server_error && !promises_not_run(m_send->answer().status)) {
         // The request itself is at fault: the answer stands.
         pass_whole_answer();
         return;
@@ -461,9 +457,9 @@
 /// The answer to this comes after one way there and back.
 void ProxiedRequest::on_broken_off()
 {
-    m_call.reset();
+    end_call();
     m_phase = Phase::Asking;
-    m_context.crashes.ask_whether_ended(m_server, m_server_address, [weak = weak_from_this()](bool has_ended) {
+    m_context.crashes.ask_whether_ended(m_send->target().id, m_send->target().address, [weak = weak_from_this()](bool has_ended) {
         if (auto self = weak.lock(); self && self->m_phase == Phase::Asking)
             self->on_asked(has_ended);
     });
@@ -473,11 +469,11 @@
 {
     m_phase = Phase::Sent;
     if (has_ended) {
-        m_suspected.on_ended_under(incarnation());
+        m_suspected.on_ended_under(m_send->incarnation());
         end_send(SendEnd::ServerEnded, ServerOutcome::Unreachable);
         return;
     }
-    end_send(SendEnd::BrokenOff, m_context.servers.is_switching(m_server, Core::monotonic_now()) ? ServerOutcome::Neutral : ServerOutcome::Failure);
+    end_send(SendEnd::BrokenOff, m_context.servers.is_switching(m_send->target().id, Core::monotonic_now()) ? ServerOutcome::Neutral : ServerOutcome::Failure);
 }
 
 /// What the request is told by from others, whatever its id. What a server runs is given by these, and not by the key.
@@ -491,16 +487,10 @@
     return { m_caller->head().method, m_head.host, m_caller->head().target, caller, m_caller->body() };
 }
 
-/// The one start of the server that the request was sent to.
-std::string ProxiedRequest::incarnation() const
-{
-    return m_sent_start ? m_server + "@" + std::to_string(*m_sent_start) : m_server;
-}
-
 void ProxiedRequest::leave_server(ServerOutcome outcome, Core::Time now)
 {
     m_suspected.on_send_over();
-    m_context.servers.on_ended(m_server, m_head.request_id, outcome, now);
+    m_context.servers.on_ended(m_send->target().id, m_head.request_id, outcome, now);
 }
 
 Routing::AttemptState ProxiedRequest::attempt_state(Core::Time now) const
@@ -522,14 +512,14 @@
 void ProxiedRequest::end_send(SendEnd end, ServerOutcome outcome)
 {
     auto const now = Core::monotonic_now();
-    m_call.reset();
+    end_call();
     leave_server(outcome, now);
-    if (outcome == ServerOutcome::Misdirected && m_context.servers.is_doubtful(m_server))
+    if (outcome == ServerOutcome::Misdirected && m_context.servers.is_doubtful(m_send->target().id))
         m_context.list_doubted();
     bool const is_miss = end == SendEnd::NotConnected || end == SendEnd::NotRun;
     // One that was only full may have room by the time that another is wanted.
     if (outcome != ServerOutcome::Full)
-        m_tried[m_server] = m_sent_start;
+        m_tried[m_send->target().id] = m_send->target().started_at_ms;
     if (is_miss) {
         m_misses += 1;
         if (end == SendEnd::NotRun)
@@ -544,7 +534,7 @@
         m_may_have_run = true;
     m_context.metrics.count("mountbarrow_sends_ended_total", std::string("reason=\"") + Routing::send_end_name(end) + "\"");
     Core::log_event(Core::LogLevel::Info, "send_ended",
-        { { "request", m_head.request_id }, { "server", m_server }, { "end", Routing::send_end_name(end) }, { "status", std::to_string(m_has_head ? m_answer.status : 0) }, { "after_ms", milliseconds(now - m_sent_at) }, { "heard_ms_ago", milliseconds(now - m_heard_at) }, { "ran_since_heard_ms", milliseconds(m_context.running_time() - m_heard_running) }, { "has_budget", m_context.retries.has_left(m_service, now) ? "yes" : "no" }, { "next", std::to_string(static_cast<int>(step)) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+        { { "request", m_head.request_id }, { "server", m_send->target().id }, { "end", Routing::send_end_name(end) }, { "status", std::to_string(m_send->has_head() ? m_send->answer().status : 0) }, { "after_ms", milliseconds(now - m_send->sent_at()) }, { "heard_ms_ago", milliseconds(now - m_send->heard().at) }, { "ran_since_heard_ms", milliseconds(m_context.running_time() - m_send->heard().running) }, { "has_budget", m_context.retries.has_left(m_service, now) ? "yes" : "no" }, { "next", std::to_string(static_cast<int>(step)) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
     take_step(step, end);
 }
 
@@ -566,7 +556,7 @@
             refuse_not_run();
         return;
     case NextStep::PassFailure:
-        if (promises_not_run(m_answer.status))
+        if (promises_not_run(m_send->answer().status))
             refuse(status_bad_gateway, Refusal::OutcomeUnknown, {});
         else
             pass_whole_answer();
@@ -601,10 +591,10 @@
     if (is_over())
         return;
     if (now >= deadline()) {
-        bool const was_sent = is_at_server() && m_is_connected;
+        bool const was_sent = is_at_server() && m_send->is_connected();
         bool const may_have_run = m_may_have_run || was_sent;
         if (is_at_server()) {
-            m_call.reset();
+            end_call();
             leave_server(ServerOutcome::Neutral, now);
         }
         if (m_has_delivered)
@@ -626,17 +616,17 @@
     auto const objective = m_has_delivered ? m_route.objective_gap_ms : m_route.objective_ms;
     auto const silence = std::max(least_silence, Core::Duration(static_cast<int64_t>(silence_per_objective * static_cast<double>(objective))));
     bool const may_give_up_send = Routing::is_repeatable(attempt_state(now)) && m_sends < m_route.max_attempts;
-    auto const patience = m_context.servers.is_answering(m_server, now) ? silence * patience_with_answering : silence;
-    if (m_phase == Phase::Sent && m_is_connected && may_give_up_send && now - m_heard_at >= patience)
+    auto const patience = m_context.servers.is_answering(m_send->target().id, now) ? silence * patience_with_answering : silence;
+    if (m_phase == Phase::Sent && m_send->is_connected() && may_give_up_send && now - m_send->heard().at >= patience)
         end_send(SendEnd::Silent, ServerOutcome::Unreachable);
 }
 
 bool ProxiedRequest::is_outdated(Core::Time now) const
 {
-    if (m_phase != Phase::Sent || m_has_event || m_sent_version == 0)
+    if (m_phase != Phase::Sent || m_send->has_event() || m_send->target().version == 0)
         return false;
     auto const required = m_context.required_version(m_service);
-    return required && m_sent_version < *required && Routing::is_repeatable(attempt_state(now));
+    return required && m_send->target().version < *required && Routing::is_repeatable(attempt_state(now));
 }
 
 void ProxiedRequest::refuse_waiting(Core::Time now)
@@ -698,9 +688,9 @@
     bool const is_this = !is_over() && m_phase != Phase::Admitting && m_suspected.is(digest);
     if (!is_this || m_suspected.standing() != Routing::CrashStanding::Blamed)
         return;
-    m_may_have_run = m_may_have_run || (is_at_server() && m_is_connected);
+    m_may_have_run = m_may_have_run || (is_at_server() && m_send->is_connected());
     // A server that has not begun it yet drops it with its connection.
-    m_call.reset();
+    end_call();
     refuse_if_blamed();
 }
 
@@ -723,7 +713,7 @@
     if (is_over())
         return;
     bool const may_have_run = m_may_have_run || is_at_server();
-    m_call.reset();
+    end_call();
     if (m_has_delivered)
         break_off(Refusal::Stopping);
     else
@@ -744,7 +734,7 @@
         m_context.metrics.observe_ms("mountbarrow_longest_pause_ms", static_cast<double>(m_longest_pause.count()));
     auto const level = refusal == Refusal::None ? Core::LogLevel::Info : Core::LogLevel::Warn;
     Core::log_event(level, "request_ended",
-        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "longest_pause_ms", milliseconds(m_longest_pause) }, { "objective_ms", std::to_string(m_route.objective_ms) }, { "pause_objective_ms", std::to_string(m_route.objective_gap_ms) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "asked_before_ms", milliseconds(m_started - m_first_asked) }, { "server", m_server }, { "sends", std::to_string(m_sends) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "longest_pause_ms", milliseconds(m_longest_pause) }, { "objective_ms", std::to_string(m_route.objective_ms) }, { "pause_objective_ms", std::to_string(m_route.objective_gap_ms) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "asked_before_ms", milliseconds(m_started - m_first_asked) }, { "server", m_send ? m_send->target().id : "" }, { "sends", std::to_string(m_sends) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
     m_context.over(m_number);
 }
 
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -2,12 +2,11 @@
 #pragma once
 
 #include "RequestContext.h"
+#include "ServerSend.h"
 #include "SuspectedRequest.h"
 #include <LibPlatform/RequestHeads.h>
 #include <LibRouting/AnswerTerms.h>
 #include <LibRouting/AttemptPolicy.h>
-#include <LibRouting/EventStream.h>
-#include <LibTransport/BackendCall.h>
 #include <LibTransport/IngressServer.h>
 #include <map>
 #include <memory>
@@ -67,9 +66,10 @@
     Routing::ServerNeeds needs();
     std::set<std::string> tried_servers() const;
     void send_to(Routing::ServerChoice const&, Core::Time now);
+    void start_call(Platform::BackendTerms const&);
+    void end_call();
+    ServerSend::Moment moment(Core::Time now) const;
 
-    void note_heard(Core::Time now);
-    void on_head(Transport::MessageHead const&);
     void on_data(std::string_view);
     void on_done();
     void on_failed(Transport::CallFailure);
@@ -84,7 +84,6 @@
     void end_send(Routing::SendEnd, Routing::ServerOutcome);
     void leave_server(Routing::ServerOutcome, Core::Time now);
     bool is_at_server() const { return m_phase == Phase::Sent || m_phase == Phase::Asking; }
-    std::string incarnation() const;
     Routing::RequestContent content() const;
     bool refuse_if_blamed();
     Routing::AttemptState attempt_state(Core::Time now) const;
@@ -113,24 +112,8 @@
     int64_t m_priority { 0 };
     int64_t m_configuration_version { 0 };
 
-    // The send under way.
-    std::unique_ptr<Transport::BackendCall> m_call;
-    std::string m_server;
-    std::string m_server_address;
-    Core::Time m_sent_at { 0 };
-    Core::Time m_heard_at { 0 };
-    // The same by the clock that does not count the time in which the process stood still.
-    Core::Time m_heard_running { 0 };
-    bool m_is_connected { false };
-    bool m_has_head { false };
-    bool m_has_event { false };
-    // Version that the backend server held when the request was sent; 0 for a plain service.
-    int64_t m_sent_version { 0 };
-    // Start of the incarnation that it was sent to, if that is known.
-    std::optional<int64_t> m_sent_start;
-    Platform::BackendHead m_answer;
-    std::string m_answer_body;
-    Routing::EventStream m_events;
+    // The send under way, or the last one; null before the first.
+    std::shared_ptr<ServerSend> m_send;
 
     // Over all sends.
     // Backend servers that it was sent to, each with the start of the last such incarnation.
--- /dev/null
+++ b/Services/DirectEntry/ServerSend.cpp
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include "ServerSend.h"
+
+#include <utility>
+
+namespace DirectEntry {
+
+ServerSend::ServerSend(Target target, Moment sent)
+    : m_target(std::move(target))
+    , m_sent(sent)
+    , m_heard(sent)
+{
+}
+
+std::string ServerSend::incarnation() const
+{
+    return m_target.started_at_ms ? m_target.id + "@" + std::to_string(*m_target.started_at_ms) : m_target.id;
+}
+
+void ServerSend::on_connected(Moment now)
+{
+    m_is_connected = true;
+    m_heard = now;
+}
+
+void ServerSend::on_head(Platform::BackendHead answer, Moment now)
+{
+    m_has_head = true;
+    m_answer = std::move(answer);
+    m_heard = now;
+}
+
+}
--- /dev/null
+++ b/Services/DirectEntry/ServerSend.h
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibPlatform/RequestHeads.h>
+#include <LibRouting/EventStream.h>
+#include <LibTransport/BackendCall.h>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace DirectEntry {
+
+/// One send of a request to a backend server, and what came back of it.
+class ServerSend {
+public:
+    /// The incarnation that the request is sent to.
+    struct Target {
+        std::string id;
+        std::string address;
+        /// Version that it holds; 0 for a plain service.
+        int64_t version { 0 };
+        /// Its start, Unix milliseconds, if that is known.
+        std::optional<int64_t> started_at_ms {};
+    };
+
+    /// A moment by the steady clock, and by the one that leaves out the time in which the process stood still.
+    struct Moment {
+        Core::Time at { 0 };
+        Core::Time running { 0 };
+    };
+
+    ServerSend(Target, Moment sent);
+
+    Target const& target() const { return m_target; }
+    /// Names the one start of the server that it was sent to.
+    std::string incarnation() const;
+
+    /// The call, until the send is over.
+    std::unique_ptr<Transport::BackendCall> call;
+
+    Core::Time sent_at() const { return m_sent.at; }
+    Moment const& heard() const { return m_heard; }
+    void on_heard(Moment now) { m_heard = now; }
+
+    bool is_connected() const { return m_is_connected; }
+    void on_connected(Moment);
+
+    bool has_head() const { return m_has_head; }
+    Platform::BackendHead const& answer() const { return m_answer; }
+    void on_head(Platform::BackendHead, Moment);
+
+    /// Whether an event of it went to the caller: its answer has begun.
+    bool has_event() const { return m_has_event; }
+    void on_event() { m_has_event = true; }
+
+    /// What came of an answer that is passed on whole.
+    std::string body;
+    /// What came of an answer that is passed on event by event.
+    Routing::EventStream events;
+
+private:
+    Target m_target;
+    Moment m_sent;
+    Moment m_heard;
+    bool m_is_connected { false };
+    bool m_has_head { false };
+    bool m_has_event { false };
+    Platform::BackendHead m_answer;
+};
+
+}
