LibRouting, DirectEntry: Silence of a server counts only while the entry itself runs, and only after what it sent was read

What callers saw: streams that were reset though their engines had written all the while. Cause: silence was counted from the last byte read, by a clock that goes on while the process stands still; the first look at the time after a stop came before what lay in the sockets was read. All streams of the entry were given up at once, and their continuations had neither places nor budget. The same clock took the two seconds that a cut stream may wait for a place. Ruled out: the engines (they wrote on), the configuration (each field changed: none reset). Change: AnswerSilence counts by the clock of running time and acts at the second look in a row; a caller's patience counts by the same clock. Why it holds: between two looks of a loop that turns all sockets are read, and a stop adds 200 ms to the clock at the most.

--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -144,8 +144,9 @@
     request.prompt_tokens = m_head.prompt_tokens;
     request.answer_tokens = m_head.answer_tokens_hint > 0 ? std::min(m_head.answer_tokens_hint, m_head.answer_tokens) : m_head.answer_tokens;
     request.terms = m_terms;
+    // A caller that hears nothing because this process stood still has lost none of its patience with the servers.
     if (m_has_delivered)
-        request.delivered_at = m_delivered_at;
+        request.delivered_at = Core::monotonic_now() - (m_context.running_time() - m_delivered_running);
     return request;
 }
 
@@ -365,16 +366,17 @@
 {
     m_send->on_event();
     if (m_has_delivered)
-        m_longest_pause = std::max(m_longest_pause, m_send->heard().at - m_delivered_at);
-    m_delivered_at = m_send->heard().at;
+        m_longest_pause = std::max(m_longest_pause, m_send->heard_at() - m_delivered_at);
+    m_delivered_at = m_send->heard_at();
+    m_delivered_running = m_context.running_time();
     if (!m_has_delivered) {
         m_has_delivered = true;
-        m_first_event_after = m_send->heard().at - m_started;
+        m_first_event_after = m_send->heard_at() - m_started;
         m_context.metrics.observe_ms("mountbarrow_first_event_ms", static_cast<double>(m_first_event_after->count()));
-        m_context.metrics.observe_ms("mountbarrow_server_first_event_ms", static_cast<double>((m_send->heard().at - m_send->sent_at()).count()));
+        m_context.metrics.observe_ms("mountbarrow_server_first_event_ms", static_cast<double>((m_send->heard_at() - m_send->sent_at()).count()));
         m_caller->start(m_send->answer().status, m_send->answer().headers, {});
     }
-    m_context.servers.on_first_event(m_send->target().id, m_head.request_id, m_send->heard().at);
+    m_context.servers.on_first_event(m_send->target().id, m_head.request_id, m_send->heard_at());
     m_caller->part(events);
     if (m_caller->pending_bytes() > most_unread_bytes) {
         end_call();
@@ -534,7 +536,7 @@
         m_may_have_run = true;
     m_context.metrics.count("mountbarrow_sends_ended_total", std::string("reason=\"") + Routing::send_end_name(end) + "\"");
     Core::log_event(Core::LogLevel::Info, "send_ended",
-        { { "request", m_head.request_id }, { "server", m_send->target().id }, { "end", Routing::send_end_name(end) }, { "status", std::to_string(m_send->has_head() ? m_send->answer().status : 0) }, { "after_ms", milliseconds(now - m_send->sent_at()) }, { "heard_ms_ago", milliseconds(now - m_send->heard().at) }, { "ran_since_heard_ms", milliseconds(m_context.running_time() - m_send->heard().running) }, { "has_budget", m_context.retries.has_left(m_service, now) ? "yes" : "no" }, { "next", std::to_string(static_cast<int>(step)) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+        { { "request", m_head.request_id }, { "server", m_send->target().id }, { "end", Routing::send_end_name(end) }, { "status", std::to_string(m_send->has_head() ? m_send->answer().status : 0) }, { "after_ms", milliseconds(now - m_send->sent_at()) }, { "heard_ms_ago", milliseconds(now - m_send->heard_at()) }, { "ran_since_heard_ms", milliseconds(m_send->silent_for(m_context.running_time())) }, { "has_budget", m_context.retries.has_left(m_service, now) ? "yes" : "no" }, { "next", std::to_string(static_cast<int>(step)) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
     take_step(step, end);
 }
 
@@ -617,7 +619,7 @@
     auto const silence = std::max(least_silence, Core::Duration(static_cast<int64_t>(silence_per_objective * static_cast<double>(objective))));
     bool const may_give_up_send = Routing::is_repeatable(attempt_state(now)) && m_sends < m_route.max_attempts;
     auto const patience = m_context.servers.is_answering(m_send->target().id, now) ? silence * patience_with_answering : silence;
-    if (m_phase == Phase::Sent && m_send->is_connected() && may_give_up_send && now - m_send->heard().at >= patience)
+    if (m_phase == Phase::Sent && m_send->is_connected() && may_give_up_send && m_send->look_for_silence(m_context.running_time(), patience))
         end_send(SendEnd::Silent, ServerOutcome::Unreachable);
 }
 
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -136,6 +136,8 @@
     std::optional<Core::Duration> m_first_event_after;
     // When events went to the caller last, and the longest time between two of these moments.
     Core::Time m_delivered_at { 0 };
+    // The former by the clock that leaves out the time in which the process stood still.
+    Core::Time m_delivered_running { 0 };
     Core::Duration m_longest_pause { 0 };
 };
 
--- a/Services/DirectEntry/ServerSend.cpp
+++ b/Services/DirectEntry/ServerSend.cpp
@@ -7,9 +7,16 @@
 
 ServerSend::ServerSend(Target target, Moment sent)
     : m_target(std::move(target))
-    , m_sent(sent)
-    , m_heard(sent)
+    , m_sent_at(sent.at)
+    , m_heard_at(sent.at)
 {
+    m_silence.on_heard(sent.running);
+}
+
+void ServerSend::on_heard(Moment now)
+{
+    m_heard_at = now.at;
+    m_silence.on_heard(now.running);
 }
 
 std::string ServerSend::incarnation() const
@@ -20,14 +27,14 @@
 void ServerSend::on_connected(Moment now)
 {
     m_is_connected = true;
-    m_heard = now;
+    on_heard(now);
 }
 
 void ServerSend::on_head(Platform::BackendHead answer, Moment now)
 {
     m_has_head = true;
     m_answer = std::move(answer);
-    m_heard = now;
+    on_heard(now);
 }
 
 }
--- a/Services/DirectEntry/ServerSend.h
+++ b/Services/DirectEntry/ServerSend.h
@@ -3,6 +3,7 @@
 
 #include <LibCore/Time.h>
 #include <LibPlatform/RequestHeads.h>
+#include <LibRouting/AnswerSilence.h>
 #include <LibRouting/EventStream.h>
 #include <LibTransport/BackendCall.h>
 #include <cstdint>
@@ -40,9 +41,12 @@
     /// The call, until the send is over.
     std::unique_ptr<Transport::BackendCall> call;
 
-    Core::Time sent_at() const { return m_sent.at; }
-    Moment const& heard() const { return m_heard; }
-    void on_heard(Moment now) { m_heard = now; }
+    Core::Time sent_at() const { return m_sent_at; }
+    Core::Time heard_at() const { return m_heard_at; }
+    void on_heard(Moment);
+    /// Looks once a turn of the loop whether the server has said nothing for `patience`.
+    bool look_for_silence(Core::Time running_now, Core::Duration patience) { return m_silence.look(running_now, patience); }
+    Core::Duration silent_for(Core::Time running_now) const { return m_silence.lasts(running_now); }
 
     bool is_connected() const { return m_is_connected; }
     void on_connected(Moment);
@@ -62,8 +66,9 @@
 
 private:
     Target m_target;
-    Moment m_sent;
-    Moment m_heard;
+    Core::Time m_sent_at;
+    Core::Time m_heard_at;
+    Routing::AnswerSilence m_silence;
     bool m_is_connected { false };
     bool m_has_head { false };
     bool m_has_event { false };
--- a/Tests/Platform/test_streams_under_way.py
+++ b/Tests/Platform/test_streams_under_way.py
@@ -14,6 +14,10 @@
 def test_no_answer_is_reset_by_an_entry_that_stood_still(build, folders):
     """
     Seen: streams were reset whose engines had written all the while.
+    How: an entry stood still for 2.5 s, and its first look at the time found all its engines silent for that long. It ended their
+    sends before it read what they had written; others had no place, or there was no budget for as many further tries at once.
+    Cause: silence was counted from the last byte that was read, by a clock that goes on while nothing is read.
+    Proof: entries are stopped three times under 24 streams; each comes whole.
     """
     assert_none_reset(under_way.play(build, folders, under_way.stop_an_entry, SEED))
 
