LibTransport: A call that is dropped between its failure and the news of it calls nobody back

Found by reading, while a second send was made possible beside the first. Cause: a failure is told in the loop's next turn, and dropping the call meanwhile did not take that back; what it told could be gone. Change: a cancelled call stays silent. Checked: the new test and the other six of BackendCall passed with sanitizers; it was not run without the mend.

--- a/Libraries/LibTransport/BackendCall.cpp
+++ b/Libraries/LibTransport/BackendCall.cpp
@@ -55,6 +55,7 @@
     std::unique_ptr<Core::Timer> m_connect_timer;
     bool m_is_connected { false };
     bool m_is_over { false };
+    bool m_is_cancelled { false };
 };
 
 void BackendCall::State::begin()
@@ -140,6 +141,8 @@
     m_is_over = true;
     // The caller of start() must have its object before it hears of the end.
     m_loop.soon([self = shared_from_this(), failure] {
+        if (self->m_is_cancelled)
+            return;
         auto callbacks = std::exchange(self->m_callbacks, {});
         self->close();
         if (callbacks.failed)
@@ -155,6 +158,7 @@
         setsockopt(bufferevent_getfd(m_stream), SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
     }
     m_is_over = true;
+    m_is_cancelled = true;
     close();
     // One of the callbacks may be what dropped the call, so they live on until the next turn.
     m_loop.soon([self = shared_from_this()] { self->m_callbacks = {}; });
--- a/Tests/LibTransport/TestBackendCall.cpp
+++ b/Tests/LibTransport/TestBackendCall.cpp
@@ -162,3 +162,27 @@
     // The instance answered that nobody listens, which silence would not say.
     EXPECT_EQ(m_failures, std::vector<CallFailure> { CallFailure::Refused });
 }
+
+TEST_F(BackendCallTest, ACallThatIsDroppedBetweenItsFailureAndTheNewsOfItCallsNobody)
+{
+    uint16_t port = 0;
+    {
+        ScriptedServer server(m_loop, "", Ending::Close);
+        port = server.port();
+    }
+    BackendCallRequest request;
+    request.address = "127.0.0.1";
+    request.port = port;
+    // Both are refused in one turn, and whichever tells first drops the other.
+    std::vector<std::unique_ptr<BackendCall>> calls(2);
+    size_t told = 0;
+    for (size_t i = 0; i < calls.size(); ++i)
+        calls[i] = BackendCall::start(m_loop, request, { .connected = {}, .head = {}, .data = {}, .done = {}, .failed = [&, i](CallFailure) {
+                                                            told += 1;
+                                                            calls[1 - i].reset(); } });
+    run_until([&] { return told > 0; });
+    bool is_later = false;
+    auto const timer = m_loop.after(Core::Duration(30), [&] { is_later = true; });
+    run_until([&] { return is_later; });
+    EXPECT_EQ(told, 1u);
+}
