Tests: The soak pauses engines and changes configurations in more fields, one seed in five

Cause: no soak held a server that stands still and goes on, so streams that were given up meanwhile were never seen. Change: seeds that end in 0 or 5 pause some or all engines for up to 1.6 s (no promise is eased for it) and change limits, objectives, priorities, attempts and routes; their streams last longer. Other seeds play as before.

--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -31,6 +31,11 @@
             "Service": service, "MaxAttempts": 2, "Public": False, **more}
 
 
+def limits(**changes):
+    """The part of a configuration that limits what callers may send."""
+    return {"Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000, **changes}}
+
+
 def caller_fields(request_id, key, deadline_ms):
     """What a caller sends at the head of a request; without a key, no one is named."""
     fields = {"Host": HOST, "X-Request-Id": request_id, "X-Deadline-Ms": str(deadline_ms), "X-Token-Counts": "100,30"}
@@ -141,8 +146,7 @@
             "Routes": self.routes(),
             "Services": [{"Name": LLM, "HealthPath": "/health", "MaxConns": 100, "Engine": timing}, {"Name": LEDGER, "HealthPath": "/health", "MaxConns": 100},
                          {"Name": ORIGIN, "Origin": f"{self.origin.address}:{self.origin.listed_port}", "Zone": "zone-a", "LinkMbps": 10.0, "MaxConns": 48}],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-            "Tenants": [{"Name": CUSTOMER, "ApiKeys": self.keys}], **changes}
+            **limits(), "Tenants": [{"Name": CUSTOMER, "ApiKeys": self.keys}], **changes}
         self.store.write("keyed.op", "config", configuration)
 
     def name_version(self, version):
--- a/Tests/Platform/streams_under_way.py
+++ b/Tests/Platform/streams_under_way.py
@@ -22,7 +22,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [HERE, os.path.join(os.path.dirname(HERE), "Processes")]
 
-from fleet import CALLERS_PORT, KEY, LEDGER, LLM, Fleet, caller_fields, route  # noqa: E402
+from fleet import CALLERS_PORT, KEY, LEDGER, LLM, Fleet, caller_fields, limits, route  # noqa: E402
 from test_direct_path import wait_linked  # noqa: E402
 
 CALLERS = 24
@@ -192,10 +192,6 @@
     play.wait(BETWEEN_SECONDS)
 
 
-def limits(**changes):
-    return {"Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000, **changes}}
-
-
 def change_each_field(play):
     """Each configuration changes something else, and the next one takes it back."""
     fleet = play.fleet
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -30,7 +30,7 @@
 from callers import UNREADABLE_KEY, Caller, CrashingCaller, Press  # noqa: E402
 from cluster import wait_until  # noqa: E402
 from fault_proxy import MODES  # noqa: E402
-from fleet import CUSTOMER, KEY  # noqa: E402
+from fleet import CUSTOMER, KEY, LEDGER, limits, route  # noqa: E402
 from soak_fleet import MEMORY_LIMITS, SoakFleet, is_sanitized, peak_megabytes  # noqa: E402
 
 CALLERS = 4
@@ -39,6 +39,9 @@
 # One seed in so many plays with requests that end their engines.
 CRASHING_ONE_IN, CRASHING_REST = 5, 3
 CRASHING_SECONDS = (2.0, 6.0)
+# One seed in so many plays with engines that pause in the middle of answers, and with configurations that change in other fields.
+PAUSING_ONE_IN, PAUSING_REST = 5, 0
+PAUSED_EVENT_SECONDS = 0.05
 WIDE_ONE_IN = 10
 WIDE_ENTRIES, WIDE_ENGINES = 6, 30
 STORE_MODES = ("busy", "many", "reset", "silent")
@@ -50,6 +53,8 @@
 STARTED = re.compile(r'"event": ?"started"')
 MEMORY_INTERVAL_SECONDS = 0.5
 ROLLOUT_SECONDS = (2.5, 6.0)
+# Engines that pause go on well before a caller's deadline, and no pause runs into the next.
+ENGINE_PAUSE_SECONDS, BETWEEN_PAUSES_SECONDS = (0.3, 1.6), 2.5
 # After all faults an old version may still serve for its bound; what is sent later is judged in this stretch.
 CALM_SECONDS = promises.CONTACT_SECONDS + promises.VERSION_BOUND_SECONDS + 3.0
 
@@ -75,6 +80,7 @@
         self.own_ends = []
         self.peaks = collections.Counter()
         self.next_memory_look = 0.0
+        self.next_engine_pause = 0.0
         self.injected = collections.Counter()
         self.disturbances = promises.Disturbances()
         self.fault_log = open(os.path.join(self.fleet.folder, "faults.log"), "w", encoding="utf-8")
@@ -311,6 +317,17 @@
         engine.fault, engine.faults_left = self.random.choice(ENGINE_FAULTS), self.random.randint(1, 5)
         self.note("engine_" + engine.fault, address=engine.address)
 
+    def pause_engines(self):
+        """Some or all stand still and then go on with what they run. Nothing is lost by that, so no promise is eased for it."""
+        if time.monotonic() < self.next_engine_pause:
+            return
+        seconds = self.random.uniform(*ENGINE_PAUSE_SECONDS)
+        self.next_engine_pause = time.monotonic() + seconds + BETWEEN_PAUSES_SECONDS
+        engines = self.random.sample(self.fleet.engines, self.random.randint(1, len(self.fleet.engines)))
+        self.note("engines_pause", addresses=[engine.address for engine in engines], seconds=seconds)
+        for engine in engines:
+            engine.be_silent(seconds)
+
     def restart_engine(self):
         engine = self.random.choice(self.fleet.engines)
         self.note("engine_restart", address=engine.address)
@@ -361,6 +378,16 @@
         self.note("configuration_" + name)
         self.fleet.write_raw_configuration(bodies[name])
 
+    def change_field(self):
+        """A configuration that differs in one field of those that change nothing for the requests of the run, and back again."""
+        change = self.random.choice((
+            {"Routes": self.fleet.routes(TargetLatencyMs=100, TargetGapMs=50)}, {"Routes": self.fleet.routes(Priority=5)}, {"Routes": self.fleet.routes(MaxAttempts=3)},
+            {"Routes": [*self.fleet.routes(), route("more", "/stream/more/", "safe", LEDGER)]}, limits(MaxBodyBytes=10), limits(HeaderTimeoutMs=500),
+            limits(IdleTimeoutMs=100)))
+        self.note("field_changed", fields=list(change))
+        self.fleet.configure(**change)
+        self.later(self.random.uniform(0.1, 1.5), self.fleet.configure)
+
     def change_series(self):
         """Changes in quick succession, with configurations among them that cannot be read."""
         after = 0.0
@@ -379,6 +406,10 @@
             faults += [self.step_clock, self.suspend]
         if self.seed % CRASHING_ONE_IN == CRASHING_REST:
             faults += [self.ask_crashing]
+        if self.seed % PAUSING_ONE_IN == PAUSING_REST:
+            faults += [self.pause_engines, self.pause_engines, self.change_field]
+            for engine in self.fleet.engines:
+                engine.event_seconds = PAUSED_EVENT_SECONDS
         end = time.monotonic() + seconds
         for caller in self.callers:
             caller.start()
