LibRouting, DirectEntry: What a configuration grants a request is decided by the table of routes

Change: RouteTable::admit names what is granted or why nothing is; the body of a refusal is built beside its names. A silent send whose answer has broken off is not returned to while the word on its server is awaited, and one that is heard of again is told to others like any send.

--- a/Libraries/LibRouting/RouteTable.cpp
+++ b/Libraries/LibRouting/RouteTable.cpp
@@ -53,6 +53,23 @@
     return found == m_customers.end() ? nullptr : found->second;
 }
 
+tl::expected<RouteGrant, RouteDenial> RouteTable::admit(std::string_view host, std::string_view path, std::optional<std::string> const& key) const
+{
+    auto const* route = find(host, path);
+    if (!route)
+        return tl::unexpected(RouteDenial::NoRoute);
+    auto const* customer = key ? customer_of(*key) : nullptr;
+    bool const needs_key = m_configuration->has_customers && !route->is_public;
+    bool const lacks_key = needs_key && !customer;
+    if (lacks_key && (route->is_blocked || m_configuration->has_unreadable_customers))
+        return tl::unexpected(RouteDenial::UnreadableCustomer);
+    if (route->is_blocked)
+        return tl::unexpected(RouteDenial::BlockedRoute);
+    if (lacks_key)
+        return tl::unexpected(RouteDenial::UnknownKey);
+    return RouteGrant { *route, customer };
+}
+
 Schema::RoutedService const* RouteTable::service(std::string const& name) const
 {
     auto const found = m_services.find(name);
--- a/Libraries/LibRouting/RouteTable.h
+++ b/Libraries/LibRouting/RouteTable.h
@@ -3,13 +3,35 @@
 
 #include <LibSchema/Generated.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <tl/expected.hpp>
 #include <unordered_map>
 #include <vector>
 
 namespace Routing {
 
+/// What a configuration grants a request.
+struct RouteGrant {
+    Schema::Route const& route;
+    /// Null on a route that needs no key, where none was given that is known.
+    Schema::RoutedCustomer const* customer { nullptr };
+
+    /// The customer's own priority goes before the route's.
+    int64_t priority() const { return customer ? customer->priority.value_or(route.priority) : route.priority; }
+};
+
+/// Why a configuration grants a request nothing.
+enum class RouteDenial {
+    NoRoute,
+    UnknownKey,
+    /// The key is unknown, and so is something of the configuration that may name it.
+    UnreadableCustomer,
+    /// Too little of the route could be read.
+    BlockedRoute,
+};
+
 /// A configuration, indexed for requests: routes by host and longest prefix, customers by key.
 class RouteTable {
 public:
@@ -25,6 +47,9 @@
     /// Null if no customer holds the key.
     Schema::RoutedCustomer const* customer_of(std::string const& key) const;
 
+    /// What the configuration grants a request; the key is that of the caller, if it gave one.
+    tl::expected<RouteGrant, RouteDenial> admit(std::string_view host, std::string_view path, std::optional<std::string> const& key) const;
+
     /// Null if the configuration has no such service.
     Schema::RoutedService const* service(std::string const& name) const;
 
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -97,41 +97,43 @@
         refuse(status_unavailable, Refusal::StaleConfiguration, retry_when_unready);
         return false;
     }
-    auto const* route = routes->find(m_head.host, m_head.path);
-    auto const* customer = m_head.key ? routes->customer_of(*m_head.key) : nullptr;
-    bool const needs_key = route && routes->configuration().has_customers && !route->is_public;
-    bool const is_denied = !route || (needs_key && !customer);
-    if (is_denied && m_context.is_stale()) {
-        // A newer configuration may allow it.
-        refuse(status_unavailable, Refusal::StaleConfiguration, retry_when_unready);
-        return false;
-    }
-    if (!route) {
-        refuse(status_not_found, Refusal::NoRoute, {});
-        return false;
-    }
-    bool const may_be_good = needs_key && !customer && routes->configuration().has_unreadable_customers;
-    if (route->is_blocked || may_be_good) {
-        refuse(status_unavailable, Refusal::UnreadableConfiguration, longest_retry_after);
-        return false;
-    }
-    if (needs_key && !customer) {
-        refuse(status_unauthorized, Refusal::UnknownKey, {});
+    auto const granted = routes->admit(m_head.host, m_head.path, m_head.key);
+    if (!granted.has_value()) {
+        refuse_denied(granted.error());
         return false;
     }
-    m_route = *route;
-    m_priority = route->priority;
-    if (customer) {
-        m_customer = customer->name;
-        m_priority = customer->priority.value_or(m_priority);
-    }
-    m_time_allowed = std::min(Core::Duration(route->timeout_ms), m_head.deadline.value_or(default_wait));
+    m_route = granted->route;
+    m_priority = granted->priority();
+    if (granted->customer)
+        m_customer = granted->customer->name;
+    m_time_allowed = std::min(Core::Duration(m_route.timeout_ms), m_head.deadline.value_or(default_wait));
     std::uniform_real_distribution<double> draw(0, 1);
     m_service = Routing::RouteTable::pick_service(m_route, draw(m_context.random));
     m_last_event = m_head.last_event;
     return true;
 }
 
+void ProxiedRequest::refuse_denied(Routing::RouteDenial denial)
+{
+    if (denial != Routing::RouteDenial::BlockedRoute && m_context.is_stale()) {
+        // A newer configuration may allow it.
+        refuse(status_unavailable, Refusal::StaleConfiguration, retry_when_unready);
+        return;
+    }
+    switch (denial) {
+    case Routing::RouteDenial::NoRoute:
+        refuse(status_not_found, Refusal::NoRoute, {});
+        return;
+    case Routing::RouteDenial::UnknownKey:
+        refuse(status_unauthorized, Refusal::UnknownKey, {});
+        return;
+    case Routing::RouteDenial::UnreadableCustomer:
+    case Routing::RouteDenial::BlockedRoute:
+        refuse(status_unavailable, Refusal::UnreadableConfiguration, longest_retry_after);
+        return;
+    }
+}
+
 // Waiting.
 
 Routing::WaitingRequest ProxiedRequest::waiting() const
@@ -537,6 +539,7 @@
             end_call();
             leave_server(ServerOutcome::Neutral, now);
         }
+        m_suspected.on_sent(send.target().id);
         m_context.metrics.count("mountbarrow_silent_sends_heard_again_total");
     }
     std::erase(m_silent, chosen);
@@ -548,11 +551,13 @@
 /// Where no other server could go on with the answer, the last silent one still may.
 bool ProxiedRequest::return_to_silent()
 {
-    if (m_silent.empty())
+    // One whose answer broke off only waits for the word whether its server has ended.
+    auto const last = std::find_if(m_silent.rbegin(), m_silent.rend(), [](auto const& send) { return send->call != nullptr; });
+    if (last == m_silent.rend())
         return false;
     m_wait.leave();
-    m_send = m_silent.back();
-    m_silent.pop_back();
+    m_send = *last;
+    std::erase(m_silent, m_send);
     m_phase = Phase::Sent;
     m_send->on_heard({ m_send->heard_at(), m_context.running_time() });
     m_suspected.on_sent(m_send->target().id);
@@ -781,18 +786,10 @@
 
 void ProxiedRequest::refuse(int status, Refusal refusal, std::optional<Core::Duration> retry_after)
 {
-    Schema::Problem problem {};
-    problem.type = std::string("urn:mountbarrow:problem:") + refusal_name(refusal);
-    problem.status = status;
     bool const is_not_run = promises_not_run(status) || (refusal == Refusal::EndsServers && !m_may_have_run);
-    problem.outcome = is_not_run ? Schema::Outcome::NotRun : status < status_server_error ? Schema::Outcome::Rejected
-                                                                                          : Schema::Outcome::Unknown;
-    if (refusal == Refusal::EndsServers)
-        problem.title = "Servers end that run this request: do not send it again.";
-    else
-        problem.title = is_not_run ? "Refused: the request was not run." : "The request got no answer.";
-    if (retry_after)
-        problem.retry_after_ms = retry_after->count();
+    auto const outcome = is_not_run ? Schema::Outcome::NotRun : status < status_server_error ? Schema::Outcome::Rejected
+                                                                                             : Schema::Outcome::Unknown;
+    auto const problem = refusal_problem(refusal, status, outcome, retry_after);
     remember_caller();
     m_caller->reply(status, m_context.heads.own_answer(m_head.request_id, retry_after), Schema::to_text(problem));
     finish(refusal, status);
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -56,6 +56,7 @@
     };
 
     bool admit();
+    void refuse_denied(Routing::RouteDenial);
     void set_terms();
     bool try_send_in_time(Core::Time now);
     bool try_send_late(Core::Time now);
--- a/Services/DirectEntry/Refusal.cpp
+++ b/Services/DirectEntry/Refusal.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "Refusal.h"
 
+#include <string>
+
 namespace DirectEntry {
 
 char const* refusal_name(Refusal refusal)
@@ -46,4 +48,19 @@
     return "";
 }
 
+Schema::Problem refusal_problem(Refusal refusal, int status, Schema::Outcome outcome, std::optional<Core::Duration> retry_after)
+{
+    Schema::Problem problem {};
+    problem.type = std::string("urn:mountbarrow:problem:") + refusal_name(refusal);
+    problem.status = status;
+    problem.outcome = outcome;
+    if (refusal == Refusal::EndsServers)
+        problem.title = "Servers end that run this request: do not send it again.";
+    else
+        problem.title = outcome == Schema::Outcome::NotRun ? "Refused: the request was not run." : "The request got no answer.";
+    if (retry_after)
+        problem.retry_after_ms = retry_after->count();
+    return problem;
+}
+
 }
--- a/Services/DirectEntry/Refusal.h
+++ b/Services/DirectEntry/Refusal.h
@@ -1,6 +1,10 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #pragma once
 
+#include <LibCore/Time.h>
+#include <LibSchema/Generated.h>
+#include <optional>
+
 namespace DirectEntry {
 
 /// Why a request ended as it did. Each has a counter and stands in the log.
@@ -29,4 +33,7 @@
 
 char const* refusal_name(Refusal);
 
+/// The body of an answer that refuses a request.
+Schema::Problem refusal_problem(Refusal, int status, Schema::Outcome, std::optional<Core::Duration> retry_after);
+
 }
--- a/Tests/LibRouting/TestDirectRouting.cpp
+++ b/Tests/LibRouting/TestDirectRouting.cpp
@@ -47,6 +47,39 @@
     EXPECT_TRUE(table.find("b", "/p/1")->is_blocked);
 }
 
+TEST(RouteTable, ARequestIsGrantedWhatTheConfigurationAllows)
+{
+    auto configuration = std::make_shared<Schema::RoutingConfiguration>();
+    auto keyed = route("keyed", "a", "/keyed/");
+    keyed.priority = 3;
+    auto open = route("open", "a", "/open/");
+    open.is_public = true;
+    auto blocked = route("blocked", "a", "/blocked/");
+    blocked.is_blocked = true;
+    configuration->routes = { keyed, open, blocked };
+    Schema::RoutedCustomer urgent {};
+    urgent.name = "urgent";
+    urgent.keys = { "k1" };
+    urgent.priority = 0;
+    configuration->customers = { urgent };
+    configuration->has_customers = true;
+    RouteTable const table(configuration);
+    auto const granted = table.admit("a", "/keyed/x", "k1");
+    ASSERT_TRUE(granted.has_value());
+    EXPECT_EQ(granted->customer->name, "urgent");
+    EXPECT_EQ(granted->priority(), 0);
+    EXPECT_EQ(table.admit("a", "/open/x", {})->customer, nullptr);
+    EXPECT_EQ(table.admit("a", "/none/", "k1").error(), RouteDenial::NoRoute);
+    EXPECT_EQ(table.admit("a", "/keyed/x", "k2").error(), RouteDenial::UnknownKey);
+    EXPECT_EQ(table.admit("a", "/keyed/x", {}).error(), RouteDenial::UnknownKey);
+    EXPECT_EQ(table.admit("a", "/blocked/x", "k1").error(), RouteDenial::BlockedRoute);
+    // What of it could not be read may name the key.
+    EXPECT_EQ(table.admit("a", "/blocked/x", "k2").error(), RouteDenial::UnreadableCustomer);
+    configuration->has_unreadable_customers = true;
+    EXPECT_EQ(table.admit("a", "/keyed/x", "k2").error(), RouteDenial::UnreadableCustomer);
+    EXPECT_TRUE(table.admit("a", "/keyed/x", "k1").has_value());
+}
+
 TEST(RouteTable, SplitTargetsAreDrawnByWeight)
 {
     auto split = route("r", "a", "/");
