LibTransport: A short idle limit does not cut the end of an answer that is still being taken

What callers would see: the end of a long answer missing on a connection that closes behind it, once a configuration makes the idle limit shorter than the time in which they take it. Cause: a connection that closes behind its answer was dropped at the idle limit, which says how long one may rest between requests. Checked: the new test failed before (answer of 32 MiB, limit of 100 ms) and passes now, with the 13 others of IngressServer.

--- a/Libraries/LibTransport/IngressServer.cpp
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Log.h>
 #include <LibTransport/SocketAddress.h>
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
@@ -347,8 +348,8 @@
     auto const& limits = m_server->limits();
     auto const quiet = now - m_quiet_since;
     if (m_is_closing) {
-        // The peer does not read its answer's end.
-        if (quiet >= limits.idle_timeout)
+        // The peer does not read its answer's end. How long a connection may idle says nothing of how fast an answer is taken.
+        if (quiet >= std::max(limits.idle_timeout, untaken_answer_limit))
             drop();
         return;
     }
--- a/Tests/LibTransport/TestIngressServer.cpp
+++ b/Tests/LibTransport/TestIngressServer.cpp
@@ -161,6 +161,25 @@
     run_until([&] { return is_gone && m_server->connection_count() == 0; });
 }
 
+TEST_F(IngressServerTest, AShortIdleLimitDoesNotCutTheEndOfAnAnswerThatIsStillBeingTaken)
+{
+    IngressLimits limits;
+    limits.idle_timeout = Core::Duration(100);
+    m_server->set_limits(limits);
+    RawClient client(m_server->port());
+    client.send_text("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    run_until([&] { return m_requests.size() == 1; });
+    // More than the sockets on both sides hold.
+    std::string const body(size_t { 32 } << 20, 'x');
+    m_requests[0]->reply(200, {}, body);
+    bool is_later = false;
+    auto const timer = m_loop.after(Core::Duration(1000), [&] { is_later = true; });
+    run_until([&] { return is_later; });
+    run_until([&] { return client.read_more(); });
+    EXPECT_FALSE(client.was_reset());
+    EXPECT_TRUE(client.text().ends_with(body));
+}
+
 // The loop does not turn between the caller's connect and the stop, so its connection still waits to be accepted.
 TEST_F(IngressServerTest, AConnectionThatWaitsToBeAcceptedAsTheServerStopsIsAnswered)
 {
