LibRouting: A silent send holds no place that its continuation needs

Streams stood still up to their deadline. Cause: sends that are kept while their servers are silent still counted as running there. Where their connections were dead for good, the entry found both engines full of its own silent sends, and sent nothing on. Change: a place is free as soon as its request is found silent, as it was before such sends were kept. Checked with sanitizers: the test passes, with the two on streams under way and the one on cut streams; 36 tests of ServerTable, one of them new. The rest of the process tests was not run on this commit.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -533,11 +533,12 @@
     auto const found = m_servers.find(id);
     if (found == m_servers.end())
         return;
-    auto const pending = found->second.pending.find(request);
-    if (pending == found->second.pending.end())
+    // Its connection may be dead: a place that it held would be missing for what goes on beside it.
+    auto const pending = found->second.pending.extract(request);
+    if (!pending)
         return;
     auto const suspended_until = found->second.suspended_until;
-    note_outcome(found->second, pending->second.sent_at, ServerOutcome::Unreachable, now);
+    note_outcome(found->second, pending.mapped().sent_at, ServerOutcome::Unreachable, now);
     if (found->second.suspended_until != suspended_until)
         found->second.is_suspended_as_silent = true;
 }
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -133,7 +133,7 @@
     /// Its first event came: the prompt is read.
     void on_first_event(std::string const& id, std::string const& request, Core::Time now);
     void on_ended(std::string const& id, std::string const& request, ServerOutcome, Core::Time now);
-    /// It says nothing of the request, which still holds its place there: it may answer later.
+    /// It says nothing of the request, which holds no place there any more, and may be answered later all the same.
     void on_silent(std::string const& id, std::string const& request, Core::Time now);
     /// Some bytes of an answer came from the server, to whichever request.
     void on_heard(std::string const& id, Core::Time now);
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -386,12 +386,30 @@
     m_now += Core::Duration(20);
     m_table.on_heard("1", m_now);
     EXPECT_TRUE(choose().has_value());
-    // It may still answer, so the request is counted there until it ends, and a second look at its silence is the same fault.
+    // A second look at its silence is the same fault.
     m_table.on_silent("1", "r1", m_now);
     EXPECT_TRUE(choose().has_value());
     m_table.on_ended("1", "r1", ServerOutcome::Success, m_now);
 }
 
+TEST_F(ServerTableTest, SilentRequestsHoldNoPlacesThatTheirContinuationsNeed)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    size_t sent = 0;
+    for (auto choice = choose(); choice.has_value(); choice = choose())
+        m_table.on_sent("r" + std::to_string(sent++), *choice, 900, m_now);
+    ASSERT_GT(sent, 1u);
+    m_now += Core::Duration(1000);
+    for (size_t i = 0; i < sent; ++i)
+        m_table.on_silent("1", "r" + std::to_string(i), m_now);
+    m_now += Core::Duration(400);
+    for (size_t i = 0; i < sent; ++i) {
+        auto const choice = choose();
+        ASSERT_TRUE(choice.has_value()) << i;
+        m_table.on_sent("again" + std::to_string(i), *choice, 900, m_now);
+    }
+}
+
 TEST_F(ServerTableTest, BytesOfAnAnswerDoNotMakeAServerReachableThatRefusesConnections)
 {
     m_table.set_server(engine("1", "a"), m_now);
