Tests: Stopping an entry stands once among the troubles of streams under way

Cause: two troubles wrote the same five lines. Change: stop_some_entry serves both; the draws and waits are as before, and no check changed.

--- a/Tests/Platform/streams_under_way.py
+++ b/Tests/Platform/streams_under_way.py
@@ -130,14 +130,18 @@
 
 # Troubles.
 
+def stop_some_entry(play):
+    entry = play.random.choice(play.fleet.entries)
+    play.fleet.pause(entry)
+    time.sleep(STOP_SECONDS)
+    play.fleet.resume(entry)
+    play.wait(BETWEEN_SECONDS)
+
+
 def stop_an_entry(play):
     """One entry is stopped, three times; nothing happens to engines."""
     for _ in range(3):
-        entry = play.random.choice(play.fleet.entries)
-        play.fleet.pause(entry)
-        time.sleep(STOP_SECONDS)
-        play.fleet.resume(entry)
-        play.wait(BETWEEN_SECONDS)
+        stop_some_entry(play)
 
 
 def stop_an_entry_in_slices(play):
@@ -185,11 +189,7 @@
     for engine in play.fleet.engines:
         engine.be_silent(SILENCE_SECONDS)
     play.wait(0.5)
-    entry = play.random.choice(play.fleet.entries)
-    play.fleet.pause(entry)
-    time.sleep(STOP_SECONDS)
-    play.fleet.resume(entry)
-    play.wait(BETWEEN_SECONDS)
+    stop_some_entry(play)
 
 
 def change_each_field(play):
