mountbarrow-load: Tell of each call without an answer when and how it ended

Cause: the report counts calls that were broken off. Whether one was cut in its answer, before it was read, or by an entry that had just ended could not be told, and an entry writes no line of a connection whose request it never read. Change: the first 50 calls without an answer stand in the report, with entry, time, age, status and bytes.

--- a/Utilities/mountbarrow-load/LoadRunner.cpp
+++ b/Utilities/mountbarrow-load/LoadRunner.cpp
@@ -9,6 +9,7 @@
 static constexpr Core::Duration send_interval { 5 };
 static constexpr Core::Duration grace { 3000 };
 static constexpr size_t prompt_characters = 400;
+static constexpr size_t most_failures_told = 50;
 
 LoadRunner::LoadRunner(Core::EventLoop& loop, LoadSettings settings)
     : m_loop(loop)
@@ -80,6 +81,7 @@
     auto const id = m_next++;
     auto running = std::make_unique<Running>();
     running->started = Core::monotonic_now();
+    running->entry = target.address;
     if (!m_settings.customers.empty())
         running->customer = m_settings.customers[m_random() % m_settings.customers.size()];
     auto const request = make_request(*running, key, target);
@@ -138,6 +140,7 @@
     if (!failure.empty()) {
         m_outcomes[failure] += 1;
         note_call(running.id, failure);
+        note_failure(running, failure);
     } else if (running.status == 200) {
         m_outcomes["answered"] += 1;
         m_not_whole += is_whole(running) ? 0 : 1;
@@ -157,6 +160,14 @@
     }
 }
 
+void LoadRunner::note_failure(Running const& running, std::string const& failure)
+{
+    if (m_failures.size() >= most_failures_told)
+        return;
+    m_failures.push_back({ { "failure", failure }, { "entry", running.entry }, { "id", running.id }, { "ended_at_wall_ms", Core::wall_now().count() },
+        { "after_ms", (Core::monotonic_now() - running.started).count() }, { "status", running.status }, { "body_bytes", running.body.size() } });
+}
+
 void LoadRunner::note_call(std::string const& id, std::string const& outcome)
 {
     if (id.empty())
@@ -179,6 +190,7 @@
     report["reasons"] = m_reasons;
     report["unanswered"] = m_running.size();
     report["not_whole"] = m_not_whole;
+    report["failures"] = m_failures;
     report["first_byte_ms"] = quantiles("first_byte");
     report["total_ms"] = quantiles("total");
     report["refusal_ms"] = quantiles("refusal");
--- a/Utilities/mountbarrow-load/LoadRunner.h
+++ b/Utilities/mountbarrow-load/LoadRunner.h
@@ -52,6 +52,7 @@
         std::string body;
         std::string id;
         std::string customer;
+        std::string entry;
         int status { 0 };
         bool has_first_byte { false };
     };
@@ -62,6 +63,7 @@
     void finish(uint64_t id, std::string const& failure);
     bool is_whole(Running const&) const;
     void note_call(std::string const& id, std::string const& outcome);
+    void note_failure(Running const&, std::string const& failure);
     nlohmann::json report() const;
 
     Core::EventLoop& m_loop;
@@ -74,6 +76,8 @@
     std::map<std::string, uint64_t> m_outcomes;
     std::map<std::string, uint64_t> m_reasons;
     uint64_t m_not_whole { 0 };
+    // The first calls without an answer, each with what tells why.
+    nlohmann::json m_failures = nlohmann::json::array();
     // What became of each call, by call id: a plain service must not have run one twice, nor one that was not run.
     std::map<std::string, std::string> m_calls;
     Core::Metrics m_metrics;
