LibTransport, Entry: A stopping entry ends once its last connections have, not after a fixed wait

What callers saw: at a planned stop of an entry of the product's own interface, a call ended by a closed connection, without an answer. Cause: the entry closed its listener and ended its loop 250 ms later by the clock. Whoever had connected and not asked by then, since the caller or the entry itself got no processor, was cut off; an answer written in the loop's last turn was never sent. Ruled out: an answer cut in its middle (no status, no byte). Change: entries of both kinds serve callers by the one IngressServer, which knows each of its connections. A stopping one takes part in no new handshake (a packet filter on the listener, so that none completes between the last look and the close), accepts all that stand, and has finished once every connection has ended; one that was never asked on has 2 s, 500 ms before, and what lies unread in a connection keeps it whatever the clock says. IngressServer learns what the product's interface needs of it: callers of HTTP/1.0, which know no chunks, and answers to HEAD without a body. The latter was wrong for refusals of the other entry. Why it works: the end no longer follows from time passed but from connections that are over. Left: a caller that connects and keeps silent for longer than 2 s; a request that crosses the close of a connection that was at rest.

--- a/Libraries/LibTransport/HttpServer.cpp
+++ b/Libraries/LibTransport/HttpServer.cpp
@@ -32,31 +32,12 @@
     }
 }
 
-static std::map<std::string, std::string> parse_query(evhttp_uri const* uri)
-{
-    std::map<std::string, std::string> query;
-    char const* text = evhttp_uri_get_query(uri);
-    if (!text)
-        return query;
-    evkeyvalq pairs {};
-    if (evhttp_parse_query_str(text, &pairs) == 0) {
-        for (auto* pair = pairs.tqh_first; pair; pair = pair->next.tqe_next)
-            query[pair->key] = pair->value;
-    }
-    evhttp_clear_headers(&pairs);
-    return query;
-}
-
 HttpExchange::HttpExchange(evhttp_request* request)
     : m_request(request)
     , m_method(method_name(evhttp_request_get_command(request)))
     , m_target(evhttp_request_get_uri(request))
+    , m_parsed_target(RequestTarget::parse(m_target))
 {
-    if (auto const* uri = evhttp_request_get_evhttp_uri(request)) {
-        char const* path = evhttp_uri_get_path(uri);
-        m_path = path ? path : "";
-        m_query = parse_query(uri);
-    }
     auto* connection = evhttp_request_get_connection(request);
     evhttp_connection_set_closecb(connection, connection_closed, this);
     // Without reading, a caller that goes away would only be noticed once the answer is written.
@@ -85,14 +66,6 @@
     }
 }
 
-std::optional<std::string> HttpExchange::query(std::string const& key) const
-{
-    auto found = m_query.find(key);
-    if (found == m_query.end())
-        return {};
-    return found->second;
-}
-
 std::optional<std::string> HttpExchange::header(char const* name) const
 {
     if (!m_request)
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -4,6 +4,7 @@
 #include <LibCore/Error.h>
 #include <LibCore/EventLoop.h>
 #include <LibTransport/RateLimit.h>
+#include <LibTransport/RequestTarget.h>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,10 +32,10 @@
 
     std::string const& method() const { return m_method; }
     /// Path without the query.
-    std::string const& path() const { return m_path; }
+    std::string const& path() const { return m_parsed_target.path; }
     /// Path and query as sent.
     std::string const& target() const { return m_target; }
-    std::optional<std::string> query(std::string const& key) const;
+    std::optional<std::string> query(std::string const& key) const { return m_parsed_target.query_value(key); }
     std::optional<std::string> header(char const* name) const;
     HttpHeaders headers() const;
     std::string body() const;
@@ -70,9 +71,8 @@
 
     evhttp_request* m_request { nullptr };
     std::string m_method;
-    std::string m_path;
     std::string m_target;
-    std::map<std::string, std::string> m_query;
+    RequestTarget m_parsed_target;
     std::function<void()> m_on_gone;
     bool m_has_started { false };
 };
--- a/Libraries/LibTransport/IngressServer.cpp
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -24,12 +24,11 @@
 static constexpr int status_no_content = 204;
 static constexpr int status_not_modified = 304;
 static constexpr int listen_backlog = 512;
-// A caller's machine takes what comes even where the caller only waits. An answer of which nothing is taken for so long gets
-// through to nobody, and its work at a backend server ends with its connection.
-static constexpr Core::Duration untaken_answer_limit { 5000 };
-// A caller sends its first request right behind its connection, so within a round trip and the resending of a lost packet
-// (200 ms at least). A server that stops waits no longer for callers that only hold a connection ready.
-static constexpr Core::Duration first_request_patience { 500 };
+// A caller sends its first request right behind its connection, but it may be short of processor time, or the packet be lost (sent
+// again after 200 ms to 1 s). A server that stops waits no longer for callers that only hold a connection ready.
+static constexpr Core::Duration first_request_patience { 2000 };
+// Handshakes that were under way as a listener stopped are over by then.
+static constexpr Core::Duration handshake_patience { 50 };
 
 char const* reason_phrase(int status)
 {
@@ -81,6 +80,14 @@
         abort();
 }
 
+std::optional<std::string> IngressRequest::header(std::string_view name) const
+{
+    auto const value = m_head.header(name);
+    if (!value)
+        return {};
+    return std::string(*value);
+}
+
 void IngressRequest::caller_gone()
 {
     m_is_over = true;
@@ -95,22 +102,32 @@
     end();
 }
 
+static BodyFraming framing_of_answer(MessageHead const& request, int status, std::optional<uint64_t> const& length)
+{
+    bool const has_body = request.method != "HEAD" && status != status_no_content && status != status_not_modified;
+    if (!has_body)
+        return BodyFraming::None;
+    if (length)
+        return BodyFraming::Length;
+    return request.knows_chunks ? BodyFraming::Chunks : BodyFraming::EndOfConnection;
+}
+
 void IngressRequest::start(int status, HttpHeaders const& headers, std::optional<uint64_t> length)
 {
     auto connection = m_connection.lock();
     if (m_is_over || !connection)
         return;
     m_has_started = true;
-    m_is_chunked = !length.has_value();
-    connection->write_head(status, headers, length, m_is_chunked);
+    m_framing = framing_of_answer(m_head, status, length);
+    connection->write_head(status, headers, length, m_framing);
 }
 
 void IngressRequest::part(std::string_view data)
 {
     auto connection = m_connection.lock();
-    if (m_is_over || !connection || data.empty())
+    if (m_is_over || !connection || data.empty() || m_framing == BodyFraming::None)
         return;
-    if (!m_is_chunked) {
+    if (m_framing != BodyFraming::Chunks) {
         connection->write(data);
         return;
     }
@@ -131,7 +148,7 @@
         return;
     m_is_over = true;
     m_on_gone = nullptr;
-    if (m_is_chunked)
+    if (m_framing == BodyFraming::Chunks)
         connection->write("0\r\n\r\n");
     connection->answered();
 }
@@ -168,7 +185,7 @@
 {
     int const on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    auto const limit = static_cast<unsigned>(untaken_answer_limit.count());
+    auto const limit = static_cast<unsigned>(server.limits().untaken_answer_limit.count());
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
     m_stream = bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     auto on_read = [](bufferevent*, void* self) { static_cast<IngressConnection*>(self)->on_bytes(); };
@@ -236,7 +253,7 @@
         status = status_request_timeout;
     auto const body = m_server->m_fault_body(fault);
     m_closes = true;
-    write_head(status, { { "Content-Type", "application/problem+json" } }, body.size(), false);
+    write_head(status, { { "Content-Type", "application/problem+json" } }, body.size(), BodyFraming::Length);
     write(body);
     close_when_written();
 }
@@ -247,9 +264,10 @@
         bufferevent_write(m_stream, data.data(), data.size());
 }
 
-void IngressConnection::write_head(int status, HttpHeaders const& headers, std::optional<uint64_t> length, bool is_chunked)
+void IngressConnection::write_head(int status, HttpHeaders const& headers, std::optional<uint64_t> length, BodyFraming framing)
 {
-    if (m_server && m_server->is_ending())
+    bool const is_last = framing == BodyFraming::EndOfConnection || (m_server && m_server->is_ending());
+    if (is_last)
         m_closes = true;
     std::string head = "HTTP/1.1 " + std::to_string(status) + ' ' + reason_phrase(status) + "\r\n";
     for (auto const& [name, value] : headers) {
@@ -258,10 +276,10 @@
         head += value;
         head += "\r\n";
     }
-    bool const has_body = status != status_no_content && status != status_not_modified;
-    if (is_chunked)
+    bool const may_tell_length = status != status_no_content && status != status_not_modified;
+    if (framing == BodyFraming::Chunks)
         head += "Transfer-Encoding: chunked\r\n";
-    else if (has_body)
+    else if (length && may_tell_length)
         head += "Content-Length: " + std::to_string(*length) + "\r\n";
     if (m_closes)
         head += "Connection: close\r\n";
@@ -349,7 +367,7 @@
     auto const quiet = now - m_quiet_since;
     if (m_is_closing) {
         // The peer does not read its answer's end. How long a connection may idle says nothing of how fast an answer is taken.
-        if (quiet >= std::max(limits.idle_timeout, untaken_answer_limit))
+        if (quiet >= std::max(limits.idle_timeout, limits.untaken_answer_limit))
             drop();
         return;
     }
@@ -424,13 +442,25 @@
     }
 }
 
-void IngressServer::stop_accepting()
+/// A connection that comes between the last look at the listener's queue and its close would be reset, so the listener first takes
+/// part in no new handshake, and closes once all that were under way are over.
+void IngressServer::stop_listening()
 {
-    m_is_ending = true;
-    if (m_listener) {
+    m_has_stopped_accepting = true;
+    if (!ignore_new_connections(evconnlistener_get_fd(m_listener)))
+        Core::log_event(Core::LogLevel::Warn, "new_connections_not_ignored", { { "error", std::strerror(errno) } });
+    accept_waiting();
+    m_listener_timer = m_loop->after(handshake_patience, [this] {
         accept_waiting();
         evconnlistener_free(std::exchange(m_listener, nullptr));
-    }
+    });
+}
+
+void IngressServer::stop_accepting()
+{
+    m_is_ending = true;
+    if (!m_has_stopped_accepting)
+        stop_listening();
     auto const now = Core::monotonic_now();
     auto const connections = m_connections;
     for (auto const& connection : connections) {
--- a/Libraries/LibTransport/IngressServer.h
+++ b/Libraries/LibTransport/IngressServer.h
@@ -4,6 +4,7 @@
 #include <LibCore/Error.h>
 #include <LibCore/EventLoop.h>
 #include <LibTransport/MessageReader.h>
+#include <LibTransport/RequestTarget.h>
 #include <functional>
 #include <memory>
 #include <set>
@@ -17,6 +18,15 @@
 
 class IngressConnection;
 
+/// How the end of an answer's body is told (RFC 9112, section 6.3).
+enum class BodyFraming {
+    /// There is no body, whatever length the head tells.
+    None,
+    Length,
+    Chunks,
+    EndOfConnection,
+};
+
 /// One caller's request, read whole, and the answer to it, whole or streamed.
 class IngressRequest {
 public:
@@ -26,12 +36,18 @@
     IngressRequest& operator=(IngressRequest const&) = delete;
 
     MessageHead const& head() const { return m_head; }
+    std::string const& method() const { return m_head.method; }
+    /// Path and query as sent.
+    std::string const& target() const { return m_head.target; }
+    RequestTarget parsed_target() const { return RequestTarget::parse(m_head.target); }
+    std::optional<std::string> header(std::string_view name) const;
     std::string const& body() const { return m_body; }
 
     /// Sends a whole answer.
     void reply(int status, HttpHeaders const&, std::string_view body);
 
-    /// Streams an answer: start, any number of parts, then end or abort. Without a length it goes out in chunks.
+    /// Streams an answer: start, any number of parts, then end or abort. Without a length it goes out in chunks, or up to the
+    /// end of the connection where the caller does not know them. The answer to a HEAD request has no parts.
     void start(int status, HttpHeaders const&, std::optional<uint64_t> length);
     void part(std::string_view);
     void end();
@@ -56,7 +72,7 @@
     std::function<void()> m_on_gone;
     bool m_has_started { false };
     bool m_is_over { false };
-    bool m_is_chunked { false };
+    BodyFraming m_framing { BodyFraming::None };
 };
 
 /// What callers may send, and how long they may take.
@@ -65,6 +81,9 @@
     size_t max_body_bytes { size_t { 4 } << 20 };
     Core::Duration head_timeout { 3000 };
     Core::Duration idle_timeout { 15000 };
+    /// The caller's machine takes what comes even where the caller only waits. An answer of which nothing is taken for so long
+    /// gets through to nobody, and its work at a backend server ends with its connection.
+    Core::Duration untaken_answer_limit { 5000 };
 };
 
 /// Why a connection's bytes were refused before they made a request.
@@ -94,11 +113,13 @@
 
     /// From now on each answer says that its connection ends.
     void end_connections_gently() { m_is_ending = true; }
-    /// Takes no new connections but those that wait already, and closes those that are at rest. A connection that has only
+    /// Takes no new connections but those that stand already, and closes those that are at rest. A connection that has only
     /// just come may still bring its first request.
     void stop_accepting();
     bool is_ending() const { return m_is_ending; }
-    bool has_stopped_accepting() const { return m_listener == nullptr; }
+    bool has_stopped_accepting() const { return m_has_stopped_accepting; }
+    /// Nobody can connect any more, and every connection has ended.
+    bool has_finished() const { return m_listener == nullptr && m_connections.empty(); }
 
     size_t connection_count() const { return m_connections.size(); }
 
@@ -107,16 +128,20 @@
     IngressServer() = default;
     void accept(int socket);
     void accept_waiting();
+    void stop_listening();
     void look_for_idle();
 
     Core::EventLoop* m_loop { nullptr };
+    // Null once it is closed.
     evconnlistener* m_listener { nullptr };
     Handler m_handler;
     FaultBody m_fault_body;
     IngressLimits m_limits;
     bool m_is_ending { false };
+    bool m_has_stopped_accepting { false };
     std::set<std::shared_ptr<IngressConnection>> m_connections;
     std::unique_ptr<Core::Timer> m_idle_timer;
+    std::unique_ptr<Core::Timer> m_listener_timer;
 };
 
 /// One caller's connection; see IngressServer.
@@ -136,7 +161,7 @@
     void on_request();
     void refuse(IngressFault);
     void write(std::string_view);
-    void write_head(int status, HttpHeaders const&, std::optional<uint64_t> length, bool is_chunked);
+    void write_head(int status, HttpHeaders const&, std::optional<uint64_t> length, BodyFraming);
     void answered();
     void close_when_written();
     void reset();
--- a/Libraries/LibTransport/MessageReader.cpp
+++ b/Libraries/LibTransport/MessageReader.cpp
@@ -101,6 +101,7 @@
     if (parser->flags & F_CONTENTLENGTH)
         head.content_length = parser->content_length;
     head.keeps_connection = http_should_keep_alive(parser) != 0;
+    head.knows_chunks = parser->http_major > 1 || (parser->http_major == 1 && parser->http_minor >= 1);
     reader.m_state = State::Body;
     if (reader.m_callbacks.head)
         reader.m_callbacks.head(head);
--- a/Libraries/LibTransport/MessageReader.h
+++ b/Libraries/LibTransport/MessageReader.h
@@ -20,6 +20,8 @@
     bool is_chunked { false };
     /// The connection may carry another message after this one.
     bool keeps_connection { false };
+    /// The sender knows the chunked coding (RFC 9112, section 6.1); a sender of HTTP/1.0 does not.
+    bool knows_chunks { true };
 
     /// The first value of a header; names compare without case.
     std::optional<std::string_view> header(std::string_view name) const;
--- a/Libraries/LibTransport/SocketAddress.h
+++ b/Libraries/LibTransport/SocketAddress.h
@@ -4,6 +4,8 @@
 #include <arpa/inet.h>
 #include <cstdint>
 #include <cstdlib>
+#include <iterator>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <string>
@@ -58,4 +60,24 @@
     return poll(&waiting, 1, 0) > 0;
 }
 
+/// From now on a listening socket takes part in no new handshake; those that are under way end well. To a caller that connects now
+/// it is as if its packet were lost: it tries again after a second, and finds the socket closed.
+/// @return whether the system took the filter; errno tells why not.
+inline bool ignore_new_connections(int listener)
+{
+    static constexpr uint32_t offset_of_flags = 13;
+    static constexpr uint32_t opens_connection = 0x02;
+    static constexpr uint32_t flags_of_handshake = 0x12;
+    // Of the two flags SYN and ACK, the first packet of a connection has the former alone (RFC 9293, section 3.5).
+    sock_filter program[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, offset_of_flags),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, flags_of_handshake),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, opens_connection, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+    };
+    sock_fprog const filter { .len = static_cast<unsigned short>(std::size(program)), .filter = program };
+    return setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter)) == 0;
+}
+
 }
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -636,7 +636,7 @@
         for (auto const& [number, request] : requests)
             request->give_up();
     }
-    if (!is_late && (!m_requests.empty() || m_callers->connection_count() > 0))
+    if (!is_late && (!m_requests.empty() || !m_callers->has_finished()))
         return;
     Core::log_event(Core::LogLevel::Info, "stopped", { { "after_ms", std::to_string(elapsed.count()) }, { "given_up", is_late ? "yes" : "no" } });
     m_loop.stop();
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -44,20 +44,20 @@
     return Routing::spread_retry_after(base, m_random);
 }
 
-void CallerApi::refuse(Transport::HttpExchange& exchange, Schema::Reason reason, Core::Duration retry_after)
+void CallerApi::refuse(Transport::IngressRequest& exchange, Schema::Reason reason, Core::Duration retry_after)
 {
     m_metrics.count("mountbarrow_entry_refused_total", label(reason));
     reply_problem(exchange, problem_for(Schema::Outcome::NotRun, reason, retry_after));
 }
 
-void CallerApi::handle(std::shared_ptr<Transport::HttpExchange> const& exchange)
+void CallerApi::handle(std::shared_ptr<Transport::IngressRequest> const& exchange)
 {
     m_metrics.count("mountbarrow_entry_requests_total");
     if (m_is_stopping) {
         refuse(*exchange, Schema::Reason::Stopping, spread(stopping_retry_after));
         return;
     }
-    auto const service = service_of(exchange->path());
+    auto const service = service_of(exchange->parsed_target().path);
     auto const spec = m_fold.services().find(service);
     if (spec == m_fold.services().end()) {
         refuse(*exchange, Schema::Reason::NoSuchService, Core::Duration(0));
@@ -168,7 +168,7 @@
             for (auto const& header : *part.headers)
                 headers.emplace_back(header.name, header.value);
         }
-        context.exchange->start(static_cast<int>(*part.status), headers);
+        context.exchange->start(static_cast<int>(*part.status), headers, {});
     }
     context.exchange->part(part.data);
     if (context.exchange->pending_bytes() <= most_unread_bytes)
--- a/Services/Entry/CallerApi.h
+++ b/Services/Entry/CallerApi.h
@@ -11,7 +11,7 @@
 #include <LibRouting/Limits.h>
 #include <LibRouting/RequestFlow.h>
 #include <LibRouting/RequestQueue.h>
-#include <LibTransport/HttpServer.h>
+#include <LibTransport/IngressServer.h>
 #include <LibTransport/LinkHub.h>
 #include <map>
 #include <memory>
@@ -34,7 +34,7 @@
     CallerApi(Core::EventLoop&, CallerApiSettings, Core::Metrics&, Transport::LinkHub&, Membership::InstanceList const&, Configuration::Fold const&);
     ~CallerApi();
 
-    void handle(std::shared_ptr<Transport::HttpExchange> const&);
+    void handle(std::shared_ptr<Transport::IngressRequest> const&);
 
     /// The configuration or the list changed.
     void update();
@@ -53,7 +53,7 @@
 private:
     struct Context {
         uint64_t id { 0 };
-        std::shared_ptr<Transport::HttpExchange> exchange;
+        std::shared_ptr<Transport::IngressRequest> exchange;
         CallerRequest request;
         Routing::RequestFlow flow;
         Core::Time started { 0 };
@@ -62,7 +62,7 @@
         bool has_first_byte { false };
     };
 
-    void refuse(Transport::HttpExchange&, Schema::Reason, Core::Duration retry_after);
+    void refuse(Transport::IngressRequest&, Schema::Reason, Core::Duration retry_after);
     void perform(Context&, Routing::FlowActions);
     void perform_one(Context&, Routing::FlowAction const&, Routing::FlowActions& more);
     void deliver(Context&, Schema::Part const&, Routing::FlowActions& more);
--- a/Services/Entry/CallerRequest.cpp
+++ b/Services/Entry/CallerRequest.cpp
@@ -33,7 +33,7 @@
 }
 
 /// A header that must be a number between two bounds, if it is there at all.
-static tl::expected<int64_t, Schema::Reason> number_header(Transport::HttpExchange const& exchange, char const* name, int64_t fallback, int64_t least, int64_t most)
+static tl::expected<int64_t, Schema::Reason> number_header(Transport::IngressRequest const& exchange, char const* name, int64_t fallback, int64_t least, int64_t most)
 {
     auto const text = exchange.header(name);
     if (!text)
@@ -81,7 +81,7 @@
     return {};
 }
 
-static tl::expected<void, Schema::Reason> read_repeatability(Transport::HttpExchange const& exchange, bool is_engine, Schema::Dispatch& dispatch)
+static tl::expected<void, Schema::Reason> read_repeatability(Transport::IngressRequest const& exchange, bool is_engine, Schema::Dispatch& dispatch)
 {
     bool is_repeatable = is_engine || dispatch.method == "GET" || dispatch.method == "HEAD" || dispatch.method == "OPTIONS";
     if (auto const word = exchange.header("X-Repeatable")) {
@@ -99,7 +99,7 @@
     return {};
 }
 
-tl::expected<CallerRequest, Schema::Reason> read_request(Transport::HttpExchange const& exchange, std::string const& service, Schema::ServiceSpec const& spec, CallerLimits const& limits)
+tl::expected<CallerRequest, Schema::Reason> read_request(Transport::IngressRequest const& exchange, std::string const& service, Schema::ServiceSpec const& spec, CallerLimits const& limits)
 {
     CallerRequest request;
     request.needs.service = service;
@@ -131,7 +131,7 @@
         if (!model.has_value())
             return tl::unexpected(model.error());
     }
-    for (auto const& [name, value] : exchange.headers()) {
+    for (auto const& [name, value] : exchange.head().headers) {
         Schema::Header header;
         header.name = name;
         header.value = value;
--- a/Services/Entry/CallerRequest.h
+++ b/Services/Entry/CallerRequest.h
@@ -4,7 +4,7 @@
 #include <LibCore/Time.h>
 #include <LibRouting/InstanceTable.h>
 #include <LibSchema/Generated.h>
-#include <LibTransport/HttpServer.h>
+#include <LibTransport/IngressServer.h>
 #include <tl/expected.hpp>
 
 namespace Entry {
@@ -27,6 +27,6 @@
 /// Reads a request to a service: `X-Customer`, `X-Deadline-Ms`, `X-Priority`, `X-Repeatable`, `Idempotency-Key`,
 /// and for an engine the model that the body names, with or without `@VERSION`.
 /// @return Malformed, TooLarge or KeyMalformed.
-tl::expected<CallerRequest, Schema::Reason> read_request(Transport::HttpExchange const&, std::string const& service, Schema::ServiceSpec const&, CallerLimits const&);
+tl::expected<CallerRequest, Schema::Reason> read_request(Transport::IngressRequest const&, std::string const& service, Schema::ServiceSpec const&, CallerLimits const&);
 
 }
--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "Entry.h"
 
+#include "Problems.h"
 #include <LibCore/Hash.h>
 #include <LibCore/Log.h>
 #include <LibPlatform/HttpPlatform.h>
@@ -28,8 +29,6 @@
 // The balancer's health checks need this long to send callers elsewhere.
 static constexpr Core::Duration health_grace { 500 };
 static constexpr Core::Duration drain_check { 20 };
-// A caller whose connection was the last to be accepted sends its request within this, a resent packet (200 ms) included.
-static constexpr Core::Duration last_request_patience { 250 };
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
 
@@ -95,15 +94,34 @@
     return Settings::duration_or(m_settings.lease_ms, default_lease);
 }
 
+static Transport::IngressLimits ingress_limits(Schema::EntrySettings const& settings)
+{
+    auto const idle_timeout = Settings::duration_or(settings.idle_timeout_ms, default_idle_timeout);
+    Transport::IngressLimits limits;
+    limits.max_head_bytes = static_cast<size_t>(settings.max_header_bytes.value_or(default_header_bytes));
+    // A body over the limit is refused by CallerApi, which tells the reason; this bound only guards the memory.
+    limits.max_body_bytes = 2 * static_cast<size_t>(settings.max_body_bytes.value_or(default_body_bytes));
+    limits.head_timeout = idle_timeout;
+    limits.idle_timeout = idle_timeout;
+    limits.untaken_answer_limit = idle_timeout;
+    return limits;
+}
+
+static Schema::Reason reason_of(Transport::IngressFault fault)
+{
+    bool const is_too_large = fault == Transport::IngressFault::HeadTooLarge || fault == Transport::IngressFault::BodyTooLarge;
+    return is_too_large ? Schema::Reason::TooLarge : Schema::Reason::Malformed;
+}
+
 Core::ErrorOr<void> Entry::listen()
 {
-    Transport::HttpServerOptions options;
-    options.max_header_bytes = static_cast<size_t>(m_settings.max_header_bytes.value_or(default_header_bytes));
-    // The typed answer to a body over the limit is ours; libevent's own bound only guards the memory.
-    options.max_body_bytes = 2 * static_cast<size_t>(m_settings.max_body_bytes.value_or(default_body_bytes));
-    options.idle_timeout = Settings::duration_or(m_settings.idle_timeout_ms, default_idle_timeout);
-    auto handler = [this](std::shared_ptr<Transport::HttpExchange> const& exchange) { on_http(exchange); };
-    m_http = TRY(Transport::HttpServer::create(m_loop, m_settings.address, static_cast<uint16_t>(m_settings.http_port), options, handler));
+    auto fault_body = [this](Transport::IngressFault fault) {
+        m_metrics.count("mountbarrow_entry_ingress_faults_total", "fault=\"" + std::to_string(static_cast<int>(fault)) + "\"");
+        return Schema::to_text(problem_for(Schema::Outcome::NotRun, reason_of(fault), Core::Duration(0)));
+    };
+    auto handler = [this](std::shared_ptr<Transport::IngressRequest> const& exchange) { on_http(exchange); };
+    m_http = TRY(Transport::IngressServer::create(m_loop, m_settings.address, static_cast<uint16_t>(m_settings.http_port), handler, fault_body));
+    m_http->set_limits(ingress_limits(m_settings));
     Core::log_event(Core::LogLevel::Info, "started", { { "http_port", std::to_string(m_http->port()) } });
     return {};
 }
@@ -315,9 +333,9 @@
     }
 }
 
-void Entry::on_http(std::shared_ptr<Transport::HttpExchange> const& exchange)
+void Entry::on_http(std::shared_ptr<Transport::IngressRequest> const& exchange)
 {
-    auto const& path = exchange->path();
+    auto const path = exchange->parsed_target().path;
     if (path == "/healthz")
         exchange->reply(m_is_draining ? status_unavailable : status_ok, {}, {});
     else if (path == "/metrics")
@@ -330,7 +348,7 @@
         m_callers->handle(exchange);
 }
 
-void Entry::reply_metrics(Transport::HttpExchange& exchange)
+void Entry::reply_metrics(Transport::IngressRequest& exchange)
 {
     m_metrics.set("mountbarrow_entry_in_flight", static_cast<double>(m_callers->in_flight()));
     m_metrics.set("mountbarrow_entry_queued", static_cast<double>(m_callers->queued()));
@@ -342,7 +360,7 @@
     exchange.reply(status_ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.to_prometheus());
 }
 
-void Entry::reply_status(Transport::HttpExchange& exchange)
+void Entry::reply_status(Transport::IngressRequest& exchange)
 {
     nlohmann::json value;
     value["identity"] = m_settings.identity;
@@ -367,17 +385,6 @@
     m_drain_timer = m_loop.every(drain_check, [this] { finish_when_idle(); });
 }
 
-/// Whether nobody can connect any more, and whoever did last has had the time to ask.
-bool Entry::have_last_callers_asked()
-{
-    if (!m_http->stop_listening())
-        return false;
-    auto const now = Core::monotonic_now();
-    if (!m_listening_ended)
-        m_listening_ended = now;
-    return now - *m_listening_ended >= last_request_patience;
-}
-
 void Entry::finish_when_idle()
 {
     auto const waited = Core::monotonic_now() - m_draining_since;
@@ -385,13 +392,15 @@
         return;
     m_callers->stop_accepting();
     m_operators->stop();
+    // Callers who still connect are told that this entry stops, before they find nobody.
+    if (waited >= 2 * health_grace)
+        m_http->stop_accepting();
     bool const is_idle = m_callers->in_flight() == 0 && m_operators->pending_changes() == 0;
     bool const is_out_of_time = waited >= Settings::duration_or(m_settings.drain_ms, default_drain);
-    // A little longer for the last bytes to leave.
-    bool const is_flushed = waited >= 2 * health_grace;
-    if (!is_out_of_time && !(is_idle && is_flushed && have_last_callers_asked()))
+    if (!is_out_of_time && !(is_idle && m_http->has_finished()))
         return;
-    Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped", { { "unfinished", std::to_string(m_callers->in_flight()) } });
+    Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped",
+        { { "unfinished", std::to_string(m_callers->in_flight()) }, { "connections", std::to_string(m_http->connection_count()) } });
     m_loop.stop();
 }
 
--- a/Services/Entry/Entry.h
+++ b/Services/Entry/Entry.h
@@ -9,6 +9,7 @@
 #include <LibMembership/InstanceList.h>
 #include <LibMembership/KeyHome.h>
 #include <LibPlatform/Platform.h>
+#include <LibTransport/IngressServer.h>
 #include <LibTransport/LinkHub.h>
 
 namespace Entry {
@@ -31,9 +32,9 @@
     void on_message(Schema::Hello const&, Schema::Message const&);
     void on_down(std::string const& agent);
     void on_ping(Schema::Hello const&, Schema::Ping const&);
-    void on_http(std::shared_ptr<Transport::HttpExchange> const&);
-    void reply_metrics(Transport::HttpExchange&);
-    void reply_status(Transport::HttpExchange&);
+    void on_http(std::shared_ptr<Transport::IngressRequest> const&);
+    void reply_metrics(Transport::IngressRequest&);
+    void reply_status(Transport::IngressRequest&);
 
     void read_list();
     void read_log();
@@ -44,7 +45,6 @@
     void write_snapshot_if_due();
     void drop_silent_links();
     void update_links();
-    bool have_last_callers_asked();
     void finish_when_idle();
     bool is_list_confirmed() const;
     Core::Duration lease() const;
@@ -59,7 +59,7 @@
     Distribution::RolloutTally m_tally;
     std::unique_ptr<Platform::Platform> m_platform;
     std::unique_ptr<Transport::LinkHub> m_hub;
-    std::unique_ptr<Transport::HttpServer> m_http;
+    std::unique_ptr<Transport::IngressServer> m_http;
     std::unique_ptr<CallerApi> m_callers;
     std::unique_ptr<OperatorApi> m_operators;
 
@@ -72,7 +72,6 @@
     Core::Time m_last_check { 0 };
     bool m_is_draining { false };
     Core::Time m_draining_since { 0 };
-    std::optional<Core::Time> m_listening_ended;
     std::unique_ptr<Core::Timer> m_list_timer;
     std::unique_ptr<Core::Timer> m_log_timer;
     std::unique_ptr<Core::Timer> m_tally_timer;
--- a/Services/Entry/OperatorApi.cpp
+++ b/Services/Entry/OperatorApi.cpp
@@ -43,7 +43,7 @@
     return value;
 }
 
-static void reply_json(Transport::HttpExchange& exchange, nlohmann::json const& value)
+static void reply_json(Transport::IngressRequest& exchange, nlohmann::json const& value)
 {
     exchange.reply(status_ok, { { "Content-Type", "application/json" } }, value.dump());
 }
@@ -61,7 +61,7 @@
 
 OperatorApi::~OperatorApi() = default;
 
-bool OperatorApi::is_allowed(Transport::HttpExchange& exchange)
+bool OperatorApi::is_allowed(Transport::IngressRequest& exchange)
 {
     static constexpr std::string_view scheme = "Bearer ";
     auto const field = exchange.header("Authorization").value_or("");
@@ -85,18 +85,19 @@
     return true;
 }
 
-void OperatorApi::handle(std::shared_ptr<Transport::HttpExchange> const& exchange)
+void OperatorApi::handle(std::shared_ptr<Transport::IngressRequest> const& exchange)
 {
     if (!is_allowed(*exchange))
         return;
-    auto const least = number(exchange->query("min_revision"));
+    auto const target = exchange->parsed_target();
+    auto const least = number(target.query_value("min_revision"));
     if (least && m_replica.fold().offset() < *least) {
         auto problem = rejection(503, "not_yet", "This entry has not read that revision yet.");
         problem.retry_after_ms = tick_interval.count();
         reply_problem(*exchange, problem);
         return;
     }
-    auto const rest = exchange->path().substr(api_path.size());
+    auto const rest = target.path.substr(api_path.size());
     auto const slash = rest.find('/');
     auto const first = rest.substr(0, slash);
     auto const name = slash == std::string::npos ? std::string() : rest.substr(slash + 1);
@@ -138,7 +139,7 @@
     return value;
 }
 
-void OperatorApi::list(Transport::HttpExchange& exchange, Schema::ChangeKind kind)
+void OperatorApi::list(Transport::IngressRequest& exchange, Schema::ChangeKind kind)
 {
     nlohmann::json value;
     value["offset"] = m_replica.fold().offset();
@@ -150,7 +151,7 @@
     reply_json(exchange, value);
 }
 
-void OperatorApi::read(Transport::HttpExchange& exchange, Schema::ChangeKind kind, std::string const& name)
+void OperatorApi::read(Transport::IngressRequest& exchange, Schema::ChangeKind kind, std::string const& name)
 {
     auto const* resource = m_replica.fold().find(kind, name);
     if (resource)
@@ -159,15 +160,16 @@
         reply_problem(exchange, rejection(404, "no_such_resource", "There is no such resource.", name));
 }
 
-void OperatorApi::change(std::shared_ptr<Transport::HttpExchange> const& exchange, Schema::ChangeKind kind, std::string const& name)
+void OperatorApi::change(std::shared_ptr<Transport::IngressRequest> const& exchange, Schema::ChangeKind kind, std::string const& name)
 {
-    auto const expected = number(exchange->query("expected_revision"));
+    auto const target = exchange->parsed_target();
+    auto const expected = number(target.query_value("expected_revision"));
     if (!expected) {
         reply_problem(*exchange, rejection(428, "expected_revision_missing", "Say which revision this replaces; -1 for a resource that does not exist."));
         return;
     }
     auto pending = std::make_shared<Pending>();
-    pending->change.change_id = exchange->query("change_id").value_or(Core::random_hex(change_id_bytes));
+    pending->change.change_id = target.query_value("change_id").value_or(Core::random_hex(change_id_bytes));
     pending->change.kind = kind;
     pending->change.name = name;
     pending->change.expected_revision = *expected;
@@ -243,7 +245,7 @@
     reply_json(*pending.exchange, { { "change_id", pending.change.change_id }, { "revision", outcome.revision }, { "offset", outcome.offset } });
 }
 
-void OperatorApi::read_change(Transport::HttpExchange& exchange, std::string const& change_id)
+void OperatorApi::read_change(Transport::IngressRequest& exchange, std::string const& change_id)
 {
     auto const outcome = m_replica.fold().outcome(change_id);
     if (outcome)
@@ -252,14 +254,15 @@
         reply_problem(exchange, rejection(404, "undecided", "This change has not been read from the log here."));
 }
 
-void OperatorApi::watch(std::shared_ptr<Transport::HttpExchange> const& exchange)
+void OperatorApi::watch(std::shared_ptr<Transport::IngressRequest> const& exchange)
 {
     auto watch = std::make_shared<Watch>();
-    watch->kind = exchange->query("kind").value_or("");
-    watch->name = exchange->query("name").value_or("");
-    watch->told_to = number(exchange->query("from")).value_or(-1);
+    auto const target = exchange->parsed_target();
+    watch->kind = target.query_value("kind").value_or("");
+    watch->name = target.query_value("name").value_or("");
+    watch->told_to = number(target.query_value("from")).value_or(-1);
     watch->exchange = exchange;
-    watch->exchange->start(status_ok, { { "Content-Type", "application/jsonl" } });
+    watch->exchange->start(status_ok, { { "Content-Type", "application/jsonl" } }, {});
     std::weak_ptr<Watch> weak = watch;
     watch->exchange->on_gone([this, weak] {
         m_watches.remove(weak.lock());
--- a/Services/Entry/OperatorApi.h
+++ b/Services/Entry/OperatorApi.h
@@ -7,7 +7,7 @@
 #include <LibDistribution/RolloutTally.h>
 #include <LibPlatform/Platform.h>
 #include <LibSettings/Settings.h>
-#include <LibTransport/HttpServer.h>
+#include <LibTransport/IngressServer.h>
 #include <list>
 #include <memory>
 #include <set>
@@ -20,7 +20,7 @@
     OperatorApi(Core::EventLoop&, Core::Metrics&, Configuration::Replica const&, Distribution::RolloutTally const&, Platform::Platform&, std::map<std::string, Settings::OperatorRole> tokens);
     ~OperatorApi();
 
-    void handle(std::shared_ptr<Transport::HttpExchange> const&);
+    void handle(std::shared_ptr<Transport::IngressRequest> const&);
 
     /// The fold moved on: changes that wait to be read back may be answered, and watchers told.
     void on_configuration();
@@ -32,7 +32,7 @@
 
 private:
     struct Pending {
-        std::shared_ptr<Transport::HttpExchange> exchange;
+        std::shared_ptr<Transport::IngressRequest> exchange;
         Schema::Change change;
         std::string body;
         Core::Time started { 0 };
@@ -41,7 +41,7 @@
     };
 
     struct Watch {
-        std::shared_ptr<Transport::HttpExchange> exchange;
+        std::shared_ptr<Transport::IngressRequest> exchange;
         std::string kind;
         std::string name;
         int64_t told_to { -1 };
@@ -49,12 +49,12 @@
         std::map<std::string, std::string> told_status;
     };
 
-    bool is_allowed(Transport::HttpExchange&);
-    void list(Transport::HttpExchange&, Schema::ChangeKind);
-    void read(Transport::HttpExchange&, Schema::ChangeKind, std::string const& name);
-    void change(std::shared_ptr<Transport::HttpExchange> const&, Schema::ChangeKind, std::string const& name);
-    void read_change(Transport::HttpExchange&, std::string const& change_id);
-    void watch(std::shared_ptr<Transport::HttpExchange> const&);
+    bool is_allowed(Transport::IngressRequest&);
+    void list(Transport::IngressRequest&, Schema::ChangeKind);
+    void read(Transport::IngressRequest&, Schema::ChangeKind, std::string const& name);
+    void change(std::shared_ptr<Transport::IngressRequest> const&, Schema::ChangeKind, std::string const& name);
+    void read_change(Transport::IngressRequest&, std::string const& change_id);
+    void watch(std::shared_ptr<Transport::IngressRequest> const&);
     void tell(Watch&);
     void tell_status(Watch&);
     nlohmann::json view(Configuration::Resource const&) const;
--- a/Services/Entry/Problems.cpp
+++ b/Services/Entry/Problems.cpp
@@ -7,7 +7,7 @@
 
 static constexpr char const* type_prefix = "urn:mountbarrow:problem:";
 
-void reply_problem(Transport::HttpExchange& exchange, Schema::Problem const& problem)
+void reply_problem(Transport::IngressRequest& exchange, Schema::Problem const& problem)
 {
     Transport::HttpHeaders headers { { "Content-Type", "application/problem+json" } };
     if (problem.retry_after_ms) {
--- a/Services/Entry/Problems.h
+++ b/Services/Entry/Problems.h
@@ -3,13 +3,13 @@
 
 #include <LibCore/Time.h>
 #include <LibSchema/Generated.h>
-#include <LibTransport/HttpServer.h>
+#include <LibTransport/IngressServer.h>
 #include <string>
 
 namespace Entry {
 
 /// Answers with problem details (RFC 9457) that always say what is known of the request.
-void reply_problem(Transport::HttpExchange&, Schema::Problem const&);
+void reply_problem(Transport::IngressRequest&, Schema::Problem const&);
 
 /// The problem that tells a caller why its request got no answer.
 Schema::Problem problem_for(Schema::Outcome, Schema::Reason, Core::Duration retry_after);
--- a/Tests/LibTransport/TestIngressServer.cpp
+++ b/Tests/LibTransport/TestIngressServer.cpp
@@ -218,3 +218,65 @@
     EXPECT_FALSE(client.was_reset());
     EXPECT_EQ(m_server->connection_count(), 0U);
 }
+
+TEST_F(IngressServerTest, AFirstRequestThatComesASecondAfterTheServerStoppedIsAnswered)
+{
+    m_on_request = [](IngressRequest& request) { request.reply(200, {}, "done"); };
+    RawClient client(m_server->port());
+    run_until([&] { return m_server->connection_count() == 1; });
+    m_server->stop_accepting();
+    bool is_later = false;
+    auto const timer = m_loop.after(Core::Duration(1000), [&] { is_later = true; });
+    run_until([&] { return is_later; });
+    client.send_text("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return client.read_more(); });
+    EXPECT_FALSE(client.was_reset());
+    EXPECT_TRUE(client.text().ends_with("done"));
+    run_until([&] { return m_server->has_finished(); });
+}
+
+// To the caller it is as if its packet were lost, so it has sent nothing that could be cut off.
+TEST_F(IngressServerTest, AConnectionThatComesAsTheListenerClosesIsRefusedAndNeverReset)
+{
+    auto const target = socket_address("127.0.0.1", m_server->port());
+    m_server->stop_accepting();
+    int const caller = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    EXPECT_EQ(connect(caller, reinterpret_cast<sockaddr const*>(&target), sizeof(target)), -1);
+    EXPECT_EQ(errno, EINPROGRESS);
+    EXPECT_FALSE(m_server->has_finished());
+    pollfd state { .fd = caller, .events = POLLOUT, .revents = 0 };
+    EXPECT_EQ(poll(&state, 1, 0), 0);
+    run_until([&] { return poll(&state, 1, 0) > 0; });
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(caller, SOL_SOCKET, SO_ERROR, &error, &size);
+    EXPECT_EQ(error, ECONNREFUSED);
+    EXPECT_TRUE(m_server->has_finished());
+    close(caller);
+}
+
+TEST_F(IngressServerTest, TheAnswerToAHeadRequestTellsItsLengthAndHasNoBody)
+{
+    m_on_request = [](IngressRequest& request) { request.reply(503, {}, "refused"); };
+    RawClient client(m_server->port());
+    client.send_text("HEAD /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    run_until([&] { return client.read_more(); });
+    EXPECT_NE(client.text().find("Content-Length: 7\r\n"), std::string::npos);
+    EXPECT_TRUE(client.text().ends_with("\r\n\r\n"));
+}
+
+TEST_F(IngressServerTest, AStreamedAnswerToACallerThatKnowsNoChunksEndsWithItsConnection)
+{
+    m_on_request = [](IngressRequest& request) {
+        request.start(200, {}, {});
+        request.part("one ");
+        request.part("two");
+        request.end();
+    };
+    RawClient client(m_server->port());
+    client.send_text("GET /1 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+    run_until([&] { return client.read_more(); });
+    EXPECT_EQ(client.text().find("chunked"), std::string::npos);
+    EXPECT_NE(client.text().find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(client.text().ends_with("\r\n\r\none two"));
+}
--- /dev/null
+++ b/Tests/Processes/test_planned_stops.py
@@ -0,0 +1,68 @@
+# SPDX-License-Identifier: BSD-2-Clause
+"""Planned stops and starts of the product's own interface, at the moments where what is under way is easily lost."""
+
+import json
+import signal
+import socket
+import time
+
+from cluster import HTTP_PORT
+from test_whole_path import LEDGER, start
+
+CALL = f"POST /{LEDGER}/redeem HTTP/1.1\r\nHost: x\r\nX-Call-Id: one\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+PROBE_SECONDS = 0.2
+
+
+def last_connection_before_the_listener_closes(entry):
+    """A connection that an entry took as one of its last ones; nothing was sent on it yet."""
+    last = None
+    while True:
+        try:
+            connection = socket.create_connection((entry.address, HTTP_PORT), timeout=PROBE_SECONDS)
+        except OSError:
+            last.settimeout(60)
+            return last
+        if last:
+            last.close()
+        last = connection
+        time.sleep(0.01)
+
+
+def read_answer(connection):
+    """The status and the problem type of an answer that ends with its connection."""
+    try:
+        answer = b"".join(iter(lambda: connection.recv(65536), b""))
+    except ConnectionResetError:
+        return "reset", ""
+    if not answer:
+        return "closed", ""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(body).get("type", "").split(":")[-1]
+
+
+def test_a_stopping_entry_that_stands_still_answers_what_came_meanwhile(build, folders):
+    # Guards against calls that are broken off since an entry's last wait ran out while the entry itself did not run.
+    with start(build, folders, engines=0, ledgers=1) as cluster:
+        entry = cluster.entries()[0]
+        entry.process.send_signal(signal.SIGTERM)
+        connection = last_connection_before_the_listener_closes(entry)
+        entry.process.send_signal(signal.SIGSTOP)
+        connection.sendall(CALL)
+        time.sleep(1)
+        entry.process.send_signal(signal.SIGCONT)
+        outcome = read_answer(connection)
+        assert outcome == (503, "stopping"), outcome
+        assert entry.process.wait(timeout=60) == 0
+
+
+def test_a_stopping_entry_waits_for_a_caller_that_is_short_of_processor_time(build, folders):
+    # Guards against calls that are broken off since their caller got no processor between its connect and its request.
+    with start(build, folders, engines=0, ledgers=1) as cluster:
+        entry = cluster.entries()[0]
+        entry.process.send_signal(signal.SIGTERM)
+        connection = last_connection_before_the_listener_closes(entry)
+        time.sleep(0.6)
+        connection.sendall(CALL)
+        outcome = read_answer(connection)
+        assert outcome == (503, "stopping"), outcome
+        assert entry.process.wait(timeout=60) == 0
