Agent, LibMembership: An agent ends once every entry knows that it leaves

What callers saw: a call that may not be repeated was answered as unknown (502, link_lost) though its backend server never got it, where an entry was slow as an agent was stopped as planned. Cause: an agent said that it leaves, and ended 300 ms later if it had no work. An entry that got no processor meanwhile still handed calls to it; they ended with the link, and nobody could tell that they had not run. What the agent had still to send ended with it too. Ruled out: a call that the backend server had begun (it was never dispatched to it). Change: LeaveNotice. A link keeps its order, so an entry's answer to a ping that followed the news comes behind all that it handed over before it knew. The agent waits for that from each linked entry, and for its own messages to leave, a lease (3 s) at the most. Why it works: what is handed over before the entry knows is refused as not run by an agent that is still there. Looked for elsewhere: the entries of the users' platform call backend servers themselves; agents there carry no requests. Left: an entry that stands still for longer than a lease.

--- a/Libraries/LibTransport/LinkHub.cpp
+++ b/Libraries/LibTransport/LinkHub.cpp
@@ -254,6 +254,11 @@
     return nullptr;
 }
 
+bool LinkHub::has_unsent() const
+{
+    return std::any_of(m_links.begin(), m_links.end(), [](auto const& entry) { return entry.second->pending_bytes() > 0; });
+}
+
 std::vector<std::string> LinkHub::peers(Schema::Role role) const
 {
     std::set<std::string> identities;
--- a/Libraries/LibTransport/LinkHub.h
+++ b/Libraries/LibTransport/LinkHub.h
@@ -52,6 +52,8 @@
     bool is_up(std::string const& identity) const;
     Schema::Hello const* peer(std::string const& identity) const;
     std::vector<std::string> peers(Schema::Role) const;
+    /// Whether a link has bytes that the system has not taken yet.
+    bool has_unsent() const;
     LinkTraffic const& traffic() const { return *m_options.traffic; }
 
 private:
--- a/Services/Agent/Agent.cpp
+++ b/Services/Agent/Agent.cpp
@@ -103,7 +103,7 @@
         loop, requests, m_key_home, m_metrics, send, [this] { return admission_view(); }, [this] { report_soon(); });
     m_weights = std::make_unique<WeightsRunner>(loop, weights_settings(settings), m_metrics, weights_callbacks());
 
-    m_ping_timer = loop.every(Settings::duration_or(settings.lease_ms, default_lease) / pings_per_lease, [this] { ping(); });
+    m_ping_timer = loop.every(lease() / pings_per_lease, [this] { ping(); });
     m_platform_timer = loop.every(Settings::duration_or(settings.list_poll_ms, default_platform_poll), [this] { read_platform_if_alone(); });
 }
 
@@ -163,6 +163,7 @@
 void Agent::on_down(std::string const& peer)
 {
     Core::log_event(Core::LogLevel::Debug, "link_down", { { "peer", peer } });
+    m_leave_notice.on_gone(peer);
     m_requests->on_entry_down(peer);
     m_weights->on_peer_down(peer);
 }
@@ -194,6 +195,7 @@
 
 void Agent::on_pong(std::string const& entry, Schema::Pong const& pong)
 {
+    m_leave_notice.on_pong(entry, Core::Time(pong.sent_at_ms));
     if (pong.demand)
         m_demands[entry] = { Core::monotonic_now(), *pong.demand };
     std::optional<Core::WallTime> set_since;
@@ -345,16 +347,34 @@
     m_is_draining = true;
     m_draining_since = Core::monotonic_now();
     send_report();
+    m_leave_notice.begin(m_hub->peers(Schema::Role::Entry), m_draining_since);
     m_drain_timer = m_loop.every(drain_check, [this] { finish_when_idle(); });
 }
 
+Core::Duration Agent::lease() const
+{
+    return Settings::duration_or(m_settings.lease_ms, default_lease);
+}
+
+/// Whether no entry can still hand work over, and each has been sent all that it is told. An entry that says nothing for a whole
+/// lease stands still or is gone.
+bool Agent::has_taken_leave(Core::Duration waited) const
+{
+    if (waited >= lease())
+        return true;
+    return waited >= least_drain && m_leave_notice.is_known_to_all() && !m_hub->has_unsent();
+}
+
 void Agent::finish_when_idle()
 {
     auto const waited = Core::monotonic_now() - m_draining_since;
     bool const is_out_of_time = waited >= Settings::duration_or(m_settings.drain_ms, default_drain);
-    if (!is_out_of_time && (waited < least_drain || !m_requests->is_idle()))
+    if (!m_leave_notice.is_known_to_all())
+        ping();
+    if (!is_out_of_time && !(m_requests->is_idle() && has_taken_leave(waited)))
         return;
-    Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped", { { "unfinished", std::to_string(m_requests->in_flight()) } });
+    Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped",
+        { { "unfinished", std::to_string(m_requests->in_flight()) }, { "unaware_entries", std::to_string(m_leave_notice.unaware_peers()) } });
     m_loop.stop();
 }
 
--- a/Services/Agent/Agent.h
+++ b/Services/Agent/Agent.h
@@ -8,6 +8,7 @@
 #include <LibCore/Metrics.h>
 #include <LibMembership/InstanceList.h>
 #include <LibMembership/KeyHome.h>
+#include <LibMembership/LeaveNotice.h>
 #include <LibPlatform/Platform.h>
 #include <LibSchema/Generated.h>
 #include <LibTransport/HttpServer.h>
@@ -45,6 +46,8 @@
     void pass_demand_on();
     void read_platform_if_alone();
     void finish_when_idle();
+    bool has_taken_leave(Core::Duration waited) const;
+    Core::Duration lease() const;
     bool is_linked_to_entry() const;
 
     Core::EventLoop& m_loop;
@@ -68,6 +71,7 @@
 
     bool m_is_draining { false };
     Core::Time m_draining_since { 0 };
+    Membership::LeaveNotice m_leave_notice;
     Core::Time m_last_entry_seen { 0 };
     bool m_is_reading_platform { false };
     std::unique_ptr<Core::Timer> m_report_timer;
--- a/Tests/Processes/test_planned_stops.py
+++ b/Tests/Processes/test_planned_stops.py
@@ -66,3 +66,22 @@
         outcome = read_answer(connection)
         assert outcome == (503, "stopping"), outcome
         assert entry.process.wait(timeout=60) == 0
+
+
+def test_a_call_that_crosses_an_agents_planned_stop_is_not_lost(build, folders):
+    # Guards against calls of unknown outcome since an agent ended before an entry knew that it leaves.
+    with start(build, folders, engines=0, ledgers=1) as cluster:
+        entry = cluster.entries()[0]
+        agent = cluster.instances["ledger-0"]
+        with socket.create_connection((entry.address, HTTP_PORT), timeout=60) as connection:
+            connection.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert connection.recv(65536).startswith(b"HTTP/1.1 200 ")
+            entry.process.send_signal(signal.SIGSTOP)
+            # The entry finds this ahead of the agent's word that it leaves.
+            connection.sendall(CALL.replace(b"Host: x", b"Host: x\r\nConnection: close"))
+            agent.process.send_signal(signal.SIGTERM)
+            time.sleep(1)
+            entry.process.send_signal(signal.SIGCONT)
+            outcome = read_answer(connection)
+            assert outcome == (503, "no_instance"), outcome
+        assert agent.process.wait(timeout=60) == 0
