Entry: An entry that has not read the log lately does not deny what it does not know

Cause: an entry listens before it has read the log, and took a service that its configuration does not name for one that does not exist. Change: only an entry that has read to the end of the log within a lease says no_such_service, no_such_customer or no_such_resource; another one refuses as not run, with when to come back, and fails its health check until it knows any configuration.

--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -22,13 +22,14 @@
     return "reason=\"" + Schema::enumerator_name(reason) + "\"";
 }
 
-CallerApi::CallerApi(Core::EventLoop& loop, CallerApiSettings settings, Core::Metrics& metrics, Transport::LinkHub& hub, Membership::InstanceList const& list, Configuration::Fold const& fold)
+CallerApi::CallerApi(Core::EventLoop& loop, CallerApiSettings settings, Core::Metrics& metrics, Transport::LinkHub& hub, Membership::InstanceList const& list, Configuration::Fold const& fold, IsConfirmed is_configuration_confirmed)
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_metrics(metrics)
     , m_hub(hub)
     , m_list(list)
     , m_fold(fold)
+    , m_is_configuration_confirmed(std::move(is_configuration_confirmed))
     , m_table(m_settings.table, m_settings.seed)
     , m_budget(m_settings.retry_ratio)
     , m_random(m_settings.seed)
@@ -50,6 +51,16 @@
     reply_problem(exchange, problem_for(Schema::Outcome::NotRun, reason, retry_after));
 }
 
+/// Refuses what the configuration does not name. An entry that has just started, or cannot read the log, may not know of it yet: then
+/// the caller is told to come back.
+void CallerApi::refuse_unconfigured(Transport::IngressRequest& exchange, Schema::Reason reason)
+{
+    if (m_is_configuration_confirmed())
+        refuse(exchange, reason, Core::Duration(0));
+    else
+        refuse(exchange, Schema::Reason::NoInstance, spread(no_instance_retry_after));
+}
+
 void CallerApi::handle(std::shared_ptr<Transport::IngressRequest> const& exchange)
 {
     m_metrics.count("mountbarrow_entry_requests_total");
@@ -60,7 +71,7 @@
     auto const service = service_of(exchange->parsed_target().path);
     auto const spec = m_fold.services().find(service);
     if (spec == m_fold.services().end()) {
-        refuse(*exchange, Schema::Reason::NoSuchService, Core::Duration(0));
+        refuse_unconfigured(*exchange, Schema::Reason::NoSuchService);
         return;
     }
     auto request = read_request(*exchange, service, spec->second, m_settings.limits);
@@ -71,7 +82,10 @@
     auto const now = Core::monotonic_now();
     m_demand.on_offered(request->dispatch.customer);
     if (auto refusal = m_limits.start(request->dispatch.customer, now)) {
-        refuse(*exchange, refusal->reason, spread(refusal->retry_after));
+        if (refusal->reason == Schema::Reason::NoSuchCustomer && !m_is_configuration_confirmed())
+            refuse_unconfigured(*exchange, refusal->reason);
+        else
+            refuse(*exchange, refusal->reason, spread(refusal->retry_after));
         return;
     }
     auto const id = m_next_request++;
--- a/Services/Entry/CallerApi.h
+++ b/Services/Entry/CallerApi.h
@@ -31,7 +31,10 @@
 /// Carries callers' requests to agents and the answers back. What to do is decided by RequestFlow and the tables.
 class CallerApi {
 public:
-    CallerApi(Core::EventLoop&, CallerApiSettings, Core::Metrics&, Transport::LinkHub&, Membership::InstanceList const&, Configuration::Fold const&);
+    /// Whether the configuration is all that is on the log, as read a moment ago.
+    using IsConfirmed = std::function<bool()>;
+
+    CallerApi(Core::EventLoop&, CallerApiSettings, Core::Metrics&, Transport::LinkHub&, Membership::InstanceList const&, Configuration::Fold const&, IsConfirmed);
     ~CallerApi();
 
     void handle(std::shared_ptr<Transport::IngressRequest> const&);
@@ -63,6 +66,7 @@
     };
 
     void refuse(Transport::IngressRequest&, Schema::Reason, Core::Duration retry_after);
+    void refuse_unconfigured(Transport::IngressRequest&, Schema::Reason);
     void perform(Context&, Routing::FlowActions);
     void perform_one(Context&, Routing::FlowAction const&, Routing::FlowActions& more);
     void deliver(Context&, Schema::Part const&, Routing::FlowActions& more);
@@ -87,6 +91,7 @@
     Transport::LinkHub& m_hub;
     Membership::InstanceList const& m_list;
     Configuration::Fold const& m_fold;
+    IsConfirmed m_is_configuration_confirmed;
     Routing::InstanceTable m_table;
     Routing::CustomerLimits m_limits;
     Routing::DemandShares m_demand;
--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -74,8 +74,8 @@
     options.offset = [this] { return m_replica.fold().offset(); };
     options.list_version = [this] { return m_list.version(); };
     m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
-    m_callers = std::make_unique<CallerApi>(loop, caller_settings(settings, incarnation), m_metrics, *m_hub, m_list, m_replica.fold());
-    m_operators = std::make_unique<OperatorApi>(loop, m_metrics, m_replica, m_tally, *m_platform, std::move(tokens));
+    m_callers = std::make_unique<CallerApi>(loop, caller_settings(settings, incarnation), m_metrics, *m_hub, m_list, m_replica.fold(), [this] { return is_configuration_confirmed(); });
+    m_operators = std::make_unique<OperatorApi>(loop, m_metrics, m_replica, m_tally, *m_platform, std::move(tokens), [this] { return is_configuration_confirmed(); });
     m_list_timer = loop.every(Settings::duration_or(settings.list_poll_ms, default_list_poll), [this] { read_list(); });
     m_log_timer = loop.every(Settings::duration_or(settings.log_poll_ms, default_log_poll), [this] { read_log(); });
     m_tally_timer = loop.every(tally_interval, [this] { send_tallies(); });
@@ -180,6 +180,18 @@
     return m_list_read_at && Core::monotonic_now() < *m_list_read_at + lease();
 }
 
+bool Entry::is_configuration_confirmed() const
+{
+    return m_log_read_at && Core::monotonic_now() < *m_log_read_at + lease();
+}
+
+/// Whether callers may be sent here: an entry that knows no configuration can only refuse them.
+bool Entry::is_ready() const
+{
+    bool const knows_configuration = m_log_read_at || m_replica.fold().offset() >= 0;
+    return knows_configuration && !m_is_draining;
+}
+
 void Entry::on_ping(Schema::Hello const& from, Schema::Ping const& ping)
 {
     Schema::Message message;
@@ -244,7 +256,7 @@
     if (m_is_reading_log)
         return;
     m_is_reading_log = true;
-    m_platform->read_log(m_replica.next_offset(), [this](Core::ErrorOr<Configuration::LogBatch> batch) {
+    m_platform->read_log(m_replica.next_offset(), [this, asked_at = Core::monotonic_now()](Core::ErrorOr<Configuration::LogBatch> batch) {
         m_is_reading_log = false;
         if (!batch.has_value()) {
             m_metrics.count("mountbarrow_entry_platform_failures_total", "call=\"log\"");
@@ -255,8 +267,11 @@
             m_snapshots.on_record();
         if (m_replica.on_log(*batch))
             on_configuration(previous);
+        bool const is_at_end = m_replica.next_offset() >= batch->end;
+        if (is_at_end)
+            m_log_read_at = asked_at;
         // There may be more than one page.
-        if (!batch->records.empty() && m_replica.next_offset() < batch->end)
+        if (!batch->records.empty() && !is_at_end)
             m_loop.soon([this] { read_log(); });
     });
 }
@@ -318,6 +333,7 @@
         // What was heard lies unread in the sockets: silence proves nothing yet.
         Core::log_event(Core::LogLevel::Warn, "was_paused");
         m_list_read_at.reset();
+        m_log_read_at.reset();
         for (auto& [agent, heard] : m_last_heard)
             heard = now;
         return;
@@ -337,7 +353,7 @@
 {
     auto const path = exchange->parsed_target().path;
     if (path == "/healthz")
-        exchange->reply(m_is_draining ? status_unavailable : status_ok, {}, {});
+        exchange->reply(is_ready() ? status_ok : status_unavailable, {}, {});
     else if (path == "/metrics")
         reply_metrics(*exchange);
     else if (path == "/api/v1/status")
--- a/Services/Entry/Entry.h
+++ b/Services/Entry/Entry.h
@@ -47,6 +47,8 @@
     void update_links();
     void finish_when_idle();
     bool is_list_confirmed() const;
+    bool is_configuration_confirmed() const;
+    bool is_ready() const;
     Core::Duration lease() const;
 
     Core::EventLoop& m_loop;
@@ -66,6 +68,8 @@
     std::map<std::string, Core::Time> m_last_heard;
     std::map<std::string, std::vector<std::string>> m_told_ready;
     std::optional<Core::Time> m_list_read_at;
+    // When a read of the log was asked for that found nothing more.
+    std::optional<Core::Time> m_log_read_at;
     int64_t m_known_snapshot { -1 };
     bool m_is_reading_list { false };
     bool m_is_reading_log { false };
--- a/Services/Entry/OperatorApi.cpp
+++ b/Services/Entry/OperatorApi.cpp
@@ -48,13 +48,21 @@
     exchange.reply(status_ok, { { "Content-Type", "application/json" } }, value.dump());
 }
 
-OperatorApi::OperatorApi(Core::EventLoop& loop, Core::Metrics& metrics, Configuration::Replica const& replica, Distribution::RolloutTally const& tally, Platform::Platform& platform, std::map<std::string, Settings::OperatorRole> tokens)
+static void reply_not_yet(Transport::IngressRequest& exchange, std::string const& title)
+{
+    auto problem = rejection(503, "not_yet", title);
+    problem.retry_after_ms = tick_interval.count();
+    reply_problem(exchange, problem);
+}
+
+OperatorApi::OperatorApi(Core::EventLoop& loop, Core::Metrics& metrics, Configuration::Replica const& replica, Distribution::RolloutTally const& tally, Platform::Platform& platform, std::map<std::string, Settings::OperatorRole> tokens, IsConfirmed is_configuration_confirmed)
     : m_loop(loop)
     , m_metrics(metrics)
     , m_replica(replica)
     , m_tally(tally)
     , m_platform(platform)
     , m_tokens(std::move(tokens))
+    , m_is_configuration_confirmed(std::move(is_configuration_confirmed))
     , m_timer(loop.every(tick_interval, [this] { tick(); }))
 {
 }
@@ -92,9 +100,7 @@
     auto const target = exchange->parsed_target();
     auto const least = number(target.query_value("min_revision"));
     if (least && m_replica.fold().offset() < *least) {
-        auto problem = rejection(503, "not_yet", "This entry has not read that revision yet.");
-        problem.retry_after_ms = tick_interval.count();
-        reply_problem(*exchange, problem);
+        reply_not_yet(*exchange, "This entry has not read that revision yet.");
         return;
     }
     auto const rest = target.path.substr(api_path.size());
@@ -156,6 +162,8 @@
     auto const* resource = m_replica.fold().find(kind, name);
     if (resource)
         reply_json(exchange, view(*resource));
+    else if (!m_is_configuration_confirmed())
+        reply_not_yet(exchange, "This entry has not read the whole log lately, and knows no such resource.");
     else
         reply_problem(exchange, rejection(404, "no_such_resource", "There is no such resource.", name));
 }
--- a/Services/Entry/OperatorApi.h
+++ b/Services/Entry/OperatorApi.h
@@ -17,7 +17,10 @@
 /// The operators' resource API below `/api/v1/`.
 class OperatorApi {
 public:
-    OperatorApi(Core::EventLoop&, Core::Metrics&, Configuration::Replica const&, Distribution::RolloutTally const&, Platform::Platform&, std::map<std::string, Settings::OperatorRole> tokens);
+    /// Whether the configuration is all that is on the log, as read a moment ago.
+    using IsConfirmed = std::function<bool()>;
+
+    OperatorApi(Core::EventLoop&, Core::Metrics&, Configuration::Replica const&, Distribution::RolloutTally const&, Platform::Platform&, std::map<std::string, Settings::OperatorRole> tokens, IsConfirmed);
     ~OperatorApi();
 
     void handle(std::shared_ptr<Transport::IngressRequest> const&);
@@ -69,6 +72,7 @@
     Distribution::RolloutTally const& m_tally;
     Platform::Platform& m_platform;
     std::map<std::string, Settings::OperatorRole> m_tokens;
+    IsConfirmed m_is_configuration_confirmed;
     std::list<std::shared_ptr<Pending>> m_pending;
     std::list<std::shared_ptr<Watch>> m_watches;
     uint64_t m_told_generation { 0 };
--- a/Tests/Processes/test_planned_stops.py
+++ b/Tests/Processes/test_planned_stops.py
@@ -6,7 +6,8 @@
 import socket
 import time
 
-from cluster import HTTP_PORT
+from cluster import HTTP_PORT, http, wait_until
+from test_interfaces import problem
 from test_whole_path import LEDGER, start
 
 CALL = f"POST /{LEDGER}/redeem HTTP/1.1\r\nHost: x\r\nX-Call-Id: one\r\nContent-Length: 2\r\n\r\n{{}}".encode()
@@ -85,3 +86,21 @@
             outcome = read_answer(connection)
             assert outcome == (503, "no_instance"), outcome
         assert agent.process.wait(timeout=60) == 0
+
+
+def test_an_entry_that_does_not_know_its_configuration_yet_says_so(build, folders):
+    # Guards against a false "no such service" from an entry that has just started.
+    with start(build, folders, engines=0, ledgers=1) as cluster:
+        entry = cluster.entries()[0]
+        cluster.faults(log_out=True, list_out=True)
+        cluster.kill(entry.process)
+        cluster.start_daemon(entry)
+        answer = cluster.call(entry, LEDGER)
+        assert problem(answer) == (503, "no_instance", "not_run"), answer
+        assert "Retry-After" in answer[1]
+        assert cluster.api("GET", f"service/{LEDGER}")[0] == 503
+        assert http("GET", cluster.entry_url(entry, "/healthz"))[0] == 503
+        cluster.faults()
+        wait_until(lambda: cluster.call(entry, LEDGER, headers={"X-Call-Id": "one"})[0] == 200, "the service to be served")
+        assert http("GET", cluster.entry_url(entry, "/healthz"))[0] == 200
+        assert problem(cluster.call(entry, "nothing")) == (404, "no_such_service", "not_run")
