--- a/Tests/Processes/test_requests.py
+++ b/Tests/Processes/test_requests.py
@@ -67,6 +67,7 @@
 
 
 def test_a_planned_stop_of_everything_cuts_off_nothing(build, folders):
+    # Guards against calls that are broken off since a process ends by the clock and not once its connections are over.
     with start(build, folders, engines=3, ledgers=2, entries=2, backend=("--token-ms", "10")) as cluster:
         roll_out(cluster)
         cluster.wait_ready("r", 3)
