Agent: Connections to an agent's HTTP interface that wait as it stops are answered

Cause: what waits in the queue of a listener is reset as it closes. Readers of chunks took that for a lost source. Change: from the stop signal on each answer ends its connection, and the agent ends only once nobody waits.

--- a/Services/Agent/Agent.cpp
+++ b/Services/Agent/Agent.cpp
@@ -346,6 +346,7 @@
     Core::log_event(Core::LogLevel::Info, "draining", { { "in_flight", std::to_string(m_requests->in_flight()) } });
     m_is_draining = true;
     m_draining_since = Core::monotonic_now();
+    m_http->end_connections_gently();
     send_report();
     m_leave_notice.begin(m_hub->peers(Schema::Role::Entry), m_draining_since);
     m_drain_timer = m_loop.every(drain_check, [this] { finish_when_idle(); });
@@ -371,7 +372,7 @@
     bool const is_out_of_time = waited >= Settings::duration_or(m_settings.drain_ms, default_drain);
     if (!m_leave_notice.is_known_to_all())
         ping();
-    if (!is_out_of_time && !(m_requests->is_idle() && has_taken_leave(waited)))
+    if (!is_out_of_time && !(m_requests->is_idle() && has_taken_leave(waited) && m_http->stop_listening()))
         return;
     Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped",
         { { "unfinished", std::to_string(m_requests->in_flight()) }, { "unaware_entries", std::to_string(m_leave_notice.unaware_peers()) } });
