LibRouting: A request that ended eight servers at once can still be blamed

Cause: a suspect's record holds eight ends. Copies under way together filled it before one of them ran by itself, and the ends that followed, which alone can blame, were passed over. Change: in a full record, an end by itself takes the place of one that was not. Why it works: what judges is whether any of the kept ends was by itself, and now one of them is as soon as there was one. Before / after: the two new tests fail on the code before and pass.

--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -85,8 +85,14 @@
         return is_news;
     }
     suspect.last_end = now;
-    if (ends.size() < most_ends)
+    if (ends.size() < most_ends) {
         ends.push_back(end);
+        return true;
+    }
+    // Copies that were under way together may have filled the record, and only an end by itself can blame.
+    auto const replaced = std::find_if(ends.begin(), ends.end(), [](auto const& each) { return !each.alone; });
+    if (end.alone && replaced != ends.end())
+        *replaced = end;
     return true;
 }
 
--- a/Tests/LibRouting/TestCrashSuspects.cpp
+++ b/Tests/LibRouting/TestCrashSuspects.cpp
@@ -55,6 +55,27 @@
     EXPECT_EQ(standing("often asked for"), CrashStanding::RunsAlone);
 }
 
+// Guards against a request that is never blamed, and ends servers without end: many copies that were under way together had filled its
+// record of ends before one of them ran by itself.
+TEST_F(CrashSuspectsTest, TheEndOfAServerThatRanItByItselfBlamesHoweverManyEndedBefore)
+{
+    for (int i = 0; i < 20; ++i)
+        EXPECT_TRUE(end(std::to_string(i), { { "a" } }).empty());
+    EXPECT_EQ(end("20", { { "a", true } }), std::vector<std::string> { "a" });
+    EXPECT_EQ(standing("a"), CrashStanding::Blamed);
+}
+
+TEST_F(CrashSuspectsTest, AnEntryThatKnowsManyEndsTakesAnothersWordForOneByItself)
+{
+    for (int i = 0; i < 20; ++i)
+        end(std::to_string(i), { { "a" } });
+    Schema::CrashSuspect told {};
+    told.digest = "a";
+    told.ends.push_back({ .alone = true, .server = "20" });
+    EXPECT_EQ(m_suspects.merge(told, m_now), std::vector<std::string> { "a" });
+    EXPECT_EQ(standing("a"), CrashStanding::Blamed);
+}
+
 TEST_F(CrashSuspectsTest, OneEndCountsOnceHoweverManyTellOfIt)
 {
     for (int i = 0; i < 5; ++i)
