platform, DirectEntry: Decode and log the limit that a server states in its answers

Cause: of the hypotheses about requests past a server's limit, none could be told from the others by what entries log: no line says what an answer told an entry, and when. Change: the adapter decodes the header into requests per second; a text that is no such number is kept as unreadable. Nothing decides by it.

--- a/Libraries/LibPlatform/RequestHeads.h
+++ b/Libraries/LibPlatform/RequestHeads.h
@@ -51,6 +51,10 @@
     bool is_genuine { false };
     std::string request_id;
     std::optional<Core::Duration> retry_after;
+    /// Requests per second that the backend server accepts from all entries together; std::nullopt if it states no limit.
+    std::optional<double> max_requests_per_second;
+    /// The text of a limit that is no number of requests per second.
+    std::optional<std::string> unreadable_limit;
     /// Version of the model's weights that the backend server reports for the answer.
     std::optional<int64_t> version;
     /// The header fields to forward to the caller, without those that concern only one connection (hop-by-hop).
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -303,7 +303,7 @@
         { .connected = [this, attempt] {
              m_counted_attempts += 1;
              attempt->on_connected(moment(Core::monotonic_now())); },
-            .head = [this, attempt](Transport::MessageHead const& head) { attempt->on_head(m_context.heads.read_backend(head), moment(Core::monotonic_now())); },
+            .head = [this, attempt](Transport::MessageHead const& head) { on_head(*attempt, head); },
             .data = [this, attempt](std::string_view data) { auto keep = shared_from_this(); on_data(*attempt, data); },
             .done = [this, attempt] { auto keep = shared_from_this(); on_done(*attempt); },
             .failed = [this, attempt](Transport::CallFailure failure) { auto keep = shared_from_this(); on_failed(*attempt, failure); } });
@@ -326,6 +326,25 @@
     return answer.status / 100 == 2 && answer.is_genuine && answer.request_id == m_head.request_id;
 }
 
+void ProxiedRequest::on_head(BackendAttempt& attempt, Transport::MessageHead const& head)
+{
+    attempt.on_head(m_context.heads.read_backend(head), moment(Core::monotonic_now()));
+    record_statements(attempt);
+}
+
+void ProxiedRequest::record_statements(BackendAttempt const& attempt)
+{
+    auto const& answer = attempt.answer_head();
+    if (answer.unreadable_limit) {
+        m_context.metrics.count("mountbarrow_unreadable_server_limits_total");
+        Core::log_event(Core::LogLevel::Warn, "server_limit_unreadable", { { "server", attempt.target().id }, { "text", *answer.unreadable_limit } });
+    }
+    if (answer.max_requests_per_second) {
+        m_context.metrics.count("mountbarrow_server_limits_stated_total");
+        Core::log_event(Core::LogLevel::Info, "server_limit_stated", { { "request", m_head.request_id }, { "server", attempt.target().id }, { "per_second", std::to_string(*answer.max_requests_per_second) } });
+    }
+}
+
 void ProxiedRequest::on_data(BackendAttempt& attempt, std::string_view data)
 {
     if (is_over())
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -81,6 +81,9 @@
     void end_call();
     BackendAttempt::Moment moment(Core::Time now) const;
 
+    void on_head(BackendAttempt&, Transport::MessageHead const&);
+    /// Counts and logs what the backend server states about itself.
+    void record_statements(BackendAttempt const&);
     void on_data(BackendAttempt&, std::string_view);
     void on_done(BackendAttempt&);
     void on_failed(BackendAttempt&, Transport::CallFailure);
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -68,6 +68,25 @@
     EXPECT_TRUE(HttpRequestHeads().read_backend(misdirected).is_not_run);
 }
 
+TEST(RequestHeads, TheServersLimitIsADecimalNumberOfRequestsPerSecond)
+{
+    auto const read = [](std::string const& text) {
+        Transport::MessageHead head;
+        head.status = 200;
+        head.headers = { { "Server-Limit", text } };
+        return HttpRequestHeads().read_backend(head);
+    };
+    EXPECT_EQ(read("1.9").max_requests_per_second, 1.9);
+    EXPECT_EQ(read("0").max_requests_per_second, 0);
+    EXPECT_EQ(read("12").unreadable_limit, std::nullopt);
+    for (auto const* text : { "", "-1", "nan", "inf", "1e300", "99999999999", "1.5x", "0x10", "many" }) {
+        EXPECT_EQ(read(text).max_requests_per_second, std::nullopt) << text;
+        EXPECT_EQ(read(text).unreadable_limit, text);
+    }
+    Transport::MessageHead const without_limit;
+    EXPECT_EQ(HttpRequestHeads().read_backend(without_limit).unreadable_limit, std::nullopt);
+}
+
 TEST(RequestHeads, AnEncodedOrUnsealedAnswerIsNotTheServers)
 {
     Transport::MessageHead head;
