Tests: Servers that state a limit get no more than it from all entries together

Cause: the stand-ins played no statement of a server about itself, so no test could show requests past a limit (LIMIT). Change: engines and plain services of the stand-ins state a limit in every answer and note each arrival. Five process tests: one engine limited under load at five entries, also while other engines break streams off or refuse them; all servers of a plain service limited; a limit that ends, that is no number, that is zero. The bound is the rule's: 1.5 times the limit in 4 s, and 5.

--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -271,6 +271,10 @@
         # The port that the list names: its own, or that of a proxy before it.
         self.listed_port = port
         self.slots = 16
+        # The requests a second that its answers state as its limit, as the text of the header; None for no limit.
+        self.limit = None
+        # (when, request id) of each request that arrived, without the agents' own calls.
+        self.arrivals = []
         super().__init__(loop, address, port)
 
     def entry(self, state="ready"):
@@ -296,11 +300,23 @@
     def begin(self, request, what):
         self.runs.append((request.headers["x-request-id"], request.headers.get("x-tenant", ""), what, time.monotonic(), self.id))
 
+    def note_arrival(self, request):
+        self.arrivals.append((time.monotonic(), request.headers.get("x-request-id", "")))
+
+    def announcements(self):
+        """What the server states about itself in every answer."""
+        return [] if self.limit is None else [("Server-Limit", self.limit)]
+
     def head(self, request):
-        return [("X-Request-Id", request.headers.get("x-request-id", "")), ("X-Response-Seal", f"seal.{self.id}")]
+        return [("X-Request-Id", request.headers.get("x-request-id", "")), ("X-Response-Seal", f"seal.{self.id}"), *self.announcements()]
 
     async def refuse(self, request, status):
-        return await self.reply(request, status, [("X-Not-Executed", "1"), ("X-Instance-Id", self.id)])
+        return await self.reply(request, status, [("X-Not-Executed", "1"), ("X-Instance-Id", self.id), *self.announcements()])
+
+    def most_arrivals(self, window_seconds, since):
+        """The most requests that arrived within any window of that length after a moment."""
+        times = [when for when, _ in self.arrivals if when >= since]
+        return max((sum(begin <= when < begin + window_seconds for when in times) for begin in times), default=0)
 
     def is_misdirected(self, request):
         return request.headers.get("x-expect-instance") != self.id
@@ -308,6 +324,7 @@
 
 class PlainService(BackendServer):
     async def answer(self, request):
+        self.note_arrival(request)
         if self.is_misdirected(request):
             return await self.refuse(request, 421)
         fault = self.take_fault(request)
@@ -465,6 +482,7 @@
         return await self.reply(request, 202)
 
     async def stream(self, request):
+        self.note_arrival(request)
         if request.body in self.crashing_bodies:
             self.crashing_sends.append((request.body, time.monotonic(), request.headers.get("x-request-id", "")))
         wanted = request.headers.get("x-expect-version")
--- /dev/null
+++ b/Tests/Platform/test_server_statements.py
@@ -0,0 +1,126 @@
+# SPDX-License-Identifier: BSD-2-Clause
+"""Backend servers that state in their answers what they take from entries."""
+
+import threading
+import time
+
+from fleet import CONTACT_MS, Fleet, wait_until
+from test_direct_path import wait_linked
+
+WINDOW_SECONDS = 4
+OBSERVED_SECONDS = 8
+CALLERS_PER_ENTRY = 2
+
+
+def allowed(limit):
+    """The most requests that a server may get within one window, by the platform's rule."""
+    return 1.5 * WINDOW_SECONDS * limit + 5
+
+
+class Load:
+    """Callers at every entry that ask one request after the other until the end of the block."""
+
+    def __init__(self, fleet, method, path, pause_seconds=0.05):
+        self.fleet = fleet
+        self.method = method
+        self.path = path
+        self.pause_seconds = pause_seconds
+        # Pairs of an answer and the seconds that it took.
+        self.answers = []
+        self.is_over = threading.Event()
+        self.threads = [threading.Thread(target=self.ask, args=(entry,), daemon=True) for entry in fleet.entries for _ in range(CALLERS_PER_ENTRY)]
+
+    def ask(self, entry):
+        while not self.is_over.wait(self.pause_seconds):
+            began = time.monotonic()
+            answer = self.fleet.call(entry, self.method, self.path, body=b"x", request_id=f"load-{threading.get_ident()}-{began}")
+            self.answers.append((answer, time.monotonic() - began))
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.is_over.set()
+        for thread in self.threads:
+            thread.join(30)
+
+
+def observe_limit(servers, limit):
+    """Lets the servers state a limit for some seconds, and returns the time from which the limit holds."""
+    for server in servers:
+        server.limit = str(limit)
+    holds_from = time.monotonic() + CONTACT_MS / 1000
+    time.sleep(CONTACT_MS / 1000 + OBSERVED_SECONDS)
+    return holds_from
+
+
+def assert_within_limit(server, limit, since):
+    most = server.most_arrivals(WINDOW_SECONDS, since)
+    assert most <= allowed(limit), f"{server.id} stated {limit} requests a second and got {most} in {WINDOW_SECONDS} s; allowed are {allowed(limit)}"
+
+
+# Guards against entries that each read an engine's limit and none of which keeps it.
+def test_an_engine_gets_no_more_than_its_limit_from_all_entries_together(build, folders):
+    for fault in ("", "cut_in_event", "full"):
+        with Fleet(build, folders, entries=5, engines=3, plains=0) as fleet:
+            wait_linked(fleet)
+            limited, other, _ = fleet.engines
+            # The streams that this engine breaks off or refuses go to others: another way to the limited one.
+            other.fault, other.faults_left = fault, 10**6 if fault else 0
+            with Load(fleet, "POST", "/stream/a") as load:
+                holds_from = observe_limit([limited], 1.5)
+            assert_within_limit(limited, 1.5, holds_from)
+            assert limited.most_arrivals(OBSERVED_SECONDS, holds_from) > 0, "the limited engine got nothing at all"
+            assert any(answer.status == 200 and answer.is_whole for answer, _ in load.answers), "no stream was served"
+
+
+# Guards against the same where every server of a plain service states a limit, and requests can only wait or be refused.
+def test_plain_servers_get_no_more_than_their_limits_and_the_rest_is_refused(build, folders):
+    for path in ("/safe/a", "/once/a"):
+        with Fleet(build, folders, entries=5, engines=1, plains=2) as fleet:
+            wait_linked(fleet)
+            with Load(fleet, "POST", path) as load:
+                holds_from = observe_limit(fleet.plains, 2.0)
+            for server in fleet.plains:
+                assert_within_limit(server, 2.0, holds_from)
+            refused = [answer for answer, _ in load.answers if answer.status == 503]
+            assert refused, "nothing was refused"
+            assert all("retry-after" in answer.headers for answer in refused)
+            served = sum(when >= holds_from for server in fleet.plains for when, _ in server.arrivals)
+            # Half of what the servers offer; the rest is room for callers that are between two requests.
+            assert served >= OBSERVED_SECONDS * 2.0 * len(fleet.plains) / 2, served
+
+
+def test_a_limit_that_ends_is_lifted_at_all_entries(build, folders):
+    with Fleet(build, folders, entries=3, engines=1, plains=1) as fleet:
+        wait_linked(fleet)
+        server = fleet.plains[0]
+        with Load(fleet, "POST", "/safe/a"):
+            assert_within_limit(server, 1.0, observe_limit([server], 1.0))
+            ended_at = time.monotonic()
+            server.limit = None
+            wait_until(lambda: server.most_arrivals(WINDOW_SECONDS, ended_at) > 3 * allowed(1.0), "the server to get more than its former limit")
+
+
+def test_an_unreadable_limit_limits_nothing_and_stops_nothing(build, folders):
+    with Fleet(build, folders, entries=1, engines=1, plains=1) as fleet:
+        wait_linked(fleet)
+        entry, server = fleet.entries[0], fleet.plains[0]
+        for text in ("-1", "nan", "inf", "1e300", "1.5x", "many", ""):
+            server.limit = text
+            for _ in range(10):
+                assert fleet.call(entry, "POST", "/safe/a", body=b"x").status == 200, text
+        assert fleet.times_logged(entry, "server_limit_unreadable") > 0
+
+
+def test_a_server_that_accepts_nothing_is_asked_now_and_then(build, folders):
+    with Fleet(build, folders, entries=3, engines=1, plains=1) as fleet:
+        wait_linked(fleet)
+        server = fleet.plains[0]
+        with Load(fleet, "POST", "/safe/a"):
+            holds_from = observe_limit([server], 0)
+            assert_within_limit(server, 0, holds_from)
+            server.limit = None
+            wait_until(lambda: server.most_arrivals(1, holds_from + OBSERVED_SECONDS) > 0, "the server to be asked again")
