--- /dev/null
+++ b/Libraries/LibRouting/LimitCoordinator.cpp
@@ -0,0 +1,194 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibRouting/LimitCoordinator.h>
+
+#include <LibCore/Hash.h>
+#include <algorithm>
+#include <utility>
+
+namespace Routing {
+
+// An issuer whose links are silent is noticed by the others within this time, and so is a new one.
+static constexpr Core::Duration takeover_delay { 3000 };
+// A limit that changes with each answer is not sent to all entries each time.
+static constexpr Core::Duration publish_interval { 250 };
+// More permits at once than any entry has waiting requests.
+static constexpr int64_t max_permits_per_message = 10000;
+
+LimitCoordinator::LimitCoordinator(std::string identity, SendPermits& permits, Core::Time now, Send send)
+    : m_identity(std::move(identity))
+    , m_permits(permits)
+    , m_send(std::move(send))
+    , m_issues_from(now + takeover_delay)
+{
+}
+
+void LimitCoordinator::on_entry_linked(std::string const& entry, Core::Time now)
+{
+    if (m_linked.contains(entry))
+        return;
+    for (auto const& [server, limit] : m_permits.limits()) {
+        if (issuer(server) == m_identity)
+            m_collected[entry].limits.push_back(statement(server, limit, now));
+    }
+    m_linked.insert(entry);
+    m_lost.erase(entry);
+    m_issuer_cache.clear();
+    send_collected();
+}
+
+void LimitCoordinator::on_entry_lost(std::string const& entry, Core::Time now)
+{
+    if (m_linked.erase(entry) == 0)
+        return;
+    m_lost[entry] = now;
+    m_issuer_cache.clear();
+}
+
+void LimitCoordinator::remove_lost(Core::Time now)
+{
+    auto const removed = std::erase_if(m_lost, [&](auto const& lost) { return now - lost.second >= takeover_delay; });
+    if (removed > 0)
+        m_issuer_cache.clear();
+}
+
+void LimitCoordinator::on_resumed(Core::Time now)
+{
+    m_issues_from = now + takeover_delay;
+    m_issuers.clear();
+    m_permits.drop_permits();
+}
+
+std::string const& LimitCoordinator::issuer(std::string const& server)
+{
+    auto const [cached, is_new] = m_issuer_cache.try_emplace(server);
+    if (is_new) {
+        std::vector<std::string> candidates { m_identity };
+        candidates.insert(candidates.end(), m_linked.begin(), m_linked.end());
+        for (auto const& [entry, lost_at] : m_lost)
+            candidates.push_back(entry);
+        cached->second = Core::rendezvous_order(server, std::move(candidates)).front();
+    }
+    return cached->second;
+}
+
+bool LimitCoordinator::is_issuer(std::string const& server, Core::Time now)
+{
+    return now >= m_issues_from && issuer(server) == m_identity;
+}
+
+Schema::LimitStatement LimitCoordinator::statement(std::string const& server, ServerLimit const& limit, Core::Time now) const
+{
+    Schema::LimitStatement statement {};
+    statement.server = server;
+    statement.per_second = limit.per_second;
+    statement.started_at_ms = limit.started_at_ms;
+    statement.age_ms = (now - limit.as_of).count();
+    return statement;
+}
+
+/// Sends a server's limit to all other entries if this one is the issuer, or else to the issuer.
+void LimitCoordinator::publish(std::string const& server, Core::Time now, std::string const& except)
+{
+    auto const* limit = m_permits.find(server);
+    if (!limit)
+        return;
+    auto const& issuer = this->issuer(server);
+    if (issuer != m_identity) {
+        m_collected[issuer].limits.push_back(statement(server, *limit, now));
+        return;
+    }
+    for (auto const& entry : m_linked) {
+        if (entry != except)
+            m_collected[entry].limits.push_back(statement(server, *limit, now));
+    }
+}
+
+void LimitCoordinator::publish_due(Core::Time now)
+{
+    m_unpublished.merge(m_permits.take_changed());
+    std::erase_if(m_unpublished, [&](auto const& server) {
+        auto const [published_at, is_first] = m_published_at.try_emplace(server, now);
+        if (!is_first && now - published_at->second < publish_interval)
+            return false;
+        published_at->second = now;
+        publish(server, now);
+        return true;
+    });
+    std::erase_if(m_published_at, [&](auto const& published) { return now - published.second >= publish_interval; });
+}
+
+void LimitCoordinator::on_message(std::string const& from, Schema::LimitExchange const& message, Core::Time now)
+{
+    for (auto const& stated : message.limits) {
+        ServerLimit const limit { stated.per_second, now - Core::Duration(stated.age_ms), stated.started_at_ms };
+        bool const is_news = m_permits.on_peer_statement(stated.server, limit);
+        if (is_news && issuer(stated.server) == m_identity)
+            m_unpublished.insert(stated.server);
+        auto const* known = m_permits.find(stated.server);
+        if (!is_news && known && known->as_of > limit.as_of && known->per_second != limit.per_second)
+            m_collected[from].limits.push_back(statement(stated.server, *known, now));
+    }
+    for (auto const& requested : message.requests)
+        take_request(from, requested.server, std::clamp<int64_t>(requested.count, 0, max_permits_per_message), now);
+    for (auto const& issued : message.permits)
+        m_permits.add_permits(issued.server, std::clamp<int64_t>(issued.count, 0, max_permits_per_message), now);
+    issue_permits(now);
+    send_collected();
+}
+
+void LimitCoordinator::request_permits(Core::Time now)
+{
+    for (auto const& [server, count] : m_permits.take_wanted(now)) {
+        auto const& issuer = this->issuer(server);
+        if (issuer == m_identity) {
+            take_request(m_identity, server, count, now);
+            continue;
+        }
+        auto& message = m_collected[issuer];
+        // An issuer that has just become one does not know the limit.
+        message.limits.push_back(statement(server, *m_permits.find(server), now));
+        message.requests.push_back({ .count = count, .server = server });
+    }
+}
+
+void LimitCoordinator::take_request(std::string const& entry, std::string const& server, int64_t count, Core::Time now)
+{
+    auto const limit = m_permits.limit(server);
+    if (!limit || !is_issuer(server, now))
+        return;
+    m_issuers.try_emplace(server, *limit, now).first->second.request(entry, count, now);
+}
+
+void LimitCoordinator::issue_permits(Core::Time now)
+{
+    std::erase_if(m_issuers, [&](auto const& entry) { return !m_permits.limit(entry.first) || !is_issuer(entry.first, now); });
+    for (auto& [server, issuer] : m_issuers) {
+        issuer.set_limit(*m_permits.limit(server), now);
+        for (auto const& [entry, count] : issuer.issue(now)) {
+            if (entry == m_identity)
+                m_permits.add_permits(server, count, now);
+            else
+                m_collected[entry].permits.push_back({ .count = count, .server = server });
+        }
+    }
+}
+
+void LimitCoordinator::tick(Core::Time now)
+{
+    remove_lost(now);
+    m_permits.remove_old(now);
+    publish_due(now);
+    request_permits(now);
+    issue_permits(now);
+    send_collected();
+}
+
+void LimitCoordinator::send_collected()
+{
+    for (auto const& [entry, message] : std::exchange(m_collected, {})) {
+        if (m_linked.contains(entry))
+            m_send(entry, message);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/LimitCoordinator.h
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibRouting/PermitIssuer.h>
+#include <LibRouting/SendPermits.h>
+#include <LibSchema/Generated.h>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace Routing {
+
+/// Keeps all entries together within the limits that backend servers state in their answers.
+///
+/// For each limited server one entry is the issuer: the first of all linked entries by rendezvous hash with the server's id. The other
+/// entries request permits from it and send no request to the server without one. While entries disagree on which of them are linked,
+/// two could be the issuer. Therefore an entry that was lost, or has just started, counts for three seconds as an issuer that issues
+/// nothing.
+///
+/// An entry sends a changed limit to the issuer, which sends it to all others.
+class LimitCoordinator {
+public:
+    using Send = std::function<void(std::string const& entry, Schema::LimitExchange const&)>;
+
+    /// The permits must outlive this object.
+    LimitCoordinator(std::string identity, SendPermits&, Core::Time now, Send);
+
+    /// Another entry that takes part is linked. May be called again while it is.
+    void on_entry_linked(std::string const& entry, Core::Time now);
+    void on_entry_lost(std::string const& entry, Core::Time now);
+    void on_message(std::string const& from, Schema::LimitExchange const&, Core::Time now);
+    /// The process resumed after a pause: others may have become the issuer meanwhile.
+    void on_resumed(Core::Time now);
+    /// Sends what is due. To be called every few tens of milliseconds.
+    void tick(Core::Time now);
+
+private:
+    std::string const& issuer(std::string const& server);
+    bool is_issuer(std::string const& server, Core::Time now);
+    void remove_lost(Core::Time now);
+    void publish(std::string const& server, Core::Time now, std::string const& except = {});
+    void publish_due(Core::Time now);
+    void request_permits(Core::Time now);
+    /// Hands a request for permits to the issuer that this entry keeps; ignored if another entry is the issuer.
+    void take_request(std::string const& entry, std::string const& server, int64_t count, Core::Time now);
+    void issue_permits(Core::Time now);
+    Schema::LimitStatement statement(std::string const& server, ServerLimit const&, Core::Time now) const;
+    void send_collected();
+
+    std::string m_identity;
+    SendPermits& m_permits;
+    Send m_send;
+    Core::Time m_issues_from;
+    std::set<std::string> m_linked;
+    // When each entry was lost whose issuers are not replaced yet.
+    std::map<std::string, Core::Time> m_lost;
+    // The issuer of each server, while the set of entries stays the same.
+    std::map<std::string, std::string> m_issuer_cache;
+    std::map<std::string, PermitIssuer> m_issuers;
+    // Servers whose limit changed and was not sent yet, and when each server's limit was last sent.
+    std::set<std::string> m_unpublished;
+    std::map<std::string, Core::Time> m_published_at;
+    // What is sent to each entry at the end of this call.
+    std::map<std::string, Schema::LimitExchange> m_collected;
+};
+
+}
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -2,6 +2,8 @@
 #include <LibRouting/ServerTable.h>
 
 #include <LibConfiguration/HeldVersion.h>
+#include <LibRouting/EngineFollowers.h>
+#include <LibRouting/PermitIssuer.h>
 #include <LibSchema/Json.h>
 #include <algorithm>
 #include <cmath>
@@ -32,6 +34,7 @@
 // Cost of the traffic between regions and between failure domains, as the time that a request may wait longer instead.
 static constexpr double other_region_penalty_ms = 25;
 static constexpr double other_domain_penalty_ms = 8;
+static constexpr double milliseconds_per_second = 1000;
 // Assumed time of an answer of a plain service.
 static constexpr double plain_service_answer_ms = 30;
 // Entries learn late what others send to an engine, so all that see it idle would collide there. These penalties make its owner use it
@@ -75,6 +78,7 @@
     server.record = record;
     server.ip = record.address.substr(0, record.address.rfind(':'));
     record_start(server, record.started_at_ms, now);
+    m_permits.on_incarnation(record.id, server.started_at_ms);
     auto const* service = engine_service(record.service);
     server.listed_version = service ? listed_version(record, service->timing) : 0;
 }
@@ -142,8 +146,10 @@
         if (server.ip != ip)
             continue;
         // The report is about the engine only, not about plain servers at the same address.
-        if (engine_service(server.record.service))
+        if (engine_service(server.record.service)) {
             record_start(server, state.started_at_ms, now);
+            m_permits.on_incarnation(id, server.started_at_ms);
+        }
         if (server.is_selectable)
             own += static_cast<int64_t>(server.pending.size());
     }
@@ -320,7 +326,7 @@
 {
     auto const filled = std::count_if(m_servers.begin(), m_servers.end(), [&](auto const& entry) {
         auto const& server = entry.second;
-        return server.is_selectable && server.record.service == service && role(server) == EngineRole::Owner && is_usable(server, ServerRequirements { .service = service }, now);
+        return server.is_selectable && server.record.service == service && role(server) == EngineRole::Owner && !m_permits.limit(entry.first) && is_usable(server, ServerRequirements { .service = service }, now);
     });
     return server_slot_interval(service) / std::max<int64_t>(1, filled);
 }
@@ -342,6 +348,20 @@
     return Core::Duration(static_cast<int64_t>(model->times.correction() * model->times.service_ms(static_cast<double>(prompt_tokens), static_cast<double>(answer_tokens))));
 }
 
+std::optional<Core::Duration> ServerTable::limited_send_interval(std::string const& service, Core::Time now) const
+{
+    double per_second = 0;
+    for (auto const& [id, server] : m_servers) {
+        auto const limit = m_permits.limit(id);
+        if (limit && server.is_selectable && server.record.service == service && is_usable(server, ServerRequirements { .service = service }, now))
+            per_second += std::max(*limit, min_permits_per_second);
+    }
+    if (per_second <= 0)
+        return {};
+    auto const sharing = engine_service(service) ? std::min(m_entries, followers_per_engine) : m_entries;
+    return Core::Duration(static_cast<int64_t>(std::ceil(milliseconds_per_second * static_cast<double>(sharing) / per_second)));
+}
+
 std::optional<Core::Duration> ServerTable::time_until_next_engine(std::string const& service, Core::Time now) const
 {
     std::optional<Core::Duration> next;
@@ -460,6 +480,7 @@
     uint64_t ties = 0;
     bool saw_full = false;
     bool saw_slow = false;
+    bool saw_limited = false;
     for (auto const& [id, server] : m_servers) {
         if (!server.is_selectable || server.record.service != requirements.service || requirements.excluded.contains(id))
             continue;
@@ -475,6 +496,11 @@
             saw_slow = true;
             continue;
         }
+        if (!m_permits.may_send(id, now)) {
+            m_permits.add_wanted(id);
+            saw_limited = true;
+            continue;
+        }
         auto const own_cost = cost(server, requirements, now);
         if (best && own_cost > best_cost)
             continue;
@@ -486,9 +512,12 @@
             best_cost = own_cost;
         }
     }
+    if (!best && saw_full)
+        return tl::unexpected(NoServer::AllFull);
+    if (!best && saw_slow)
+        return tl::unexpected(NoServer::NoneInTime);
     if (!best)
-        return tl::unexpected(saw_full ? NoServer::AllFull : saw_slow ? NoServer::NoneInTime
-                                                                      : NoServer::NoneUsable);
+        return tl::unexpected(saw_limited ? NoServer::Limited : NoServer::NoneUsable);
     return ServerChoice { best->record.id, Core::Duration(static_cast<int64_t>(predicted_ms(*best, requirements, now))) };
 }
 
@@ -496,7 +525,7 @@
 {
     return std::any_of(m_servers.begin(), m_servers.end(), [&](auto const& entry) {
         auto const& server = entry.second;
-        return server.is_selectable && server.record.service == service && has_free_slot_at(server, now) && is_usable(server, ServerRequirements { .service = service }, now);
+        return server.is_selectable && server.record.service == service && has_free_slot_at(server, now) && m_permits.may_send(entry.first, now) && is_usable(server, ServerRequirements { .service = service }, now);
     });
 }
 
@@ -505,6 +534,7 @@
     auto const found = m_servers.find(choice.id);
     if (found == m_servers.end())
         return;
+    m_permits.on_sent(choice.id, now);
     found->second.pending[request] = { .prompt_tokens = prompt_tokens, .sent_at = now, .predicted = choice.predicted };
     auto const report = m_reported.find(found->second.ip);
     if (report != m_reported.end())
@@ -592,6 +622,13 @@
     return found == m_servers.end() ? nullptr : &found->second.record;
 }
 
+void ServerTable::on_answer_head(std::string const& id, std::optional<int64_t> started_at_ms, ServerStatements const& statements, Core::Time sent_at, Core::Time now)
+{
+    if (is_earlier_start(started_at_ms, this->started_at_ms(id)))
+        return;
+    m_permits.on_answer(id, started_at_ms, statements.max_requests_per_second, sent_at, now);
+}
+
 void ServerTable::on_received(std::string const& id, Core::Time now)
 {
     auto const found = m_servers.find(id);
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 #include <LibRouting/EngineOwners.h>
 #include <LibRouting/EngineTimingModel.h>
+#include <LibRouting/SendPermits.h>
 #include <LibSchema/Generated.h>
 #include <map>
 #include <optional>
@@ -50,6 +51,8 @@
     AllFull,
     /// Servers with a free slot are there, but are predicted to begin the answer too late.
     NoneInTime,
+    /// Servers that could serve it are limited, and this entry holds no permit to send to them.
+    Limited,
 };
 
 /// The backend server that a request is sent to.
@@ -74,6 +77,12 @@
     Neutral,
 };
 
+/// What a backend server states about itself in the head of an answer.
+struct ServerStatements {
+    /// Requests per second that it accepts from all entries together; std::nullopt if it states no limit.
+    std::optional<double> max_requests_per_second {};
+};
+
 /// Settings of a ServerTable. The domain and region are those of the entry.
 struct ServerTableSettings {
     Schema::ServerChoice choice { Schema::ServerChoice::Predicted };
@@ -155,6 +164,10 @@
     /// The server sends nothing for the request, which counts as Unreachable and frees its slot. The server may still answer it later.
     /// Until its suspension ends or on_received() is called, the server is not chosen.
     void on_no_response(std::string const& id, std::string const& request, Core::Time now);
+    /// The head of an answer arrived from the server. What it states holds for the incarnation that the request was sent to.
+    /// @param started_at_ms start of that incarnation, in milliseconds of the Unix clock; std::nullopt if unknown.
+    /// @param sent_at when the request was sent.
+    void on_answer_head(std::string const& id, std::optional<int64_t> started_at_ms, ServerStatements const&, Core::Time sent_at, Core::Time now);
     /// Bytes of an answer to any request arrived from the server. Ends a suspension that on_no_response() caused.
     void on_received(std::string const& id, Core::Time now);
     /// Whether bytes arrived from the server within the last 600 ms. If so, a request that receives nothing there probably waits behind
@@ -179,13 +192,18 @@
 
     /// Mean time between two slots that become free at one full server of the service.
     Core::Duration server_slot_interval(std::string const& service) const;
-    /// Mean time between two slots that become free at any of the engines that this entry owns, when they are full.
+    /// Mean time between two slots that become free at any of the engines that this entry owns and that state no limit, when they are full.
     Core::Duration slot_interval(std::string const& service, Core::Time now) const;
     /// Least time to the first event for a prompt at an engine whose slots are in use and that has no other pending prefill; 0 for a plain
     /// service.
     Core::Duration min_time_to_first_event(std::string const& service, int64_t prompt_tokens) const;
     /// Time that a request with a prompt and an answer of this size takes at a full engine; 0 for a plain service.
     Core::Duration service_time(std::string const& service, int64_t prompt_tokens, int64_t answer_tokens) const;
+    /// Mean time between two requests that this entry may send to the limited servers of the service, if all entries that use them request
+    /// permits; std::nullopt if no usable server is limited.
+    std::optional<Core::Duration> limited_send_interval(std::string const& service, Core::Time now) const;
+    /// The limits that servers stated, and this entry's permits.
+    SendPermits& permits() { return m_permits; }
     /// Expected time until an engine that loads a version or is empty can serve; std::nullopt if there is no such selectable engine.
     std::optional<Core::Duration> time_until_next_engine(std::string const& service, Core::Time now) const;
 
@@ -290,6 +308,7 @@
     ServerTableSettings m_settings;
     std::mt19937_64 m_random;
     size_t m_entries { 1 };
+    SendPermits m_permits;
     std::map<std::string, Server> m_servers;
     std::map<std::string, EngineService> m_engine_services;
     // By the IP address that agent and engine share.
--- a/Libraries/LibRouting/SlotWait.cpp
+++ b/Libraries/LibRouting/SlotWait.cpp
@@ -86,9 +86,14 @@
         auto const next = m_servers.time_until_next_engine(request.service, now);
         return !next || timeliness(request, now + *next) == Timeliness::TooLate;
     }
+    auto const& service_queue = m_queue_of(request.service);
+    if (reason == NoServer::Limited) {
+        auto const position = m_queue ? 1 : service_queue.queue.size() + 1;
+        auto const begins = now + send_interval(request.service, reason, now) * static_cast<int64_t>(position);
+        return timeliness(request, begins) == Timeliness::TooLate;
+    }
     if (!m_is_late)
         return false;
-    auto const& service_queue = m_queue_of(request.service);
     auto const interval = m_servers.slot_interval(request.service, now);
     auto const expected_interval = Core::Duration(static_cast<int64_t>(static_cast<double>(interval.count()) * m_policy.leftover_factor));
     auto const ahead = m_queue ? 1 : service_queue.late_count + 1;
@@ -96,12 +101,19 @@
     return timeliness(request, begins) == Timeliness::TooLate;
 }
 
-Core::Duration SlotWait::retry_after(std::string const& service, Core::Time now, std::mt19937_64& random) const
+Core::Duration SlotWait::send_interval(std::string const& service, NoServer reason, Core::Time now) const
+{
+    auto const limited = reason == NoServer::Limited ? m_servers.limited_send_interval(service, now) : std::nullopt;
+    return limited.value_or(m_servers.slot_interval(service, now));
+}
+
+Core::Duration SlotWait::retry_after(std::string const& service, NoServer reason, Core::Time now, std::mt19937_64& random) const
 {
-    auto const wait = m_servers.slot_interval(service, now) * static_cast<int64_t>(1 + m_queue_of(service).queue.size());
+    auto const wait = send_interval(service, reason, now) * static_cast<int64_t>(1 + m_queue_of(service).queue.size());
     std::uniform_real_distribution<double> spread(1, retry_after_spread);
     auto const spread_wait = Core::Duration(static_cast<int64_t>(static_cast<double>(wait.count()) * spread(random)));
-    return std::clamp(spread_wait, min_retry_after, max_retry_after);
+    auto const longest = reason == NoServer::Limited ? max_retry_after_under_limits : max_retry_after;
+    return std::clamp(spread_wait, min_retry_after, longest);
 }
 
 void SlotWait::log_refusal(std::string const& id, WaitingRequest const& request, Core::Time now) const
--- a/Libraries/LibRouting/SlotWait.h
+++ b/Libraries/LibRouting/SlotWait.h
@@ -34,6 +34,9 @@
 /// becomes free.
 inline constexpr Core::Duration max_retry_after { 1500 };
 
+/// The same where the limits of servers decide when a request can be sent, which is known better.
+inline constexpr Core::Duration max_retry_after_under_limits { 10000 };
+
 /// Settings for requests that wait for a slot.
 struct WaitingPolicy {
     /// Whether requests that can still be answered in time go before late ones.
@@ -87,8 +90,8 @@
     bool should_refuse(WaitingRequest const&, NoServer reason, Core::Time now) const;
     /// Time after which a refused caller should retry: the expected time until all waiting requests and one more have got a slot,
     /// multiplied by a random factor from 1 to 2 so that callers refused together don't return together, and clamped to 200 to
-    /// 1500 milliseconds.
-    Core::Duration retry_after(std::string const& service, Core::Time now, std::mt19937_64& random) const;
+    /// 1500 milliseconds, or 10 seconds if the reason is NoServer::Limited.
+    Core::Duration retry_after(std::string const& service, NoServer reason, Core::Time now, std::mt19937_64& random) const;
 
     /// Logs the figures on which the refusal of the request is based.
     void log_refusal(std::string const& id, WaitingRequest const&, Core::Time now) const;
@@ -97,6 +100,8 @@
     /// Time that the request takes at a full engine.
     Core::Duration service_time(WaitingRequest const&) const;
     Timeliness timeliness(WaitingRequest const&, Core::Time begins) const;
+    /// Mean time between two requests of this entry that can be sent to the service.
+    Core::Duration send_interval(std::string const& service, NoServer reason, Core::Time now) const;
 
     ServerTable const& m_servers;
     WaitingPolicy m_policy;
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -1497,6 +1497,11 @@
          * Failure domain of the entry.
          */
         std::string failure_domain;
+        /**
+         * The entry takes part in the exchange about limits of backend servers; absent in older
+         * builds, which do not.
+         */
+        std::optional<bool> keeps_limits;
     };
 
     /**
@@ -1624,6 +1629,62 @@
         Role role;
     };
 
+    /**
+     * What a backend server stated of its limit.
+     */
+    struct LimitStatement {
+        /**
+         * How long ago the statement held, milliseconds.
+         */
+        int64_t age_ms;
+        /**
+         * Requests a second that it accepts from all entries together; absent if it accepts any
+         * number.
+         */
+        std::optional<double> per_second;
+        /**
+         * Id of the backend server.
+         */
+        std::string server;
+        /**
+         * Start of the incarnation that stated it, Unix milliseconds; absent if unknown.
+         */
+        std::optional<int64_t> started_at_ms;
+    };
+
+    /**
+     * A number of permits, each to send one request to a backend server.
+     */
+    struct PermitCount {
+        /**
+         * Number of permits.
+         */
+        int64_t count;
+        /**
+         * Id of the backend server.
+         */
+        std::string server;
+    };
+
+    /**
+     * What entries send each other to keep together within the limits that backend servers
+     * state on the requests that they accept.
+     */
+    struct LimitExchange {
+        /**
+         * Limits that servers stated, or ended.
+         */
+        std::vector<LimitStatement> limits;
+        /**
+         * Permits that the sender issues to the receiver.
+         */
+        std::vector<PermitCount> permits;
+        /**
+         * Permits that the sender requests.
+         */
+        std::vector<PermitCount> requests;
+    };
+
     /**
      * As the platform sees it.
      */
@@ -2088,6 +2149,11 @@
          */
         std::optional<FactBatch> facts;
         std::optional<Hello> hello;
+        /**
+         * What entries send each other to keep together within the limits that backend servers
+         * state on the requests that they accept.
+         */
+        std::optional<LimitExchange> limit_exchange;
         std::optional<Members> members;
         std::optional<Part> part;
         /**
@@ -2721,6 +2787,15 @@
     void from_json(const json & j, Hello & x);
     void to_json(json & j, const Hello & x);
 
+    void from_json(const json & j, LimitStatement & x);
+    void to_json(json & j, const LimitStatement & x);
+
+    void from_json(const json & j, PermitCount & x);
+    void to_json(json & j, const PermitCount & x);
+
+    void from_json(const json & j, LimitExchange & x);
+    void to_json(json & j, const LimitExchange & x);
+
     void from_json(const json & j, Instance & x);
     void to_json(json & j, const Instance & x);
 
@@ -3723,6 +3798,7 @@
         x.configuration_version = get_stack_optional<int64_t>(j, "configuration_version");
         x.demand = j.at("demand").get<std::vector<ServiceDemand>>();
         x.failure_domain = j.at("failure_domain").get<std::string>();
+        x.keeps_limits = get_stack_optional<bool>(j, "keeps_limits");
     }
 
     inline void to_json(json & j, const EntryLoad & x) {
@@ -3731,6 +3807,7 @@
         j["configuration_version"] = x.configuration_version;
         j["demand"] = x.demand;
         j["failure_domain"] = x.failure_domain;
+        j["keeps_limits"] = x.keeps_limits;
     }
 
     inline void from_json(const json & j, FactRequest& x) {
@@ -3808,6 +3885,45 @@
         j["role"] = x.role;
     }
 
+    inline void from_json(const json & j, LimitStatement& x) {
+        x.age_ms = j.at("age_ms").get<int64_t>();
+        x.per_second = get_stack_optional<double>(j, "per_second");
+        x.server = j.at("server").get<std::string>();
+        x.started_at_ms = get_stack_optional<int64_t>(j, "started_at_ms");
+    }
+
+    inline void to_json(json & j, const LimitStatement & x) {
+        j = json::object();
+        j["age_ms"] = x.age_ms;
+        j["per_second"] = x.per_second;
+        j["server"] = x.server;
+        j["started_at_ms"] = x.started_at_ms;
+    }
+
+    inline void from_json(const json & j, PermitCount& x) {
+        x.count = j.at("count").get<int64_t>();
+        x.server = j.at("server").get<std::string>();
+    }
+
+    inline void to_json(json & j, const PermitCount & x) {
+        j = json::object();
+        j["count"] = x.count;
+        j["server"] = x.server;
+    }
+
+    inline void from_json(const json & j, LimitExchange& x) {
+        x.limits = j.at("limits").get<std::vector<LimitStatement>>();
+        x.permits = j.at("permits").get<std::vector<PermitCount>>();
+        x.requests = j.at("requests").get<std::vector<PermitCount>>();
+    }
+
+    inline void to_json(json & j, const LimitExchange & x) {
+        j = json::object();
+        j["limits"] = x.limits;
+        j["permits"] = x.permits;
+        j["requests"] = x.requests;
+    }
+
     inline void from_json(const json & j, Instance& x) {
         x.address = j.at("address").get<std::string>();
         x.failure_domain = j.at("failure_domain").get<std::string>();
@@ -4107,6 +4223,7 @@
         x.fact_request = get_stack_optional<FactRequest>(j, "fact_request");
         x.facts = get_stack_optional<FactBatch>(j, "facts");
         x.hello = get_stack_optional<Hello>(j, "hello");
+        x.limit_exchange = get_stack_optional<LimitExchange>(j, "limit_exchange");
         x.members = get_stack_optional<Members>(j, "members");
         x.part = get_stack_optional<Part>(j, "part");
         x.pieces = get_stack_optional<PieceMap>(j, "pieces");
@@ -4140,6 +4257,7 @@
         j["fact_request"] = x.fact_request;
         j["facts"] = x.facts;
         j["hello"] = x.hello;
+        j["limit_exchange"] = x.limit_exchange;
         j["members"] = x.members;
         j["part"] = x.part;
         j["pieces"] = x.pieces;
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -92,6 +92,7 @@
     , m_followed({ settings.identity, settings.failure_domain, 0 }, settings.regions)
     , m_started_at(Core::monotonic_now())
     , m_servers(table_settings(settings), m_random())
+    , m_limits(settings.identity, m_servers.permits(), Core::monotonic_now(), limit_sender())
     , m_retries(retry_limit(settings), Core::monotonic_now())
     , m_capabilities(loop, settings.metrics_port, [this](std::string const& entry) { m_crashes.on_entry_linked(entry); })
     , m_crashes(loop, settings.identity, std::move(parts.blames), m_metrics, crash_callbacks())
@@ -216,6 +217,7 @@
     Core::log_event(Core::LogLevel::Info, "link_down", { { "peer", identity } });
     m_sharing.on_peer_down(identity);
     m_crashes.on_entry_link_down(identity);
+    m_limits.on_entry_lost(identity, Core::monotonic_now());
     m_capabilities.forget(identity);
     if (m_known_entries.contains(identity))
         m_returning.on_outage(Core::monotonic_now());
@@ -236,6 +238,7 @@
     m_metrics.count("mountbarrow_wakes_total");
     Core::log_event(Core::LogLevel::Warn, "woke", { { "paused_ms", std::to_string(paused_for.count()) }, { "in_hand", std::to_string(m_requests.size()) } });
     m_hub->drop_all();
+    m_limits.on_resumed(Core::monotonic_now());
     m_facts.reread_after_pause();
 }
 
@@ -266,6 +269,8 @@
         m_roles_changed = m_roles_changed || is_new;
         if (is_new && m_weights)
             m_weights->update_sources();
+        if (message.entry_load->keeps_limits.value_or(false))
+            m_limits.on_entry_linked(from.identity, now);
         if (message.entry_load->configuration_end)
             m_facts.on_peer_log_position(from.identity, *message.entry_load->configuration_end, message.entry_load->configuration_version);
     } else if (message.pieces) {
@@ -286,6 +291,8 @@
         m_facts.on_batch(from.identity, *message.facts);
     } else if (message.crash_news) {
         m_crashes.on_crash_news(from.identity, *message.crash_news);
+    } else if (message.limit_exchange) {
+        m_limits.on_message(from.identity, *message.limit_exchange, now);
     } else if (message.refusals) {
         m_returning.on_announcement(from.identity, *message.refusals, now);
     } else if (message.ping && message.ping->configuration_end) {
@@ -353,6 +360,7 @@
 {
     Schema::Message message;
     message.entry_load = m_sharing.load();
+    message.entry_load->keeps_limits = true;
     message.entry_load->configuration_end = m_facts.replica().end(Configuration::FactTopic::Configuration);
     message.entry_load->configuration_version = m_facts.configuration_version();
     return message;
@@ -566,6 +574,15 @@
     };
 }
 
+Routing::LimitCoordinator::Send DirectEntry::limit_sender()
+{
+    return [this](std::string const& entry, Schema::LimitExchange const& exchange) {
+        Schema::Message message;
+        message.limit_exchange = exchange;
+        m_hub->send(entry, message);
+    };
+}
+
 CrashDetector::Callbacks DirectEntry::crash_callbacks()
 {
     return {
@@ -604,6 +621,7 @@
     m_goals.log_required_changes(version_time_limit(), now);
     m_returning.tell(now);
     offer_slots();
+    m_limits.tick(now);
     std::vector<std::shared_ptr<ProxiedRequest>> requests;
     requests.reserve(m_requests.size());
     for (auto const& [number, request] : m_requests)
@@ -689,8 +707,16 @@
     return count;
 }
 
+void DirectEntry::report_limits()
+{
+    auto const limits = m_servers.permits().limits();
+    auto const limited = std::count_if(limits.begin(), limits.end(), [](auto const& entry) { return entry.second.per_second.has_value(); });
+    m_metrics.set("mountbarrow_limited_servers", static_cast<double>(limited));
+}
+
 void DirectEntry::reply_metrics(Transport::HttpExchange& exchange)
 {
+    report_limits();
     m_metrics.set("mountbarrow_in_hand", static_cast<double>(m_requests.size()));
     m_crashes.report_metrics();
     m_metrics.set("mountbarrow_fact_age_ms", static_cast<double>(m_facts.age(Core::monotonic_now()).count()));
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -15,6 +15,7 @@
 #include <LibPlatform/FactLog.h>
 #include <LibPlatform/RequestHeads.h>
 #include <LibRouting/FollowedEngines.h>
+#include <LibRouting/LimitCoordinator.h>
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/IngressServer.h>
 #include <LibTransport/LinkHub.h>
@@ -99,6 +100,8 @@
     void on_request(std::shared_ptr<Transport::IngressRequest>);
     std::function<void(std::string const& entry, Schema::Message const&)> sender_to_capable_entries();
     CrashDetector::Callbacks crash_callbacks();
+    Routing::LimitCoordinator::Send limit_sender();
+    void report_limits();
     /// Lets waiting requests try again to find a slot, in the order of their queues.
     void offer_slots();
     void tick();
@@ -138,6 +141,7 @@
     Core::Time m_roles_updated_at { 0 };
     Core::Time m_started_at;
     Routing::ServerTable m_servers;
+    Routing::LimitCoordinator m_limits;
     Routing::SharedRetryBudget m_retries;
     PeerCapabilities m_capabilities;
     CrashDetector m_crashes;
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -328,21 +328,27 @@
 
 void ProxiedRequest::on_head(BackendAttempt& attempt, Transport::MessageHead const& head)
 {
-    attempt.on_head(m_context.heads.read_backend(head), moment(Core::monotonic_now()));
-    record_statements(attempt);
+    auto const now = Core::monotonic_now();
+    attempt.on_head(m_context.heads.read_backend(head), moment(now));
+    record_statements(attempt, now);
 }
 
-void ProxiedRequest::record_statements(BackendAttempt const& attempt)
+void ProxiedRequest::record_statements(BackendAttempt const& attempt, Core::Time now)
 {
     auto const& answer = attempt.answer_head();
+    // Another server may have taken over the address.
+    if (answer.status == status_misdirected)
+        return;
     if (answer.unreadable_limit) {
         m_context.metrics.count("mountbarrow_unreadable_server_limits_total");
         Core::log_event(Core::LogLevel::Warn, "server_limit_unreadable", { { "server", attempt.target().id }, { "text", *answer.unreadable_limit } });
+        return;
     }
     if (answer.max_requests_per_second) {
         m_context.metrics.count("mountbarrow_server_limits_stated_total");
         Core::log_event(Core::LogLevel::Info, "server_limit_stated", { { "request", m_head.request_id }, { "server", attempt.target().id }, { "per_second", std::to_string(*answer.max_requests_per_second) } });
     }
+    m_context.servers.on_answer_head(attempt.target().id, attempt.target().started_at_ms, { answer.max_requests_per_second }, attempt.sent_at(), now);
 }
 
 void ProxiedRequest::on_data(BackendAttempt& attempt, std::string_view data)
@@ -806,7 +812,8 @@
         refuse(status_unavailable, Refusal::NoServer, max_retry_after);
         return;
     }
-    refuse(status_unavailable, Refusal::NoSlot, m_wait.retry_after(m_service, now, m_context.random));
+    auto const refusal = m_no_server == Routing::NoServer::Limited ? Refusal::ServersLimited : Refusal::NoSlot;
+    refuse(status_unavailable, refusal, m_wait.retry_after(m_service, m_no_server, now, m_context.random));
 }
 
 void ProxiedRequest::refuse(int status, Refusal refusal, std::optional<Core::Duration> retry_after)
--- a/Services/DirectEntry/Refusal.cpp
+++ b/Services/DirectEntry/Refusal.cpp
@@ -24,6 +24,8 @@
         return "no_server";
     case Refusal::NoSlot:
         return "no_place";
+    case Refusal::ServersLimited:
+        return "servers_limited";
     case Refusal::QueueFull:
         return "queue_full";
     case Refusal::NotRunAnywhere:
--- a/Services/DirectEntry/Refusal.h
+++ b/Services/DirectEntry/Refusal.h
@@ -20,6 +20,8 @@
     NoServer,
     /// No slot at a backend server became free, or none is expected in time.
     NoSlot,
+    /// The backend servers accept no more requests than others send, by the limits that they state.
+    ServersLimited,
     QueueFull,
     /// All attempts failed before a backend server ran the request.
     NotRunAnywhere,
--- /dev/null
+++ b/Tests/LibRouting/TestLimitCoordinator.cpp
@@ -0,0 +1,369 @@
+// SPDX-License-Identifier: BSD-2-Clause
+#include <LibCore/Hash.h>
+#include <LibRouting/LimitCoordinator.h>
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <memory>
+#include <rapidcheck/gtest.h>
+#include <vector>
+
+using namespace Routing;
+using Core::Duration;
+using Core::Time;
+
+namespace {
+
+constexpr Duration tick_interval { 20 };
+constexpr Duration link_delay { 3 };
+constexpr Duration window { 4000 };
+char const* const server = "i-1";
+
+/// Entries that all have more requests for one limited server than it accepts, in virtual time.
+class Entries {
+public:
+    explicit Entries(size_t count)
+    {
+        for (size_t i = 0; i < count; ++i)
+            start(i);
+        for (size_t i = 0; i < count; ++i) {
+            for (size_t j = 0; j < i; ++j)
+                link(i, j);
+        }
+    }
+
+    static std::string identity(size_t number) { return "entry-" + std::to_string(number); }
+
+    void start(size_t number)
+    {
+        if (number >= m_nodes.size())
+            m_nodes.resize(number + 1);
+        auto node = std::make_unique<Node>();
+        auto const from = identity(number);
+        node->coordinator = std::make_unique<LimitCoordinator>(from, node->permits, now, [this, from](std::string const& to, Schema::LimitExchange const& message) {
+            m_messages_sent += 1;
+            m_messages.push_back({ now + link_delay, from, to, message });
+        });
+        m_nodes[number] = std::move(node);
+    }
+
+    void link(size_t a, size_t b)
+    {
+        m_nodes[a]->coordinator->on_entry_linked(identity(b), now);
+        m_nodes[b]->coordinator->on_entry_linked(identity(a), now);
+    }
+
+    /// The entry's end of a link notices that the other is gone.
+    void lose(size_t at, size_t lost) { m_nodes[at]->coordinator->on_entry_lost(identity(lost), now); }
+
+    void stop(size_t number) { m_nodes[number].reset(); }
+    void set_silent(size_t number, bool is_silent) { m_nodes[number]->is_silent = is_silent; }
+
+    /// An answer that the server sent to this entry arrives there.
+    void answer(size_t number, std::optional<double> per_second, Duration request_age = Duration(10))
+    {
+        m_nodes[number]->permits.on_answer(server, 1, per_second, now - request_age, now);
+    }
+
+    void run(Duration duration)
+    {
+        auto const end = now + duration;
+        while (now < end) {
+            now += Duration(1);
+            deliver();
+            if (now % tick_interval == Time(0))
+                tick();
+        }
+    }
+
+    /// The number of the entry that issues the permits, by the permits that entries receive.
+    size_t issuer() const
+    {
+        std::vector<std::string> identities;
+        for (size_t i = 0; i < m_nodes.size(); ++i)
+            identities.push_back(identity(i));
+        auto const first = Core::rendezvous_order(server, identities).front();
+        return static_cast<size_t>(std::find(identities.begin(), identities.end(), first) - identities.begin());
+    }
+
+    size_t sent_since(Time since) const
+    {
+        return static_cast<size_t>(std::count_if(m_sent.begin(), m_sent.end(), [&](auto const& at) { return at >= since; }));
+    }
+
+    size_t most_in_window(Time since) const
+    {
+        size_t most = 0;
+        for (size_t begin = 0; begin < m_sent.size(); ++begin) {
+            if (m_sent[begin] < since)
+                continue;
+            auto const end = std::lower_bound(m_sent.begin(), m_sent.end(), m_sent[begin] + window);
+            most = std::max(most, static_cast<size_t>(end - m_sent.begin()) - begin);
+        }
+        return most;
+    }
+
+    std::optional<double> limit_at(size_t number) const { return m_nodes[number]->permits.limit(server); }
+    SendPermits& permits(size_t number) { return m_nodes[number]->permits; }
+    LimitCoordinator& coordinator(size_t number) { return *m_nodes[number]->coordinator; }
+    size_t messages_sent() const { return m_messages_sent; }
+
+    Time now { 100000 };
+
+private:
+    struct Node {
+        SendPermits permits;
+        std::unique_ptr<LimitCoordinator> coordinator;
+        bool is_silent { false };
+    };
+
+    struct InFlight {
+        Time arrives;
+        std::string from;
+        std::string to;
+        Schema::LimitExchange message;
+    };
+
+    void deliver()
+    {
+        while (!m_messages.empty() && m_messages.front().arrives <= now) {
+            auto const message = std::move(m_messages.front());
+            m_messages.pop_front();
+            for (size_t i = 0; i < m_nodes.size(); ++i) {
+                bool const is_heard = m_nodes[i] && identity(i) == message.to && !m_nodes[i]->is_silent;
+                auto const sender = std::stoul(message.from.substr(std::string("entry-").size()));
+                if (is_heard && m_nodes[sender] && !m_nodes[sender]->is_silent)
+                    m_nodes[i]->coordinator->on_message(message.from, message.message, now);
+            }
+        }
+    }
+
+    void tick()
+    {
+        for (auto& node : m_nodes) {
+            if (!node)
+                continue;
+            // Callers come without end, and the server's limit is known to some entries only.
+            if (node->permits.limit(server) && node->permits.may_send(server, now)) {
+                node->permits.on_sent(server, now);
+                m_sent.push_back(now);
+            }
+            node->permits.add_wanted(server);
+            node->coordinator->tick(now);
+        }
+    }
+
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::deque<InFlight> m_messages;
+    std::vector<Time> m_sent;
+    size_t m_messages_sent { 0 };
+};
+
+/// The most requests that a server may get within a window, by the platform's rule.
+double allowed(double limit)
+{
+    return 1.5 * 4 * limit + 5;
+}
+
+}
+
+TEST(LimitCoordinator, EntriesTogetherKeepALimitThatOneOfThemHeard)
+{
+    for (size_t const count : { size_t { 1 }, size_t { 5 }, size_t { 53 }, size_t { 360 } }) {
+        for (double const limit : { 0.1, 1.5, 20.0 }) {
+            Entries entries(count);
+            entries.run(Duration(3000));
+            auto const stated_at = entries.now;
+            entries.answer(0, limit);
+            entries.run(Duration(12000));
+            EXPECT_LE(static_cast<double>(entries.most_in_window(stated_at)), allowed(limit)) << count << " entries, " << limit;
+            EXPECT_GE(static_cast<double>(entries.sent_since(stated_at)), limit * 12 / 2) << count << " entries, " << limit;
+            for (size_t i = 0; i < count; ++i)
+                EXPECT_EQ(entries.limit_at(i), limit);
+        }
+    }
+}
+
+TEST(LimitCoordinator, ALimitOfZeroLetsARequestThroughNowAndThen)
+{
+    Entries entries(5);
+    entries.run(Duration(3000));
+    auto const stated_at = entries.now;
+    entries.answer(0, 0);
+    entries.run(Duration(20000));
+    EXPECT_GE(entries.sent_since(stated_at), 2u);
+    EXPECT_LE(entries.sent_since(stated_at), 5u);
+}
+
+TEST(LimitCoordinator, TheNextEntryIssuesOnceTheIssuerIsLost)
+{
+    Entries entries(5);
+    entries.run(Duration(3000));
+    entries.answer(0, 5.0);
+    entries.run(Duration(4000));
+    auto const stopped_at = entries.now;
+    auto const issuer = entries.issuer();
+    entries.stop(issuer);
+    for (size_t i = 0; i < 5; ++i) {
+        // Each notices at a moment of its own.
+        entries.run(Duration(100));
+        if (i != issuer)
+            entries.lose(i, issuer);
+    }
+    entries.run(Duration(3000));
+    auto const replaced_at = entries.now;
+    entries.run(Duration(6000));
+    EXPECT_LE(static_cast<double>(entries.most_in_window(stopped_at)), allowed(5.0));
+    EXPECT_GE(entries.sent_since(replaced_at), 15u);
+}
+
+TEST(LimitCoordinator, AnEntryThatStartsDoesNotIssueBesideTheOthers)
+{
+    // The last to start is the issuer by the hash.
+    Entries entries(6);
+    auto const issuer = entries.issuer();
+    entries.stop(issuer);
+    for (size_t i = 0; i < 6; ++i) {
+        if (i != issuer)
+            entries.lose(i, issuer);
+    }
+    entries.run(Duration(4000));
+    auto const stated_at = entries.now;
+    entries.answer((issuer + 1) % 6, 4.0);
+    entries.run(Duration(4000));
+    entries.start(issuer);
+    for (size_t i = 0; i < 6; ++i) {
+        // The others learn of it one after the other.
+        entries.run(Duration(300));
+        if (i != issuer)
+            entries.link(issuer, i);
+    }
+    entries.run(Duration(10000));
+    EXPECT_EQ(entries.limit_at(issuer), 4.0) << "it is told";
+    EXPECT_LE(static_cast<double>(entries.most_in_window(stated_at)), allowed(4.0));
+    EXPECT_GE(entries.sent_since(entries.now - Duration(4000)), 8u);
+}
+
+TEST(LimitCoordinator, NoPermitComesFromAnIssuerThatWasPausedUntilAllKnowOfIt)
+{
+    Entries entries(5);
+    entries.run(Duration(3000));
+    entries.answer(0, 5.0);
+    entries.run(Duration(1000));
+    auto const issuer = entries.issuer();
+    entries.coordinator(issuer).on_resumed(entries.now);
+    auto const resumed_at = entries.now;
+    entries.run(Duration(2500));
+    // Permits that were issued before are used up by the others.
+    EXPECT_EQ(entries.sent_since(resumed_at + Duration(600)), 0u);
+    entries.run(Duration(3000));
+    EXPECT_GT(entries.sent_since(resumed_at + Duration(3000)), 5u);
+}
+
+RC_GTEST_PROP(LimitCoordinator, SilentLinksAndRestartsKeepTheLimit, ())
+{
+    auto const count = *rc::gen::inRange<size_t>(2, 7);
+    auto const limit = *rc::gen::element(0.3, 1.5, 4.0, 30.0);
+    Entries entries(count);
+    entries.run(Duration(3000));
+    auto const stated_at = entries.now;
+    entries.answer(*rc::gen::inRange<size_t>(0, count), limit);
+    for (int i = 0; i < 4; ++i) {
+        auto const number = *rc::gen::inRange<size_t>(0, count);
+        bool const restarts = *rc::gen::arbitrary<bool>();
+        if (restarts)
+            entries.start(number);
+        entries.set_silent(number, true);
+        entries.run(Duration(*rc::gen::inRange<int64_t>(0, 1500)));
+        for (size_t other = 0; other < count; ++other) {
+            if (other == number)
+                continue;
+            entries.lose(other, number);
+            entries.lose(number, other);
+        }
+        entries.run(Duration(*rc::gen::inRange<int64_t>(0, 1500)));
+        entries.set_silent(number, false);
+        for (size_t other = 0; other < count; ++other) {
+            if (other != number)
+                entries.link(number, other);
+        }
+    }
+    entries.run(Duration(4000));
+    RC_ASSERT(static_cast<double>(entries.most_in_window(stated_at)) <= allowed(limit));
+}
+
+TEST(LimitCoordinator, AnEndedLimitIsEndedForAll)
+{
+    Entries entries(5);
+    entries.run(Duration(3000));
+    entries.answer(0, 2.0);
+    entries.run(Duration(1000));
+    entries.answer(3, {});
+    entries.run(Duration(1000));
+    for (size_t i = 0; i < 5; ++i)
+        EXPECT_EQ(entries.limit_at(i), std::nullopt);
+}
+
+TEST(LimitCoordinator, ALimitThatChangesWithEachAnswerIsSentFourTimesASecondAtMost)
+{
+    Entries entries(5);
+    entries.run(Duration(3000));
+    auto const before = entries.messages_sent();
+    for (int i = 0; i < 100; ++i) {
+        entries.answer(0, 1.0 + i % 7);
+        entries.run(Duration(10));
+    }
+    // Requests for permits and permits come besides, two for each permit and entry.
+    EXPECT_LE(entries.messages_sent() - before, 200u);
+}
+
+TEST(SendPermits, AnAnswerToAnEarlierRequestDoesNotRaiseALimit)
+{
+    SendPermits permits;
+    permits.on_answer(server, 1, 2.0, Time(100), Time(200));
+    permits.on_answer(server, 1, {}, Time(150), Time(300));
+    EXPECT_EQ(permits.limit(server), 2.0) << "the request was sent before the limit was stated";
+    permits.on_answer(server, 1, 3.0, Time(199), Time(300));
+    EXPECT_EQ(permits.limit(server), 2.0);
+    permits.on_answer(server, 1, 1.0, Time(100), Time(300));
+    EXPECT_EQ(permits.limit(server), 1.0) << "a lower limit holds at once";
+    permits.on_answer(server, 1, {}, Time(300), Time(400));
+    EXPECT_EQ(permits.limit(server), std::nullopt);
+}
+
+TEST(SendPermits, AnotherEntrysEarlierStatementChangesNothing)
+{
+    SendPermits permits;
+    permits.on_answer(server, 1, 2.0, Time(100), Time(200));
+    EXPECT_FALSE(permits.on_peer_statement(server, { {}, Time(150), 1 }));
+    EXPECT_EQ(permits.limit(server), 2.0);
+    EXPECT_TRUE(permits.on_peer_statement(server, { {}, Time(250), 1 }));
+    EXPECT_EQ(permits.limit(server), std::nullopt);
+}
+
+TEST(SendPermits, ALimitIsThatOfTheIncarnation)
+{
+    SendPermits permits;
+    permits.on_answer(server, 5, 2.0, Time(100), Time(200));
+    permits.on_incarnation(server, 5);
+    EXPECT_EQ(permits.limit(server), 2.0);
+    permits.on_answer(server, 4, 1.0, Time(100), Time(300));
+    EXPECT_EQ(permits.limit(server), 2.0) << "an answer of an earlier incarnation";
+    permits.on_incarnation(server, 6);
+    EXPECT_EQ(permits.limit(server), std::nullopt);
+}
+
+TEST(SendPermits, APermitIsForOneRequestAndExpires)
+{
+    SendPermits permits;
+    EXPECT_TRUE(permits.may_send(server, Time(0)));
+    permits.on_answer(server, 1, 2.0, Time(0), Time(0));
+    EXPECT_FALSE(permits.may_send(server, Time(0)));
+    permits.add_permits(server, 2, Time(0));
+    permits.on_sent(server, Time(10));
+    EXPECT_TRUE(permits.may_send(server, Time(10)));
+    EXPECT_FALSE(permits.may_send(server, Time(500)));
+    permits.add_permits(server, 1, Time(600));
+    permits.on_sent(server, Time(600));
+    EXPECT_FALSE(permits.may_send(server, Time(600)));
+}
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -619,3 +619,63 @@
     requirements.prefers_idle_servers = true;
     EXPECT_EQ(m_table.choose(requirements, m_now)->id, "2");
 }
+
+TEST_F(ServerTableTest, ALimitedServerIsChosenOnlyWithAPermit)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.on_answer_head("1", {}, { .max_requests_per_second = 2.0 }, m_now, m_now);
+    ASSERT_FALSE(choose().has_value());
+    EXPECT_EQ(choose().error(), NoServer::Limited);
+    EXPECT_FALSE(m_table.has_free_slot("llm", m_now));
+    EXPECT_EQ(m_table.permits().take_wanted(m_now), (std::map<std::string, int64_t> { { "1", 2 } })) << "once for each choice";
+    m_table.permits().add_permits("1", 1, m_now);
+    ASSERT_TRUE(choose().has_value());
+    m_table.on_sent("r", *choose(), 900, m_now);
+    EXPECT_EQ(choose().error(), NoServer::Limited);
+}
+
+TEST_F(ServerTableTest, OtherServersServeWhileOneIsLimited)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.set_server(engine("2", "b"), m_now);
+    m_table.on_answer_head("1", {}, { .max_requests_per_second = 0.1 }, m_now, m_now);
+    for (int i = 0; i < 4; ++i) {
+        auto const choice = choose();
+        ASSERT_TRUE(choice.has_value());
+        EXPECT_EQ(choice->id, "2");
+        m_table.on_sent(std::to_string(i), *choice, 900, m_now);
+    }
+}
+
+TEST_F(ServerTableTest, ALimitOutlivesAListThatLapsesAndEndsWithTheIncarnation)
+{
+    auto listed = engine("1", "a");
+    listed.started_at_ms = 5000;
+    m_table.set_server(listed, m_now);
+    m_table.on_answer_head("1", 5000, { .max_requests_per_second = 2.0 }, m_now, m_now);
+    m_table.remove_server("1");
+    m_table.set_server(listed, m_now);
+    EXPECT_EQ(choose().error(), NoServer::Limited);
+    listed.started_at_ms = 6000;
+    m_table.set_server(listed, m_now);
+    EXPECT_TRUE(choose().has_value());
+    m_table.on_answer_head("1", 5000, { .max_requests_per_second = 2.0 }, m_now, m_now);
+    EXPECT_TRUE(choose().has_value()) << "an answer of the earlier incarnation";
+}
+
+TEST_F(ServerTableTest, TheIntervalUnderLimitsCountsAllEntriesAndAllLimitedServers)
+{
+    Schema::BackendServer plain {};
+    plain.service = "plain";
+    plain.slots = 4;
+    for (auto const* id : { "p1", "p2" }) {
+        plain.id = id;
+        m_table.set_server(plain, m_now);
+    }
+    EXPECT_EQ(m_table.limited_send_interval("plain", m_now), std::nullopt);
+    m_table.set_entries(10);
+    m_table.on_answer_head("p1", {}, { .max_requests_per_second = 4.0 }, m_now, m_now);
+    EXPECT_EQ(m_table.limited_send_interval("plain", m_now), Core::Duration(2500));
+    m_table.on_answer_head("p2", {}, { .max_requests_per_second = 1.0 }, m_now, m_now);
+    EXPECT_EQ(m_table.limited_send_interval("plain", m_now), Core::Duration(2000));
+}
--- a/Tests/LibRouting/TestSlotWait.cpp
+++ b/Tests/LibRouting/TestSlotWait.cpp
@@ -146,10 +146,32 @@
     std::mt19937_64 random(1);
     std::set<Duration> times;
     for (int i = 0; i < 100; ++i) {
-        auto const after = wait.retry_after("llm", m_now, random);
+        auto const after = wait.retry_after("llm", NoServer::AllFull, m_now, random);
         EXPECT_GE(after, Duration(200));
         EXPECT_LE(after, Duration(1500));
         times.insert(after);
     }
     EXPECT_GE(times.size(), 20u);
 }
+
+// Guards against requests that wait until their deadline for a server whose limit is used up by those before them.
+TEST_F(SlotWaitTest, UnderALimitOnlyRequestsWaitThatItLetsThroughInTime)
+{
+    add_engine(1);
+    m_servers.on_answer_head("1", {}, { .max_requests_per_second = 0.5 }, m_now, m_now);
+    std::vector<SlotWait> waits(4, wait());
+    size_t refused = 0;
+    for (uint64_t number = 0; number < 4; ++number) {
+        waits[number].begin(request(number), m_now);
+        if (waits[number].should_refuse(request(number), NoServer::Limited, m_now))
+            refused += 1;
+        else
+            waits[number].join(request(number), m_now);
+    }
+    // Permits come each 2 s, an answer takes about a second, and callers wait 6 s.
+    EXPECT_EQ(refused, 2u);
+    std::mt19937_64 random(1);
+    auto const after = waits[3].retry_after("llm", NoServer::Limited, m_now, random);
+    EXPECT_GE(after, Duration(6000)) << "two wait before";
+    EXPECT_LE(after, Duration(10000));
+}
--- a/Tests/Platform/test_server_statements.py
+++ b/Tests/Platform/test_server_statements.py
@@ -63,11 +63,11 @@
 
 # Guards against entries that each read an engine's limit and none of which keeps it.
 def test_an_engine_gets_no_more_than_its_limit_from_all_entries_together(build, folders):
-    for fault in ("", "cut_in_event", "full"):
+    for fault in ("", "cut_in_event", "full", "silent_midway"):
         with Fleet(build, folders, entries=5, engines=3, plains=0) as fleet:
             wait_linked(fleet)
             limited, other, _ = fleet.engines
-            # The streams that this engine breaks off or refuses go to others: another way to the limited one.
+            # The streams that this engine breaks off, refuses or leaves silent go to others: another way to the limited one.
             other.fault, other.faults_left = fault, 10**6 if fault else 0
             with Load(fleet, "POST", "/stream/a") as load:
                 holds_from = observe_limit([limited], 1.5)
