--- a/Libraries/LibRouting/SendPermits.cpp
+++ b/Libraries/LibRouting/SendPermits.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibRouting/SendPermits.h>
 
+#include <LibRouting/Incarnation.h>
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -17,11 +18,6 @@
     return per_second.value_or(std::numeric_limits<double>::infinity());
 }
 
-static bool is_earlier_start(std::optional<int64_t> started_at_ms, std::optional<int64_t> known)
-{
-    return started_at_ms && known && *started_at_ms < *known;
-}
-
 void SendPermits::on_answer(std::string const& server, std::optional<int64_t> started_at_ms, std::optional<double> per_second, Core::Time sent_at, Core::Time now)
 {
     auto const found = m_servers.find(server);
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -3,6 +3,7 @@
 
 #include <LibConfiguration/HeldVersion.h>
 #include <LibRouting/EngineFollowers.h>
+#include <LibRouting/Incarnation.h>
 #include <LibRouting/PermitIssuer.h>
 #include <LibSchema/Json.h>
 #include <algorithm>
@@ -47,11 +48,6 @@
 // other_region_penalty_ms, so that an idle server in another region is preferred.
 static constexpr double request_at_risk_penalty_ms = 50;
 
-static bool is_earlier_start(std::optional<int64_t> started_at_ms, std::optional<int64_t> known)
-{
-    return started_at_ms && known && *started_at_ms < *known;
-}
-
 /// Whether the server's latest incarnation is leaving. A list record of an earlier incarnation says nothing about the latest one.
 static bool is_leaving(Schema::BackendServer const& record, std::optional<int64_t> latest_start)
 {
