--- a/Libraries/LibPlatform/RequestHeads.h
+++ b/Libraries/LibPlatform/RequestHeads.h
@@ -55,6 +55,8 @@
     std::optional<double> max_requests_per_second;
     /// The text of a limit that is no number of requests per second.
     std::optional<std::string> unreadable_limit;
+    /// Whether the backend server states that it is about to end and takes no new requests.
+    bool is_leaving { false };
     /// Version of the model's weights that the backend server reports for the answer.
     std::optional<int64_t> version;
     /// The header fields to forward to the caller, without those that concern only one connection (hop-by-hop).
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -348,6 +348,10 @@
         m_context.metrics.count("mountbarrow_server_limits_stated_total");
         Core::log_event(Core::LogLevel::Info, "server_limit_stated", { { "request", m_head.request_id }, { "server", attempt.target().id }, { "per_second", std::to_string(*answer.max_requests_per_second) } });
     }
+    if (answer.is_leaving) {
+        m_context.metrics.count("mountbarrow_servers_leaving_stated_total");
+        Core::log_event(Core::LogLevel::Info, "server_leaving_stated", { { "request", m_head.request_id }, { "server", attempt.target().id } });
+    }
     m_context.servers.on_answer_head(attempt.target().id, attempt.target().started_at_ms, { answer.max_requests_per_second }, attempt.sent_at(), now);
 }
 
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -87,6 +87,19 @@
     EXPECT_EQ(HttpRequestHeads().read_backend(without_limit).unreadable_limit, std::nullopt);
 }
 
+TEST(RequestHeads, OnlyTheDocumentedValueMeansThatTheServerLeaves)
+{
+    auto const is_leaving = [](char const* text) {
+        Transport::MessageHead head;
+        head.headers = { { "Server-Leaving", text } };
+        return HttpRequestHeads().read_backend(head).is_leaving;
+    };
+    EXPECT_TRUE(is_leaving("1"));
+    for (auto const* text : { "0", "", "10", "true" })
+        EXPECT_FALSE(is_leaving(text)) << text;
+    EXPECT_FALSE(HttpRequestHeads().read_backend({}).is_leaving);
+}
+
 TEST(RequestHeads, AnEncodedOrUnsealedAnswerIsNotTheServers)
 {
     Transport::MessageHead head;
