Tests: A server that says it leaves gets no requests, whatever the list says

Change: engines and plain services of the stand-ins state in every answer that they leave. Two process tests: one server leaves, then all do, and callers are refused; an engine starts again under its id after it said so.

--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -273,6 +273,8 @@
         self.slots = 16
         # The requests a second that its answers state as its limit, as the text of the header; None for no limit.
         self.limit = None
+        # Whether its answers state that it leaves, whatever the list says.
+        self.is_leaving = False
         # (when, request id) of each request that arrived, without the agents' own calls.
         self.arrivals = []
         super().__init__(loop, address, port)
@@ -305,7 +307,8 @@
 
     def announcements(self):
         """What the server states about itself in every answer."""
-        return [] if self.limit is None else [("Server-Limit", self.limit)]
+        limit = [] if self.limit is None else [("Server-Limit", self.limit)]
+        return [*limit, *([("Server-Leaving", "1")] if self.is_leaving else [])]
 
     def head(self, request):
         return [("X-Request-Id", request.headers.get("x-request-id", "")), ("X-Response-Seal", f"seal.{self.id}"), *self.announcements()]
@@ -313,9 +316,13 @@
     async def refuse(self, request, status):
         return await self.reply(request, status, [("X-Not-Executed", "1"), ("X-Instance-Id", self.id), *self.announcements()])
 
+    def arrivals_since(self, since):
+        """The requests that arrived after a moment, as pairs of when and request id."""
+        return [(when, request_id) for when, request_id in self.arrivals if when >= since]
+
     def most_arrivals(self, window_seconds, since):
         """The most requests that arrived within any window of that length after a moment."""
-        times = [when for when, _ in self.arrivals if when >= since]
+        times = [when for when, _ in self.arrivals_since(since)]
         return max((sum(begin <= when < begin + window_seconds for when in times) for begin in times), default=0)
 
     def is_misdirected(self, request):
@@ -404,7 +411,8 @@
         self.enlist()
 
     def forget(self):
-        """A start: it holds nothing and counts anew."""
+        """A start: it holds nothing, does not leave, and counts anew."""
+        self.is_leaving = False
         self.version = 0
         self.order_sequence = 0
         if self.born is not None:
--- a/Tests/Platform/test_server_statements.py
+++ b/Tests/Platform/test_server_statements.py
@@ -8,6 +8,8 @@
 from test_direct_path import wait_linked
 
 WINDOW_SECONDS = 4
+# Time after which a server that leaves gets no request.
+DRAIN_SECONDS = 2
 OBSERVED_SECONDS = 8
 CALLERS_PER_ENTRY = 2
 
@@ -33,7 +35,7 @@
     def ask(self, entry):
         while not self.is_over.wait(self.pause_seconds):
             began = time.monotonic()
-            answer = self.fleet.call(entry, self.method, self.path, body=b"x", request_id=f"load-{threading.get_ident()}-{began}")
+            answer = self.fleet.call(entry, self.method, self.path, body=b"x", request_id=f"{entry}-{threading.get_ident()}-{began}")
             self.answers.append((answer, time.monotonic() - began))
 
     def __enter__(self):
@@ -88,7 +90,7 @@
             refused = [answer for answer, _ in load.answers if answer.status == 503]
             assert refused, "nothing was refused"
             assert all("retry-after" in answer.headers for answer in refused)
-            served = sum(when >= holds_from for server in fleet.plains for when, _ in server.arrivals)
+            served = sum(len(server.arrivals_since(holds_from)) for server in fleet.plains)
             # Half of what the servers offer; the rest is room for callers that are between two requests.
             assert served >= OBSERVED_SECONDS * 2.0 * len(fleet.plains) / 2, served
 
@@ -124,3 +126,41 @@
             assert_within_limit(server, 0, holds_from)
             server.limit = None
             wait_until(lambda: server.most_arrivals(1, holds_from + OBSERVED_SECONDS) > 0, "the server to be asked again")
+
+
+# Guards against requests to a server whose answers say that it leaves while the list calls it ready.
+def test_a_server_that_says_it_leaves_gets_no_requests_while_the_list_calls_it_ready(build, folders):
+    for path in ("/stream/a", "/safe/a"):
+        with Fleet(build, folders, entries=3, engines=2, plains=2) as fleet:
+            wait_linked(fleet)
+            servers = fleet.engines if path == "/stream/a" else fleet.plains
+            with Load(fleet, "POST", path) as load:
+                servers[0].is_leaving = True
+                asked_at = time.monotonic()
+                wait_until(lambda: servers[0].arrivals_since(asked_at), "an answer that says so")
+                told_at = time.monotonic()
+                time.sleep(2 * DRAIN_SECONDS)
+                late = servers[0].arrivals_since(told_at + DRAIN_SECONDS)
+                assert not late, f"{len(late)} requests reached a server more than {DRAIN_SECONDS} s after it had said that it leaves"
+                # The other one is left; then none is.
+                answered = len(load.answers)
+                wait_until(lambda: len(load.answers) > answered + 10, "further answers")
+                assert any(answer.status == 200 for answer, _ in load.answers[answered:])
+                servers[1].is_leaving = True
+                wait_until(lambda: fleet.call(fleet.entries[0], "POST", path, body=b"x").status == 503, "a refusal")
+                time.sleep(DRAIN_SECONDS)
+                answered = len(load.answers)
+                wait_until(lambda: len(load.answers) > answered + 10, "further answers")
+            assert all(answer.status == 503 and "retry-after" in answer.headers for answer, _ in load.answers[answered:answered + 10])
+
+
+def test_an_engine_that_said_it_leaves_is_used_once_it_has_started_again_under_its_id(build, folders):
+    with Fleet(build, folders, entries=2, engines=1, plains=0) as fleet:
+        wait_linked(fleet)
+        engine = fleet.engines[0]
+        engine.is_leaving = True
+        for entry in fleet.entries:
+            wait_until(lambda entry=entry: fleet.call(entry, "POST", "/stream/a").status == 503, "a refusal")
+        engine.crash()
+        engine.start_again()
+        wait_linked(fleet)
