LibRouting, DirectEntry, EngineAgent: A server whose answers say that it leaves gets no new requests

Callers saw: a request reached an engine 4864 ms after an answer had told the entry that it leaves (users' record; 2000 ms are allowed). The platform may end such an engine at any moment, and what runs there is then broken off. Cause: an entry learned of a leaving server from the list alone. The list waits for the store, which was silent for 12 s while the engine said in each answer that it leaves. Change: the statement is kept with the incarnation that made it (StatedAvailability), whichever answer brings it, and whatever the list says; it outlives a lapse of the list and ends with the incarnation. Such a server is chosen for nothing, owned by no entry, and counts as no capacity. The entry tells the others, and an entry that links later, and the agent, which orders its engine to load nothing more. An unreadable limit in the same answer no longer hides it.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -48,8 +48,8 @@
 // other_region_penalty_ms, so that an idle server in another region is preferred.
 static constexpr double request_at_risk_penalty_ms = 50;
 
-/// Whether the server's latest incarnation is leaving. A list record of an earlier incarnation says nothing about the latest one.
-static bool is_leaving(Schema::BackendServer const& record, std::optional<int64_t> latest_start)
+/// Whether the server's latest incarnation is leaving by the list. A list record of an earlier incarnation says nothing about the latest one.
+static bool is_listed_leaving(Schema::BackendServer const& record, std::optional<int64_t> latest_start)
 {
     return record.is_draining && !is_earlier_start(record.started_at_ms, latest_start);
 }
@@ -74,11 +74,28 @@
     server.record = record;
     server.ip = record.address.substr(0, record.address.rfind(':'));
     record_start(server, record.started_at_ms, now);
-    m_permits.on_incarnation(record.id, server.started_at_ms);
+    on_incarnation(server);
     auto const* service = engine_service(record.service);
     server.listed_version = service ? listed_version(record, service->timing) : 0;
 }
 
+bool ServerTable::is_leaving(Server const& server) const
+{
+    return is_listed_leaving(server.record, server.started_at_ms) || m_availability.is_leaving(server.record.id);
+}
+
+bool ServerTable::is_leaving(std::string const& id) const
+{
+    auto const found = m_servers.find(id);
+    return found == m_servers.end() ? m_availability.is_leaving(id) : is_leaving(found->second);
+}
+
+void ServerTable::on_incarnation(Server const& server)
+{
+    m_permits.on_incarnation(server.record.id, server.started_at_ms);
+    m_availability.on_incarnation(server.record.id, server.started_at_ms);
+}
+
 void ServerTable::reset_for_new_incarnation(Server& server)
 {
     for (auto const& [request, pending] : server.pending)
@@ -144,7 +161,7 @@
         // The report is about the engine only, not about plain servers at the same address.
         if (engine_service(server.record.service)) {
             record_start(server, state.started_at_ms, now);
-            m_permits.on_incarnation(id, server.started_at_ms);
+            on_incarnation(server);
         }
         if (server.is_selectable)
             own += static_cast<int64_t>(server.pending.size());
@@ -203,7 +220,7 @@
 
 bool ServerTable::is_usable(Server const& server, ServerRequirements const& requirements, Core::Time now) const
 {
-    if (is_leaving(server.record, server.started_at_ms) || now < server.suspended_until)
+    if (is_leaving(server) || now < server.suspended_until)
         return false;
     // A server that holds a model belongs to a service of engines, and can't be used while that service's timing and versions are
     // unknown.
@@ -362,7 +379,7 @@
 {
     std::optional<Core::Duration> next;
     for (auto const& [id, server] : m_servers) {
-        if (!server.is_selectable || server.record.service != service || is_leaving(server.record, server.started_at_ms))
+        if (!server.is_selectable || server.record.service != service || is_leaving(server))
             continue;
         auto const* report = reported(server, now);
         if (!report)
@@ -622,7 +639,16 @@
 {
     if (is_earlier_start(started_at_ms, this->started_at_ms(id)))
         return;
-    m_permits.on_answer(id, started_at_ms, statements.max_requests_per_second, sent_at, now);
+    if (!statements.has_unreadable_limit)
+        m_permits.on_answer(id, started_at_ms, statements.max_requests_per_second, sent_at, now);
+    if (statements.is_leaving && m_availability.set_leaving(id, started_at_ms, now))
+        m_newly_leaving.insert(id);
+}
+
+void ServerTable::on_peer_saw_leaving(std::string const& id, std::optional<int64_t> started_at_ms, Core::Time now)
+{
+    if (!is_earlier_start(started_at_ms, this->started_at_ms(id)))
+        m_availability.set_leaving(id, started_at_ms, now);
 }
 
 void ServerTable::on_received(std::string const& id, Core::Time now)
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -5,6 +5,7 @@
 #include <LibRouting/EngineOwners.h>
 #include <LibRouting/EngineTimingModel.h>
 #include <LibRouting/SendPermits.h>
+#include <LibRouting/StatedAvailability.h>
 #include <LibSchema/Generated.h>
 #include <map>
 #include <optional>
@@ -12,6 +13,7 @@
 #include <set>
 #include <string>
 #include <tl/expected.hpp>
+#include <utility>
 #include <vector>
 
 namespace Routing {
@@ -81,6 +83,10 @@
 struct ServerStatements {
     /// Requests per second that it accepts from all entries together; std::nullopt if it states no limit.
     std::optional<double> max_requests_per_second {};
+    /// Whether the answer states a limit that could not be read, so that nothing is known of the limit.
+    bool has_unreadable_limit { false };
+    /// Whether the server states that it is about to end and takes no new requests.
+    bool is_leaving { false };
 };
 
 /// Settings of a ServerTable. The domain and region are those of the entry.
@@ -168,6 +174,16 @@
     /// @param started_at_ms start of that incarnation, in milliseconds of the Unix clock; std::nullopt if unknown.
     /// @param sent_at when the request was sent.
     void on_answer_head(std::string const& id, std::optional<int64_t> started_at_ms, ServerStatements const&, Core::Time sent_at, Core::Time now);
+    /// Another entry got an answer from the server, of the incarnation that started then, which states that it leaves.
+    void on_peer_saw_leaving(std::string const& id, std::optional<int64_t> started_at_ms, Core::Time now);
+    /// Whether the server leaves, by the list or by its own answers.
+    bool is_leaving(std::string const& id) const;
+    /// The servers whose answers state that they leave, with the start of the incarnation.
+    std::map<std::string, std::optional<int64_t>> stated_leaving() const { return m_availability.leaving(); }
+    /// Returns the servers of which an answer to this entry stated first that they leave, since the last call.
+    std::set<std::string> take_newly_leaving() { return std::exchange(m_newly_leaving, {}); }
+    /// Drops what servers stated so long ago that it no longer holds.
+    void remove_old_statements(Core::Time now) { m_availability.remove_old(now); }
     /// Bytes of an answer to any request arrived from the server. Ends a suspension that on_no_response() caused.
     void on_received(std::string const& id, Core::Time now);
     /// Whether bytes arrived from the server within the last 600 ms. If so, a request that receives nothing there probably waits behind
@@ -280,6 +296,8 @@
     /// Returns null for a plain service.
     EngineService const* engine_service(std::string const& service) const;
     int64_t version_of(Server const&, Core::Time now) const;
+    bool is_leaving(Server const&) const;
+    void on_incarnation(Server const&);
     bool is_usable(Server const&, ServerRequirements const&, Core::Time now) const;
     /// Requests of other entries that the last report showed at an engine; 0 without a report.
     int64_t others_in_flight(Server const&, Core::Time now) const;
@@ -309,6 +327,8 @@
     std::mt19937_64 m_random;
     size_t m_entries { 1 };
     SendPermits m_permits;
+    StatedAvailability m_availability;
+    std::set<std::string> m_newly_leaving;
     std::map<std::string, Server> m_servers;
     std::map<std::string, EngineService> m_engine_services;
     // By the IP address that agent and engine share.
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -1629,6 +1629,28 @@
         Role role;
     };
 
+    /**
+     * An incarnation of a backend server that takes no new requests, and soon ends.
+     */
+    struct LeavingServer {
+        /**
+         * Id of the backend server.
+         */
+        std::string server;
+        /**
+         * Start of the incarnation, Unix milliseconds; absent if unknown.
+         */
+        std::optional<int64_t> started_at_ms;
+    };
+
+    /**
+     * Backend servers that state in their answers that they leave. Entries tell each other, and
+     * the agent of the engine.
+     */
+    struct LeavingServers {
+        std::vector<LeavingServer> servers;
+    };
+
     /**
      * What a backend server stated of its limit.
      */
@@ -2149,6 +2171,11 @@
          */
         std::optional<FactBatch> facts;
         std::optional<Hello> hello;
+        /**
+         * Backend servers that state in their answers that they leave. Entries tell each other, and
+         * the agent of the engine.
+         */
+        std::optional<LeavingServers> leaving_servers;
         /**
          * What entries send each other to keep together within the limits that backend servers
          * state on the requests that they accept.
@@ -2787,6 +2814,12 @@
     void from_json(const json & j, Hello & x);
     void to_json(json & j, const Hello & x);
 
+    void from_json(const json & j, LeavingServer & x);
+    void to_json(json & j, const LeavingServer & x);
+
+    void from_json(const json & j, LeavingServers & x);
+    void to_json(json & j, const LeavingServers & x);
+
     void from_json(const json & j, LimitStatement & x);
     void to_json(json & j, const LimitStatement & x);
 
@@ -3885,6 +3918,26 @@
         j["role"] = x.role;
     }
 
+    inline void from_json(const json & j, LeavingServer& x) {
+        x.server = j.at("server").get<std::string>();
+        x.started_at_ms = get_stack_optional<int64_t>(j, "started_at_ms");
+    }
+
+    inline void to_json(json & j, const LeavingServer & x) {
+        j = json::object();
+        j["server"] = x.server;
+        j["started_at_ms"] = x.started_at_ms;
+    }
+
+    inline void from_json(const json & j, LeavingServers& x) {
+        x.servers = j.at("servers").get<std::vector<LeavingServer>>();
+    }
+
+    inline void to_json(json & j, const LeavingServers & x) {
+        j = json::object();
+        j["servers"] = x.servers;
+    }
+
     inline void from_json(const json & j, LimitStatement& x) {
         x.age_ms = j.at("age_ms").get<int64_t>();
         x.per_second = get_stack_optional<double>(j, "per_second");
@@ -4223,6 +4276,7 @@
         x.fact_request = get_stack_optional<FactRequest>(j, "fact_request");
         x.facts = get_stack_optional<FactBatch>(j, "facts");
         x.hello = get_stack_optional<Hello>(j, "hello");
+        x.leaving_servers = get_stack_optional<LeavingServers>(j, "leaving_servers");
         x.limit_exchange = get_stack_optional<LimitExchange>(j, "limit_exchange");
         x.members = get_stack_optional<Members>(j, "members");
         x.part = get_stack_optional<Part>(j, "part");
@@ -4257,6 +4311,7 @@
         j["fact_request"] = x.fact_request;
         j["facts"] = x.facts;
         j["hello"] = x.hello;
+        j["leaving_servers"] = x.leaving_servers;
         j["limit_exchange"] = x.limit_exchange;
         j["members"] = x.members;
         j["part"] = x.part;
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -93,6 +93,7 @@
     , m_started_at(Core::monotonic_now())
     , m_servers(table_settings(settings), m_random())
     , m_limits(settings.identity, m_servers.permits(), Core::monotonic_now(), limit_sender())
+    , m_leaving(m_servers, leaving_callbacks())
     , m_retries(retry_limit(settings), Core::monotonic_now())
     , m_capabilities(loop, settings.metrics_port, [this](std::string const& entry) { m_crashes.on_entry_linked(entry); })
     , m_crashes(loop, settings.identity, std::move(parts.blames), m_metrics, crash_callbacks())
@@ -194,6 +195,7 @@
         m_hub->send(hello.identity, log_position_message());
         m_facts.on_entry_linked(hello.identity);
         m_crashes.on_entry_linked(hello.identity);
+        m_leaving.announce_all_to(hello.identity);
         Schema::Message directory;
         directory.directory.emplace();
         directory.directory->entries = m_hub->peers(Schema::Role::Entry);
@@ -291,6 +293,8 @@
         m_facts.on_batch(from.identity, *message.facts);
     } else if (message.crash_news) {
         m_crashes.on_crash_news(from.identity, *message.crash_news);
+    } else if (message.leaving_servers) {
+        m_leaving.on_message(*message.leaving_servers, now);
     } else if (message.limit_exchange) {
         m_limits.on_message(from.identity, *message.limit_exchange, now);
     } else if (message.refusals) {
@@ -574,6 +578,15 @@
     };
 }
 
+LeavingServers::Callbacks DirectEntry::leaving_callbacks()
+{
+    return {
+        .entries = [this] { return m_hub->peers(Schema::Role::Entry); },
+        .send = [this](std::string const& peer, Schema::Message const& message) { m_hub->send(peer, message); },
+        .changed = [this] { m_roles_changed = true; },
+    };
+}
+
 Routing::LimitCoordinator::Send DirectEntry::limit_sender()
 {
     return [this](std::string const& entry, Schema::LimitExchange const& exchange) {
@@ -622,6 +635,7 @@
     m_returning.tell(now);
     offer_slots();
     m_limits.tick(now);
+    m_leaving.announce_new(now);
     std::vector<std::shared_ptr<ProxiedRequest>> requests;
     requests.reserve(m_requests.size());
     for (auto const& [number, request] : m_requests)
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -5,6 +5,7 @@
 #include "EngineSharing.h"
 #include "EntryFacts.h"
 #include "EntryWeights.h"
+#include "LeavingServers.h"
 #include "PeerCapabilities.h"
 #include "ProxiedRequest.h"
 #include "RequestContext.h"
@@ -100,6 +101,7 @@
     void on_request(std::shared_ptr<Transport::IngressRequest>);
     std::function<void(std::string const& entry, Schema::Message const&)> sender_to_capable_entries();
     CrashDetector::Callbacks crash_callbacks();
+    LeavingServers::Callbacks leaving_callbacks();
     Routing::LimitCoordinator::Send limit_sender();
     void report_limits();
     /// Lets waiting requests try again to find a slot, in the order of their queues.
@@ -142,6 +144,7 @@
     Core::Time m_started_at;
     Routing::ServerTable m_servers;
     Routing::LimitCoordinator m_limits;
+    LeavingServers m_leaving;
     Routing::SharedRetryBudget m_retries;
     PeerCapabilities m_capabilities;
     CrashDetector m_crashes;
--- a/Services/DirectEntry/EngineSharing.cpp
+++ b/Services/DirectEntry/EngineSharing.cpp
@@ -70,7 +70,7 @@
             continue;
         std::vector<Routing::SharedEngine> engines;
         for (auto const* server : facts.servers()) {
-            if (server->service != service.name || server->is_draining)
+            if (server->service != service.name || servers.is_leaving(server->id))
                 continue;
             bool const is_followed = followed.contains(Transport::split_address(server->address).first);
             if (!is_followed || servers.version_of(server->id, now) > 0)
--- a/Services/DirectEntry/EngineSharing.h
+++ b/Services/DirectEntry/EngineSharing.h
@@ -41,7 +41,7 @@
 
     /// Returns this entry's role for each engine that serves a whole version, by backend server id.
     ///
-    /// Draining engines have no role. An engine that this entry does not follow, so that its version is unknown here, is assumed to
+    /// Engines that leave have no role. An engine that this entry does not follow, so that its version is unknown here, is assumed to
     /// serve one.
     std::map<std::string, Routing::EngineRole> roles(Routing::RouteTable const&, Configuration::FactReplica const&, Routing::ServerTable const&, Routing::FollowedEngines const&, Core::Time now) const;
 
--- a/Services/DirectEntry/EntryWeights.cpp
+++ b/Services/DirectEntry/EntryWeights.cpp
@@ -46,7 +46,7 @@
 {
     auto servers = m_context.facts.servers();
     std::erase_if(servers, [&](auto const* server) {
-        return server->service != service || server->is_draining || !m_context.followed.contains(Transport::split_address(server->address).first);
+        return server->service != service || m_context.servers.is_leaving(server->id) || !m_context.followed.contains(Transport::split_address(server->address).first);
     });
     return servers;
 }
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -342,7 +342,6 @@
     if (answer.unreadable_limit) {
         m_context.metrics.count("mountbarrow_unreadable_server_limits_total");
         Core::log_event(Core::LogLevel::Warn, "server_limit_unreadable", { { "server", attempt.target().id }, { "text", *answer.unreadable_limit } });
-        return;
     }
     if (answer.max_requests_per_second) {
         m_context.metrics.count("mountbarrow_server_limits_stated_total");
@@ -352,7 +351,11 @@
         m_context.metrics.count("mountbarrow_servers_leaving_stated_total");
         Core::log_event(Core::LogLevel::Info, "server_leaving_stated", { { "request", m_head.request_id }, { "server", attempt.target().id } });
     }
-    m_context.servers.on_answer_head(attempt.target().id, attempt.target().started_at_ms, { answer.max_requests_per_second }, attempt.sent_at(), now);
+    Routing::ServerStatements statements;
+    statements.max_requests_per_second = answer.max_requests_per_second;
+    statements.has_unreadable_limit = answer.unreadable_limit.has_value();
+    statements.is_leaving = answer.is_leaving;
+    m_context.servers.on_answer_head(attempt.target().id, attempt.target().started_at_ms, statements, attempt.sent_at(), now);
 }
 
 void ProxiedRequest::on_data(BackendAttempt& attempt, std::string_view data)
--- a/Services/EngineAgent/EngineAgent.cpp
+++ b/Services/EngineAgent/EngineAgent.cpp
@@ -154,12 +154,23 @@
         m_loader->on_cache_pieces(from.identity, *message.pieces);
     else if (message.pieces)
         m_loader->on_peer_pieces(from.identity, *message.pieces);
+    else if (message.leaving_servers && from.role == Schema::Role::Entry)
+        on_leaving(*message.leaving_servers);
     else if (message.engine_use && message.engine_use->is_used)
         m_entries_without_requests.erase(from.identity);
     else if (message.engine_use)
         m_entries_without_requests.insert(from.identity);
 }
 
+void EngineAgent::on_leaving(Schema::LeavingServers const& leaving)
+{
+    // An entry that does not know which incarnation it was says nothing about the present one.
+    for (auto const& server : leaving.servers) {
+        if (server.started_at_ms)
+            m_loader->on_engine_leaving(*server.started_at_ms);
+    }
+}
+
 void EngineAgent::on_goal(Schema::WeightsGoal const& goal)
 {
     if (goal.service != m_settings.service)
--- a/Services/EngineAgent/EngineAgent.h
+++ b/Services/EngineAgent/EngineAgent.h
@@ -41,6 +41,8 @@
     void on_link_up(Schema::Hello const&);
     void on_link_message(Schema::Hello const&, Schema::Message const&);
     void on_resumed(Core::Duration paused_for);
+    /// An entry got an answer of this agent's engine which states that it leaves.
+    void on_leaving(Schema::LeavingServers const&);
     void on_goal(Schema::WeightsGoal const&);
     /// Returns true if the list of engines in the last goal contains this agent's engine.
     bool is_listed() const;
--- a/Services/EngineAgent/WeightsLoader.cpp
+++ b/Services/EngineAgent/WeightsLoader.cpp
@@ -263,7 +263,7 @@
 void WeightsLoader::run_load(Core::Time now)
 {
     m_callbacks.detect_pause();
-    if (!is_goal_current(now))
+    if (!is_goal_current(now) || is_engine_leaving())
         return;
     if (m_older && is_older_load_over(now))
         m_older.reset();
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -679,3 +679,36 @@
     m_table.on_answer_head("p2", {}, { .max_requests_per_second = 1.0 }, m_now, m_now);
     EXPECT_EQ(m_table.limited_send_interval("plain", m_now), Core::Duration(2000));
 }
+
+TEST_F(ServerTableTest, AServerThatStatesThatItLeavesGetsNothingUntilItsNextIncarnation)
+{
+    auto listed = engine("1", "a");
+    listed.started_at_ms = 5000;
+    m_table.set_server(listed, m_now);
+    m_table.on_answer_head("1", 5000, { .has_unreadable_limit = true, .is_leaving = true }, m_now, m_now);
+    EXPECT_EQ(choose().error(), NoServer::NoneUsable);
+    EXPECT_TRUE(m_table.is_leaving("1"));
+    EXPECT_EQ(m_table.take_newly_leaving(), std::set<std::string> { "1" });
+    m_table.on_answer_head("1", 5000, {}, m_now, m_now);
+    EXPECT_EQ(choose().error(), NoServer::NoneUsable) << "leaving is final";
+    m_table.remove_server("1");
+    m_table.set_server(listed, m_now);
+    EXPECT_EQ(choose().error(), NoServer::NoneUsable) << "the list lapsed";
+    listed.started_at_ms = 6000;
+    m_table.set_server(listed, m_now);
+    EXPECT_TRUE(choose().has_value());
+    m_table.on_answer_head("1", 5000, { .is_leaving = true }, m_now, m_now);
+    EXPECT_TRUE(choose().has_value()) << "an answer of the earlier incarnation";
+}
+
+TEST_F(ServerTableTest, ALeavingServerThatAnotherEntrySawIsTheIncarnationThatItSaw)
+{
+    auto listed = engine("1", "a");
+    listed.started_at_ms = 5000;
+    m_table.set_server(listed, m_now);
+    m_table.on_peer_saw_leaving("1", 4000, m_now);
+    EXPECT_TRUE(choose().has_value());
+    m_table.on_peer_saw_leaving("1", 5000, m_now);
+    EXPECT_EQ(choose().error(), NoServer::NoneUsable);
+    EXPECT_TRUE(m_table.take_newly_leaving().empty()) << "the other entry announces it";
+}
--- a/Tests/Platform/test_server_statements.py
+++ b/Tests/Platform/test_server_statements.py
@@ -164,3 +164,18 @@
         engine.crash()
         engine.start_again()
         wait_linked(fleet)
+
+
+def test_an_engine_that_says_it_leaves_is_ordered_to_load_nothing(build, folders):
+    with Fleet(build, folders, entries=2, engines=3, plains=0) as fleet:
+        wait_linked(fleet)
+        leaving, *others = fleet.engines
+        leaving.is_leaving = True
+        since = time.monotonic()
+        with Load(fleet, "POST", "/stream/a"):
+            wait_until(lambda: leaving.arrivals_since(since), "an answer that says so")
+            wait_until(lambda: any(fleet.times_logged(entry, "server_leaves") for entry in fleet.entries), "an entry to have learned of it")
+        fleet.name_version(2)
+        wait_until(lambda: all(engine.version == 2 for engine in others), "the other engines to load the version")
+        time.sleep(fleet.version_bound_ms / 1000)
+        assert leaving.version == 1, "the leaving engine was ordered to load"
