platform, DirectEntry: Log the rest that a server asks for as it turns a request away

Cause: no line told that a server asked for rest, and for how long, so the hypotheses about requests during it could not be told apart. Change: each is logged with its request (server_rest_asked) and counted.

--- a/Libraries/LibPlatform/RequestHeads.h
+++ b/Libraries/LibPlatform/RequestHeads.h
@@ -50,7 +50,10 @@
     /// Whether the answer carries the header that marks it as a backend server's own, and no content encoding, as none was requested.
     bool is_genuine { false };
     std::string request_id;
+    /// How long the backend server, if it refuses the request, wants no requests from this entry.
     std::optional<Core::Duration> retry_after;
+    /// The text of such a time that is no number of seconds from 0 to 3600.
+    std::optional<std::string> unreadable_retry_after;
     /// Requests per second that the backend server accepts from all entries together; std::nullopt if it states no limit.
     std::optional<double> max_requests_per_second;
     /// The text of a limit that is no number of requests per second.
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -351,6 +351,15 @@
         m_context.metrics.count("mountbarrow_servers_leaving_stated_total");
         Core::log_event(Core::LogLevel::Info, "server_leaving_stated", { { "request", m_head.request_id }, { "server", attempt.target().id } });
     }
+    bool const asks_for_rest = answer.status == status_unavailable;
+    if (asks_for_rest && answer.unreadable_retry_after) {
+        m_context.metrics.count("mountbarrow_unreadable_server_rests_total");
+        Core::log_event(Core::LogLevel::Warn, "server_rest_unreadable", { { "server", attempt.target().id }, { "text", *answer.unreadable_retry_after } });
+    }
+    if (asks_for_rest && answer.retry_after) {
+        m_context.metrics.count("mountbarrow_server_rests_asked_total");
+        Core::log_event(Core::LogLevel::Info, "server_rest_asked", { { "request", m_head.request_id }, { "server", attempt.target().id }, { "for_ms", milliseconds(*answer.retry_after) } });
+    }
     Routing::ServerStatements statements;
     statements.max_requests_per_second = answer.max_requests_per_second;
     statements.has_unreadable_limit = answer.unreadable_limit.has_value();
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -87,6 +87,23 @@
     EXPECT_EQ(HttpRequestHeads().read_backend(without_limit).unreadable_limit, std::nullopt);
 }
 
+TEST(RequestHeads, RetryAfterIsANumberOfSeconds)
+{
+    auto const read = [](std::string const& text) {
+        Transport::MessageHead head;
+        head.status = 503;
+        head.headers = { { "Retry-After", text } };
+        return HttpRequestHeads().read_backend(head);
+    };
+    EXPECT_EQ(read("3").retry_after, Core::Duration(3000));
+    EXPECT_EQ(read("0.25").retry_after, Core::Duration(250));
+    EXPECT_EQ(read("0").unreadable_retry_after, std::nullopt);
+    for (auto const* text : { "", "-3", "nan", "1e300", "999999", "3x", "Thu, 03 Dec 2026 12:00:00 GMT" }) {
+        EXPECT_EQ(read(text).retry_after, std::nullopt) << text;
+        EXPECT_EQ(read(text).unreadable_retry_after, text);
+    }
+}
+
 TEST(RequestHeads, OnlyTheDocumentedValueMeansThatTheServerLeaves)
 {
     auto const is_leaving = [](char const* text) {
