Tests: A server that asks for rest gets no requests from that entry meanwhile

Change: stand-ins add the time to a refusal. Three process tests: one server of several asks for rest under load; all servers of a plain service do, and callers are told when it ends; a time that is none.

--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -275,6 +275,8 @@
         self.limit = None
         # Whether its answers state that it leaves, whatever the list says.
         self.is_leaving = False
+        # The seconds of rest that its refusals ask for, as the text of the header; None for no rest.
+        self.rest = None
         # (when, request id) of each request that arrived, without the agents' own calls.
         self.arrivals = []
         super().__init__(loop, address, port)
@@ -314,7 +316,8 @@
         return [("X-Request-Id", request.headers.get("x-request-id", "")), ("X-Response-Seal", f"seal.{self.id}"), *self.announcements()]
 
     async def refuse(self, request, status):
-        return await self.reply(request, status, [("X-Not-Executed", "1"), ("X-Instance-Id", self.id), *self.announcements()])
+        rest = [("Retry-After", self.rest)] if status == 503 and self.rest is not None else []
+        return await self.reply(request, status, [("X-Not-Executed", "1"), ("X-Instance-Id", self.id), *rest, *self.announcements()])
 
     def arrivals_since(self, since):
         """The requests that arrived after a moment, as pairs of when and request id."""
--- a/Tests/Platform/test_server_statements.py
+++ b/Tests/Platform/test_server_statements.py
@@ -8,6 +8,8 @@
 from test_direct_path import wait_linked
 
 WINDOW_SECONDS = 4
+# Time from an answer that asks for rest until it is kept, and the requests that may still reach the server during it.
+REST_GRACE_SECONDS, ALLOWED_DURING_REST = 0.5, 2
 # Time after which a server that leaves gets no request.
 DRAIN_SECONDS = 2
 OBSERVED_SECONDS = 8
@@ -179,3 +181,59 @@
         wait_until(lambda: all(engine.version == 2 for engine in others), "the other engines to load the version")
         time.sleep(fleet.version_bound_ms / 1000)
         assert leaving.version == 1, "the leaving engine was ordered to load"
+
+
+def requests_during_rest(server, entry, seconds):
+    """The most requests of an entry that reached a server during a rest that the server had asked that entry for."""
+    arrivals = [when for when, request_id in server.arrivals if request_id.startswith(f"{entry}-")]
+    return max((sum(asked + REST_GRACE_SECONDS < when < asked + seconds for when in arrivals) for asked in arrivals), default=0)
+
+
+# Guards against requests to a server that has turned the entry away and asked it for rest.
+def test_a_server_that_asks_for_rest_gets_none_from_that_entry_meanwhile(build, folders):
+    rest = 3
+    for path in ("/stream/a", "/safe/a"):
+        with Fleet(build, folders, entries=2, engines=3, plains=2) as fleet:
+            wait_linked(fleet)
+            servers = fleet.engines if path == "/stream/a" else fleet.plains
+            overloaded = servers[0]
+            with Load(fleet, "POST", path) as load:
+                overloaded.arrivals.clear()
+                overloaded.rest, overloaded.fault, overloaded.faults_left = str(rest), "full", 10**6
+                wait_until(lambda: overloaded.arrivals, "a request to be turned away")
+                time.sleep(2 * rest)
+                for entry in fleet.entries:
+                    count = requests_during_rest(overloaded, entry, rest)
+                    assert count <= ALLOWED_DURING_REST, f"{entry} sent {count} requests within {rest} s of rest"
+                # It is asked again after each rest, and is used once it takes requests.
+                overloaded.faults_left = 0
+                since = time.monotonic()
+                wait_until(lambda: len(overloaded.arrivals_since(since)) > 10, "requests after the rest")
+            assert any(answer.status == 200 for answer, _ in load.answers)
+
+
+def test_callers_are_refused_at_once_while_all_servers_rest_and_told_when_it_ends(build, folders):
+    with Fleet(build, folders, entries=1, engines=1, plains=2) as fleet:
+        entry = fleet.entries[0]
+        wait_until(lambda: fleet.call(entry, "POST", "/safe/warm", body=b"x").status == 200, "a plain service")
+        for server in fleet.plains:
+            server.rest, server.fault, server.faults_left = "60", "full", 10**6
+        wait_until(lambda: all(server.faulted for server in fleet.plains) or fleet.call(entry, "POST", "/safe/a", body=b"x").status == 0, "both to be asked")
+        since = time.monotonic()
+        answers = [fleet.call(entry, "POST", "/safe/a", body=b"x") for _ in range(10)]
+        assert not [arrival for server in fleet.plains for arrival in server.arrivals_since(since)], "a resting server was asked"
+        times = [float(answer.headers["retry-after"]) for answer in answers]
+        assert all(answer.status == 503 for answer in answers)
+        assert min(times) > 30, times
+        assert len(set(times)) > 1, "callers that are refused together are told the same time"
+
+
+def test_an_unreadable_rest_stops_nothing(build, folders):
+    with Fleet(build, folders, entries=1, engines=1, plains=1) as fleet:
+        entry, server = fleet.entries[0], fleet.plains[0]
+        wait_until(lambda: fleet.call(entry, "POST", "/safe/warm", body=b"x").status == 200, "a plain service")
+        for text in ("-3", "nan", "inf", "1e300", "3x", "Thu, 03 Dec 2026 12:00:00 GMT", ""):
+            server.rest, server.fault, server.faults_left = text, "full", 1
+            fleet.call(entry, "POST", "/safe/a", body=b"x")
+            wait_until(lambda: fleet.call(entry, "POST", "/safe/a", body=b"x").status == 200, f"the server to be used after {text!r}", 5)
+        assert fleet.times_logged(entry, "server_rest_unreadable") > 0
