LibRouting, DirectEntry: A server that asks for rest gets nothing from this entry until it is over

Callers saw: 16 requests of one entry reached an engine within the 3 s of rest that it had asked that entry for (users' record; 2 are allowed), were turned away, and came late or not at all elsewhere. Cause: the time was handed on to the caller whose request was refused, and the choice of a server passed over a full one for 60 ms. Change: the rest is kept with the incarnation that asked for it (StatedAvailability); choose() passes over the server until it is over, so no way leads there, and the retry budget is not spent on it. A shorter rest does not end a longer one. While all servers of a service rest, callers whose request can't be answered after it are refused at once, and told a time after the first rest ends, spread by up to 5 s. A request that no server ran is refused with that time, and no more with the rest of the last server that was asked.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -84,6 +84,11 @@
     return is_listed_leaving(server.record, server.started_at_ms) || m_availability.is_leaving(server.record.id);
 }
 
+bool ServerTable::is_resting(Server const& server, Core::Time now) const
+{
+    return now < m_availability.rest_until(server.record.id);
+}
+
 bool ServerTable::is_leaving(std::string const& id) const
 {
     auto const found = m_servers.find(id);
@@ -339,7 +344,7 @@
 {
     auto const filled = std::count_if(m_servers.begin(), m_servers.end(), [&](auto const& entry) {
         auto const& server = entry.second;
-        return server.is_selectable && server.record.service == service && role(server) == EngineRole::Owner && !m_permits.limit(entry.first) && is_usable(server, ServerRequirements { .service = service }, now);
+        return server.is_selectable && server.record.service == service && role(server) == EngineRole::Owner && !m_permits.limit(entry.first) && !is_resting(server, now) && is_usable(server, ServerRequirements { .service = service }, now);
     });
     return server_slot_interval(service) / std::max<int64_t>(1, filled);
 }
@@ -361,18 +366,39 @@
     return Core::Duration(static_cast<int64_t>(model->times.correction() * model->times.service_ms(static_cast<double>(prompt_tokens), static_cast<double>(answer_tokens))));
 }
 
-std::optional<Core::Duration> ServerTable::limited_send_interval(std::string const& service, Core::Time now) const
+std::optional<Core::Duration> ServerTable::time_until_rest_ends(std::string const& service, Core::Time now) const
+{
+    std::optional<Core::Duration> first;
+    for (auto const& [id, server] : m_servers) {
+        if (!server.is_selectable || server.record.service != service || !is_usable(server, ServerRequirements { .service = service }, now))
+            continue;
+        if (!is_resting(server, now))
+            return {};
+        auto const remaining = m_availability.rest_until(id) - now;
+        first = std::min(first.value_or(remaining), remaining);
+    }
+    return first;
+}
+
+std::optional<Core::Duration> ServerTable::limited_wait(std::string const& service, size_t count, Core::Time now) const
 {
     double per_second = 0;
+    std::optional<Core::Duration> wait;
     for (auto const& [id, server] : m_servers) {
-        auto const limit = m_permits.limit(id);
-        if (limit && server.is_selectable && server.record.service == service && is_usable(server, ServerRequirements { .service = service }, now))
+        if (!server.is_selectable || server.record.service != service || !is_usable(server, ServerRequirements { .service = service }, now))
+            continue;
+        if (is_resting(server, now)) {
+            auto const remaining = m_availability.rest_until(id) - now + server_slot_interval(service) * static_cast<int64_t>(count);
+            wait = std::min(wait.value_or(remaining), remaining);
+        } else if (auto const limit = m_permits.limit(id)) {
             per_second += std::max(*limit, min_permits_per_second);
+        }
     }
     if (per_second <= 0)
-        return {};
+        return wait;
     auto const sharing = engine_service(service) ? std::min(m_entries, followers_per_engine) : m_entries;
-    return Core::Duration(static_cast<int64_t>(std::ceil(milliseconds_per_second * static_cast<double>(sharing) / per_second)));
+    auto const limited = Core::Duration(static_cast<int64_t>(std::ceil(milliseconds_per_second * static_cast<double>(sharing * count) / per_second)));
+    return std::min(wait.value_or(limited), limited);
 }
 
 std::optional<Core::Duration> ServerTable::time_until_next_engine(std::string const& service, Core::Time now) const
@@ -499,6 +525,10 @@
             continue;
         if (!is_usable(server, requirements, now))
             continue;
+        if (is_resting(server, now)) {
+            saw_limited = true;
+            continue;
+        }
         bool const is_open = !requirements.temporarily_unavailable.contains(id) && has_free_slot_at(server, now) && !would_exceed_max_event_gap(server, requirements, now) && (!requirements.uses_only_spare_slots || has_spare_slot(server, now));
         if (!is_open) {
             saw_full = true;
@@ -538,7 +568,7 @@
 {
     return std::any_of(m_servers.begin(), m_servers.end(), [&](auto const& entry) {
         auto const& server = entry.second;
-        return server.is_selectable && server.record.service == service && has_free_slot_at(server, now) && m_permits.may_send(entry.first, now) && is_usable(server, ServerRequirements { .service = service }, now);
+        return server.is_selectable && server.record.service == service && has_free_slot_at(server, now) && m_permits.may_send(entry.first, now) && !is_resting(server, now) && is_usable(server, ServerRequirements { .service = service }, now);
     });
 }
 
@@ -643,6 +673,8 @@
         m_permits.on_answer(id, started_at_ms, statements.max_requests_per_second, sent_at, now);
     if (statements.is_leaving && m_availability.set_leaving(id, started_at_ms, now))
         m_newly_leaving.insert(id);
+    if (statements.rest)
+        m_availability.set_rest(id, started_at_ms, now + *statements.rest, now);
 }
 
 void ServerTable::on_peer_saw_leaving(std::string const& id, std::optional<int64_t> started_at_ms, Core::Time now)
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -53,7 +53,7 @@
     AllFull,
     /// Servers with a free slot are there, but are predicted to begin the answer too late.
     NoneInTime,
-    /// Servers that could serve it are limited, and this entry holds no permit to send to them.
+    /// Servers that could serve it are limited, and this entry holds no permit to send to them, or they asked this entry for rest.
     Limited,
 };
 
@@ -85,6 +85,8 @@
     std::optional<double> max_requests_per_second {};
     /// Whether the answer states a limit that could not be read, so that nothing is known of the limit.
     bool has_unreadable_limit { false };
+    /// How long the server wants no requests from this entry.
+    std::optional<Core::Duration> rest {};
     /// Whether the server states that it is about to end and takes no new requests.
     bool is_leaving { false };
 };
@@ -215,9 +217,11 @@
     Core::Duration min_time_to_first_event(std::string const& service, int64_t prompt_tokens) const;
     /// Time that a request with a prompt and an answer of this size takes at a full engine; 0 for a plain service.
     Core::Duration service_time(std::string const& service, int64_t prompt_tokens, int64_t answer_tokens) const;
-    /// Mean time between two requests that this entry may send to the limited servers of the service, if all entries that use them request
-    /// permits; std::nullopt if no usable server is limited.
-    std::optional<Core::Duration> limited_send_interval(std::string const& service, Core::Time now) const;
+    /// Expected time until this entry may have sent `count` requests to limited servers of the service, if all entries that use them request
+    /// permits, or to a resting one after its rest; std::nullopt if no usable server is limited or rests.
+    std::optional<Core::Duration> limited_wait(std::string const& service, size_t count, Core::Time now) const;
+    /// Time until the first of the usable servers of the service ends its rest; std::nullopt if there is none, or one that does not rest.
+    std::optional<Core::Duration> time_until_rest_ends(std::string const& service, Core::Time now) const;
     /// The limits that servers stated, and this entry's permits.
     SendPermits& permits() { return m_permits; }
     /// Expected time until an engine that loads a version or is empty can serve; std::nullopt if there is no such selectable engine.
@@ -297,6 +301,8 @@
     EngineService const* engine_service(std::string const& service) const;
     int64_t version_of(Server const&, Core::Time now) const;
     bool is_leaving(Server const&) const;
+    /// Whether the server asked this entry for rest, and still rests.
+    bool is_resting(Server const&, Core::Time now) const;
     void on_incarnation(Server const&);
     bool is_usable(Server const&, ServerRequirements const&, Core::Time now) const;
     /// Requests of other entries that the last report showed at an engine; 0 without a report.
--- a/Libraries/LibRouting/SlotWait.cpp
+++ b/Libraries/LibRouting/SlotWait.cpp
@@ -14,7 +14,7 @@
 // Callers give up on a stream that delivers nothing for about this long.
 static constexpr Core::Duration max_resume_wait { 2000 };
 static constexpr Core::Duration min_retry_after { 200 };
-static constexpr double retry_after_spread = 2;
+static constexpr Core::Duration max_retry_after_spread { 5000 };
 
 SlotWait::SlotWait(ServerTable const& servers, WaitingPolicy const& policy, std::function<ServiceQueue&(std::string const&)> service_queue)
     : m_servers(servers)
@@ -89,7 +89,7 @@
     auto const& service_queue = m_queue_of(request.service);
     if (reason == NoServer::Limited) {
         auto const position = m_queue ? 1 : service_queue.queue.size() + 1;
-        auto const begins = now + send_interval(request.service, reason, now) * static_cast<int64_t>(position);
+        auto const begins = now + expected_wait(request.service, reason, position, now);
         return timeliness(request, begins) == Timeliness::TooLate;
     }
     if (!m_is_late)
@@ -101,18 +101,20 @@
     return timeliness(request, begins) == Timeliness::TooLate;
 }
 
-Core::Duration SlotWait::send_interval(std::string const& service, NoServer reason, Core::Time now) const
+Core::Duration SlotWait::expected_wait(std::string const& service, NoServer reason, size_t count, Core::Time now) const
 {
-    auto const limited = reason == NoServer::Limited ? m_servers.limited_send_interval(service, now) : std::nullopt;
-    return limited.value_or(m_servers.slot_interval(service, now));
+    auto const limited = reason == NoServer::Limited ? m_servers.limited_wait(service, count, now) : std::nullopt;
+    return limited.value_or(m_servers.slot_interval(service, now) * static_cast<int64_t>(count));
 }
 
 Core::Duration SlotWait::retry_after(std::string const& service, NoServer reason, Core::Time now, std::mt19937_64& random) const
 {
-    auto const wait = send_interval(service, reason, now) * static_cast<int64_t>(1 + m_queue_of(service).queue.size());
-    std::uniform_real_distribution<double> spread(1, retry_after_spread);
-    auto const spread_wait = Core::Duration(static_cast<int64_t>(static_cast<double>(wait.count()) * spread(random)));
-    auto const longest = reason == NoServer::Limited ? max_retry_after_under_limits : max_retry_after;
+    auto const wait = expected_wait(service, reason, 1 + m_queue_of(service).queue.size(), now);
+    std::uniform_int_distribution<int64_t> spread(0, std::min(wait, max_retry_after_spread).count());
+    auto const spread_wait = wait + Core::Duration(spread(random));
+    auto longest = max_retry_after;
+    if (reason == NoServer::Limited)
+        longest = std::max(max_retry_after_under_limits, m_servers.time_until_rest_ends(service, now).value_or(Core::Duration(0)) + max_retry_after_spread);
     return std::clamp(spread_wait, min_retry_after, longest);
 }
 
--- a/Libraries/LibRouting/SlotWait.h
+++ b/Libraries/LibRouting/SlotWait.h
@@ -34,7 +34,7 @@
 /// becomes free.
 inline constexpr Core::Duration max_retry_after { 1500 };
 
-/// The same where the limits of servers decide when a request can be sent, which is known better.
+/// The same where the limits of servers decide when a request can be sent. A rest that ends later is waited for.
 inline constexpr Core::Duration max_retry_after_under_limits { 10000 };
 
 /// Settings for requests that wait for a slot.
@@ -88,9 +88,10 @@
     /// resumed stream should be refused once its caller has received nothing for 2 seconds.
     /// @param reason why ServerTable::choose() found no backend server.
     bool should_refuse(WaitingRequest const&, NoServer reason, Core::Time now) const;
-    /// Time after which a refused caller should retry: the expected time until all waiting requests and one more have got a slot,
-    /// multiplied by a random factor from 1 to 2 so that callers refused together don't return together, and clamped to 200 to
-    /// 1500 milliseconds, or 10 seconds if the reason is NoServer::Limited.
+    /// Time after which a refused caller should retry: the expected time until all waiting requests and one more have got a slot, and up
+    /// to as long again, but at most 5 seconds, by chance, so that callers refused together don't return together. It is clamped to 200 to
+    /// 1500 milliseconds. If the reason is NoServer::Limited, it is at most 10 seconds, or up to 5 seconds after the first rest has ended
+    /// if all servers rest.
     Core::Duration retry_after(std::string const& service, NoServer reason, Core::Time now, std::mt19937_64& random) const;
 
     /// Logs the figures on which the refusal of the request is based.
@@ -100,8 +101,8 @@
     /// Time that the request takes at a full engine.
     Core::Duration service_time(WaitingRequest const&) const;
     Timeliness timeliness(WaitingRequest const&, Core::Time begins) const;
-    /// Mean time between two requests of this entry that can be sent to the service.
-    Core::Duration send_interval(std::string const& service, NoServer reason, Core::Time now) const;
+    /// Expected time until this entry can have sent `count` requests to the service.
+    Core::Duration expected_wait(std::string const& service, NoServer reason, size_t count, Core::Time now) const;
 
     ServerTable const& m_servers;
     WaitingPolicy m_policy;
--- a/Libraries/LibRouting/StatedAvailability.cpp
+++ b/Libraries/LibRouting/StatedAvailability.cpp
@@ -2,20 +2,45 @@
 #include <LibRouting/StatedAvailability.h>
 
 #include <LibRouting/Incarnation.h>
+#include <algorithm>
+#include <utility>
 
 namespace Routing {
 
 static constexpr Core::Duration statement_lifetime { 600000 };
 
+StatedAvailability::Server& StatedAvailability::statements_of(std::string const& server, std::optional<int64_t> started_at_ms, Core::Time now)
+{
+    auto& statements = m_servers[server];
+    if (is_earlier_start(statements.started_at_ms, started_at_ms))
+        statements = {};
+    if (started_at_ms)
+        statements.started_at_ms = started_at_ms;
+    statements.stated_at = now;
+    return statements;
+}
+
 bool StatedAvailability::set_leaving(std::string const& server, std::optional<int64_t> started_at_ms, Core::Time now)
 {
-    auto const [known, is_new] = m_servers.try_emplace(server, Server { started_at_ms, now });
-    if (is_new)
-        return true;
-    if (!is_earlier_start(known->second.started_at_ms, started_at_ms))
-        return false;
-    known->second = { started_at_ms, now };
-    return true;
+    return !std::exchange(statements_of(server, started_at_ms, now).is_leaving, true);
+}
+
+void StatedAvailability::set_rest(std::string const& server, std::optional<int64_t> started_at_ms, Core::Time until, Core::Time now)
+{
+    auto& rest_until = statements_of(server, started_at_ms, now).rest_until;
+    rest_until = std::max(rest_until, until);
+}
+
+bool StatedAvailability::is_leaving(std::string const& server) const
+{
+    auto const found = m_servers.find(server);
+    return found != m_servers.end() && found->second.is_leaving;
+}
+
+Core::Time StatedAvailability::rest_until(std::string const& server) const
+{
+    auto const found = m_servers.find(server);
+    return found == m_servers.end() ? Core::Time(0) : found->second.rest_until;
 }
 
 void StatedAvailability::on_incarnation(std::string const& server, std::optional<int64_t> started_at_ms)
@@ -28,14 +53,16 @@
 std::map<std::string, std::optional<int64_t>> StatedAvailability::leaving() const
 {
     std::map<std::string, std::optional<int64_t>> leaving;
-    for (auto const& [id, server] : m_servers)
-        leaving[id] = server.started_at_ms;
+    for (auto const& [id, server] : m_servers) {
+        if (server.is_leaving)
+            leaving[id] = server.started_at_ms;
+    }
     return leaving;
 }
 
 void StatedAvailability::remove_old(Core::Time now)
 {
-    std::erase_if(m_servers, [&](auto const& entry) { return now - entry.second.stated_at > statement_lifetime; });
+    std::erase_if(m_servers, [&](auto const& entry) { return now - entry.second.stated_at > statement_lifetime && now >= entry.second.rest_until; });
 }
 
 }
--- a/Libraries/LibRouting/StatedAvailability.h
+++ b/Libraries/LibRouting/StatedAvailability.h
@@ -17,23 +17,33 @@
     /// @return false if that was known.
     bool set_leaving(std::string const& server, std::optional<int64_t> started_at_ms, Core::Time now);
 
+    /// The incarnation of the server that started then wants no requests from this entry until then.
+    void set_rest(std::string const& server, std::optional<int64_t> started_at_ms, Core::Time until, Core::Time now);
+
     /// Drops what an incarnation before the one that started then has stated.
     void on_incarnation(std::string const& server, std::optional<int64_t> started_at_ms);
 
-    bool is_leaving(std::string const& server) const { return m_servers.contains(server); }
+    bool is_leaving(std::string const& server) const;
+    /// When the last rest ends that the server asked for; 0 if it asked for none.
+    Core::Time rest_until(std::string const& server) const;
 
     /// Returns the start of the incarnation that leaves, for each server that stated it.
     std::map<std::string, std::optional<int64_t>> leaving() const;
 
-    /// Removes statements that are ten minutes old: no server takes that long to end.
+    /// Removes statements that are ten minutes old, as no server takes that long to end, once their rest is over.
     void remove_old(Core::Time now);
 
 private:
     struct Server {
         std::optional<int64_t> started_at_ms;
         Core::Time stated_at { 0 };
+        bool is_leaving { false };
+        Core::Time rest_until { 0 };
     };
 
+    /// The statements of this incarnation of a server; those of an earlier one are dropped.
+    Server& statements_of(std::string const& server, std::optional<int64_t> started_at_ms, Core::Time now);
+
     std::map<std::string, Server> m_servers;
 };
 
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -361,6 +361,8 @@
         Core::log_event(Core::LogLevel::Info, "server_rest_asked", { { "request", m_head.request_id }, { "server", attempt.target().id }, { "for_ms", milliseconds(*answer.retry_after) } });
     }
     Routing::ServerStatements statements;
+    if (asks_for_rest)
+        statements.rest = answer.retry_after;
     statements.max_requests_per_second = answer.max_requests_per_second;
     statements.has_unreadable_limit = answer.unreadable_limit.has_value();
     statements.is_leaving = answer.is_leaving;
@@ -445,7 +447,6 @@
         return;
     auto const& answer = attempt.answer_head();
     if (answer.is_not_run) {
-        m_server_retry_after = answer.retry_after;
         end_attempt(attempt, AttemptOutcome::NotRun, answer.status == status_misdirected ? ServerOutcome::Misdirected : ServerOutcome::Full);
         return;
     }
@@ -744,7 +745,11 @@
 
 void ProxiedRequest::refuse_not_run()
 {
-    refuse(status_unavailable, Refusal::NotRunAnywhere, m_server_retry_after.value_or(m_context.servers.server_slot_interval(m_service)));
+    auto const now = Core::monotonic_now();
+    // How long one server wants rest says nothing about the others.
+    auto const is_resting = m_context.servers.time_until_rest_ends(m_service, now).has_value();
+    auto const retry_after = is_resting ? m_wait.retry_after(m_service, Routing::NoServer::Limited, now, m_context.random) : m_context.servers.server_slot_interval(m_service);
+    refuse(status_unavailable, Refusal::NotRunAnywhere, retry_after);
 }
 
 void ProxiedRequest::send_again()
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -165,7 +165,6 @@
     bool m_may_have_run { false };
     bool m_has_delivered { false };
     std::optional<int64_t> m_last_event;
-    std::optional<Core::Duration> m_server_retry_after;
     // When the caller first sent this request, also to another entry that refused it, as far as is known.
     Core::Time m_first_requested_at { 0 };
     Routing::AnswerDeadlines m_terms;
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -663,7 +663,7 @@
     EXPECT_TRUE(choose().has_value()) << "an answer of the earlier incarnation";
 }
 
-TEST_F(ServerTableTest, TheIntervalUnderLimitsCountsAllEntriesAndAllLimitedServers)
+TEST_F(ServerTableTest, TheWaitUnderLimitsCountsAllEntriesAndAllLimitedServers)
 {
     Schema::BackendServer plain {};
     plain.service = "plain";
@@ -672,12 +672,13 @@
         plain.id = id;
         m_table.set_server(plain, m_now);
     }
-    EXPECT_EQ(m_table.limited_send_interval("plain", m_now), std::nullopt);
+    EXPECT_EQ(m_table.limited_wait("plain", 1, m_now), std::nullopt);
     m_table.set_entries(10);
     m_table.on_answer_head("p1", {}, { .max_requests_per_second = 4.0 }, m_now, m_now);
-    EXPECT_EQ(m_table.limited_send_interval("plain", m_now), Core::Duration(2500));
+    EXPECT_EQ(m_table.limited_wait("plain", 1, m_now), Core::Duration(2500));
     m_table.on_answer_head("p2", {}, { .max_requests_per_second = 1.0 }, m_now, m_now);
-    EXPECT_EQ(m_table.limited_send_interval("plain", m_now), Core::Duration(2000));
+    EXPECT_EQ(m_table.limited_wait("plain", 1, m_now), Core::Duration(2000));
+    EXPECT_EQ(m_table.limited_wait("plain", 3, m_now), Core::Duration(6000));
 }
 
 TEST_F(ServerTableTest, AServerThatStatesThatItLeavesGetsNothingUntilItsNextIncarnation)
@@ -712,3 +713,46 @@
     EXPECT_EQ(choose().error(), NoServer::NoneUsable);
     EXPECT_TRUE(m_table.take_newly_leaving().empty()) << "the other entry announces it";
 }
+
+TEST_F(ServerTableTest, AServerThatAsksForRestIsChosenAgainOnceItIsOver)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.set_server(engine("2", "b"), m_now);
+    m_table.on_answer_head("1", {}, { .rest = Core::Duration(3000) }, m_now, m_now);
+    EXPECT_EQ(choose()->id, "2");
+    EXPECT_EQ(m_table.time_until_rest_ends("llm", m_now), std::nullopt) << "one does not rest";
+    m_table.on_answer_head("2", {}, { .rest = Core::Duration(1000) }, m_now, m_now);
+    EXPECT_EQ(choose().error(), NoServer::Limited);
+    EXPECT_FALSE(m_table.has_free_slot("llm", m_now));
+    EXPECT_EQ(m_table.time_until_rest_ends("llm", m_now), Core::Duration(1000));
+    m_table.on_answer_head("1", {}, { .rest = Core::Duration(500) }, m_now, m_now);
+    m_now += Core::Duration(1000);
+    EXPECT_EQ(choose()->id, "2");
+    m_table.on_answer_head("1", {}, {}, m_now, m_now);
+    m_now += Core::Duration(1999);
+    EXPECT_EQ(choose({}, { "2" }).error(), NoServer::Limited) << "neither a shorter rest nor an answer without one ends the first";
+    m_now += Core::Duration(1);
+    EXPECT_EQ(choose({}, { "2" })->id, "1");
+}
+
+TEST_F(ServerTableTest, ARestIsThatOfTheIncarnationAndOutlivesTheList)
+{
+    auto listed = engine("1", "a");
+    listed.started_at_ms = 5000;
+    m_table.set_server(listed, m_now);
+    m_table.on_answer_head("1", 5000, { .rest = Core::Duration(3000) }, m_now, m_now);
+    m_table.remove_server("1");
+    m_table.set_server(listed, m_now);
+    EXPECT_EQ(choose().error(), NoServer::Limited);
+    listed.started_at_ms = 6000;
+    m_table.set_server(listed, m_now);
+    EXPECT_TRUE(choose().has_value());
+}
+
+TEST_F(ServerTableTest, AServerThatLeavesWhileItRestsStillLeavesAfterwards)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.on_answer_head("1", {}, { .rest = Core::Duration(1000), .is_leaving = true }, m_now, m_now);
+    m_now += Core::Duration(2000);
+    EXPECT_EQ(choose().error(), NoServer::NoneUsable);
+}
--- a/Tests/LibRouting/TestSlotWait.cpp
+++ b/Tests/LibRouting/TestSlotWait.cpp
@@ -175,3 +175,21 @@
     EXPECT_GE(after, Duration(6000)) << "two wait before";
     EXPECT_LE(after, Duration(10000));
 }
+
+TEST_F(SlotWaitTest, CallersAreToldToRetryOnceTheRestOfAllServersIsOver)
+{
+    add_engine(1);
+    m_servers.on_answer_head("1", {}, { .rest = Core::Duration(60000) }, m_now, m_now);
+    auto wait = this->wait();
+    wait.begin(request(1), m_now);
+    EXPECT_TRUE(wait.should_refuse(request(1), NoServer::Limited, m_now)) << "its caller waits 6 s";
+    std::mt19937_64 random(1);
+    std::set<Duration> times;
+    for (int i = 0; i < 100; ++i) {
+        auto const after = wait.retry_after("llm", NoServer::Limited, m_now, random);
+        EXPECT_GE(after, Duration(60000));
+        EXPECT_LE(after, Duration(65000));
+        times.insert(after);
+    }
+    EXPECT_GE(times.size(), 20u);
+}
