LibRouting: Request permits for a limited server where no other can take the request

Cause: each entry that met a limited server requested permits, whether it could send elsewhere or not. Of 16 entries that follow an engine most have other engines with free slots; they would let most permits expire, and those in need would get a small part of the limit. Change: choose() wants a permit if it found no server. Else an entry wants one each five seconds, as only an answer of the server shows that its limit has ended.

--- a/Libraries/LibRouting/SendPermits.cpp
+++ b/Libraries/LibRouting/SendPermits.cpp
@@ -11,6 +11,7 @@
 // An unused permit is lost, so that permits that were issued over a long time are not all used at once.
 static constexpr Core::Duration permit_lifetime { 500 };
 static constexpr Core::Duration request_interval { 500 };
+static constexpr Core::Duration probe_interval { 5000 };
 static constexpr Core::Duration statement_lifetime { 600000 };
 
 static double rate_of(std::optional<double> per_second)
@@ -102,6 +103,15 @@
         found->second.wanted += 1;
 }
 
+void SendPermits::add_probe(std::string const& server, Core::Time now)
+{
+    auto const found = m_servers.find(server);
+    if (found == m_servers.end() || (found->second.probed_at && now - *found->second.probed_at < probe_interval))
+        return;
+    found->second.probed_at = now;
+    found->second.wanted += 1;
+}
+
 void SendPermits::add_permits(std::string const& server, int64_t count, Core::Time now)
 {
     auto const found = m_servers.find(server);
--- a/Libraries/LibRouting/SendPermits.h
+++ b/Libraries/LibRouting/SendPermits.h
@@ -46,8 +46,11 @@
     bool may_send(std::string const& server, Core::Time now) const;
     /// Uses up a permit if the server is limited.
     void on_sent(std::string const& server, Core::Time now);
-    /// A request could have been sent to the limited server with a permit.
+    /// A request that no other server could take would have been sent to the limited server with a permit.
     void add_wanted(std::string const& server);
+    /// A request was sent elsewhere although the limited server could have taken it. A permit is wanted every five seconds nevertheless, as
+    /// only an answer of the server shows that its limit has ended.
+    void add_probe(std::string const& server, Core::Time now);
     void add_permits(std::string const& server, int64_t count, Core::Time now);
     /// Drops all permits: after a pause of the process they may be older than they appear.
     void drop_permits();
@@ -69,6 +72,7 @@
         std::deque<Core::Time> permits;
         int64_t wanted { 0 };
         std::optional<Core::Time> requested_at;
+        std::optional<Core::Time> probed_at;
     };
 
     std::map<std::string, Server> m_servers;
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -519,14 +519,15 @@
     uint64_t ties = 0;
     bool saw_full = false;
     bool saw_slow = false;
-    bool saw_limited = false;
+    bool saw_resting = false;
+    std::vector<std::string> limited;
     for (auto const& [id, server] : m_servers) {
         if (!server.is_selectable || server.record.service != requirements.service || requirements.excluded.contains(id))
             continue;
         if (!is_usable(server, requirements, now))
             continue;
         if (is_resting(server, now)) {
-            saw_limited = true;
+            saw_resting = true;
             continue;
         }
         bool const is_open = !requirements.temporarily_unavailable.contains(id) && has_free_slot_at(server, now) && !would_exceed_max_event_gap(server, requirements, now) && (!requirements.uses_only_spare_slots || has_spare_slot(server, now));
@@ -540,8 +541,7 @@
             continue;
         }
         if (!m_permits.may_send(id, now)) {
-            m_permits.add_wanted(id);
-            saw_limited = true;
+            limited.push_back(id);
             continue;
         }
         auto const own_cost = cost(server, requirements, now);
@@ -555,12 +555,18 @@
             best_cost = own_cost;
         }
     }
+    for (auto const& id : limited) {
+        if (best)
+            m_permits.add_probe(id, now);
+        else
+            m_permits.add_wanted(id);
+    }
     if (!best && saw_full)
         return tl::unexpected(NoServer::AllFull);
     if (!best && saw_slow)
         return tl::unexpected(NoServer::NoneInTime);
     if (!best)
-        return tl::unexpected(saw_limited ? NoServer::Limited : NoServer::NoneUsable);
+        return tl::unexpected(saw_resting || !limited.empty() ? NoServer::Limited : NoServer::NoneUsable);
     return ServerChoice { best->record.id, Core::Duration(static_cast<int64_t>(predicted_ms(*best, requirements, now))) };
 }
 
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -645,6 +645,15 @@
         EXPECT_EQ(choice->id, "2");
         m_table.on_sent(std::to_string(i), *choice, 900, m_now);
     }
+    m_table.on_ended("2", "0", ServerOutcome::Success, m_now);
+    std::map<std::string, int64_t> const one_permit { { "1", 1 } };
+    EXPECT_EQ(m_table.permits().take_wanted(m_now), one_permit) << "to learn when the limit ends";
+    m_now += Core::Duration(4000);
+    ASSERT_TRUE(choose().has_value());
+    EXPECT_TRUE(m_table.permits().take_wanted(m_now).empty());
+    m_now += Core::Duration(1000);
+    ASSERT_TRUE(choose().has_value());
+    EXPECT_EQ(m_table.permits().take_wanted(m_now), one_permit);
 }
 
 TEST_F(ServerTableTest, ALimitOutlivesAListThatLapsesAndEndsWithTheIncarnation)
