LibRouting, DirectEntry: Take permits only from the entry that issues them

Cause: a permit that a former issuer had sent was used after another entry had taken over, and messages on limits and leaving servers were taken from agents too. Change: a permit of another entry than the present issuer is dropped; both kinds of message are taken from entries alone.

--- a/Libraries/LibRouting/LimitCoordinator.cpp
+++ b/Libraries/LibRouting/LimitCoordinator.cpp
@@ -130,8 +130,10 @@
     }
     for (auto const& requested : message.requests)
         take_request(from, requested.server, std::clamp<int64_t>(requested.count, 0, max_permits_per_message), now);
-    for (auto const& issued : message.permits)
-        m_permits.add_permits(issued.server, std::clamp<int64_t>(issued.count, 0, max_permits_per_message), now);
+    for (auto const& issued : message.permits) {
+        if (issuer(issued.server) == from)
+            m_permits.add_permits(issued.server, std::clamp<int64_t>(issued.count, 0, max_permits_per_message), now);
+    }
     issue_permits(now);
     send_collected();
 }
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -293,9 +293,9 @@
         m_facts.on_batch(from.identity, *message.facts);
     } else if (message.crash_news) {
         m_crashes.on_crash_news(from.identity, *message.crash_news);
-    } else if (message.leaving_servers) {
+    } else if (message.leaving_servers && from.role == Schema::Role::Entry) {
         m_leaving.on_message(*message.leaving_servers, now);
-    } else if (message.limit_exchange) {
+    } else if (message.limit_exchange && from.role == Schema::Role::Entry) {
         m_limits.on_message(from.identity, *message.limit_exchange, now);
     } else if (message.refusals) {
         m_returning.on_announcement(from.identity, *message.refusals, now);
