DirectEntry: Move the reading of what servers state into a file of its own

Cause: ProxiedRequest held the logging and conversion of statements beside the course of a request. Change: AnswerStatements counts, logs and converts them. Nothing else changes.

--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "ProxiedRequest.h"
 
+#include "AnswerStatements.h"
 #include <LibCore/Log.h>
 #include <LibSchema/Json.h>
 #include <LibTransport/SocketAddress.h>
@@ -330,43 +331,12 @@
 {
     auto const now = Core::monotonic_now();
     attempt.on_head(m_context.heads.read_backend(head), moment(now));
-    record_statements(attempt, now);
-}
-
-void ProxiedRequest::record_statements(BackendAttempt const& attempt, Core::Time now)
-{
-    auto const& answer = attempt.answer_head();
     // Another server may have taken over the address.
-    if (answer.status == status_misdirected)
-        return;
-    if (answer.unreadable_limit) {
-        m_context.metrics.count("mountbarrow_unreadable_server_limits_total");
-        Core::log_event(Core::LogLevel::Warn, "server_limit_unreadable", { { "server", attempt.target().id }, { "text", *answer.unreadable_limit } });
-    }
-    if (answer.max_requests_per_second) {
-        m_context.metrics.count("mountbarrow_server_limits_stated_total");
-        Core::log_event(Core::LogLevel::Info, "server_limit_stated", { { "request", m_head.request_id }, { "server", attempt.target().id }, { "per_second", std::to_string(*answer.max_requests_per_second) } });
-    }
-    if (answer.is_leaving) {
-        m_context.metrics.count("mountbarrow_servers_leaving_stated_total");
-        Core::log_event(Core::LogLevel::Info, "server_leaving_stated", { { "request", m_head.request_id }, { "server", attempt.target().id } });
-    }
-    bool const asks_for_rest = answer.status == status_unavailable;
-    if (asks_for_rest && answer.unreadable_retry_after) {
-        m_context.metrics.count("mountbarrow_unreadable_server_rests_total");
-        Core::log_event(Core::LogLevel::Warn, "server_rest_unreadable", { { "server", attempt.target().id }, { "text", *answer.unreadable_retry_after } });
-    }
-    if (asks_for_rest && answer.retry_after) {
-        m_context.metrics.count("mountbarrow_server_rests_asked_total");
-        Core::log_event(Core::LogLevel::Info, "server_rest_asked", { { "request", m_head.request_id }, { "server", attempt.target().id }, { "for_ms", milliseconds(*answer.retry_after) } });
-    }
-    Routing::ServerStatements statements;
-    if (asks_for_rest)
-        statements.rest = answer.retry_after;
-    statements.max_requests_per_second = answer.max_requests_per_second;
-    statements.has_unreadable_limit = answer.unreadable_limit.has_value();
-    statements.is_leaving = answer.is_leaving;
-    m_context.servers.on_answer_head(attempt.target().id, attempt.target().started_at_ms, statements, attempt.sent_at(), now);
+    if (attempt.answer_head().status == status_misdirected)
+        return;
+    auto const& target = attempt.target();
+    auto const statements = record_statements(m_context.metrics, m_head.request_id, target.id, attempt.answer_head());
+    m_context.servers.on_answer_head(target.id, target.started_at_ms, statements, attempt.sent_at(), now);
 }
 
 void ProxiedRequest::on_data(BackendAttempt& attempt, std::string_view data)
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -82,8 +82,6 @@
     BackendAttempt::Moment moment(Core::Time now) const;
 
     void on_head(BackendAttempt&, Transport::MessageHead const&);
-    /// Records what the backend server states about itself.
-    void record_statements(BackendAttempt const&, Core::Time now);
     void on_data(BackendAttempt&, std::string_view);
     void on_done(BackendAttempt&);
     void on_failed(BackendAttempt&, Transport::CallFailure);
