Soak: Servers that state a limit, leave by their answers alone, or ask for rest

Change: one seed in five plays them among all other faults, and once more in the calm stretch at the end. Three promises judge arrivals by the entry that sent them, with the bounds of the platform's rules; each has a test that breaks it on purpose. Seed 16 joins the fixed ones.

--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -279,6 +279,8 @@
         self.rest = None
         # (when, request id) of each request that arrived, without the agents' own calls.
         self.arrivals = []
+        # (when, request id) of each answer that states that the server leaves, and (when, request id, seconds) of each refusal with rest.
+        self.leaving_answers, self.rest_answers = [], []
         super().__init__(loop, address, port)
 
     def entry(self, state="ready"):
@@ -307,17 +309,22 @@
     def note_arrival(self, request):
         self.arrivals.append((time.monotonic(), request.headers.get("x-request-id", "")))
 
-    def announcements(self):
+    def announcements(self, request):
         """What the server states about itself in every answer."""
+        if self.is_leaving:
+            self.leaving_answers.append((time.monotonic(), request.headers.get("x-request-id", "")))
         limit = [] if self.limit is None else [("Server-Limit", self.limit)]
         return [*limit, *([("Server-Leaving", "1")] if self.is_leaving else [])]
 
     def head(self, request):
-        return [("X-Request-Id", request.headers.get("x-request-id", "")), ("X-Response-Seal", f"seal.{self.id}"), *self.announcements()]
+        return [("X-Request-Id", request.headers.get("x-request-id", "")), ("X-Response-Seal", f"seal.{self.id}"), *self.announcements(request)]
 
     async def refuse(self, request, status):
-        rest = [("Retry-After", self.rest)] if status == 503 and self.rest is not None else []
-        return await self.reply(request, status, [("X-Not-Executed", "1"), ("X-Instance-Id", self.id), *rest, *self.announcements()])
+        asks_for_rest = status == 503 and self.rest is not None
+        if asks_for_rest:
+            self.rest_answers.append((time.monotonic(), request.headers.get("x-request-id", ""), self.rest))
+        rest = [("Retry-After", self.rest)] if asks_for_rest else []
+        return await self.reply(request, status, [("X-Not-Executed", "1"), ("X-Instance-Id", self.id), *rest, *self.announcements(request)])
 
     def arrivals_since(self, since):
         """The requests that arrived after a moment, as pairs of when and request id."""
--- a/Tests/Soak/promises.py
+++ b/Tests/Soak/promises.py
@@ -15,6 +15,10 @@
 VERSION_BOUND_SECONDS = 8
 # Ends of engines after which a request must be stopped everywhere, and the sends that may still reach one.
 ENOUGH_ENDS, ALLOWED_LATE_SENDS = 3, 3
+# A server that names a limit gets within a window so many times the limit and so many requests at most, from entries that are in touch.
+WINDOW_SECONDS, LIMIT_RATIO, LIMIT_SLACK = 4, 1.5, 5
+DRAIN_SECONDS = 2
+REST_GRACE_SECONDS, ALLOWED_DURING_REST = 0.5, 2
 # From an engine's beginning of work back to the entry's sending, beside load.
 VERSION_SLACK_SECONDS = 0.5
 
@@ -32,6 +36,9 @@
     "denied": "no key runs that no readable configuration holds",
     "reverted": "within one life an entry goes back behind no configuration",
     "stopped": "a request that ends its engines reaches three more at the most, once it has ended three and all must know",
+    "limit": "a server gets no more requests than the limit that its answers name allows",
+    "leaving": "a server whose answers say that it leaves gets nothing from an entry that was told so two seconds before",
+    "rest": "a server that asked an entry for rest gets nothing from it meanwhile",
     "version": "no stream begins on an old version past its bound",
     "weights": "an engine loads only the exact bytes of a version",
     "ended": "no process ends by itself",
@@ -74,6 +81,15 @@
         return max(longest, end - free_from)
 
 
+@dataclasses.dataclass
+class Statements:
+    """What servers stated about themselves."""
+
+    # (server, limit, from when, until when), where requests a second are limited.
+    limits: list
+    servers: dict
+
+
 @dataclasses.dataclass
 class Record:
     """All that a run left to judge."""
@@ -91,6 +107,7 @@
     # What touches a server or the way to it.
     server_names: list
     link_names: list
+    statements: Statements = dataclasses.field(default_factory=lambda: Statements([], {}))
 
 
 def run_faults(seen, runs):
@@ -176,6 +193,60 @@
             yield f"stopped: {body.decode()} reached engines {len(late)} times from {CONTACT_SECONDS} s after its third end on; {len(ends)} ended"
 
 
+def is_in_touch(record, entry, begin, end):
+    return not record.disturbances.touches([entry, f"door {entry}", STAND_INS], begin - CONTACT_SECONDS, end)
+
+
+def over_limit(record, entries):
+    """Windows in which a server got more than its limit allows, from entries that nothing was done to."""
+    for server, limit, begin, end in record.statements.limits:
+        allowed = LIMIT_RATIO * WINDOW_SECONDS * limit + LIMIT_SLACK
+        arrivals = [(when, entries[request_id]) for when, request_id in list(server.arrivals) if begin + CONTACT_SECONDS <= when < end and request_id in entries]
+        for first, _ in arrivals:
+            # A server that has started again names its limit anew.
+            if record.disturbances.touches([f"server {server.address}"], first - CONTACT_SECONDS, first + WINDOW_SECONDS):
+                continue
+            window = [entry for when, entry in arrivals if first <= when < first + WINDOW_SECONDS]
+            count = sum(is_in_touch(record, entry, first, first + WINDOW_SECONDS) for entry in window)
+            if count > allowed:
+                yield f"limit: {server.address} named {limit} a second and got {count} in {WINDOW_SECONDS} s from {first - begin:.2f} s on; allowed {allowed}"
+                break
+
+
+def sent_to_leaving(record, entries):
+    """Requests that a caller sent later than the bound after the entry had been told that the server leaves."""
+    sent_at = {seen.request_id: seen.sent_at for seen in record.seen}
+    for server in record.statements.servers.values():
+        told = {}
+        for when, request_id in list(server.leaving_answers):
+            told.setdefault(entries.get(request_id), when)
+        for when, request_id in list(server.arrivals):
+            entry = entries.get(request_id)
+            if entry is None or entry not in told or sent_at[request_id] <= told[entry] + DRAIN_SECONDS:
+                continue
+            restarted = any(told[entry] < last and first < when for first, last in record.disturbances.spans[f"server {server.address}"])
+            if not restarted and is_in_touch(record, entry, told[entry], when):
+                yield f"leaving: {request_id} reached {server.address} {when - told[entry]:.2f} s after {entry} was told that it leaves"
+
+
+def sent_during_rest(record, entries):
+    for server in record.statements.servers.values():
+        arrivals = [(when, entries[request_id]) for when, request_id in list(server.arrivals) if request_id in entries]
+        for asked_at, request_id, seconds in list(server.rest_answers):
+            entry = entries.get(request_id)
+            until = asked_at + float(seconds)
+            count = sum(entry == other and asked_at + REST_GRACE_SECONDS < when < until for when, other in arrivals)
+            if count > ALLOWED_DURING_REST and is_in_touch(record, entry, asked_at, until):
+                yield f"rest: {server.address} asked {entry} for {seconds} s of rest and got {count} requests from it"
+
+
+def statement_faults(record):
+    entries = {seen.request_id: seen.entry for seen in record.seen}
+    yield from over_limit(record, entries)
+    yield from sent_to_leaving(record, entries)
+    yield from sent_during_rest(record, entries)
+
+
 def request_faults(record):
     """All promises that requests break."""
     for seen in record.seen:
@@ -189,6 +260,7 @@
             yield from begun_late(seen, runs, record)
     yield from reverted(record)
     yield from not_stopped(record)
+    yield from statement_faults(record)
     known = {seen.request_id for seen in record.seen}
     for request_id in record.runs:
         if request_id.startswith("soak-") and not request_id.startswith("soak-crashing-") and request_id not in known:
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -42,6 +42,10 @@
 # One seed in so many plays with engines that pause in the middle of answers, and with configurations that change in other fields.
 PAUSING_ONE_IN, PAUSING_REST = 5, 0
 PAUSED_EVENT_SECONDS = 0.05
+# One seed in so many plays with servers that state a limit, leave by their answers alone, or ask for rest.
+STATING_ONE_IN, STATING_REST = 5, 1
+STATED_LIMITS = (0, 0.3, 1.5, 4)
+STATED_SECONDS, REST_SECONDS = (9.0, 14.0), (0.5, 3.0)
 WIDE_ONE_IN = 10
 WIDE_ENTRIES, WIDE_ENGINES = 6, 30
 STORE_MODES = ("busy", "many", "reset", "silent")
@@ -78,6 +82,8 @@
         self.named = []
         self.revoked = {}
         self.own_ends = []
+        # (server, limit, when it was first stated, when the last answer with it was sent).
+        self.stated_limits = []
         self.peaks = collections.Counter()
         self.next_memory_look = 0.0
         self.next_engine_pause = 0.0
@@ -334,6 +340,41 @@
         self.disturb_once(f"server {engine.address}")
         engine.restart()
 
+    # What servers state about themselves.
+
+    def plays_statements(self):
+        return self.seed % STATING_ONE_IN == STATING_REST
+
+    def state_limit(self, servers=None):
+        """A server names a limit for longer than the contact time and a window."""
+        server, limit, seconds = self.random.choice(servers or self.fleet.engines + self.fleet.plains), self.random.choice(STATED_LIMITS), self.random.uniform(*STATED_SECONDS)
+        if server.limit is not None:
+            return
+        server.limit = str(limit)
+        begin = time.monotonic()
+        self.note("server_limit", address=server.address, limit=limit, seconds=seconds)
+        self.stated_limits.append((server, limit, begin, begin + seconds))
+        self.later(seconds, lambda: setattr(server, "limit", None))
+
+    def leave_by_answers(self):
+        """An engine says in its answers that it leaves, while the list says that it is ready; later it starts anew."""
+        engine = self.random.choice(self.fleet.engines)
+        if engine.is_leaving or sum(other.is_leaving for other in self.fleet.engines) + 1 >= len(self.fleet.engines):
+            return
+        self.note("engine_leaves", address=engine.address)
+        engine.is_leaving = True
+
+        def start_anew():
+            self.disturb_once(f"server {engine.address}")
+            engine.restart()
+        self.later(self.random.uniform(*STATED_SECONDS), start_anew)
+
+    def ask_for_rest(self):
+        server = self.random.choice(self.fleet.engines + self.fleet.plains)
+        server.rest = f"{self.random.uniform(*REST_SECONDS):.2f}"
+        server.fault, server.faults_left = "full", self.random.randint(1, 5)
+        self.note("server_asks_for_rest", address=server.address, seconds=server.rest)
+
     # Changes.
 
     def name_version(self):
@@ -410,6 +451,8 @@
             faults += [self.pause_engines, self.pause_engines, self.change_field]
             for engine in self.fleet.engines:
                 engine.event_seconds = PAUSED_EVENT_SECONDS
+        if self.plays_statements():
+            faults += [self.state_limit, self.leave_by_answers, self.ask_for_rest, self.ask_for_rest]
         end = time.monotonic() + seconds
         for caller in self.callers:
             caller.start()
@@ -426,7 +469,7 @@
         heapq.heapify(self.undo)
         self.wait(lambda: not (self.undo or self.returning or self.told_to_end), "all that was told to end to be back")
         for server in self.fleet.engines + self.fleet.plains:
-            server.faults_left = 0
+            server.faults_left, server.rest = 0, None
         self.fleet.origin.spoil_pieces = 0
         # A good configuration follows whatever could not be read.
         self.fleet.configure()
@@ -454,6 +497,9 @@
     def stay_calm(self):
         """A version is named that cannot be had: streams go on at the old one up to its bound, and none after."""
         self.fleet.origin.silent_versions = {self.version + 1}
+        if self.plays_statements():
+            self.state_limit(self.fleet.engines)
+            self.state_limit(self.fleet.plains)
         self.wait_calm(promises.CONTACT_SECONDS)
         self.name_version()
         self.wait_calm(CALM_SECONDS)
@@ -490,10 +536,11 @@
     def record(self):
         crashing = self.crashing()
         servers = self.fleet.engines + self.fleet.plains
+        statements = promises.Statements(self.stated_limits, {server.address: server for server in servers})
         links = [f"link {engine.address}" for engine in self.fleet.engines]
         ways = [promises.STAND_INS, *(f"server {server.address}" for server in servers)]
         return promises.Record([seen for caller in self.callers for seen in caller.seen], self.runs(), set().union(*(server.faulted for server in servers)),
-                               self.named, self.revoked, self.disturbances, crashing, ways, [*links, *ways])
+                               self.named, self.revoked, self.disturbances, crashing, ways, [*links, *ways], statements)
 
     def broken_promises(self):
         for begin, end in self.fleet.standstills.spans:
--- a/Tests/Soak/test_promises.py
+++ b/Tests/Soak/test_promises.py
@@ -6,7 +6,7 @@
 import callers
 from cluster import wait_until
 from fleet import CUSTOMER
-from promises import Disturbances, Record, Run, request_faults
+from promises import Disturbances, Record, Run, Statements, request_faults
 from soak_fleet import StandstillWatch
 from stand_ins import Loop
 
@@ -27,10 +27,20 @@
     return Run(SERVER, customer, version, began_at, seal)
 
 
-def found(requests, runs, named=(), revoked=None, disturbances=None, faulted=(), crashing=None):
+class Server:
+    """What the stand-in of a backend server keeps of requests and of its own answers."""
+
+    address = SERVER
+
+    def __init__(self, arrivals=(), leaving_answers=(), rest_answers=()):
+        self.arrivals, self.leaving_answers, self.rest_answers = list(arrivals), list(leaving_answers), list(rest_answers)
+
+
+def found(requests, runs, named=(), revoked=None, disturbances=None, faulted=(), crashing=None, limits=(), server=None):
     """The names of the promises that a record breaks; `runs`: those of each request, in the same order."""
     by_id = {request.request_id: its for request, its in zip(requests, runs)}
-    record = Record(list(requests), by_id, set(faulted), list(named), revoked or {}, disturbances or Disturbances(), crashing or {}, [f"server {SERVER}"], [f"link {SERVER}"])
+    record = Record(list(requests), by_id, set(faulted), list(named), revoked or {}, disturbances or Disturbances(), crashing or {}, [f"server {SERVER}"], [f"link {SERVER}"],
+                    Statements(list(limits), {SERVER: server or Server()}))
     return [fault.split(":")[0] for fault in request_faults(record)]
 
 
@@ -124,3 +134,39 @@
     wait_until(lambda: any(end - begin >= 0.6 for begin, end in watch.spans), "the standstill to be noticed")
     watch.close()
     loop.stop()
+
+
+def requests_at(times):
+    """Requests that were answered well, and their arrivals at the server."""
+    requests = [seen("safe", number=number, sent_at=when, ended_at=when + 0.1) for number, when in enumerate(times)]
+    return requests, [[run(began_at=when)] for when in times], [(when, request.request_id) for when, request in zip(times, requests)]
+
+
+def test_more_requests_than_a_named_limit_allows_are_found(_build, _folders):
+    # 1 a second from 100 s on: 11 in 4 s are allowed from 103 s on.
+    requests, runs, arrivals = requests_at([104.0 + 0.1 * number for number in range(12)])
+    server = Server(arrivals)
+    assert found(requests, runs, limits=[(server, 1, 100.0, 120.0)], server=server) == ["limit"]
+    assert found(requests, runs, limits=[(server, 1.2, 100.0, 120.0)], server=server) == []
+    assert found(requests, runs, limits=[(server, 1, 102.0, 120.0)], server=server) == [], "entries may not have learned of it yet"
+    for name in (ENTRY, f"server {SERVER}"):
+        assert found(requests, runs, limits=[(server, 1, 100.0, 120.0)], server=server, disturbances=disturbed(name, 102.0, 103.0)) == []
+        assert found(requests, runs, limits=[(server, 1, 100.0, 120.0)], server=server, disturbances=disturbed(name, 100.1, 100.9)) == ["limit"]
+
+
+def test_a_request_to_a_server_that_said_it_leaves_is_found(_build, _folders):
+    requests, runs, arrivals = requests_at([100.0, 101.9, 102.2])
+    told = [(100.1, requests[0].request_id)]
+    assert found(requests, runs, server=Server(arrivals, told)) == ["leaving"]
+    assert found(requests[:2], runs[:2], server=Server(arrivals[:2], told)) == []
+    for name in (ENTRY, f"server {SERVER}"):
+        assert found(requests, runs, server=Server(arrivals, told), disturbances=disturbed(name, 101.0, 101.5)) == []
+
+
+def test_requests_to_a_server_that_asked_for_rest_are_found(_build, _folders):
+    requests, runs, arrivals = requests_at([100.0, 101.0, 102.0, 102.9])
+    asked = [(100.1, requests[0].request_id, "3")]
+    assert found(requests, runs, server=Server(arrivals, rest_answers=asked)) == ["rest"]
+    assert found(requests[:3], runs[:3], server=Server(arrivals[:3], rest_answers=asked)) == []
+    assert found(requests, runs, server=Server(arrivals, rest_answers=[(100.1, requests[0].request_id, "2")])) == []
+    assert found(requests, runs, server=Server(arrivals, rest_answers=asked), disturbances=disturbed(ENTRY, 101.0, 101.5)) == []
--- a/Tests/Soak/test_soak.py
+++ b/Tests/Soak/test_soak.py
@@ -5,8 +5,8 @@
 
 from soak import HERE, run_seed
 
-# The second plays with requests that end their engines, the third with engines that pause.
-FIXED_SEEDS = (20261202, 20261203, 20261205)
+# The second plays with requests that end their engines, the third with engines that pause, the last with servers that state what they take.
+FIXED_SEEDS = (20261202, 20261203, 20261205, 16)
 SECONDS = 8
 
 
