LibRouting: A statement of a limit can't be from the future

Cause: a negative age in another entry's message would have made its statement later than all that this entry hears itself, for good. Change: such an age counts as 0. publish() loses a parameter that nothing passed.

--- a/Libraries/LibRouting/LimitCoordinator.cpp
+++ b/Libraries/LibRouting/LimitCoordinator.cpp
@@ -86,8 +86,7 @@
     return statement;
 }
 
-/// Sends a server's limit to all other entries if this one is the issuer, or else to the issuer.
-void LimitCoordinator::publish(std::string const& server, Core::Time now, std::string const& except)
+void LimitCoordinator::publish(std::string const& server, Core::Time now)
 {
     auto const* limit = m_permits.find(server);
     if (!limit)
@@ -97,10 +96,8 @@
         m_collected[issuer].limits.push_back(statement(server, *limit, now));
         return;
     }
-    for (auto const& entry : m_linked) {
-        if (entry != except)
-            m_collected[entry].limits.push_back(statement(server, *limit, now));
-    }
+    for (auto const& entry : m_linked)
+        m_collected[entry].limits.push_back(statement(server, *limit, now));
 }
 
 void LimitCoordinator::publish_due(Core::Time now)
@@ -120,7 +117,7 @@
 void LimitCoordinator::on_message(std::string const& from, Schema::LimitExchange const& message, Core::Time now)
 {
     for (auto const& stated : message.limits) {
-        ServerLimit const limit { stated.per_second, now - Core::Duration(stated.age_ms), stated.started_at_ms };
+        ServerLimit const limit { stated.per_second, now - Core::Duration(std::max<int64_t>(0, stated.age_ms)), stated.started_at_ms };
         bool const is_news = m_permits.on_peer_statement(stated.server, limit);
         if (is_news && issuer(stated.server) == m_identity)
             m_unpublished.insert(stated.server);
--- a/Libraries/LibRouting/LimitCoordinator.h
+++ b/Libraries/LibRouting/LimitCoordinator.h
@@ -37,10 +37,14 @@
     void tick(Core::Time now);
 
 private:
+    /// The entry that issues the permits of the server, which may be one that was lost.
     std::string const& issuer(std::string const& server);
+    /// Whether this entry is the issuer, and has been linked long enough to issue.
     bool is_issuer(std::string const& server, Core::Time now);
     void remove_lost(Core::Time now);
-    void publish(std::string const& server, Core::Time now, std::string const& except = {});
+    /// Sends a server's limit to all other entries if this one is the issuer, or else to the issuer.
+    void publish(std::string const& server, Core::Time now);
+    /// Publishes the limits that have changed, unless that server's limit was published just before.
     void publish_due(Core::Time now);
     void request_permits(Core::Time now);
     /// Hands a request for permits to the issuer that this entry keeps; ignored if another entry is the issuer.
