LibRouting: Split the search for obstacles from the choice of a server

Cause: choose() had grown past a screen with the conditions of rest and permits. Change: obstacle() says why a server can't be chosen, no_server_reason() what that means where none can; the choice itself is as it was.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -512,36 +512,47 @@
     return predicted_ms(server, requirements, now) + distance_penalty_ms(server) + role_penalty_ms(server) + failure_penalty + avoided_penalty + requests_at_risk_penalty;
 }
 
+ServerTable::Obstacle ServerTable::obstacle(Server const& server, ServerRequirements const& requirements, Core::Time now) const
+{
+    auto const& id = server.record.id;
+    bool const is_candidate = server.is_selectable && server.record.service == requirements.service && !requirements.excluded.contains(id);
+    if (!is_candidate || !is_usable(server, requirements, now))
+        return Obstacle::Unusable;
+    if (is_resting(server, now))
+        return Obstacle::Resting;
+    bool const is_open = !requirements.temporarily_unavailable.contains(id) && has_free_slot_at(server, now) && !would_exceed_max_event_gap(server, requirements, now) && (!requirements.uses_only_spare_slots || has_spare_slot(server, now));
+    if (!is_open)
+        return Obstacle::Full;
+    if (requirements.max_time_to_first_event && predicted_ms(server, requirements, now) > static_cast<double>(requirements.max_time_to_first_event->count()))
+        return Obstacle::Slow;
+    return m_permits.may_send(id, now) ? Obstacle::None : Obstacle::NoPermit;
+}
+
+NoServer ServerTable::no_server_reason(std::set<Obstacle> const& obstacles)
+{
+    if (obstacles.contains(Obstacle::Full))
+        return NoServer::AllFull;
+    if (obstacles.contains(Obstacle::Slow))
+        return NoServer::NoneInTime;
+    bool const is_limited = obstacles.contains(Obstacle::Resting) || obstacles.contains(Obstacle::NoPermit);
+    return is_limited ? NoServer::Limited : NoServer::NoneUsable;
+}
+
 tl::expected<ServerChoice, NoServer> ServerTable::choose(ServerRequirements const& requirements, Core::Time now)
 {
     Server const* best = nullptr;
     double best_cost = 0;
     uint64_t ties = 0;
-    bool saw_full = false;
-    bool saw_slow = false;
-    bool saw_resting = false;
-    std::vector<std::string> limited;
+    std::set<Obstacle> obstacles;
+    std::vector<std::string> without_permit;
     for (auto const& [id, server] : m_servers) {
-        if (!server.is_selectable || server.record.service != requirements.service || requirements.excluded.contains(id))
-            continue;
-        if (!is_usable(server, requirements, now))
+        auto const obstacle = this->obstacle(server, requirements, now);
+        if (obstacle == Obstacle::NoPermit)
+            without_permit.push_back(id);
+        if (obstacle == Obstacle::Unusable)
             continue;
-        if (is_resting(server, now)) {
-            saw_resting = true;
-            continue;
-        }
-        bool const is_open = !requirements.temporarily_unavailable.contains(id) && has_free_slot_at(server, now) && !would_exceed_max_event_gap(server, requirements, now) && (!requirements.uses_only_spare_slots || has_spare_slot(server, now));
-        if (!is_open) {
-            saw_full = true;
-            continue;
-        }
-        bool const is_slow = requirements.max_time_to_first_event && predicted_ms(server, requirements, now) > static_cast<double>(requirements.max_time_to_first_event->count());
-        if (is_slow) {
-            saw_slow = true;
-            continue;
-        }
-        if (!m_permits.may_send(id, now)) {
-            limited.push_back(id);
+        if (obstacle != Obstacle::None) {
+            obstacles.insert(obstacle);
             continue;
         }
         auto const own_cost = cost(server, requirements, now);
@@ -555,18 +566,14 @@
             best_cost = own_cost;
         }
     }
-    for (auto const& id : limited) {
+    for (auto const& id : without_permit) {
         if (best)
             m_permits.add_probe(id, now);
         else
             m_permits.add_wanted(id);
     }
-    if (!best && saw_full)
-        return tl::unexpected(NoServer::AllFull);
-    if (!best && saw_slow)
-        return tl::unexpected(NoServer::NoneInTime);
     if (!best)
-        return tl::unexpected(saw_resting || !limited.empty() ? NoServer::Limited : NoServer::NoneUsable);
+        return tl::unexpected(no_server_reason(obstacles));
     return ServerChoice { best->record.id, Core::Duration(static_cast<int64_t>(predicted_ms(*best, requirements, now))) };
 }
 
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -305,6 +305,20 @@
     bool is_resting(Server const&, Core::Time now) const;
     void on_incarnation(Server const&);
     bool is_usable(Server const&, ServerRequirements const&, Core::Time now) const;
+    /// Why a server can't be chosen for a request; the first that applies.
+    enum class Obstacle {
+        None,
+        /// It is of another service, excluded, leaving, suspended, or holds no version that will do.
+        Unusable,
+        Resting,
+        Full,
+        /// It is predicted to begin the answer too late.
+        Slow,
+        /// It is limited, and this entry holds no permit.
+        NoPermit,
+    };
+    Obstacle obstacle(Server const&, ServerRequirements const&, Core::Time now) const;
+    static NoServer no_server_reason(std::set<Obstacle> const&);
     /// Requests of other entries that the last report showed at an engine; 0 without a report.
     int64_t others_in_flight(Server const&, Core::Time now) const;
     /// Number of slots that are free for this entry; may be negative.
