--- a/Libraries/LibRouting/StatedAvailability.h
+++ b/Libraries/LibRouting/StatedAvailability.h
@@ -13,11 +13,11 @@
 /// server's list record.
 class StatedAvailability {
 public:
-    /// The incarnation of the server that started then leaves: it ends soon, and takes no new requests.
+    /// The incarnation of the server that started at `started_at_ms` leaves: it ends soon, and takes no new requests.
     /// @return false if that was known.
     bool set_leaving(std::string const& server, std::optional<int64_t> started_at_ms, Core::Time now);
 
-    /// The incarnation of the server that started then wants no requests from this entry until then.
+    /// The incarnation of the server that started at `started_at_ms` wants no requests from this entry before `until`.
     void set_rest(std::string const& server, std::optional<int64_t> started_at_ms, Core::Time until, Core::Time now);
 
     /// Drops what an incarnation before the one that started then has stated.
