--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -392,11 +392,15 @@
         self.silent_until = 0.0
         # A request with one of these bodies ends the engine so long after it began there; it is back after some seconds.
         self.crashing_bodies = set()
+        # So does one with one of these parts in its prompt, unless the part is the last.
+        self.crashing_parts = set()
         self.crash_seconds = 0.08
+        # Whether its answers have neither a length nor chunks and end with their connection.
+        self.is_unframed = False
         self.back_seconds = 3.0
         # What callers are led through, if anything: nobody listens there either while the engine is gone.
         self.proxy = None
-        # (body, when, request id) of each send of such a request that reached the engine, and (body, when) of each end by one.
+        # (body or part, when, request id) of each send of such a request that reached the engine, and (body or part, when) of each end by one.
         self.crashing_sends = []
         self.crashes = []
         super().__init__(loop, address, port, store, service, zone)
@@ -438,11 +442,18 @@
         self.listen()
         self.enlist()
 
-    async def end_by(self, body):
-        """The request ends the engine: all connections are reset at once, and new ones refused until it is back."""
+    def crash_cause(self, request):
+        """The body or the part of its prompt by which the request ends the engine; None if it is harmless."""
+        if request.body in self.crashing_bodies:
+            return request.body
+        parts = [part.split(":")[0] for part in request.headers.get("x-prompt-prefix", "").split(",")]
+        return next((part for part in parts[:-1] if part in self.crashing_parts), None)
+
+    async def end_by(self, cause):
+        """The request ends the engine: all connections are closed at once, and new ones refused until it is back."""
         if not self.server.is_serving():
             return
-        self.crashes.append((body, time.monotonic()))
+        self.crashes.append((cause, time.monotonic()))
         self.server.close()
         if self.proxy:
             self.proxy.stop_listening()
@@ -501,8 +512,9 @@
 
     async def stream(self, request):
         self.note_arrival(request)
-        if request.body in self.crashing_bodies:
-            self.crashing_sends.append((request.body, time.monotonic(), request.headers.get("x-request-id", "")))
+        crash_cause = self.crash_cause(request)
+        if crash_cause is not None:
+            self.crashing_sends.append((crash_cause, time.monotonic(), request.headers.get("x-request-id", "")))
         wanted = request.headers.get("x-expect-version")
         if self.is_misdirected(request) or (wanted and int(wanted) != self.version):
             return await self.refuse(request, 421)
@@ -515,33 +527,38 @@
             await asyncio.sleep(3600)
         self.begin(request, self.version)
         fields = "".join(f"{name}: {value}\r\n" for name, value in self.head(request))
-        request.writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{fields}\r\n".encode())
+        framing = "Connection: close" if self.is_unframed else "Transfer-Encoding: chunked"
+        request.writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n{fields}\r\n".encode())
         self.running += 1
         try:
-            if request.body in self.crashing_bodies:
+            if crash_cause is not None:
                 await request.writer.drain()
                 await asyncio.sleep(self.crash_seconds)
-                await self.end_by(request.body)
+                await self.end_by(crash_cause)
                 return False
             first = int(request.headers.get("last-event-id", "0")) + 1
             for number in range(first, self.events + 1):
                 event = f"id: {number}\ndata: token-{number}\n\n".encode()
                 if fault == "cut_in_event" and number == first + 2:
-                    request.writer.write(f"{len(event) - 4:x}\r\n".encode() + event[:-4] + b"\r\n")
+                    request.writer.write(self.framed(event[:-4]))
                     await request.writer.drain()
                     self.reset(request)
                     return False
                 if fault == "silent_midway" and number == first + 2:
                     await asyncio.sleep(3600)
-                request.writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                request.writer.write(self.framed(event))
                 await request.writer.drain()
                 await asyncio.sleep(self.event_seconds)
                 await self.silence()
-            request.writer.write(b"0\r\n\r\n")
+            request.writer.write(self.framed(b""))
             await request.writer.drain()
         finally:
             self.running -= 1
-        return True
+        return not self.is_unframed
+
+    def framed(self, data):
+        """A piece of an answer's body as it is sent; an empty one ends the body."""
+        return data if self.is_unframed else f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
 class Origin(HttpStandIn):
--- a/Tests/Platform/test_crashing_requests.py
+++ b/Tests/Platform/test_crashing_requests.py
@@ -3,11 +3,14 @@
 
 import json
 
+import crashing_parts
 from crashing_requests import ALLOWED_LATE_SENDS, play
 from fleet import CHUNK_PORT, LLM, Fleet, route, wait_until
 from test_direct_path import wait_linked
 
 SECONDS = 10
+# The fifth end comes within some seconds; twice the time to be in touch later all must be well, which is watched for a while.
+PART_SECONDS = 14
 
 
 def test_a_request_that_ends_its_engines_is_stopped_at_all_entries(build, folders):
@@ -27,6 +30,13 @@
         assert outcome.harmless > sum(outcome.unserved.values()), outcome.line()
 
 
+def test_a_part_of_prompts_that_ends_its_engines_is_stopped_at_all_entries(build, folders):
+    """Guards against a part of prompts that ends one engine after the other, as no two of the requests with it are alike."""
+    for parts in (1, 2):
+        outcome = crashing_parts.play(build, folders, seed=1, parts=parts, seconds=PART_SECONDS, entries=3, engines=8, sound_callers=12)
+        assert outcome.keeps_the_bounds(), outcome.line()
+
+
 CRASHING = b"crashing"
 
 
