LibRouting, DirectEntry: Blame a part of prompts that ends the engines which answer it

Callers saw: requests with one part of a prompt ended one engine after the other (50 sent on after the fifth end, 87 ended), and sound requests of the same callers broke off with them. Cause: blame went by the digest of the whole request. No two requests with the part are alike, so each was a suspect of its own and never came again. Change: a request has several keys, its digest and the parts of its prompt that others may share; each is suspected, runs alone, is cleared or blamed by the same rules. Any answer that completes clears the parts of its prompt. Parts that ran alone together are told apart by requests that have only some of them. A blamed part is tried again after 10 s and a minute.

--- a/Libraries/LibPlatform/RequestHeads.h
+++ b/Libraries/LibPlatform/RequestHeads.h
@@ -5,6 +5,7 @@
 #include <LibTransport/MessageReader.h>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Platform {
 
@@ -25,6 +26,8 @@
     int64_t answer_tokens { 0 };
     /// The caller's estimate of the number of tokens that will be generated; 0 if it gave none.
     int64_t answer_tokens_hint { 0 };
+    /// Ids of the parts of the prompt that other requests may share, in order, each once: all but the last, which is the request's own.
+    std::vector<std::string> shared_prompt_parts;
 };
 
 /// The values that this system adds to the head of a request to a backend server.
--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -11,9 +11,11 @@
 
 namespace Routing {
 
-/// How a request is to be treated, by how many backend servers terminated while they ran it.
+/// How a suspect, or a request that has suspects among its keys, is to be treated, by how many backend servers terminated while they ran
+/// it. Later enumerators are the stricter ones.
 enum class CrashStanding {
-    /// No server did, or only such whose terminations are attributed to other, blamed requests: the request is not restricted.
+    /// No server did, or only such whose terminations are attributed to other, blamed suspects: the request is not restricted. A part of
+    /// prompts is clear up to the second termination, as sound requests share it.
     Clear,
     /// One server terminated while it ran the request: each entry sends one copy of it at a time.
     Suspected,
@@ -33,19 +35,26 @@
     Alone,
 };
 
-/// Detects requests that crash the backend servers that run them, from the attempts of this entry and from the announcements of others.
-/// Such a request is blamed: it is refused because servers kept terminating while they ran it. Requests are identified by request_digest().
+/// Detects requests, and parts of prompts, that crash the backend servers that run them, from the attempts of this entry and from the
+/// announcements of others. Such a suspect is blamed: requests with it are refused because servers kept terminating while they ran it.
 ///
-/// All requests that a server runs when it terminates become suspects, so most suspects are harmless. A suspect whose answer completes is
-/// cleared. A suspect of two terminations runs alone, and is blamed only if a server terminates while it runs alone: servers that lose
-/// power together lead to no blame. A termination that a blamed request has in its record does not count against other requests. A
-/// blamed request is released if each of its terminations is also in the record of another blamed request.
+/// A request has several keys, each of which may be a suspect: its request_digest(), and the prompt_part_key() of each part of its prompt
+/// that other requests may share. All keys of the requests that a server runs when it terminates become suspects, so most suspects are
+/// harmless. A suspect is cleared when an answer to a request with it completes. A suspect of two terminations runs alone, and is blamed
+/// only if a server terminates while it runs alone: servers that lose power together lead to no blame.
+///
+/// If several suspects of one request ran alone together, any of them may be the cause, and none is blamed by itself. Requests with all
+/// of them are refused. Requests with only some of them run alone and tell which: one that completes clears its suspects, and the last that
+/// is left is blamed.
+///
+/// A termination that a blamed suspect has in its record does not count against other whole requests. A blamed suspect is released if each of its terminations is also in the record of another blamed one.
 ///
 /// A blamed request may run alone once more after one hour, then after four hours, then after sixteen each time. So a wrong blame does not
-/// last for ever, and a right one costs three servers a day.
+/// last for ever, and a right one costs three servers a day. A part of prompts, which is blamed after two servers that ran it alone, may do
+/// so after ten seconds and one minute before that.
 class CrashSuspects {
 public:
-    /// A request that a server ran when it terminated.
+    /// A key of a request that a server ran when it terminated, and whether the key had to run alone.
     struct Run {
         std::string digest;
         bool was_alone { false };
@@ -58,18 +67,23 @@
     size_t blamed_count() const { return m_blamed; }
     /// How the request is to be treated now. Blamed turns into RunsAlone when the blame has expired.
     CrashStanding standing(std::string const& digest, Core::Time now) const;
+    /// How a request with these keys is to be treated now.
+    CrashStanding standing(std::vector<std::string> const& keys, Core::Time now) const;
     /// The record of servers that terminated while they ran the request; nullptr if it is no suspect.
     Schema::CrashSuspect const* find(std::string const& digest) const;
 
-    /// Records that an incarnation of a server terminated while it ran the given requests.
-    /// @return the digests of requests that are now blamed for the first time since they were last cleared or released.
+    /// Records that an incarnation of a server terminated while it ran requests with the given keys.
+    /// @return the keys that are now blamed for the first time since they were last cleared or released.
     std::vector<std::string> on_server_terminated(std::string const& incarnation, std::vector<Run> const&, Core::Time now);
-    /// Merges a suspect that another entry announced, or that an earlier incarnation of this one stored. @return as on_server_terminated().
-    std::vector<std::string> merge(Schema::CrashSuspect const&, Core::Time now);
-    /// Removes a suspect because its answer completed, or on the operator's order. @return false if it was no suspect.
+    /// Merges suspects that another entry announced together, or that an earlier incarnation of this one stored.
+    /// @return as on_server_terminated().
+    std::vector<std::string> merge(std::vector<Schema::CrashSuspect> const&, Core::Time now);
+    /// Removes a suspect because an answer completed, or on the operator's order. @return false if it was no suspect.
     bool clear(std::string const& digest);
+    /// Blames the suspects that are the only ones left, after clear(), of those that ran alone together. @return as on_server_terminated().
+    std::vector<std::string> blame_last_of_group(Core::Time now);
 
-    /// Whether this entry may send a copy of the request now.
+    /// Whether this entry may send a copy of a request with this key now, as far as this key goes.
     bool can_send(std::string const& digest, Core::Time now) const;
     /// Records that this entry sends the request to a server. @return the restrictions that hold until on_attempt_over().
     CrashRestriction on_sent(std::string const& digest, std::string const& server, Core::Time now);
@@ -116,7 +130,12 @@
     };
 
     Suspect& suspect(std::string const& digest, Core::Time now);
+    bool is_sole_cause(Suspect const&) const;
     bool add_termination(Suspect&, Schema::EndedRun const&, Core::Time now);
+    void add_to_group(std::string const& digest, Schema::EndedRun const&);
+    void remove_from_groups(Schema::CrashSuspect const&);
+    bool has_blamed_group(std::vector<std::string> const& keys) const;
+    std::optional<std::string> merge_record(Schema::CrashSuspect const&, Core::Time now, std::vector<std::string>& changed);
     bool evaluate(std::string const& digest, Core::Time now);
     void blame(Suspect&, Core::Time since, int64_t times);
     void update_unattributed(Suspect&) const;
@@ -129,6 +148,8 @@
 
     std::map<std::string, Suspect> m_suspects;
     size_t m_blamed { 0 };
+    // The suspects that ran alone when a server terminated, by its incarnation. The cause is among them.
+    std::map<std::string, std::set<std::string>> m_alone_groups;
     // Running suspects that this entry has sent, by digest.
     std::map<std::string, SuspectRun> m_local_runs;
     // Running suspects that other entries have sent, by entry and digest.
--- a/Services/DirectEntry/CrashDetector.cpp
+++ b/Services/DirectEntry/CrashDetector.cpp
@@ -2,6 +2,7 @@
 #include "CrashDetector.h"
 
 #include <LibCore/Log.h>
+#include <LibRouting/PromptParts.h>
 #include <LibTransport/SocketAddress.h>
 #include <utility>
 
@@ -17,7 +18,7 @@
     , m_metrics(metrics)
     , m_callbacks(std::move(callbacks))
     , m_blame_store(loop, std::move(records), identity, metrics,
-          { .read = [this](Schema::CrashSuspect const& suspect) { report_blamed(m_suspects.merge(suspect, Core::monotonic_now()), "store"); },
+          { .read = [this](Schema::CrashSuspect const& suspect) { report_blamed(m_suspects.merge({ suspect }, Core::monotonic_now()), "store"); },
               .entries = m_callbacks.entries })
 {
 }
@@ -81,18 +82,30 @@
         m_callbacks.send(entry, message);
 }
 
-void CrashDetector::on_terminated_while_running(std::string const& incarnation, Routing::CrashSuspects::Run const& run)
+void CrashDetector::on_terminated_while_running(std::string const& incarnation, std::vector<Routing::CrashSuspects::Run> const& runs)
 {
     // An entry without links to others learns only from the store that a request was blamed.
     m_blame_store.read_unless_recent();
     auto const now = Core::monotonic_now();
-    auto const blamed = m_suspects.on_server_terminated(incarnation, { run }, now);
-    pending_news().suspects.push_back(m_suspects.to_announce(run.digest, now));
-    auto const* suspect = m_suspects.find(run.digest);
-    Core::log_event(Core::LogLevel::Warn, "request_suspected", { { "digest", run.digest }, { "server", incarnation }, { "alone", run.was_alone ? "yes" : "no" }, { "ends", std::to_string(suspect ? suspect->ends.size() : 0) } });
+    auto const blamed = m_suspects.on_server_terminated(incarnation, runs, now);
+    for (auto const& run : runs) {
+        pending_news().suspects.push_back(announcement(run, incarnation, now));
+        auto const* suspect = m_suspects.find(run.digest);
+        Core::log_event(Core::LogLevel::Warn, "request_suspected", { { "digest", run.digest }, { "server", incarnation }, { "alone", run.was_alone ? "yes" : "no" }, { "ends", std::to_string(suspect ? suspect->ends.size() : 0) } });
+    }
     report_blamed(blamed, "own");
 }
 
+/// The record of a suspect of which one more server has terminated. Of a part that is not blamed only this termination is announced: other
+/// entries may have cleared the part after the earlier ones.
+Schema::CrashSuspect CrashDetector::announcement(Routing::CrashSuspects::Run const& run, std::string const& incarnation, Core::Time now) const
+{
+    auto announced = m_suspects.to_announce(run.digest, now);
+    if (Routing::is_prompt_part_key(run.digest) && !announced.blamed_ms_ago)
+        announced.ends = { { .alone = run.was_alone, .server = incarnation } };
+    return announced;
+}
+
 void CrashDetector::report_blamed(std::vector<std::string> const& digests, char const* source)
 {
     for (auto const& digest : digests) {
@@ -108,10 +121,17 @@
     }
 }
 
-void CrashDetector::on_run_completed(std::string const& digest)
+void CrashDetector::on_run_completed(std::vector<std::string> const& keys)
 {
-    if (m_suspects.find(digest))
-        clear(digest, "ran_to_end");
+    bool has_cleared = false;
+    for (auto const& key : keys) {
+        if (!m_suspects.find(key))
+            continue;
+        clear(key, "ran_to_end");
+        has_cleared = true;
+    }
+    if (has_cleared)
+        blame_last_of_group("own");
 }
 
 bool CrashDetector::clear_by_operator(std::string const& digest)
@@ -119,9 +139,19 @@
     if (!m_suspects.find(digest))
         return false;
     clear(digest, "operator");
+    blame_last_of_group("own");
     return true;
 }
 
+void CrashDetector::blame_last_of_group(char const* source)
+{
+    auto const now = Core::monotonic_now();
+    auto const blamed = m_suspects.blame_last_of_group(now);
+    for (auto const& key : blamed)
+        pending_news().suspects.push_back(m_suspects.to_announce(key, now));
+    report_blamed(blamed, source);
+}
+
 void CrashDetector::clear(std::string const& digest, char const* reason)
 {
     auto const was_blamed = m_suspects.find(digest)->times_blamed > 0;
@@ -166,14 +196,15 @@
 void CrashDetector::on_crash_news(std::string const& entry, Schema::CrashNews const& received)
 {
     auto const now = Core::monotonic_now();
-    for (auto const& suspect : received.suspects)
-        report_blamed(m_suspects.merge(suspect, now), "entry");
+    report_blamed(m_suspects.merge(received.suspects, now), "entry");
     for (auto const& run : received.runs)
         m_suspects.on_peer_run(entry, run, now);
     for (auto const& digest : received.cleared) {
         m_suspects.clear(digest);
         m_blame_store.on_removed_by_peer(digest);
     }
+    if (!received.cleared.empty())
+        blame_last_of_group("entry");
 }
 
 void CrashDetector::report_metrics() const
--- a/Services/DirectEntry/CrashDetector.h
+++ b/Services/DirectEntry/CrashDetector.h
@@ -19,17 +19,18 @@
 /// Detects that a backend server terminated when its answers break off, records which requests ran there as suspected causes, and
 /// shares these suspects with the other entries and with the platform's store.
 ///
-/// A request that is found to terminate the servers that run it is blamed: it is refused from then on. Routing::CrashSuspects
-/// decides which requests are suspected and blamed; this class does the input and output for it. Requests are named by their
-/// digest (Routing::request_digest), so that a repetition by the caller is recognised.
+/// A request, or a part of prompts, that is found to terminate the servers that run it is blamed: requests with it are refused from then
+/// on. Routing::CrashSuspects decides what is suspected and blamed; this class does the input and output for it. Suspects are named by
+/// the keys of a request: its digest (Routing::request_digest), so that a repetition by the caller is recognised, and the keys of the
+/// parts of its prompt (Routing::prompt_part_key).
 class CrashDetector {
 public:
     struct Callbacks {
         /// Returns the identities of the other entries that this one has a link to.
         std::function<std::vector<std::string>()> entries;
         std::function<void(std::string const& entry, Schema::Message const&)> send;
-        /// Called when a request is blamed for the first time since it was last cleared. Requests in flight with this digest must
-        /// be refused.
+        /// Called when a suspect is blamed for the first time since it was last cleared. Requests in flight with this key must be
+        /// refused.
         std::function<void(std::string const& digest)> blamed;
     };
 
@@ -47,11 +48,11 @@
     /// connection succeeds, and also if it times out: the server may be running behind a network partition.
     void check_terminated(std::string const& server, std::string const& address, std::function<void(bool has_terminated)> callback);
 
-    /// A server terminated while it ran the request, which becomes a suspect or is blamed.
+    /// A server terminated while it ran a request with these keys, which become suspects or are blamed.
     /// @param incarnation the server's id and start time; see BackendAttempt::incarnation().
-    void on_terminated_while_running(std::string const& incarnation, Routing::CrashSuspects::Run const&);
-    /// The request ran to completion at some server: it is no suspect any more, here and at the other entries.
-    void on_run_completed(std::string const& digest);
+    void on_terminated_while_running(std::string const& incarnation, std::vector<Routing::CrashSuspects::Run> const&);
+    /// A request with these keys ran to completion at some server: they are no suspects any more, here and at the other entries.
+    void on_run_completed(std::vector<std::string> const& keys);
 
     /// The request is being sent to a server. If it is a suspect, the other entries are notified, as a suspect that runs alone must
     /// run nowhere else.
@@ -87,6 +88,8 @@
     /// Logs, counts and stores newly blamed requests. `source` is a metric label: `own`, `entry` or `store`.
     void report_blamed(std::vector<std::string> const& digests, char const* source);
     void clear(std::string const& digest, char const* reason);
+    Schema::CrashSuspect announcement(Routing::CrashSuspects::Run const&, std::string const& incarnation, Core::Time now) const;
+    void blame_last_of_group(char const* source);
 
     Core::EventLoop& m_loop;
     Core::Metrics& m_metrics;
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -620,11 +620,11 @@
         .entries = [this] { return m_hub->peers(Schema::Role::Entry); },
         .send = sender_to_capable_entries(),
         // Deferred, as the request whose attempt led to this is still handling the end of that attempt.
-        .blamed = [this](std::string const& digest) { m_loop.soon([this, digest] {
-                                                          auto const requests = m_requests;
-                                                          for (auto const& [number, request] : requests)
-                                                              request->on_blamed(digest);
-                                                      }); },
+        .blamed = [this](std::string const& key) { m_loop.soon([this, key] {
+                                                       auto const requests = m_requests;
+                                                       for (auto const& [number, request] : requests)
+                                                           request->on_blamed(key);
+                                                   }); },
     };
 }
 
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -3,6 +3,7 @@
 
 #include "AnswerStatements.h"
 #include <LibCore/Log.h>
+#include <LibRouting/PromptParts.h>
 #include <LibSchema/Json.h>
 #include <LibTransport/SocketAddress.h>
 #include <algorithm>
@@ -63,6 +64,7 @@
 void ProxiedRequest::begin()
 {
     m_head = m_context.heads.read_caller(m_caller->head());
+    m_suspicion.set_prompt_parts(m_head.shared_prompt_parts);
     m_time_allowed = default_time_allowed;
     m_caller->on_gone([weak = weak_from_this()] {
         if (auto self = weak.lock(); self && !self->is_over()) {
@@ -451,7 +453,10 @@
     select_attempt(attempt);
     end_call();
     m_caller->reply(attempt.answer_head().status, attempt.answer_head().headers, attempt.body);
-    m_suspicion.on_run_completed();
+    if (attempt.answer_head().status / 100 == 2)
+        m_suspicion.on_run_completed();
+    else
+        m_suspicion.on_failure_answered();
     report_server_outcome(ServerOutcome::Success, Core::monotonic_now());
     finish(Refusal::None, attempt.answer_head().status);
 }
@@ -469,7 +474,7 @@
         pass_whole_answer(attempt);
         return;
     }
-    m_suspicion.on_run_completed();
+    m_suspicion.on_failure_answered();
     end_attempt(attempt, AttemptOutcome::ServerFailure, ServerOutcome::Failure);
 }
 
@@ -832,12 +837,16 @@
     finish(refusal, 0);
 }
 
-void ProxiedRequest::on_blamed(std::string const& digest)
+void ProxiedRequest::on_blamed(std::string const& key)
 {
     auto keep = shared_from_this();
-    bool const is_this = !is_over() && m_phase != Phase::Admitting && m_suspicion.has_digest(digest);
+    bool const is_this = !is_over() && m_phase != Phase::Admitting && m_suspicion.has_key(key);
     if (!is_this || m_suspicion.standing() != Routing::CrashStanding::Blamed)
         return;
+    // The part crashes servers that begin to answer, so an answer under way tells most about a wrong blame, and clears it by its end.
+    bool const is_being_answered = is_at_server() && m_attempt->has_delivered_event();
+    if (is_being_answered && Routing::is_prompt_part_key(key))
+        return;
     m_may_have_run = m_may_have_run || (is_at_server() && m_attempt->is_connected());
     // A server that has not begun the request drops it when its connection closes.
     end_call();
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -42,9 +42,9 @@
     /// The process is about to exit: refuses the request, or aborts its answer if part of it was delivered.
     void end_at_shutdown();
 
-    /// The request with this digest was blamed, as backend servers kept terminating while they ran it. Refuses this request if the
-    /// digest is its own.
-    void on_blamed(std::string const& digest);
+    /// The suspect with this key was blamed, as backend servers kept terminating while they ran it. Refuses this request if the key is
+    /// one of its own.
+    void on_blamed(std::string const& key);
 
     uint64_t number() const { return m_number; }
     bool is_over() const { return m_phase == Phase::Over; }
--- a/Services/DirectEntry/RequestSuspicion.cpp
+++ b/Services/DirectEntry/RequestSuspicion.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "RequestSuspicion.h"
 
+#include <LibRouting/PromptParts.h>
+#include <algorithm>
 #include <utility>
 
 namespace DirectEntry {
@@ -14,21 +16,38 @@
 {
 }
 
-std::string const& RequestSuspicion::digest()
+void RequestSuspicion::set_prompt_parts(std::vector<std::string> const& ids)
 {
-    if (!m_digest)
-        m_digest = Routing::request_digest(m_content());
-    return *m_digest;
+    for (auto const& id : ids)
+        m_part_keys.push_back(Routing::prompt_part_key(id));
+}
+
+std::vector<std::string> const& RequestSuspicion::keys()
+{
+    if (m_keys.empty()) {
+        m_keys.push_back(Routing::request_digest(m_content()));
+        m_keys.insert(m_keys.end(), m_part_keys.begin(), m_part_keys.end());
+    }
+    return m_keys;
+}
+
+bool RequestSuspicion::has_key(std::string const& key)
+{
+    auto const& keys = this->keys();
+    return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
 
 CrashStanding RequestSuspicion::standing()
 {
-    return has_suspects() ? m_crashes.suspects().standing(digest(), Core::monotonic_now()) : CrashStanding::Clear;
+    return has_suspects() ? m_crashes.suspects().standing(keys(), Core::monotonic_now()) : CrashStanding::Clear;
 }
 
 bool RequestSuspicion::can_send()
 {
-    return !has_suspects() || m_crashes.suspects().can_send(digest(), Core::monotonic_now());
+    if (!has_suspects())
+        return true;
+    auto const now = Core::monotonic_now();
+    return std::all_of(keys().begin(), keys().end(), [&](auto const& key) { return m_crashes.suspects().can_send(key, now); });
 }
 
 void RequestSuspicion::add_to(Routing::ServerRequirements& requirements)
@@ -45,25 +64,42 @@
 
 void RequestSuspicion::on_sent(std::string const& server)
 {
-    m_sent = has_suspects() ? m_crashes.on_sent(digest(), server) : CrashRestriction::Free;
+    m_runs.clear();
+    if (!has_suspects())
+        return;
+    for (auto const& key : keys()) {
+        auto const restriction = m_crashes.on_sent(key, server);
+        if (restriction != CrashRestriction::Free)
+            m_runs.push_back({ key, restriction });
+    }
 }
 
 void RequestSuspicion::on_attempt_over()
 {
-    auto const sent = std::exchange(m_sent, CrashRestriction::Free);
-    if (sent != CrashRestriction::Free)
-        m_crashes.on_attempt_over(digest(), sent);
+    for (auto const& run : std::exchange(m_runs, {}))
+        m_crashes.on_attempt_over(run.key, run.restriction);
 }
 
 void RequestSuspicion::on_terminated_while_running(std::string const& incarnation)
 {
-    m_crashes.on_terminated_while_running(incarnation, { digest(), m_sent == CrashRestriction::Alone });
+    std::vector<Routing::CrashSuspects::Run> runs;
+    for (auto const& key : keys()) {
+        bool const was_alone = std::any_of(m_runs.begin(), m_runs.end(), [&](auto const& run) { return run.key == key && run.restriction == CrashRestriction::Alone; });
+        runs.push_back({ key, was_alone });
+    }
+    m_crashes.on_terminated_while_running(incarnation, runs);
 }
 
 void RequestSuspicion::on_run_completed()
 {
     if (has_suspects())
-        m_crashes.on_run_completed(digest());
+        m_crashes.on_run_completed(keys());
+}
+
+void RequestSuspicion::on_failure_answered()
+{
+    if (has_suspects())
+        m_crashes.on_run_completed({ digest() });
 }
 
 }
--- a/Services/DirectEntry/RequestSuspicion.h
+++ b/Services/DirectEntry/RequestSuspicion.h
@@ -5,8 +5,8 @@
 #include <LibRouting/RequestDigest.h>
 #include <LibRouting/ServerTable.h>
 #include <functional>
-#include <optional>
 #include <string>
+#include <vector>
 
 namespace DirectEntry {
 
@@ -19,8 +19,11 @@
     RequestSuspicion(CrashDetector&, std::function<Routing::RequestContent()> content);
 
     /// The request's digest, computed at the first call.
-    std::string const& digest();
-    bool has_digest(std::string const& digest) { return this->digest() == digest; }
+    std::string const& digest() { return keys().front(); }
+    /// Sets the ids of the parts of the prompt that other requests may share. To be called before any other function.
+    void set_prompt_parts(std::vector<std::string> const& ids);
+    /// Whether the key is the request's digest or that of a part of its prompt.
+    bool has_key(std::string const& key);
     /// Whether the request is clear, suspected, must run alone, or is blamed (refused, as servers kept terminating while they ran it).
     Routing::CrashStanding standing();
     /// Whether a copy of the request may be sent from this entry now. A suspect is sent one copy at a time.
@@ -35,16 +38,28 @@
     void on_attempt_over();
     /// The server of the current attempt terminated while it ran the request.
     void on_terminated_while_running(std::string const& incarnation);
-    /// The request ran to completion: it is no suspect any more.
+    /// The request ran to completion: neither it nor a part of its prompt is a suspect any more.
     void on_run_completed();
+    /// The server answered with a failure: the request itself did not crash it. It need not have read the prompt.
+    void on_failure_answered();
 
 private:
+    /// An attempt of a suspect, until it has ended.
+    struct SuspectRun {
+        std::string key;
+        Routing::CrashRestriction restriction;
+    };
+
     bool has_suspects() const { return !m_crashes.suspects().is_empty(); }
+    /// The digest, then the keys of the prompt's parts.
+    std::vector<std::string> const& keys();
 
     CrashDetector& m_crashes;
     std::function<Routing::RequestContent()> m_content;
-    std::optional<std::string> m_digest;
-    Routing::CrashRestriction m_sent { Routing::CrashRestriction::Free };
+    std::vector<std::string> m_part_keys;
+    std::vector<std::string> m_keys;
+    // The keys that were suspects when the current attempt was sent.
+    std::vector<SuspectRun> m_runs;
 };
 
 }
--- a/Tests/Platform/TestAdapter.cpp
+++ b/Tests/Platform/TestAdapter.cpp
@@ -27,6 +27,24 @@
     EXPECT_EQ(caller.answer_tokens, 80);
 }
 
+TEST(RequestHeads, ThePartsOfAPromptThatOthersMayShareAreRead)
+{
+    using Parts = std::vector<std::string>;
+    std::vector<std::pair<std::string, Parts>> const cases {
+        { "5c1e07a2:800,91bd3f06:410,e4402b7d:250", { "5c1e07a2", "91bd3f06" } },
+        { "a:1, b :2 ,a:3,own:4", { "a", "b" } },
+        { "own:4", {} },
+        { "", {} },
+        { ",:5,a,own", { "a" } },
+    };
+    for (auto const& [text, parts] : cases) {
+        auto head = caller_head();
+        head.headers.emplace_back("x-prompt-prefix", text);
+        EXPECT_EQ(HttpRequestHeads().read_caller(head).shared_prompt_parts, parts) << text;
+    }
+    EXPECT_EQ(HttpRequestHeads().read_caller(caller_head()).shared_prompt_parts, Parts {});
+}
+
 TEST(RequestHeads, TheSystemsHeadersAreOverwrittenAndTheKeyIsRemoved)
 {
     Platform::BackendRequestFields terms;
