--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -147,6 +147,10 @@
         await request.writer.drain()
         await asyncio.sleep(3600)
 
+    async def reply(self, request, status, headers=(), body=b""):
+        era = [] if self.store.era is None else [("Store-Era", self.store.era)]
+        return await super().reply(request, status, [*headers, *era], body)
+
     async def answer(self, request):
         self.store.calls += 1
         self.taken += 1
@@ -184,6 +188,8 @@
         self.topics = collections.defaultdict(list)
         self.first = collections.defaultdict(int)
         self.calls = 0
+        # Rises each time the store comes back from a copy; None for a store that does not tell.
+        self.era = 1
         self.changed = asyncio.Event()
 
     def write(self, topic, key, value):
@@ -202,6 +208,18 @@
         for topic, records in self.topics.items():
             self.first[topic] = len(records)
 
+    def come_back_from_copy(self, lost):
+        """The last records of topics are gone, as many as said of each, and their offsets are given out again. Returns the records."""
+        async def come_back():
+            gone = {}
+            for topic, count in lost.items():
+                keep = len(self.topics[topic]) - count
+                gone[topic] = self.topics[topic][keep:]
+                del self.topics[topic][keep:]
+            self.era += 1
+            return gone
+        return self.loop.run(come_back())
+
     async def log_append(self, door, request):
         """Takes the records of a keyed topic, as the product writes them."""
         topic, body, records = request.query["topic"], request.body, []
@@ -219,7 +237,7 @@
     async def log_read(self, door, request):
         topic = request.query["topic"]
         start = int(request.query["From"])
-        if start < self.first[topic]:
+        if start < self.first[topic] or start > len(self.topics[topic]):
             return await door.reply(request, 410, body=json.dumps({"first": self.first[topic]}).encode())
         end_of_wait = asyncio.get_running_loop().time() + int(request.query.get("WaitMs", "0")) / 1000
         while len(self.topics[topic]) <= start:
