DirectEntry: A crash between two events does not end an answer that has no length

Cause: the end of the connection ends such an answer, and a crash closes the connection likewise. It would also have cleared the part of the prompt by which the engine crashed. Change: MessageHead says how a body ends. After one that ended with its connection the entry asks whether the server is still there, unless the server is leaving; if it is gone, the answer has been broken off, for the caller, for clearing and for blame.

--- a/Libraries/LibTransport/MessageReader.cpp
+++ b/Libraries/LibTransport/MessageReader.cpp
@@ -100,6 +100,7 @@
     head.is_chunked = (parser->flags & F_CHUNKED) != 0;
     if (parser->flags & F_CONTENTLENGTH)
         head.content_length = parser->content_length;
+    head.body_end = reader.ends_with_connection() ? BodyEnd::EndOfConnection : BodyEnd::Stated;
     head.keeps_connection = http_should_keep_alive(parser) != 0;
     head.knows_chunks = parser->http_major > 1 || (parser->http_major == 1 && parser->http_minor >= 1);
     reader.m_state = State::Body;
@@ -108,6 +109,17 @@
     return reader.m_body_expectation == BodyExpectation::None ? 1 : 0;
 }
 
+/// RFC 9112, section 6.3: an answer with neither a length nor chunks, to which a body belongs, ends with its connection.
+bool MessageReader::ends_with_connection() const
+{
+    static constexpr int first_final_status = 200;
+    static constexpr int status_no_content = 204;
+    static constexpr int status_not_modified = 304;
+    if (m_kind == Kind::Request || m_body_expectation == BodyExpectation::None || m_head.is_chunked || m_head.content_length)
+        return false;
+    return m_head.status >= first_final_status && m_head.status != status_no_content && m_head.status != status_not_modified;
+}
+
 int MessageReader::on_body(http_parser* parser, char const* bytes, size_t size)
 {
     auto& reader = self(parser);
--- a/Libraries/LibTransport/MessageReader.h
+++ b/Libraries/LibTransport/MessageReader.h
@@ -10,6 +10,14 @@
 
 namespace Transport {
 
+/// How the end of a message's body is known.
+enum class BodyEnd {
+    /// By the head, or by the last chunk.
+    Stated,
+    /// By the end of the connection. A sender that crashes between two writes looks the same.
+    EndOfConnection,
+};
+
 /// The head of an HTTP/1.1 request or answer.
 struct MessageHead {
     std::string method;
@@ -18,6 +26,7 @@
     HttpHeaders headers;
     std::optional<uint64_t> content_length;
     bool is_chunked { false };
+    BodyEnd body_end { BodyEnd::Stated };
     /// The connection may carry another message after this one.
     bool keeps_connection { false };
     /// The sender knows the chunked coding (RFC 9112, section 6.1); a sender of HTTP/1.0 does not.
@@ -95,6 +104,8 @@
     static http_parser_settings const& parser_settings();
     static MessageReader& self(http_parser*);
 
+    bool ends_with_connection() const;
+
     tl::expected<void, MessageFault> take_head();
     tl::expected<void, MessageFault> parse(std::string_view, size_t& consumed);
     tl::expected<void, MessageFault> fail(MessageFault);
--- a/Services/DirectEntry/BackendAttempt.cpp
+++ b/Services/DirectEntry/BackendAttempt.cpp
@@ -30,9 +30,10 @@
     on_bytes_received(now);
 }
 
-void BackendAttempt::on_head(Platform::BackendHead answer, Moment now)
+void BackendAttempt::on_head(Platform::BackendHead answer, Transport::BodyEnd body_end, Moment now)
 {
     m_has_head = true;
+    m_body_end = body_end;
     m_answer_head = std::move(answer);
     on_bytes_received(now);
 }
--- a/Services/DirectEntry/BackendAttempt.h
+++ b/Services/DirectEntry/BackendAttempt.h
@@ -61,7 +61,9 @@
     bool has_head() const { return m_has_head; }
     /// The head of the answer; default values while has_head() is false.
     Platform::BackendHead const& answer_head() const { return m_answer_head; }
-    void on_head(Platform::BackendHead, Moment);
+    void on_head(Platform::BackendHead, Transport::BodyEnd, Moment);
+    /// How the end of the answer's body is known. A body that ends with its connection may have been cut off by a crash.
+    Transport::BodyEnd body_end() const { return m_body_end; }
 
     /// Whether an event of this attempt's answer was delivered to the caller.
     bool has_delivered_event() const { return m_has_delivered_event; }
@@ -81,6 +83,7 @@
     bool m_has_head { false };
     bool m_has_delivered_event { false };
     Platform::BackendHead m_answer_head;
+    Transport::BodyEnd m_body_end { Transport::BodyEnd::Stated };
 };
 
 }
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -332,7 +332,7 @@
 void ProxiedRequest::on_head(BackendAttempt& attempt, Transport::MessageHead const& head)
 {
     auto const now = Core::monotonic_now();
-    attempt.on_head(m_context.heads.read_backend(head), moment(now));
+    attempt.on_head(m_context.heads.read_backend(head), head.body_end, moment(now));
     // Another server may have taken over the address.
     if (attempt.answer_head().status == status_misdirected)
         return;
@@ -428,7 +428,20 @@
         end_attempt(attempt, AttemptOutcome::BrokenOff, ServerOutcome::Failure);
         return;
     }
-    if (answer.status / 100 != 2) {
+    bool const is_broken_off = is_stream() && answer.status / 100 == 2 && (attempt.events.has_partial_event() || !m_has_delivered);
+    // A leaving server ends as planned, soon after its last answer.
+    bool const may_be_cut_off = attempt.body_end() == Transport::BodyEnd::EndOfConnection && !m_context.servers.is_leaving(attempt.target().id);
+    if (is_broken_off)
+        on_broken_off(attempt);
+    else if (may_be_cut_off)
+        check_server(attempt, AnswerUnlessTerminated::Whole);
+    else
+        complete_answer(attempt);
+}
+
+void ProxiedRequest::complete_answer(BackendAttempt& attempt)
+{
+    if (attempt.answer_head().status / 100 != 2) {
         on_failure_status(attempt);
         return;
     }
@@ -436,16 +449,12 @@
         pass_whole_answer(attempt);
         return;
     }
-    if (attempt.events.has_partial_event() || !m_has_delivered) {
-        on_broken_off(attempt);
-        return;
-    }
     select_attempt(attempt);
     m_caller->end();
     end_call();
     m_suspicion.on_run_completed();
     report_server_outcome(ServerOutcome::Success, Core::monotonic_now());
-    finish(Refusal::None, answer.status);
+    finish(Refusal::None, attempt.answer_head().status);
 }
 
 void ProxiedRequest::pass_whole_answer(BackendAttempt& attempt)
@@ -492,19 +501,24 @@
 /// Determines by a connection attempt, which takes one round trip, whether the server has terminated. If so, the request becomes a
 /// suspect and the attempt does not count against the route's limit. A cut connection alone means neither.
 void ProxiedRequest::on_broken_off(BackendAttempt& attempt)
+{
+    check_server(attempt, AnswerUnlessTerminated::BrokenOff);
+}
+
+void ProxiedRequest::check_server(BackendAttempt& attempt, AnswerUnlessTerminated answer)
 {
     attempt.call.reset();
     if (is_current(attempt))
         m_phase = Phase::CheckingServer;
-    m_context.crashes.check_terminated(attempt.target().id, attempt.target().address, [weak = weak_from_this(), attempt = attempt.weak_from_this()](bool has_terminated) {
+    m_context.crashes.check_terminated(attempt.target().id, attempt.target().address, [weak = weak_from_this(), attempt = attempt.weak_from_this(), answer](bool has_terminated) {
         auto self = weak.lock();
-        auto broken = attempt.lock();
-        if (self && broken && !self->is_over())
-            self->on_server_checked(*broken, has_terminated);
+        auto checked = attempt.lock();
+        if (self && checked && !self->is_over())
+            self->on_server_checked(*checked, answer, has_terminated);
     });
 }
 
-void ProxiedRequest::on_server_checked(BackendAttempt& attempt, bool has_terminated)
+void ProxiedRequest::on_server_checked(BackendAttempt& attempt, AnswerUnlessTerminated answer, bool has_terminated)
 {
     if (is_current(attempt)) {
         if (m_phase != Phase::CheckingServer)
@@ -518,6 +532,10 @@
         end_attempt(attempt, AttemptOutcome::ServerTerminated, ServerOutcome::Unreachable);
         return;
     }
+    if (answer == AnswerUnlessTerminated::Whole) {
+        complete_answer(attempt);
+        return;
+    }
     end_attempt(attempt, AttemptOutcome::BrokenOff, m_context.servers.is_executing_order(attempt.target().id, Core::monotonic_now()) ? ServerOutcome::Neutral : ServerOutcome::Failure);
 }
 
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -54,7 +54,7 @@
         Admitting,
         Waiting,
         Sent,
-        /// The answer broke off, and a connection attempt determines whether the server has terminated.
+        /// The answer broke off, or ended only with its connection, and a connection attempt determines whether the server has terminated.
         CheckingServer,
         Over,
     };
@@ -85,9 +85,18 @@
     void on_data(BackendAttempt&, std::string_view);
     void on_done(BackendAttempt&);
     void on_failed(BackendAttempt&, Transport::CallFailure);
+    /// What an answer is that ended together with its connection, if its server turns out not to have terminated.
+    enum class AnswerUnlessTerminated {
+        BrokenOff,
+        Whole,
+    };
+
+    /// Passes on the end of an answer that is known to be whole.
+    void complete_answer(BackendAttempt&);
     /// Checks whether the server terminated; on_server_checked() then ends the attempt.
     void on_broken_off(BackendAttempt&);
-    void on_server_checked(BackendAttempt&, bool has_terminated);
+    void check_server(BackendAttempt&, AnswerUnlessTerminated);
+    void on_server_checked(BackendAttempt&, AnswerUnlessTerminated, bool has_terminated);
     void pass_events(BackendAttempt&, std::string_view);
     void deliver(BackendAttempt&, std::string const& events);
     void pass_whole_answer(BackendAttempt&);
--- a/Tests/LibTransport/TestMessageReader.cpp
+++ b/Tests/LibTransport/TestMessageReader.cpp
@@ -55,6 +55,25 @@
     return reading;
 }
 
+// Guards against an answer that a crash of its server cut off and that passes for whole, as it has neither a length nor chunks.
+TEST(MessageReader, TellsWhetherTheEndOfTheConnectionEndsAnAnswer)
+{
+    std::vector<std::pair<std::string, BodyEnd>> const cases {
+        { "HTTP/1.1 200 OK\r\n\r\n", BodyEnd::EndOfConnection },
+        { "HTTP/1.1 500 X\r\nConnection: close\r\n\r\n", BodyEnd::EndOfConnection },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", BodyEnd::Stated },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", BodyEnd::Stated },
+        { "HTTP/1.1 204 X\r\n\r\n", BodyEnd::Stated },
+        { "HTTP/1.1 304 X\r\n\r\n", BodyEnd::Stated },
+    };
+    for (auto const& [bytes, expected] : cases) {
+        std::optional<BodyEnd> body_end;
+        MessageReader reader(MessageReader::Kind::Answer, 1024, { .head = [&](MessageHead const& head) { body_end = head.body_end; }, .data = {}, .done = {} });
+        EXPECT_TRUE(reader.feed(bytes).has_value()) << bytes;
+        EXPECT_EQ(body_end, expected) << bytes;
+    }
+}
+
 TEST(MessageReader, ReadsARequestAndItsBody)
 {
     auto const reading = read_requests("POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc");
--- a/Tests/Platform/test_crashing_requests.py
+++ b/Tests/Platform/test_crashing_requests.py
@@ -37,6 +37,12 @@
         assert outcome.keeps_the_bounds(), outcome.line()
 
 
+def test_a_stream_that_a_crash_ends_between_two_events_does_not_pass_for_whole(build, folders):
+    """Guards against a cut stream that callers take for whole: it has neither a length nor chunks, and ends with its connection as its engine does."""
+    outcome = crashing_parts.play(build, folders, seed=1, parts=1, seconds=PART_SECONDS, entries=3, engines=8, sound_callers=12, is_unframed=True)
+    assert outcome.keeps_the_bounds(), outcome.line()
+
+
 CRASHING = b"crashing"
 
 
