LibConfiguration, platform: Order records by the log's era and their offset

Callers saw: after the store came back from a copy, requests reached a leaving server 2 to 3 s after it had said so, and began on an old version past its bound. Cause: an offset was taken for a position in one log that never goes back. Records at offsets that were given out again counted as older than those read before, and were skipped once the log had grown past the old offset. Change: a position is an offset with the era in which it was given out (Store-Era). A read on from an earlier era is answered by a listing. What the copy holds ends neither a removal nor a draining, what it lacks is removed when the list is read again after 2.5 s, and entries state the era to each other.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibConfiguration/FactReplica.h>
 
+#include <LibConfiguration/LogPosition.h>
+
 #include <LibSchema/Json.h>
 #include <algorithm>
 #include <set>
@@ -148,21 +150,11 @@
     changes.keys_with_older_records.push_back(fact.key);
 }
 
-/// How a record compares with the one held under the same key.
-enum class RecordOrder {
-    /// The record is newer, whatever its offset.
-    Newer,
-    /// The record is older: its write was delayed, or it comes from a peer that has read less of the log.
-    Older,
-    /// The offsets of the two records decide.
-    AsLogged,
-};
-
-static RecordOrder order_of_records(Schema::BackendServer const& held, Schema::BackendServer const& candidate)
+FactReplica::RecordOrder FactReplica::order_of_records(Schema::BackendServer const& held, Schema::BackendServer const& candidate) const
 {
     // Without both start times only the order in the log can tell incarnations apart.
     if (!held.started_at_ms || !candidate.started_at_ms)
-        return RecordOrder::AsLogged;
+        return m_drained_before_return.contains(held.id) && !candidate.is_draining ? RecordOrder::Older : RecordOrder::AsLogged;
     if (*held.started_at_ms != *candidate.started_at_ms)
         return *held.started_at_ms < *candidate.started_at_ms ? RecordOrder::Newer : RecordOrder::Older;
     // Within one incarnation draining is final: a server becomes ready again only by a new start or after a removal of its record.
@@ -200,6 +192,7 @@
     m_facts[key].revision = revision;
     if (!after) {
         m_removed_at[fact.key] = fact.revision;
+        m_drained_before_return.erase(fact.key);
         clear_service_address(fact.key);
         return;
     }
@@ -273,17 +266,51 @@
     FactChanges changes;
     for (auto const& fact : facts)
         apply(fact, read, changes);
+    advance_end(topic, end);
+    return changes;
+}
+
+void FactReplica::advance_end(FactTopic topic, int64_t end)
+{
     auto& known_end = topic == FactTopic::Configuration ? m_configuration_end : m_servers_end;
     known_end = std::max(known_end, end);
-    return changes;
+}
+
+bool FactReplica::is_of_later_era(FactTopic topic, int64_t position) const
+{
+    bool const has_read = end(topic) > 0;
+    return has_read && era_of(position) > era_of(end(topic));
+}
+
+int64_t FactReplica::unstated_era() const
+{
+    // An older build does not notice that the log came back, and may state positions of before.
+    return m_has_seen_return ? 0 : era_of(std::max(m_configuration_end, m_servers_end));
+}
+
+void FactReplica::keep_leavers(int64_t end)
+{
+    m_has_seen_return = true;
+    for (auto& [id, removed_at] : m_removed_at)
+        removed_at = std::max(removed_at, end - 1);
+    for (auto const& [key, fact] : m_facts) {
+        auto const* server = std::get_if<Schema::BackendServer>(&fact.value);
+        if (server && server->is_draining && !is_presumed_draining(*server))
+            m_drained_before_return.insert(server->id);
+    }
 }
 
 FactChanges FactReplica::on_listing(FactTopic topic, std::vector<Fact> const& facts, int64_t end, ReadTime const& read)
 {
+    bool const is_first_after_return = topic == FactTopic::BackendServers && is_of_later_era(topic, end);
+    if (is_first_after_return)
+        keep_leavers(end);
     auto changes = on_records(topic, facts, end, read);
     if (topic != FactTopic::BackendServers)
         return changes;
     m_servers_listed_end = std::max(m_servers_listed_end, end);
+    if (is_first_after_return)
+        return changes;
     std::set<std::string> listed;
     for (auto const& fact : facts)
         listed.insert(fact.key);
@@ -309,16 +336,20 @@
 FactChanges FactReplica::on_peer(Schema::FactBatch const& batch, ReadTime const& received)
 {
     FactChanges changes;
+    auto const servers_end = log_position(batch.servers_era.value_or(unstated_era()), batch.servers_end);
+    auto const configuration_end = log_position(batch.configuration_era.value_or(unstated_era()), batch.configuration_end);
+    if (is_of_later_era(FactTopic::BackendServers, servers_end))
+        keep_leavers(servers_end);
     for (auto const& message : batch.facts) {
-        auto fact = from_message(message);
+        auto fact = from_message(message, unstated_era());
         if (!fact.has_value())
             continue;
         if (auto const* version = std::get_if<Schema::ModelVersion>(&fact->value))
             merge_peer_versions(version->model, message, received, changes);
         apply(*fact, received, changes);
     }
-    m_configuration_end = std::max(m_configuration_end, batch.configuration_end);
-    m_servers_end = std::max(m_servers_end, batch.servers_end);
+    advance_end(FactTopic::Configuration, configuration_end);
+    advance_end(FactTopic::BackendServers, servers_end);
     return changes;
 }
 
@@ -373,11 +404,16 @@
     batch.configuration_age_ms = ages.configuration.count();
     batch.servers_age_ms = ages.servers.count();
     batch.requested_at_ms = request.requested_at_ms;
-    batch.configuration_end = m_configuration_end;
-    bool const has_all_removals = request.servers_from >= m_servers_listed_end;
-    batch.servers_end = has_all_removals ? m_servers_end : std::min(m_servers_end, request.servers_from);
+    batch.configuration_era = era_of(m_configuration_end);
+    batch.configuration_end = offset_of(m_configuration_end);
+    auto const configuration_from = log_position(request.configuration_era.value_or(unstated_era()), request.configuration_from);
+    auto const servers_from = log_position(request.servers_era.value_or(unstated_era()), request.servers_from);
+    bool const has_all_removals = servers_from >= m_servers_listed_end;
+    auto const servers_end = has_all_removals ? m_servers_end : std::min(m_servers_end, servers_from);
+    batch.servers_era = era_of(servers_end);
+    batch.servers_end = offset_of(servers_end);
     for (auto const& [key, fact] : m_facts) {
-        auto const from = topic_of(key.first) == FactTopic::Configuration ? request.configuration_from : request.servers_from;
+        auto const from = topic_of(key.first) == FactTopic::Configuration ? configuration_from : servers_from;
         if (fact.revision < from && !may_be_missing_in_log(key.first))
             continue;
         batch.facts.push_back(to_message(fact));
@@ -418,7 +454,8 @@
     Schema::Fact message {};
     message.kind = fact.kind;
     message.key = fact.key;
-    message.revision = fact.revision;
+    message.era = era_of(fact.revision);
+    message.revision = offset_of(fact.revision);
     if (auto const* configuration = std::get_if<std::shared_ptr<Schema::RoutingConfiguration const>>(&fact.value))
         message.body = Schema::to_text(**configuration);
     else if (auto const* named = std::get_if<Schema::ModelVersion>(&fact.value))
@@ -428,9 +465,9 @@
     return message;
 }
 
-Core::ErrorOr<Fact> from_message(Schema::Fact const& message)
+Core::ErrorOr<Fact> from_message(Schema::Fact const& message, int64_t unstated_era)
 {
-    Fact fact { message.kind, message.key, message.revision, Removed {} };
+    Fact fact { message.kind, message.key, log_position(message.era.value_or(unstated_era), message.revision), Removed {} };
     if (message.body.empty())
         return fact;
     switch (message.kind) {
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -33,7 +33,7 @@
 
 using FactValue = std::variant<Removed, Unreadable, std::shared_ptr<Schema::RoutingConfiguration const>, Schema::ModelVersion, Schema::BackendServer>;
 
-/// The value of one key of the log, from the record at offset `revision`.
+/// The value of one key of the log, from the record at the log position `revision` (see LogPosition.h).
 ///
 /// Facts are the routing configuration, the named versions and the list of backend servers, as read from the platform's log.
 struct Fact {
@@ -97,9 +97,11 @@
     /// Applies records that were read from the log at offset `end(topic)`. The parameter `end` is the offset after the last of them.
     FactChanges on_records(FactTopic, std::vector<Fact> const&, int64_t end, ReadTime const&);
 
-    /// Applies a listing, which is the newest record of every key. A listing is read where the records from offset `end(topic)` on
-    /// are no longer retained. A backend server that the listing lacks is treated as removed; the configuration and named
-    /// versions are never removed.
+    /// Applies a listing, which is the newest record of every key. A listing is read where the records from offset `end(topic)` on are no
+    /// longer retained. A backend server that the listing lacks is treated as removed; the configuration and named versions are never removed.
+    ///
+    /// The first listing after the log came back from an older copy of itself mixes old records with those written again, and lacks some. It
+    /// removes no server, and ends neither the removal nor the draining of one.
     FactChanges on_listing(FactTopic, std::vector<Fact> const&, int64_t end, ReadTime const&);
 
     /// Applies superseded records, which later records of the same keys have replaced. A delayed write can reach the log after a later
@@ -114,7 +116,10 @@
     /// older version, which then does not replace these.
     FactChanges on_known_versions(std::vector<KnownVersion> const&, Core::Time now);
 
-    /// Returns the offset to read a topic from next.
+    /// Whether the log has come back from a copy since all that is known here of the topic was read, by a position of now.
+    bool is_of_later_era(FactTopic, int64_t position) const;
+
+    /// Returns the position to read a topic from next.
     int64_t end(FactTopic topic) const { return topic == FactTopic::Configuration ? m_configuration_end : m_servers_end; }
 
     /// Returns true if the naming time of any named version is unknown.
@@ -144,6 +149,16 @@
 private:
     using Key = std::pair<Schema::FactKind, std::string>;
 
+    /// How a record compares with the one held under the same key.
+    enum class RecordOrder {
+        /// The record is newer, whatever its position.
+        Newer,
+        /// The record is older: its write was delayed, or it comes from a peer that has read less of the log.
+        Older,
+        /// The positions of the two records decide.
+        AsLogged,
+    };
+
     /// The latest known incarnation (one start) of a backend server.
     struct Incarnation {
         /// Offset of the record that first listed this incarnation.
@@ -179,6 +194,13 @@
     void apply_server(Fact const&, FactChanges&);
     /// Marks a known backend server as draining because its newest record could not be decoded.
     void apply_unreadable(Fact const&, FactChanges&);
+    /// Keeps what is known of servers that were removed or that drain from being undone by records of the copy that the log came back from.
+    /// Records from the position `end` on were written since.
+    void keep_leavers(int64_t end);
+    /// Returns the era of positions in messages of a build that states none.
+    int64_t unstated_era() const;
+    void advance_end(FactTopic, int64_t end);
+    RecordOrder order_of_records(Schema::BackendServer const& held, Schema::BackendServer const& candidate) const;
     /// Records the incarnation of a server if it is later than the known one of the same identity.
     void update_incarnation(Schema::BackendServer const&, int64_t revision);
     /// Updates the address of a server, and which server supersedes which at the old and the new address.
@@ -194,8 +216,11 @@
     std::shared_ptr<Schema::RoutingConfiguration const> m_configuration;
     std::map<std::string, NamedVersions> m_versions;
     std::map<std::string, Incarnation> m_incarnations;
-    // Offset of the last removal of each server. Records of the server at lower offsets are ignored, whoever sends them.
+    // Position of the last removal of each server. Records of the server at lower positions are ignored, whoever sends them.
     std::map<std::string, int64_t> m_removed_at;
+    // Servers that were draining when the log came back from a copy. Without a start time a record that says otherwise is one of the copy.
+    std::set<std::string> m_drained_before_return;
+    bool m_has_seen_return { false };
     // The log's newest record of the configuration holds a lower version than m_configuration, and a process that starts from a
     // listing reads only that record.
     bool m_log_has_older_configuration { false };
@@ -213,7 +238,8 @@
 /// Converts a fact to the message that is sent to peers. The body is empty for a removed key and for an unreadable record.
 Schema::Fact to_message(Fact const&);
 /// Converts a peer's message to a fact. An empty body means that the key was removed.
+/// @param unstated_era the era of the record's position if the message states none.
 /// @return MalformedJson, WrongType or UnknownKey if the body is not valid for the message's kind.
-Core::ErrorOr<Fact> from_message(Schema::Fact const&);
+Core::ErrorOr<Fact> from_message(Schema::Fact const&, int64_t unstated_era = 0);
 
 }
--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibPlatform/FactFollower.h>
 
+#include <LibConfiguration/LogPosition.h>
+
 #include <LibCore/Log.h>
 #include <algorithm>
 
@@ -10,6 +12,8 @@
 // One connection can die and the next call can be refused. With one more failure the log counts as unreachable, for everyone or for this
 // instance alone; in the second case this instance receives new records from its peers.
 static constexpr int failures_of_an_outage = 3;
+// Backend servers that the log has lost write their records again within about two seconds of its return.
+static constexpr Core::Duration records_written_again_within { 2500 };
 
 FactFollower::FactFollower(Core::EventLoop& loop, Core::PauseWatch const& pauses, FactLog& log, Configuration::FactReplica& replica, FactFollowerSettings settings, Callbacks callbacks)
     : m_loop(loop)
@@ -67,6 +71,8 @@
     topic.read_before_began_at = topic.read_began_at;
     topic.read_began_at = Core::monotonic_now();
     auto const number = ++topic.read_number;
+    bool const is_relisting_due = topic.list_again_at && topic.read_began_at >= *topic.list_again_at;
+    topic.needs_listing = topic.needs_listing || is_relisting_due;
     auto const on_answer = [this, &topic, number, is_listing = topic.needs_listing](auto page) {
         if (number == topic.read_number)
             on_page(topic, page, is_listing);
@@ -135,7 +141,7 @@
 
 void FactFollower::on_failed(Topic& topic, FactLogFault fault)
 {
-    bool const is_outage = topic.failures + 1 >= failures_of_an_outage;
+    bool const is_outage = topic.failures + 1 >= failures_of_an_outage && fault != FactLogFault::HistoryGone;
     topic.gap_began_at = is_outage ? topic.read_began_at : topic.gap_began_at.value_or(topic.read_began_at);
     if (fault == FactLogFault::HistoryGone) {
         topic.needs_listing = true;
@@ -179,6 +185,13 @@
     bool const has_unreadable_servers = topic.topic == Configuration::FactTopic::BackendServers && !page.bad.empty();
     auto const extended = has_unreadable_servers ? with_unreadable_servers(page) : std::vector<Configuration::Fact> {};
     auto const& facts = has_unreadable_servers ? extended : page.facts;
+    bool const is_of_new_era = is_listing && m_replica.is_of_later_era(topic.topic, page.end);
+    if (is_listing)
+        topic.list_again_at = is_of_new_era ? std::optional(now + records_written_again_within) : std::nullopt;
+    if (is_of_new_era) {
+        Core::log_event(Core::LogLevel::Warn, "log_came_back_from_copy", { { "era", std::to_string(Configuration::era_of(page.end)) }, { "end", std::to_string(Configuration::offset_of(page.end)) } });
+        m_callbacks.log_came_back_from_copy();
+    }
     auto changes = is_listing ? m_replica.on_listing(topic.topic, facts, page.end, read) : m_replica.on_records(topic.topic, facts, page.end, read);
     if (!history.empty())
         changes.add(m_replica.on_history(history, read));
--- a/Libraries/LibPlatform/FactFollower.h
+++ b/Libraries/LibPlatform/FactFollower.h
@@ -49,6 +49,8 @@
         std::function<void(Configuration::FactTopic, Core::Duration)> read_recovered;
         /// A record could not be decoded.
         std::function<void(BadRecord const&)> bad_record;
+        /// The log has come back from an older copy of itself and lacks records that this system wrote.
+        std::function<void()> log_came_back_from_copy { [] {} };
     };
 
     FactFollower(Core::EventLoop&, Core::PauseWatch const&, FactLog&, Configuration::FactReplica&, FactFollowerSettings, Callbacks);
@@ -90,6 +92,8 @@
         bool has_read_history { false };
         // Nothing was read yet, or the log no longer stores the next records: the newest record of each key must be read.
         bool needs_listing { true };
+        // When the topic is to be listed again, as the last listing was the first after the log came back from a copy.
+        std::optional<Core::Time> list_again_at {};
         bool is_reading { false };
         // Number of the latest read; answers to earlier reads are ignored.
         uint64_t read_number { 0 };
--- a/Libraries/LibPlatform/FactLog.h
+++ b/Libraries/LibPlatform/FactLog.h
@@ -16,7 +16,8 @@
     Unavailable,
     /// The platform refused the call.
     Refused,
-    /// The log no longer stores the requested records; read the newest record of each key instead.
+    /// The log no longer stores the requested records, or has come back from a copy that lacks some that were read; read the newest record of
+    /// each key instead.
     HistoryGone,
 };
 
@@ -33,9 +34,9 @@
 struct FactPage {
     std::vector<Configuration::Fact> facts;
     std::vector<BadRecord> bad;
-    /// Offset that follows the last record of the page; the next read starts there.
+    /// Position that follows the last record of the page; the next read starts there. See LibConfiguration/LogPosition.h.
     int64_t end { 0 };
-    /// Offset that followed the last record of the log at the time of the read. If it is greater than `end`, more pages follow.
+    /// Position that followed the last record of the log at the time of the read. If it is greater than `end`, more pages follow.
     int64_t log_end { 0 };
 };
 
@@ -55,14 +56,14 @@
 
     using Callback = std::function<void(tl::expected<FactPage, FactLogFault>)>;
 
-    /// Reads the records of a topic from an offset on. Waits up to `ReadTimeouts::wait` if there is none yet.
+    /// Reads the records of a topic from a position on. Waits up to `ReadTimeouts::wait` if there is none yet.
     virtual void read(Configuration::FactTopic, int64_t from, ReadTimeouts, Callback) = 0;
 
     /// Reads the newest record of each key of a topic, without waiting for new ones.
     virtual void read_newest(Configuration::FactTopic, ReadTimeouts, Callback) = 0;
 
-    /// Reads records before the offset `end` that later records of the same keys have replaced. Returns only the most recent
-    /// ones that the log still stores, because their total size is limited. The default is for a log without history: an empty page.
+    /// Reads records before the position `end` that later records of the same keys have replaced. Returns only the most recent ones that the
+    /// log still stores, because their total size is limited. The default is for a log without history: an empty page.
     virtual void read_history(Configuration::FactTopic, int64_t /*end*/, ReadTimeouts, Callback callback)
     {
         auto const answer = std::move(callback);
--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -1514,6 +1514,10 @@
      * Asks for all facts at or above two offsets.
      */
     struct FactRequest {
+        /**
+         * Era of the log that the offset counts in; absent from older builds.
+         */
+        std::optional<int64_t> configuration_era;
         /**
          * Offset.
          */
@@ -1523,6 +1527,10 @@
          * older builds.
          */
         std::optional<int64_t> requested_at_ms;
+        /**
+         * Era of the log that the offset counts in; absent from older builds.
+         */
+        std::optional<int64_t> servers_era;
         /**
          * Offset.
          */
@@ -1562,6 +1570,10 @@
          * JSON of the value; empty for a removed key.
          */
         std::string body;
+        /**
+         * Era of the log that the offset counts in; absent from older builds.
+         */
+        std::optional<int64_t> era;
         /**
          * Key.
          */
@@ -1599,6 +1611,10 @@
          * All configuration records below this offset are in.
          */
         int64_t configuration_end;
+        /**
+         * Era of the log that configuration_end counts in; absent from older builds.
+         */
+        std::optional<int64_t> configuration_era;
         /**
          * Facts.
          */
@@ -1617,6 +1633,10 @@
          * All records of backend servers below this offset are in.
          */
         int64_t servers_end;
+        /**
+         * Era of the log that servers_end counts in; absent from older builds.
+         */
+        std::optional<int64_t> servers_era;
     };
 
     /**
@@ -3896,15 +3916,19 @@
     }
 
     inline void from_json(const json & j, FactRequest& x) {
+        x.configuration_era = get_stack_optional<int64_t>(j, "configuration_era");
         x.configuration_from = j.at("configuration_from").get<int64_t>();
         x.requested_at_ms = get_stack_optional<int64_t>(j, "requested_at_ms");
+        x.servers_era = get_stack_optional<int64_t>(j, "servers_era");
         x.servers_from = j.at("servers_from").get<int64_t>();
     }
 
     inline void to_json(json & j, const FactRequest & x) {
         j = json::object();
+        j["configuration_era"] = x.configuration_era;
         j["configuration_from"] = x.configuration_from;
         j["requested_at_ms"] = x.requested_at_ms;
+        j["servers_era"] = x.servers_era;
         j["servers_from"] = x.servers_from;
     }
 
@@ -3923,6 +3947,7 @@
 
     inline void from_json(const json & j, Fact& x) {
         x.body = j.at("body").get<std::string>();
+        x.era = get_stack_optional<int64_t>(j, "era");
         x.key = j.at("key").get<std::string>();
         x.kind = j.at("kind").get<FactKind>();
         x.revision = j.at("revision").get<int64_t>();
@@ -3932,6 +3957,7 @@
     inline void to_json(json & j, const Fact & x) {
         j = json::object();
         j["body"] = x.body;
+        j["era"] = x.era;
         j["key"] = x.key;
         j["kind"] = x.kind;
         j["revision"] = x.revision;
@@ -3942,10 +3968,12 @@
         x.age_ms = j.at("age_ms").get<int64_t>();
         x.configuration_age_ms = get_stack_optional<int64_t>(j, "configuration_age_ms");
         x.configuration_end = j.at("configuration_end").get<int64_t>();
+        x.configuration_era = get_stack_optional<int64_t>(j, "configuration_era");
         x.facts = j.at("facts").get<std::vector<Fact>>();
         x.requested_at_ms = get_stack_optional<int64_t>(j, "requested_at_ms");
         x.servers_age_ms = get_stack_optional<int64_t>(j, "servers_age_ms");
         x.servers_end = j.at("servers_end").get<int64_t>();
+        x.servers_era = get_stack_optional<int64_t>(j, "servers_era");
     }
 
     inline void to_json(json & j, const FactBatch & x) {
@@ -3953,10 +3981,12 @@
         j["age_ms"] = x.age_ms;
         j["configuration_age_ms"] = x.configuration_age_ms;
         j["configuration_end"] = x.configuration_end;
+        j["configuration_era"] = x.configuration_era;
         j["facts"] = x.facts;
         j["requested_at_ms"] = x.requested_at_ms;
         j["servers_age_ms"] = x.servers_age_ms;
         j["servers_end"] = x.servers_end;
+        j["servers_era"] = x.servers_era;
     }
 
     inline void from_json(const json & j, Hello& x) {
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "EntryFacts.h"
 
+#include <LibConfiguration/LogPosition.h>
+
 #include <LibCore/Log.h>
 #include <LibTransport/Link.h>
 #include <algorithm>
@@ -163,8 +165,12 @@
 {
     Schema::Message message;
     message.fact_request.emplace();
-    message.fact_request->configuration_from = m_replica.end(Configuration::FactTopic::Configuration);
-    message.fact_request->servers_from = m_replica.end(Configuration::FactTopic::BackendServers);
+    auto const configuration_end = m_replica.end(Configuration::FactTopic::Configuration);
+    auto const servers_end = m_replica.end(Configuration::FactTopic::BackendServers);
+    message.fact_request->configuration_era = Configuration::era_of(configuration_end);
+    message.fact_request->configuration_from = Configuration::offset_of(configuration_end);
+    message.fact_request->servers_era = Configuration::era_of(servers_end);
+    message.fact_request->servers_from = Configuration::offset_of(servers_end);
     message.fact_request->requested_at_ms = Core::monotonic_now().count();
     return message;
 }
@@ -207,8 +213,10 @@
     if (!may_request_again(entry, Core::monotonic_now()))
         return;
     auto message = request();
-    if (!is_behind)
+    if (!is_behind) {
+        message.fact_request->configuration_era = 0;
         message.fact_request->configuration_from = 0;
+    }
     m_callbacks.send(entry, message);
 }
 
--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibConfiguration/FactReplica.h>
 #include <LibConfiguration/HeldVersion.h>
+#include <LibConfiguration/LogPosition.h>
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -195,7 +196,7 @@
 /// Returns everything that a peer with this replica sends to a process that has read nothing.
 static Schema::FactBatch all_facts_of(FactReplica const& peer, Core::Time now)
 {
-    return peer.facts_since({ .configuration_from = 0, .requested_at_ms = {}, .servers_from = 0 }, {}, now);
+    return peer.facts_since({ .configuration_era = {}, .configuration_from = 0, .requested_at_ms = {}, .servers_era = {}, .servers_from = 0 }, {}, now);
 }
 
 TEST(FactReplica, APeerSendsTheNamingTimeNotTheTimeOfItsMessage)
@@ -303,7 +304,7 @@
     peer.on_records(FactTopic::Configuration, { version_fact(2, 2) }, 3, read_directly(Core::Time(2000)));
     FactReplica replica;
     replica.on_listing(FactTopic::Configuration, { version_fact(2, 2) }, 3, { Core::Time(9000), {} });
-    auto const answer = peer.facts_since({ .configuration_from = replica.end(FactTopic::Configuration), .requested_at_ms = {}, .servers_from = 0 }, {}, Core::Time(9010));
+    auto const answer = peer.facts_since({ .configuration_era = {}, .configuration_from = replica.end(FactTopic::Configuration), .requested_at_ms = {}, .servers_era = {}, .servers_from = 0 }, {}, Core::Time(9010));
     EXPECT_TRUE(replica.on_peer(answer, received_at(Core::Time(9010))).has_versions);
     EXPECT_EQ(replica.versions().at("m").newest(), 3);
     EXPECT_EQ(replica.versions().at("m").newest_of(Core::Time(1000), Core::Time(0)), 3);
@@ -351,7 +352,7 @@
     ASSERT_EQ(peer.configuration()->version, 6);
     FactReplica started_later;
     started_later.on_listing(FactTopic::Configuration, { configuration_fact(3, 2) }, 3, { Core::Time(9000), {} });
-    auto const answer = peer.facts_since({ .configuration_from = started_later.end(FactTopic::Configuration), .requested_at_ms = {}, .servers_from = 0 }, {}, Core::Time(9010));
+    auto const answer = peer.facts_since({ .configuration_era = {}, .configuration_from = started_later.end(FactTopic::Configuration), .requested_at_ms = {}, .servers_era = {}, .servers_from = 0 }, {}, Core::Time(9010));
     started_later.on_peer(answer, received_at(Core::Time(9010)));
     EXPECT_EQ(started_later.configuration()->version, 6);
 }
@@ -413,7 +414,7 @@
     FactReplica replica;
     replica.on_records(FactTopic::Configuration, { configuration_fact(3, 0) }, 1, read_directly(Core::Time(0)));
     Schema::FactBatch batch {};
-    batch.facts = { { .body = "{\"version\":9}", .key = "config", .kind = Schema::FactKind::Configuration, .revision = 9, .versions = {} } };
+    batch.facts = { { .body = "{\"version\":9}", .era = {}, .key = "config", .kind = Schema::FactKind::Configuration, .revision = 9, .versions = {} } };
     EXPECT_FALSE(replica.on_peer(batch, received_at(Core::Time(1))).has_any());
     EXPECT_EQ(replica.configuration()->version, 3);
 }
@@ -656,3 +657,95 @@
     EXPECT_EQ(ages_of(batch, Core::Time(9400)).servers, Core::Duration(8400));
     EXPECT_EQ(ages_of(batch, Core::Time(7000)).configuration, Core::Duration(20)) << "no request is from the future";
 }
+
+// The log comes back from an older copy of itself, and gives out offsets again.
+
+namespace {
+
+class LogReturnTest : public testing::Test {
+protected:
+    static constexpr int64_t end_before = 100;
+
+    static int64_t before(int64_t offset) { return log_position(1, offset); }
+    static int64_t after(int64_t offset) { return log_position(2, offset); }
+
+    void read(std::vector<Fact> const& facts, int64_t end) { m_replica.on_records(FactTopic::BackendServers, facts, end, read_directly(Core::Time(1))); }
+    void list(std::vector<Fact> const& facts, int64_t end) { m_replica.on_listing(FactTopic::BackendServers, facts, end, read_directly(Core::Time(2))); }
+    bool is_draining(std::string const& id) const { return m_replica.server(id)->is_draining; }
+
+    FactReplica m_replica;
+};
+
+}
+
+// Guards against a leaving server that gets work on, as the record of its leaving stands at an offset below those read before.
+TEST_F(LogReturnTest, ARecordAtAReusedOffsetIsNewer)
+{
+    read({ server_fact("s", false, before(90)) }, before(end_before));
+    list({ server_fact("s", true, after(60)) }, after(61));
+    EXPECT_TRUE(is_draining("s"));
+    EXPECT_EQ(m_replica.end(FactTopic::BackendServers), after(61));
+}
+
+// Guards against a named version that is never in force, as its record stands at an offset below those read before.
+TEST_F(LogReturnTest, AVersionAtAReusedOffsetIsNewer)
+{
+    m_replica.on_records(FactTopic::Configuration, { version_fact(1, before(90)) }, before(end_before), read_directly(Core::Time(1)));
+    m_replica.on_listing(FactTopic::Configuration, { version_fact(2, after(60)) }, after(61), read_directly(Core::Time(2)));
+    EXPECT_EQ(m_replica.versions().at("m").newest(), 2);
+    m_replica.on_listing(FactTopic::Configuration, { version_fact(1, log_position(3, 10)) }, log_position(3, 11), read_directly(Core::Time(3)));
+    EXPECT_EQ(m_replica.versions().at("m").newest(), 2) << "what the copy holds undoes no version";
+}
+
+TEST_F(LogReturnTest, TheCopyBringsBackNoServerThatLeft)
+{
+    read({ server_fact("draining", true, before(80)), server_fact("removed", false, before(81)), removed_fact("removed", before(82)) }, before(end_before));
+    std::vector<Fact> const copy { server_fact("draining", false, after(50)), server_fact("removed", false, after(51)) };
+    list(copy, after(60));
+    EXPECT_TRUE(is_draining("draining"));
+    EXPECT_EQ(m_replica.server("removed"), nullptr);
+    list(copy, after(60));
+    EXPECT_TRUE(is_draining("draining"));
+    read({ server_fact("draining", false, after(61)), server_fact("removed", false, after(62)) }, after(63));
+    EXPECT_TRUE(is_draining("draining")) << "a heartbeat from before it said that it leaves, written again";
+    EXPECT_NE(m_replica.server("removed"), nullptr) << "it had lapsed, and has written its record since";
+}
+
+TEST_F(LogReturnTest, AServerThatTheCopyLacksStaysUntilTheListIsReadAgain)
+{
+    read({ server_fact("s", false, before(90)), server_fact("t", false, before(91)) }, before(end_before));
+    list({ server_fact("t", false, after(10)) }, after(60));
+    EXPECT_NE(m_replica.server("s"), nullptr);
+    list({ server_fact("t", false, after(10)) }, after(70));
+    EXPECT_EQ(m_replica.server("s"), nullptr);
+    EXPECT_NE(m_replica.server("t"), nullptr);
+}
+
+TEST_F(LogReturnTest, APeerThatTheLogTurnsAwayLearnsOfTheNewEra)
+{
+    FactReplica turned_away;
+    for (auto* replica : { &m_replica, &turned_away })
+        replica->on_records(FactTopic::BackendServers, { server_fact("s", false, before(90)), server_fact("t", true, before(91)) }, before(end_before), read_directly(Core::Time(1)));
+    list({ server_fact("s", false, after(50)), server_fact("t", false, after(51)) }, after(60));
+    read({ server_fact("s", true, after(60)) }, after(61));
+    Schema::FactRequest request {};
+    request.servers_era = era_of(turned_away.end(FactTopic::BackendServers));
+    request.servers_from = offset_of(turned_away.end(FactTopic::BackendServers));
+    turned_away.on_peer(m_replica.facts_since(request, {}, Core::Time(3)), received_at(Core::Time(3)));
+    EXPECT_TRUE(turned_away.server("s")->is_draining);
+    EXPECT_TRUE(turned_away.server("t")->is_draining);
+}
+
+// Guards against an end of before that is taken for one of the new era: the log has no such offset, so nothing more would be read.
+TEST_F(LogReturnTest, AnOlderBuildThatStatesNoEraMovesNothing)
+{
+    read({ server_fact("s", false, before(90)) }, before(end_before));
+    list({ server_fact("s", false, after(50)) }, after(60));
+    Schema::FactBatch batch {};
+    batch.servers_end = end_before;
+    batch.facts.push_back(to_message(server_fact("s", true, before(95))));
+    batch.facts.back().era.reset();
+    m_replica.on_peer(batch, received_at(Core::Time(3)));
+    EXPECT_EQ(m_replica.end(FactTopic::BackendServers), after(60));
+    EXPECT_FALSE(is_draining("s"));
+}
--- a/Tests/Platform/TestBlameRecords.cpp
+++ b/Tests/Platform/TestBlameRecords.cpp
@@ -2,6 +2,7 @@
 #include "../../platform/HttpBlameRecords.h"
 #include "../../platform/HttpFactLog.h"
 #include "StoreListing.h"
+#include <LibConfiguration/LogPosition.h>
 #include <LibSchema/Json.h>
 #include <LibTransport/HttpServer.h>
 #include <gtest/gtest.h>
@@ -78,6 +79,8 @@
 
     uint16_t port() const { return m_server->port(); }
     std::vector<int64_t> requested_from;
+    // Headers of all answers.
+    Transport::HttpHeaders headers;
 
 private:
     static std::string big_endian(uint64_t value, size_t size)
@@ -93,7 +96,7 @@
         auto const from = std::stoll(exchange.query("From").value_or("0"));
         requested_from.push_back(from);
         if (from < m_first) {
-            exchange.reply(410, {}, Json { { "first", m_first } }.dump());
+            exchange.reply(410, headers, Json { { "first", m_first } }.dump());
             return;
         }
         std::string body = big_endian(m_records.size(), 8) + big_endian(static_cast<uint64_t>(m_first), 8);
@@ -104,7 +107,7 @@
             record += value;
             body += big_endian(record.size(), 4) + record;
         }
-        exchange.reply(200, {}, body);
+        exchange.reply(200, headers, body);
     }
 
     std::vector<std::pair<std::string, std::string>> m_records;
@@ -151,3 +154,65 @@
     EXPECT_EQ(requested_from, (std::vector<int64_t> { 0, 1 }));
     EXPECT_TRUE(versions_in_history(4, requested_from).empty());
 }
+
+// The store's era, which rises each time it comes back from an older copy and gives out offsets again.
+
+using FactResult = tl::expected<Platform::FactPage, Platform::FactLogFault>;
+
+static FactResult read_in_era(std::string const& era, int64_t from)
+{
+    Core::EventLoop loop;
+    HistoryStore store(loop, { naming(1), naming(2), naming(3) }, 0);
+    store.headers = { { "store-era", era } };
+    HttpFactLog log(loop, "127.0.0.1:" + std::to_string(store.port()), CustomerKeys::NotExpected);
+    std::optional<FactResult> result;
+    log.read(Configuration::FactTopic::Configuration, from, { .wait = Core::Duration(0), .answer = Core::Duration(10000) }, [&](auto const& page) {
+        result = page;
+        loop.stop();
+    });
+    loop.run();
+    return *result;
+}
+
+// Guards against records that are never read, as they stand below an offset that was read before the store came back.
+TEST(FactLogEra, AReadFromAnOffsetOfAnEarlierEraFindsTheHistoryGone)
+{
+    auto const same = read_in_era("2", Configuration::log_position(2, 1));
+    ASSERT_TRUE(same.has_value());
+    EXPECT_EQ(same->end, Configuration::log_position(2, 3));
+    EXPECT_EQ(same->facts.at(0).revision, Configuration::log_position(2, 2));
+    for (auto const from : { Configuration::log_position(1, 1), Configuration::log_position(1, 3), int64_t { 1 } }) {
+        auto const earlier = read_in_era("2", from);
+        ASSERT_FALSE(earlier.has_value());
+        EXPECT_EQ(earlier.error(), Platform::FactLogFault::HistoryGone);
+    }
+}
+
+TEST(FactLogEra, AnEraThatCannotBeReadCountsAsNone)
+{
+    for (auto const* era : { "", "x", "-1", "2x", "99999999999" }) {
+        auto const read = read_in_era(era, 1);
+        ASSERT_TRUE(read.has_value()) << era;
+        EXPECT_EQ(read->end, 3) << era;
+    }
+}
+
+TEST(FactLogEra, AListingWhosePagesAreOfTwoErasFails)
+{
+    Core::EventLoop loop;
+    int era = 1;
+    auto server = Transport::HttpServer::create(loop, "127.0.0.1", 0, {}, [&](auto const& exchange) {
+        auto page = listing({ item("version/" + std::to_string(era), naming(1).second, era) });
+        page["more"] = era < 3;
+        exchange->reply(200, { { "Store-Era", std::to_string(era++) } }, as_bytes(page));
+    });
+    HttpFactLog log(loop, "127.0.0.1:" + std::to_string((*server)->port()), CustomerKeys::NotExpected);
+    std::optional<FactResult> result;
+    log.read_newest(Configuration::FactTopic::Configuration, { .wait = Core::Duration(0), .answer = Core::Duration(10000) }, [&](auto const& page) {
+        result = page;
+        loop.stop();
+    });
+    loop.run();
+    ASSERT_FALSE(result->has_value());
+    EXPECT_EQ(result->error(), Platform::FactLogFault::Unavailable);
+}
