DirectEntry: Store blames and versions again that the platform's log has lost

Cause: what this system wrote to its own topics counted as written for the life of the process. After the log came back from a copy that lacks it, an entry that starts, or has no links, would know neither a blamed request nor a version that the operator's newest record does not name. Found by looking for the cause of the skipped records elsewhere; not seen by callers. Change: at a new era the entries read their own records again and write what is missing. Evidence: StoredBlames.ABlameThatTheLogLostIsStoredAgain and StoredVersions.AVersionThatTheLogLostIsStoredAgain call what was not there before.

--- a/Libraries/LibPlatform/StoredBlames.cpp
+++ b/Libraries/LibPlatform/StoredBlames.cpp
@@ -133,6 +133,12 @@
     m_pending_writes.erase(digest);
 }
 
+void StoredBlames::on_log_came_back_from_copy()
+{
+    m_stored.clear();
+    read();
+}
+
 void StoredBlames::remove_blame(std::string const& digest)
 {
     on_removed_by_peer(digest);
--- a/Libraries/LibPlatform/StoredBlames.h
+++ b/Libraries/LibPlatform/StoredBlames.h
@@ -38,6 +38,8 @@
     /// Stores the blame of a request if this entry is responsible for it. No effect if the request is only suspected or the blame is
     /// stored.
     void store_blame(Schema::CrashSuspect const&);
+    /// The platform's log has come back from an older copy, so no blame counts as stored until it is read or written again.
+    void on_log_came_back_from_copy();
     /// Removes the blame of a request, here and from the store.
     void remove_blame(std::string const& digest);
     /// Removes the blame here only: another entry has cleared it, and removes it from the store.
--- a/Libraries/LibPlatform/StoredVersions.cpp
+++ b/Libraries/LibPlatform/StoredVersions.cpp
@@ -84,6 +84,15 @@
     m_callbacks.read(known);
 }
 
+void StoredVersions::on_log_came_back_from_copy()
+{
+    if (!m_records)
+        return;
+    m_stored.clear();
+    m_is_read = false;
+    read();
+}
+
 bool StoredVersions::is_responsible_for(Version const& version, Core::Duration known_for) const
 {
     return should_write_record(version.first + "/" + std::to_string(version.second), m_identity, m_callbacks.entries(), known_for);
--- a/Libraries/LibPlatform/StoredVersions.h
+++ b/Libraries/LibPlatform/StoredVersions.h
@@ -44,6 +44,8 @@
 
     /// Stores the versions that are not stored yet and that this entry is responsible for, one after another.
     void store_new_versions();
+    /// The platform's log has come back from an older copy. Reads the records again, and writes those that are lost.
+    void on_log_came_back_from_copy();
 
 private:
     using Version = std::pair<std::string, int64_t>;
--- a/Services/DirectEntry/CrashDetector.cpp
+++ b/Services/DirectEntry/CrashDetector.cpp
@@ -207,6 +207,13 @@
         blame_last_of_group("entry");
 }
 
+void CrashDetector::on_log_came_back_from_copy()
+{
+    m_blame_store.on_log_came_back_from_copy();
+    for (auto const& suspect : m_suspects.all(Core::monotonic_now()))
+        m_blame_store.store_blame(suspect);
+}
+
 void CrashDetector::report_metrics() const
 {
     m_metrics.set("mountbarrow_crash_suspects", static_cast<double>(m_suspects.count()));
--- a/Services/DirectEntry/CrashDetector.h
+++ b/Services/DirectEntry/CrashDetector.h
@@ -68,6 +68,9 @@
     /// The link to an entry is down: its runs of suspects no longer count.
     void on_entry_link_down(std::string const& entry) { m_suspects.on_peer_gone(entry); }
 
+    /// The platform's log has come back from an older copy: stores the blames again.
+    void on_log_came_back_from_copy();
+
     /// Clears the request on the operator's order, here and at the other entries, so that it runs again.
     /// @return false if it is no suspect.
     bool clear_by_operator(std::string const& digest);
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -475,6 +475,7 @@
         .send = [this](std::string const& entry, Schema::Message const& message) { m_hub->send(entry, message); },
         .entries = [this] { return m_hub->peers(Schema::Role::Entry); },
         .distance = [this](std::string const& entry) { return distance(entry); },
+        .log_came_back_from_copy = [this] { m_crashes.on_log_came_back_from_copy(); },
     };
 }
 
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -97,9 +97,17 @@
         .read_failed = [this](Configuration::FactTopic topic, Platform::FactLogFault fault) { on_read_failed(topic, fault); },
         .read_recovered = [this](Configuration::FactTopic topic, Core::Duration lost_for) { on_read_recovered(topic, lost_for); },
         .bad_record = [this](Platform::BadRecord const& bad) { m_bad_records.report_record(bad); },
+        .log_came_back_from_copy = [this] { on_log_came_back_from_copy(); },
     };
 }
 
+void EntryFacts::on_log_came_back_from_copy()
+{
+    m_metrics.count("mountbarrow_log_returns_total");
+    m_stored_versions.on_log_came_back_from_copy();
+    m_callbacks.log_came_back_from_copy();
+}
+
 // Pauses.
 
 void EntryFacts::reread_after_pause()
--- a/Services/DirectEntry/EntryFacts.h
+++ b/Services/DirectEntry/EntryFacts.h
@@ -38,6 +38,8 @@
         std::function<std::vector<std::string>()> entries;
         /// Returns whether another entry is in the same region.
         std::function<Platform::Distance(std::string const& entry)> distance;
+        /// Called when the platform's log has come back from an older copy, for each topic: what this system has stored may be lost.
+        std::function<void()> log_came_back_from_copy;
     };
 
     /// The platform's log and store that the facts are read from.
@@ -88,6 +90,7 @@
 
 private:
     Platform::FactFollower::Callbacks follower_callbacks();
+    void on_log_came_back_from_copy();
     Platform::StoredVersions::Callbacks stored_versions_callbacks();
     void on_changed(Configuration::FactChanges const&);
     /// Merges known versions into the replica, and reports and stores what changed.
--- a/Tests/LibPlatform/TestStoredBlames.cpp
+++ b/Tests/LibPlatform/TestStoredBlames.cpp
@@ -171,3 +171,16 @@
     process.stored.store_blame(blamed("d"));
     EXPECT_EQ(shared.records.size(), 1u) << "a request whose blame was removed may be blamed again";
 }
+
+// Guards against a blame that is stored nowhere any more, as the platform's log has come back from a copy that lacks it.
+TEST(StoredBlames, ABlameThatTheLogLostIsStoredAgain)
+{
+    Core::EventLoop loop;
+    SharedBlames shared;
+    Process process(loop, shared, "a", {});
+    process.stored.store_blame(blamed("d"));
+    shared.records.clear();
+    process.stored.on_log_came_back_from_copy();
+    process.stored.store_blame(blamed("d"));
+    EXPECT_EQ(shared.records.size(), 1u);
+}
--- a/Tests/LibPlatform/TestStoredVersions.cpp
+++ b/Tests/LibPlatform/TestStoredVersions.cpp
@@ -226,3 +226,18 @@
     EXPECT_GE(running.facts.versions().at("m").find(3)->known, before);
     EXPECT_EQ(running.facts.versions().at("m").newest_of(before - Core::Duration(1000), Core::Time(0)), 0);
 }
+
+// Guards against a version that is stored nowhere any more, as the platform's log has come back from a copy that lacks it.
+TEST(StoredVersions, AVersionThatTheLogLostIsStoredAgain)
+{
+    Core::EventLoop loop;
+    SharedRecords shared;
+    Process process(loop, shared, "a", {});
+    process.learn(2);
+    run_for(loop, Core::Duration(10));
+    ASSERT_EQ(shared.records.size(), 1u);
+    shared.records.clear();
+    process.stored.on_log_came_back_from_copy();
+    run_for(loop, Core::Duration(700));
+    EXPECT_EQ(shared.records.size(), 1u);
+}
