--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -21,7 +21,7 @@
     Suspected,
     /// Two or more servers did: it runs alone, which means one copy in the whole fleet, on a server that runs no other suspect.
     RunsAlone,
-    /// Three or more servers did, at least one of them while the request ran alone: the request is refused.
+    /// Three or more servers did, at least one of them while the request ran alone (two for a part of prompts): the request is refused.
     Blamed,
 };
 
@@ -41,17 +41,17 @@
 /// A request has several keys, each of which may be a suspect: its request_digest(), and the prompt_part_key() of each part of its prompt
 /// that other requests may share. All keys of the requests that a server runs when it terminates become suspects, so most suspects are
 /// harmless. A suspect is cleared when an answer to a request with it completes. A suspect of two terminations runs alone, and is blamed
-/// only if a server terminates while it runs alone: servers that lose power together lead to no blame.
+/// only if a server terminates while it runs alone (two servers, for a part): servers that lose power together lead to no blame.
 ///
 /// If several suspects of one request ran alone together, any of them may be the cause, and none is blamed by itself. Requests with all
 /// of them are refused. Requests with only some of them run alone and tell which: one that completes clears its suspects, and the last that
 /// is left is blamed.
 ///
-/// A termination that a blamed suspect has in its record does not count against other whole requests. A blamed suspect is released if each of its terminations is also in the record of another blamed one.
+/// A termination that a blamed suspect has in its record does not count against other whole requests. A blamed suspect is
+/// released if each of its terminations is also in the record of another blamed one.
 ///
 /// A blamed request may run alone once more after one hour, then after four hours, then after sixteen each time. So a wrong blame does not
-/// last for ever, and a right one costs three servers a day. A part of prompts, which is blamed after two servers that ran it alone, may do
-/// so after ten seconds and one minute before that.
+/// last for ever, and a right one costs three servers a day. A part of prompts may do so after ten seconds and one minute before that.
 class CrashSuspects {
 public:
     /// A key of a request that a server ran when it terminated, and whether the key had to run alone.
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -200,7 +200,10 @@
 
     def append(self, topic, key, value):
         """The same, on the loop of the stand-ins."""
-        self.topics[topic].append((key, b"" if value is None else json.dumps(value).encode()))
+        self.add(topic, [(key, b"" if value is None else json.dumps(value).encode())])
+
+    def add(self, topic, records):
+        self.topics[topic] += records
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -220,6 +223,13 @@
             return gone
         return self.loop.run(come_back())
 
+    def write_again(self, gone):
+        """What come_back_from_copy() returned is written once more."""
+        async def write():
+            for topic, records in gone.items():
+                self.add(topic, records)
+        self.loop.run(write())
+
     async def log_append(self, door, request):
         """Takes the records of a keyed topic, as the product writes them."""
         topic, body, records = request.query["topic"], request.body, []
@@ -229,9 +239,7 @@
             assert len(record) == size and record[0] < size, "a record is cut"
             records.append((record[1:1 + record[0]].decode(), record[1 + record[0]:]))
         offset = len(self.topics[topic])
-        self.topics[topic] += records
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self.add(topic, records)
         return await door.reply(request, 200, body=json.dumps({"offset": offset, "end": len(self.topics[topic])}).encode())
 
     async def log_read(self, door, request):
--- a/Tests/Platform/test_store_returns.py
+++ b/Tests/Platform/test_store_returns.py
@@ -1,41 +1,19 @@
 # SPDX-License-Identifier: BSD-2-Clause
 """The store comes back from an older copy: what it has lost is written again, at offsets that entries have read past before."""
 
-import threading
 import time
 
-from fleet import MODEL, Fleet, wait_until
+from fleet import Fleet, wait_until
 from test_direct_path import wait_linked
+from test_server_statements import Load
 
 LOST_SERVER_RECORDS = 24
 DRAIN_SECONDS, VERSION_SECONDS = 2.0, 4.0
 # What a request takes from its acceptance to its server, and the scheduling of a busy machine.
 ON_THE_WAY_SECONDS = 0.5
 WATCHED_SECONDS = 3.0
-
-
-class Callers:
-    """Callers of streams at all entries, until the block is left."""
-
-    def __init__(self, fleet, count=6):
-        self.fleet = fleet
-        self.is_over = threading.Event()
-        self.threads = [threading.Thread(target=self.ask, args=(number,)) for number in range(count)]
-
-    def ask(self, number):
-        entry = self.fleet.entries[number % len(self.fleet.entries)]
-        while not self.is_over.is_set():
-            self.fleet.call(entry, "POST", f"/stream/{number}")
-
-    def __enter__(self):
-        for thread in self.threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self.is_over.set()
-        for thread in self.threads:
-            thread.join()
+# Between two requests of a caller.
+PAUSE_SECONDS = 0.02
 
 
 def heartbeat(fleet, engine):
@@ -66,21 +44,11 @@
     return fleet.store.come_back_from_copy({"keyed.servers": LOST_SERVER_RECORDS, **{topic.replace("_", "."): count for topic, count in lost.items()}})
 
 
-def write_again(fleet, gone, topic):
-    for key, value in gone[topic]:
-        fleet.store.loop.run(append(fleet, topic, key, value))
-
-
-async def append(fleet, topic, key, value):
-    fleet.store.topics[topic].append((key, value))
-    fleet.store.changed.set()
-
-
 def test_an_engine_that_says_it_leaves_at_a_reused_offset_gets_no_more_work(build, folders):
     """Guards against a record of a leaving engine that entries skip, as it stands below the offset that they read on from."""
     with start_fleet(build, folders) as fleet:
         wait_linked(fleet)
-        with Callers(fleet):
+        with Load(fleet, "POST", "/stream/load", PAUSE_SECONDS):
             gone = lose_records(fleet)
             leaver = fleet.engines[0]
             leaver.enlist("draining")
@@ -102,7 +70,7 @@
         for _ in range(4):
             fleet.configure()
         wait_until(lambda: all(fleet.configuration_in_force(entry) == fleet.version for entry in fleet.entries), "the configuration")
-        with Callers(fleet):
+        with Load(fleet, "POST", "/stream/load", PAUSE_SECONDS):
             lose_records(fleet, keyed_op=3)
             fleet.name_version(2)
             for _ in range(4):
@@ -112,7 +80,7 @@
             time.sleep(VERSION_SECONDS + WATCHED_SECONDS)
         outdated = [run for engine in fleet.engines for run in engine.runs if run[3] > bound and run[2] != 2]
         assert not outdated, f"{len(outdated)} requests began on the old version past its bound"
-        assert any(run[2] == 2 for engine in fleet.engines for run in engine.runs), MODEL
+        assert any(run[2] == 2 for engine in fleet.engines for run in engine.runs), "nothing ran on the new version"
 
 
 def test_what_the_copy_holds_undoes_nothing_in_force(build, folders):
@@ -152,5 +120,4 @@
             calls = fleet.store.calls
             time.sleep(2)
             assert fleet.store.calls - calls <= 20 * len(fleet.entries), fleet.store.calls - calls
-            for topic in gone:
-                write_again(fleet, gone, topic)
+            fleet.store.write_again(gone)
