--- a/Libraries/LibConfiguration/LogPosition.h
+++ b/Libraries/LibConfiguration/LogPosition.h
@@ -12,15 +12,11 @@
 // that of a log that states none, a position equals its offset.
 
 inline constexpr int offset_bits = 40;
-inline constexpr int64_t max_log_offset = (int64_t{1} << offset_bits) - 1;
-inline constexpr int64_t max_log_era = (int64_t{1} << (62 - offset_bits)) - 1;
+inline constexpr int64_t max_log_offset = (int64_t { 1 } << offset_bits) - 1;
+inline constexpr int64_t max_log_era = (int64_t { 1 } << (62 - offset_bits)) - 1;
 
-constexpr int64_t log_position(int64_t era, int64_t offset) {
-  return (era << offset_bits) | offset;
-}
+constexpr int64_t log_position(int64_t era, int64_t offset) { return (era << offset_bits) | offset; }
 constexpr int64_t era_of(int64_t position) { return position >> offset_bits; }
-constexpr int64_t offset_of(int64_t position) {
-  return position & max_log_offset;
-}
+constexpr int64_t offset_of(int64_t position) { return position & max_log_offset; }
 
-} // namespace Configuration
+}
