LibConfiguration: Uphold what is known of leaving servers wherever a record of the copy comes from

Cause: that a removal or a draining outlasts the log's return from a copy was decided at the moment of the first listing, or of a peer's batch that states an end of the new era. The batch of an entry that has listed states no such end to one that has not, so the facts of an entry that started after the return, and knows only what the copy says, brought leaving servers back. Found by reading the change once more; not seen by callers. Change: it is decided where a record is compared with the one held, or with the removal, whoever sent it. A server that was removed and has come back is no longer held to its earlier removal at a return. Evidence: LogReturnTest.APeerThatKnowsOnlyTheCopyBringsBackNoServerThatLeft failed before; all tests of TestFactReplica.cpp pass (built by themselves). Also: includes and comments that the change had left out of place.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -2,7 +2,6 @@
 #include <LibConfiguration/FactReplica.h>
 
 #include <LibConfiguration/LogPosition.h>
-
 #include <LibSchema/Json.h>
 #include <algorithm>
 #include <set>
@@ -173,6 +172,9 @@
     auto const known = m_facts.find(key);
     auto const* before = known == m_facts.end() ? nullptr : std::get_if<Schema::BackendServer>(&known->second.value);
     auto const* after = std::get_if<Schema::BackendServer>(&fact.value);
+    bool const was_drained_before_return = before && before->is_draining && !is_presumed_draining(*before) && era_of(fact.revision) > era_of(known->second.revision);
+    if (was_drained_before_return)
+        m_drained_before_return.insert(fact.key);
     auto const order = before && after ? order_of_records(*before, *after) : RecordOrder::AsLogged;
     bool const is_behind = known != m_facts.end() && known->second.revision >= fact.revision;
     if (order == RecordOrder::AsLogged && is_behind)
@@ -272,6 +274,7 @@
 
 void FactReplica::advance_end(FactTopic topic, int64_t end)
 {
+    m_has_seen_return = m_has_seen_return || is_of_later_era(topic, end);
     auto& known_end = topic == FactTopic::Configuration ? m_configuration_end : m_servers_end;
     known_end = std::max(known_end, end);
 }
@@ -288,23 +291,23 @@
     return m_has_seen_return ? 0 : era_of(std::max(m_configuration_end, m_servers_end));
 }
 
-void FactReplica::keep_leavers(int64_t end)
+bool FactReplica::was_removed_before_return(Fact const& fact) const
 {
-    m_has_seen_return = true;
-    for (auto& [id, removed_at] : m_removed_at)
-        removed_at = std::max(removed_at, end - 1);
-    for (auto const& [key, fact] : m_facts) {
-        auto const* server = std::get_if<Schema::BackendServer>(&fact.value);
-        if (server && server->is_draining && !is_presumed_draining(*server))
-            m_drained_before_return.insert(server->id);
-    }
+    auto const known = m_facts.find({ fact.kind, fact.key });
+    bool const is_removed = fact.kind == Schema::FactKind::BackendServer && known != m_facts.end() && std::holds_alternative<Removed>(known->second.value);
+    return is_removed && era_of(fact.revision) > era_of(m_removed_at.at(fact.key));
 }
 
 FactChanges FactReplica::on_listing(FactTopic topic, std::vector<Fact> const& facts, int64_t end, ReadTime const& read)
 {
     bool const is_first_after_return = topic == FactTopic::BackendServers && is_of_later_era(topic, end);
-    if (is_first_after_return)
-        keep_leavers(end);
+    if (is_first_after_return) {
+        // What the listing holds of servers that were removed may be the copy's. Records from its end on were written since.
+        for (auto const& fact : facts) {
+            if (was_removed_before_return(fact))
+                m_removed_at[fact.key] = end - 1;
+        }
+    }
     auto changes = on_records(topic, facts, end, read);
     if (topic != FactTopic::BackendServers)
         return changes;
@@ -338,11 +341,10 @@
     FactChanges changes;
     auto const servers_end = log_position(batch.servers_era.value_or(unstated_era()), batch.servers_end);
     auto const configuration_end = log_position(batch.configuration_era.value_or(unstated_era()), batch.configuration_end);
-    if (is_of_later_era(FactTopic::BackendServers, servers_end))
-        keep_leavers(servers_end);
     for (auto const& message : batch.facts) {
         auto fact = from_message(message, unstated_era());
-        if (!fact.has_value())
+        // The peer may know of a removed server only what the copy says.
+        if (!fact.has_value() || was_removed_before_return(*fact))
             continue;
         if (auto const* version = std::get_if<Schema::ModelVersion>(&fact->value))
             merge_peer_versions(version->model, message, received, changes);
--- a/Libraries/LibConfiguration/FactReplica.h
+++ b/Libraries/LibConfiguration/FactReplica.h
@@ -161,7 +161,7 @@
 
     /// The latest known incarnation (one start) of a backend server.
     struct Incarnation {
-        /// Offset of the record that first listed this incarnation.
+        /// Position of the record that first listed this incarnation.
         int64_t first_listed { 0 };
         /// Start time, in milliseconds since the epoch; std::nullopt if no record stated it.
         std::optional<int64_t> started_at_ms;
@@ -194,11 +194,11 @@
     void apply_server(Fact const&, FactChanges&);
     /// Marks a known backend server as draining because its newest record could not be decoded.
     void apply_unreadable(Fact const&, FactChanges&);
-    /// Keeps what is known of servers that were removed or that drain from being undone by records of the copy that the log came back from.
-    /// Records from the position `end` on were written since.
-    void keep_leavers(int64_t end);
+    /// Whether the fact is of a server that was removed before the log came back from a copy, and may be a record of that copy.
+    bool was_removed_before_return(Fact const&) const;
     /// Returns the era of positions in messages of a build that states none.
     int64_t unstated_era() const;
+    /// Moves the position to read a topic from next, never backwards.
     void advance_end(FactTopic, int64_t end);
     RecordOrder order_of_records(Schema::BackendServer const& held, Schema::BackendServer const& candidate) const;
     /// Records the incarnation of a server if it is later than the known one of the same identity.
@@ -218,8 +218,9 @@
     std::map<std::string, Incarnation> m_incarnations;
     // Position of the last removal of each server. Records of the server at lower positions are ignored, whoever sends them.
     std::map<std::string, int64_t> m_removed_at;
-    // Servers that were draining when the log came back from a copy. Without a start time a record that says otherwise is one of the copy.
+    // Servers that were draining when the log came back from a copy. A record without a start time that says otherwise is older than that.
     std::set<std::string> m_drained_before_return;
+    // A position of a later era than the first was read or received.
     bool m_has_seen_return { false };
     // The log's newest record of the configuration holds a lower version than m_configuration, and a process that starts from a
     // listing reads only that record.
--- a/Libraries/LibPlatform/FactFollower.cpp
+++ b/Libraries/LibPlatform/FactFollower.cpp
@@ -2,7 +2,6 @@
 #include <LibPlatform/FactFollower.h>
 
 #include <LibConfiguration/LogPosition.h>
-
 #include <LibCore/Log.h>
 #include <algorithm>
 
--- a/Libraries/LibTransport/MessageReader.h
+++ b/Libraries/LibTransport/MessageReader.h
@@ -105,7 +105,6 @@
     static MessageReader& self(http_parser*);
 
     bool ends_with_connection() const;
-
     tl::expected<void, MessageFault> take_head();
     tl::expected<void, MessageFault> parse(std::string_view, size_t& consumed);
     tl::expected<void, MessageFault> fail(MessageFault);
--- a/Services/DirectEntry/EntryFacts.cpp
+++ b/Services/DirectEntry/EntryFacts.cpp
@@ -2,7 +2,6 @@
 #include "EntryFacts.h"
 
 #include <LibConfiguration/LogPosition.h>
-
 #include <LibCore/Log.h>
 #include <LibTransport/Link.h>
 #include <algorithm>
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -498,13 +498,13 @@
         on_broken_off(attempt);
 }
 
-/// Determines by a connection attempt, which takes one round trip, whether the server has terminated. If so, the request becomes a
-/// suspect and the attempt does not count against the route's limit. A cut connection alone means neither.
 void ProxiedRequest::on_broken_off(BackendAttempt& attempt)
 {
     check_server(attempt, AnswerUnlessTerminated::BrokenOff);
 }
 
+/// Determines by a connection attempt, which takes one round trip, whether the server has terminated. If so, the request becomes a
+/// suspect and the attempt does not count against the route's limit. A cut connection alone means neither.
 void ProxiedRequest::check_server(BackendAttempt& attempt, AnswerUnlessTerminated answer)
 {
     attempt.call.reset();
--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -736,6 +736,24 @@
     EXPECT_TRUE(turned_away.server("t")->is_draining);
 }
 
+// Guards against a leaving server that gets work again, as an entry that started after the return knows only what the copy says of it.
+TEST_F(LogReturnTest, APeerThatKnowsOnlyTheCopyBringsBackNoServerThatLeft)
+{
+    read({ server_fact("draining", true, before(80)), server_fact("removed", false, before(81)), removed_fact("removed", before(82)) }, before(end_before));
+    FactReplica started_later;
+    started_later.on_listing(FactTopic::BackendServers, { server_fact("draining", false, after(50)), server_fact("removed", false, after(51)) }, after(60), read_directly(Core::Time(2)));
+    started_later.on_records(FactTopic::BackendServers, { server_fact("draining", false, after(60)) }, after(61), read_directly(Core::Time(2)));
+    Schema::FactRequest request {};
+    request.servers_era = era_of(m_replica.end(FactTopic::BackendServers));
+    request.servers_from = offset_of(m_replica.end(FactTopic::BackendServers));
+    for (int i = 0; i < 2; ++i) {
+        m_replica.on_peer(started_later.facts_since(request, {}, Core::Time(3)), received_at(Core::Time(3)));
+        EXPECT_TRUE(is_draining("draining"));
+        EXPECT_EQ(m_replica.server("removed"), nullptr);
+    }
+    EXPECT_EQ(m_replica.end(FactTopic::BackendServers), before(end_before)) << "it has not read the list itself";
+}
+
 // Guards against an end of before that is taken for one of the new era: the log has no such offset, so nothing more would be read.
 TEST_F(LogReturnTest, AnOlderBuildThatStatesNoEraMovesNothing)
 {
