--- a/Tests/Platform/crashing_parts.py
+++ b/Tests/Platform/crashing_parts.py
@@ -7,7 +7,6 @@
 Prints for each seed how many engines ended, what was sent on after the fifth end, and how the sound requests fared.
 """
 
-import argparse
 import collections
 import dataclasses
 import itertools
@@ -20,7 +19,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [HERE, os.path.join(os.path.dirname(HERE), "Processes")]
 
-from crashing_requests import AGAIN_SECONDS, EVENT_SECONDS, is_served  # noqa: E402
+from crashing_requests import AGAIN_SECONDS, EVENT_SECONDS, is_served, play_arguments  # noqa: E402
 from fleet import CONTACT_MS, Fleet  # noqa: E402
 from test_direct_path import wait_linked  # noqa: E402
 
@@ -159,13 +158,8 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("build")
+    parser = play_arguments(__doc__, engines=12)
     parser.add_argument("--parts", type=int, default=1, help="crashing parts")
-    parser.add_argument("--seeds", type=int, nargs=2, default=(1, 1), metavar=("FIRST", "COUNT"))
-    parser.add_argument("--seconds", type=float, default=24)
-    parser.add_argument("--entries", type=int, default=5)
-    parser.add_argument("--engines", type=int, default=12)
     parser.add_argument("--unframed", action="store_true", help="answers have neither a length nor chunks")
     arguments = parser.parse_args()
     first, count = arguments.seeds
--- a/Tests/Platform/crashing_requests.py
+++ b/Tests/Platform/crashing_requests.py
@@ -135,14 +135,20 @@
         return Play(fleet, seed, distinct, harmless_callers).run(seconds)
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+def play_arguments(description, engines):
+    """The arguments that all programs take which play seeds."""
+    parser = argparse.ArgumentParser(description=description, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("build")
-    parser.add_argument("--distinct", type=int, default=1, help="crashing requests")
     parser.add_argument("--seeds", type=int, nargs=2, default=(1, 1), metavar=("FIRST", "COUNT"))
     parser.add_argument("--seconds", type=float, default=24)
     parser.add_argument("--entries", type=int, default=5)
-    parser.add_argument("--engines", type=int, default=10)
+    parser.add_argument("--engines", type=int, default=engines)
+    return parser
+
+
+def main():
+    parser = play_arguments(__doc__, engines=10)
+    parser.add_argument("--distinct", type=int, default=1, help="crashing requests")
     arguments = parser.parse_args()
     first, count = arguments.seeds
     for seed in range(first, first + count):
