Tests: Records of the system's own that a returned log lacks are written again by the processes

Cause: the library tests call what an entry calls at the log's return, so they would pass if no entry called it.

--- a/Tests/Platform/test_store_returns.py
+++ b/Tests/Platform/test_store_returns.py
@@ -4,6 +4,7 @@
 import time
 
 from fleet import Fleet, wait_until
+from test_crashing_requests import blame
 from test_direct_path import wait_linked
 from test_server_statements import Load
 
@@ -121,3 +122,18 @@
             time.sleep(2)
             assert fleet.store.calls - calls <= 20 * len(fleet.entries), fleet.store.calls - calls
             fleet.store.write_again(gone)
+
+
+def test_the_systems_own_records_that_the_copy_lacks_are_written_again(build, folders):
+    """Guards against a blame and a version that are stored nowhere any more, as the entries take them for written."""
+    with Fleet(build, folders, entries=2, engines=5) as fleet:
+        wait_linked(fleet)
+        fleet.name_version(2)
+        blame(fleet)
+        own = ("keyed.mountbarrow-blames", "keyed.mountbarrow-versions")
+        wait_until(lambda: all(fleet.store.topics[topic] for topic in own), "the records to be written")
+        close_doors(fleet, "busy")
+        time.sleep(1)
+        fleet.store.come_back_from_copy({topic: len(fleet.store.topics[topic]) for topic in own})
+        close_doors(fleet, "")
+        wait_until(lambda: all(fleet.store.topics[topic] for topic in own), "the records to be written again")
