Review: each case names and writes its own record

The checks are as they were.

Without the shared folder, without the programs, and ended by SIGTERM a case exits with 2; after SIGTERM none of its processes was left.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,12 +5,24 @@
 import sys
 import threading
 import time
+import traceback
 
 HERE = os.path.dirname(os.path.abspath(__file__))
+RECORD = os.path.join(HERE, "record.txt")
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
 
+
+def cannot_run(kind, error, trace):
+    """What goes wrong before the case begins is no breach of the rule: it ends with the code of a case that could not run."""
+    with open(RECORD, "a", encoding="utf-8") as file:
+        file.write("could not run: " + "".join(traceback.format_exception(kind, error, trace)))
+    os._exit(2)
+
+
+sys.excepthook = cannot_run
+
 from client import Connection  # noqa: E402
-from harness import GRACE_SECONDS, HAS_TROUBLE, STREAM_DEADLINE_MS, play, wait_until  # noqa: E402
+from harness import GRACE_SECONDS, HAS_TROUBLE, STREAM_DEADLINE_MS, Record, play, record_runs, wait_until  # noqa: E402
 
 CLIENTS = 8
 EVENTS, EVENT_SECONDS = 20, 0.25
@@ -64,10 +76,7 @@
     if HAS_TROUBLE:
         code = fleet.processes[entry].wait(timeout=30)
         record("the entry ended", code=code, after_s=round(time.monotonic() - stopped_at[0], 2))
-    for engine in fleet.engines:
-        for run in engine.runs:
-            if run[0].startswith("client"):
-                record("run", request=run[0], engine=engine.id)
+    record_runs(record, fleet.engines, "client")
     breaches = []
     for request_id, sent_at, answer in requests:
         was_passed_on = fleet.runs(request_id, fleet.engines) > 0
@@ -83,4 +92,4 @@
 
 
 if __name__ == "__main__":
-    play(HERE, case, entries=2, engines=3, plains=1)
+    play(Record(RECORD), case, entries=2, engines=3, plains=1)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -10,6 +10,7 @@
 import os
 import re
 import shutil
+import signal
 import subprocess
 import sys
 import threading
@@ -68,12 +69,12 @@
 
 
 class Record:
-    """record.txt: what was sent, answered and run, in order, with the seconds since the start."""
+    """A case's record: what was sent, answered and run, in order, with the seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = time.monotonic()
         self.lock = threading.Lock()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def __call__(self, event, /, **fields):
         text = " ".join(f"{name}={value}" for name, value in fields.items())
@@ -138,6 +139,14 @@
     return [program, *arguments]
 
 
+def record_runs(record, servers, prefixes):
+    """Records each run of a request whose id begins so, with the server that ran it."""
+    for server in servers:
+        for run in server.runs:
+            if run[0].startswith(prefixes):
+                record("run", request=run[0], server=run[4], began_s=round(run[3] - record.start, 3))
+
+
 def stop_all():
     """Ends every process that this script started."""
     for process in STARTED:
@@ -146,9 +155,8 @@
             process.wait()
 
 
-def play(folder, case, **sizes):
+def play(record, case, **sizes):
     """Runs case(fleet, record), which returns the breaches of the rule, and ends the process with the exit code of a case."""
-    record = Record(folder)
     folders = []
 
     def give_up():
@@ -156,6 +164,13 @@
         stop_all()
         os._exit(NOT_RUN)
 
+    def end_from_outside(*_):
+        stop_all()
+        os._exit(NOT_RUN)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, end_from_outside)
+
     watch = threading.Timer(TIME_LIMIT_SECONDS, give_up)
     watch.daemon = True
     watch.start()
