DirectEntry: Log each request that is read while the entry stops

Cause: the lines of a stop tell neither when a request came nor whether its connection was new, so the three hypotheses of docs/incidents/requests-taken-too-late-by-a-stopping-entry.md cannot be told apart. Change: request_while_stopping (since the signal, how long it was being read, its number on the connection) and a counter.

--- a/Libraries/LibTransport/IngressServer.cpp
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -230,9 +230,11 @@
 void IngressConnection::on_request()
 {
     m_has_request = true;
-    m_has_asked = true;
+    m_requests_read += 1;
     m_closes = !m_head.keeps_connection;
     auto request = std::make_shared<IngressRequest>(weak_from_this(), std::exchange(m_head, {}), std::exchange(m_body, {}));
+    request->m_number_on_connection = m_requests_read;
+    request->m_began = m_quiet_since;
     m_request = request;
     m_server->m_handler(std::move(request));
 }
@@ -356,7 +358,7 @@
         return false;
     if (evbuffer_get_length(bufferevent_get_output(m_stream)) > 0)
         return false;
-    if (!m_has_asked && now - m_quiet_since < first_request_patience)
+    if (m_requests_read == 0 && now - m_quiet_since < first_request_patience)
         return false;
     return !has_unread(bufferevent_getfd(m_stream));
 }
--- a/Libraries/LibTransport/IngressServer.h
+++ b/Libraries/LibTransport/IngressServer.h
@@ -42,6 +42,10 @@
     RequestTarget parsed_target() const { return RequestTarget::parse(m_head.target); }
     std::optional<std::string> header(std::string_view name) const;
     std::string const& body() const { return m_body; }
+    /// How many requests this one is on its connection, counted from 1.
+    uint64_t number_on_connection() const { return m_number_on_connection; }
+    /// When the first byte of the request was read.
+    Core::Time began() const { return m_began; }
 
     /// Sends a whole answer.
     void reply(int status, HttpHeaders const&, std::string_view body);
@@ -69,6 +73,8 @@
     std::weak_ptr<IngressConnection> m_connection;
     MessageHead m_head;
     std::string m_body;
+    uint64_t m_number_on_connection { 0 };
+    Core::Time m_began { 0 };
     std::function<void()> m_on_gone;
     bool m_has_started { false };
     bool m_is_over { false };
@@ -178,7 +184,7 @@
     std::string m_body;
     std::weak_ptr<IngressRequest> m_request;
     bool m_has_request { false };
-    bool m_has_asked { false };
+    uint64_t m_requests_read { 0 };
     bool m_closes { false };
     bool m_is_closing { false };
     Core::Time m_quiet_since;
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -582,12 +582,22 @@
 
 void DirectEntry::on_request(std::shared_ptr<Transport::IngressRequest> caller)
 {
+    if (m_drain_started)
+        log_request_while_stopping(*caller);
     auto const number = m_next_request++;
     auto request = std::make_shared<ProxiedRequest>(m_context, std::move(caller), number);
     m_requests[number] = request;
     request->begin();
 }
 
+void DirectEntry::log_request_while_stopping(Transport::IngressRequest const& caller)
+{
+    auto const now = Core::monotonic_now();
+    m_metrics.count("mountbarrow_requests_while_stopping_total");
+    Core::log_event(Core::LogLevel::Info, "request_while_stopping",
+        { { "request", m_heads->read_caller(caller.head()).request_id }, { "stopping_for_ms", std::to_string((now - *m_drain_started).count()) }, { "read_for_ms", std::to_string((now - caller.began()).count()) }, { "number_on_connection", std::to_string(caller.number_on_connection()) } });
+}
+
 /// Returns a sender for messages that older builds do not know and would close the link for; it skips entries of such builds.
 std::function<void(std::string const&, Schema::Message const&)> DirectEntry::sender_to_capable_entries()
 {
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -100,6 +100,7 @@
     bool is_ready() const;
 
     void on_request(std::shared_ptr<Transport::IngressRequest>);
+    void log_request_while_stopping(Transport::IngressRequest const&);
     std::function<void(std::string const& entry, Schema::Message const&)> sender_to_capable_entries();
     CrashDetector::Callbacks crash_callbacks();
     LeavingServers::Callbacks leaving_callbacks();
