DirectEntry: Refuse at once what a stopping entry cannot finish

Cause: neither on_request() nor the queue asked whether the entry stops and how much of the grace time is left, and finish_drain() stopped the loop in the turn in which it answered, with the answers in the buffers. Change: StopSchedule, one rule for each way in. For 2.5 s after the signal, while the platform still leads callers here, requests are sent as before; then only what is over before the entry ends, by its deadline and the route's timeout. All else, and what waits unsent then, is refused as not run, with when to return, and its connection closed behind the answer. What has begun at a server has the rest of the time. Requests that are not whole at the end are refused too, and the loop runs on until the answers are sent, up to 0.2 s before the end of the grace time, also where that is shorter than 3 s. A connection whose last answer said nothing of its end waits 2 s for the next request instead of up to 20 ms. Why it works: a request whose deadline is over before the end is answered by then, whatever happens to it.

--- a/Libraries/LibTransport/IngressServer.cpp
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -21,12 +21,14 @@
 static constexpr int status_request_timeout = 408;
 static constexpr int status_body_too_large = 413;
 static constexpr int status_head_too_large = 431;
+static constexpr int status_unavailable = 503;
 static constexpr int status_no_content = 204;
 static constexpr int status_not_modified = 304;
 static constexpr int listen_backlog = 512;
-// A caller sends its first request right behind its connection, but it may be short of processor time, or the packet be lost (sent
-// again after 200 ms to 1 s). A server that stops waits no longer for callers that only hold a connection ready.
-static constexpr Core::Duration first_request_patience { 2000 };
+// A caller sends its first request right behind its connection, and many send the next one right behind an answer, but the caller may be
+// short of processor time, or the packet be lost (sent again after 200 ms to 1 s). A server that stops waits no longer for callers that
+// only hold a connection ready.
+static constexpr Core::Duration request_patience { 2000 };
 // Handshakes that were under way as a listener stopped are over by then.
 static constexpr Core::Duration handshake_patience { 50 };
 
@@ -253,10 +255,12 @@
         status = status_body_too_large;
     else if (fault == IngressFault::HeadTimeout)
         status = status_request_timeout;
-    auto const body = m_server->m_fault_body(fault);
+    else if (fault == IngressFault::Stopping)
+        status = status_unavailable;
+    auto const answer = m_server->m_fault_handler(fault, m_head);
     m_closes = true;
-    write_head(status, { { "Content-Type", "application/problem+json" } }, body.size(), BodyFraming::Length);
-    write(body);
+    write_head(status, answer.headers, answer.body.size(), BodyFraming::Length);
+    write(answer.body);
     close_when_written();
 }
 
@@ -351,18 +355,23 @@
 }
 
 /// Whether closing would cut off no request: none is under way, and none has come that nobody has read.
-bool IngressConnection::may_end_at_rest(Core::Time now) const
+bool IngressConnection::is_at_rest() const
 {
     // The end of an answer may still be on its way out.
     if (m_has_request || m_is_closing || !m_reader.is_between_messages())
         return false;
     if (evbuffer_get_length(bufferevent_get_output(m_stream)) > 0)
         return false;
-    if (m_requests_read == 0 && now - m_quiet_since < first_request_patience)
-        return false;
     return !has_unread(bufferevent_getfd(m_stream));
 }
 
+/// Whether besides no request is to be expected: its caller was not told that the connection ends, and could not know whether a request
+/// that crosses the close was run.
+bool IngressConnection::may_end_at_rest(Core::Time now) const
+{
+    return is_at_rest() && now - m_quiet_since >= request_patience;
+}
+
 void IngressConnection::look_at_time(Core::Time now)
 {
     auto const& limits = m_server->limits();
@@ -385,12 +394,12 @@
         refuse(IngressFault::HeadTimeout);
 }
 
-Core::ErrorOr<std::unique_ptr<IngressServer>> IngressServer::create(Core::EventLoop& loop, std::string const& address, uint16_t port, Handler handler, FaultBody fault_body)
+Core::ErrorOr<std::unique_ptr<IngressServer>> IngressServer::create(Core::EventLoop& loop, std::string const& address, uint16_t port, Handler handler, FaultHandler fault_handler)
 {
     std::unique_ptr<IngressServer> server(new IngressServer);
     server->m_loop = &loop;
     server->m_handler = std::move(handler);
-    server->m_fault_body = std::move(fault_body);
+    server->m_fault_handler = std::move(fault_handler);
     auto target = socket_address(address, port);
     auto accepted = [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) { static_cast<IngressServer*>(self)->accept(socket); };
     server->m_listener = evconnlistener_new_bind(loop.base(), accepted, server.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog, reinterpret_cast<sockaddr const*>(&target), sizeof(target));
@@ -471,4 +480,16 @@
     }
 }
 
+void IngressServer::refuse_unread()
+{
+    m_is_ending = true;
+    auto const connections = m_connections;
+    for (auto const& connection : connections) {
+        if (connection->is_at_rest())
+            connection->drop();
+        else if (!connection->m_has_request && !connection->m_is_closing && !connection->m_reader.is_between_messages())
+            connection->refuse(IngressFault::Stopping);
+    }
+}
+
 }
--- a/Libraries/LibTransport/IngressServer.h
+++ b/Libraries/LibTransport/IngressServer.h
@@ -98,6 +98,14 @@
     HeadTooLarge,
     BodyTooLarge,
     HeadTimeout,
+    /// The server ends before the request is whole. It has not run.
+    Stopping,
+};
+
+/// What a fault is answered with, beside its status.
+struct FaultAnswer {
+    HttpHeaders headers;
+    std::string body;
 };
 
 /// Serves callers over HTTP/1.1, one request after another on a connection.
@@ -106,11 +114,11 @@
 class IngressServer {
 public:
     using Handler = std::function<void(std::shared_ptr<IngressRequest>)>;
-    /// The body of the answer to a fault.
-    using FaultBody = std::function<std::string(IngressFault)>;
+    /// Returns the answer to a fault; the head is empty if it was not read whole.
+    using FaultHandler = std::function<FaultAnswer(IngressFault, MessageHead const&)>;
 
     /// @return AddressInUse if the port cannot be bound.
-    static Core::ErrorOr<std::unique_ptr<IngressServer>> create(Core::EventLoop&, std::string const& address, uint16_t port, Handler, FaultBody);
+    static Core::ErrorOr<std::unique_ptr<IngressServer>> create(Core::EventLoop&, std::string const& address, uint16_t port, Handler, FaultHandler);
     ~IngressServer();
 
     void set_limits(IngressLimits const& limits) { m_limits = limits; }
@@ -120,8 +128,11 @@
     /// From now on each answer says that its connection ends.
     void end_connections_gently() { m_is_ending = true; }
     /// Takes no new connections but those that stand already, and closes those that are at rest. A connection that has only
-    /// just come may still bring its first request.
+    /// just come may still bring its first request, and one that was answered a moment ago its next.
     void stop_accepting();
+    /// The process is about to end: refuses the requests that are not whole yet, and closes the connections at rest. The owner answers
+    /// those in hand.
+    void refuse_unread();
     bool is_ending() const { return m_is_ending; }
     bool has_stopped_accepting() const { return m_has_stopped_accepting; }
     /// Nobody can connect any more, and every connection has ended.
@@ -141,7 +152,7 @@
     // Null once it is closed.
     evconnlistener* m_listener { nullptr };
     Handler m_handler;
-    FaultBody m_fault_body;
+    FaultHandler m_fault_handler;
     IngressLimits m_limits;
     bool m_is_ending { false };
     bool m_has_stopped_accepting { false };
@@ -172,6 +183,7 @@
     void close_when_written();
     void reset();
     void drop();
+    bool is_at_rest() const;
     bool may_end_at_rest(Core::Time now) const;
     void look_at_time(Core::Time now);
 
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -20,8 +20,12 @@
 static constexpr int link_checks_per_sharing = EngineSharing::interval / link_check_interval;
 // A configuration older than this may be out of date: a newer one, not received yet, may allow a request that it denies.
 static constexpr Core::Duration stale_after { 4000 };
-static constexpr Core::Duration min_drain_time { 3000 };
+// After a signal to stop the platform still leads new callers here until it has missed two readiness probes, a second apart.
+static constexpr Core::Duration stop_notice { 2500 };
+static constexpr Core::Duration min_listening_time { 3000 };
+// Of the grace time, for the answers to what is unfinished: when they are written, and by when they have been sent.
 static constexpr Core::Duration drain_margin { 500 };
+static constexpr Core::Duration exit_margin { 200 };
 // Engine roles are reassigned soon after an entry or engine appears, but once for all that appear within this time.
 static constexpr Core::Duration min_roles_interval { 100 };
 // Within this time a new entry is linked to a seed and has received the list of other entries from it, if the seed is up.
@@ -114,6 +118,7 @@
         .required_version = [this](std::string const& service) { return m_goals.required(service, version_time_limit(), Core::monotonic_now()); },
         .newest_version = [this](std::string const& service) { return m_goals.newest(service); },
         .returning = m_returning,
+        .stop = m_stop,
         .service_queue = [this](std::string const& service) -> Routing::ServiceQueue& { return m_service_queues.try_emplace(service, queue_limit).first->second; },
         .request_admitted = [this](std::string const& service) { m_sharing.count_request(service); },
         .server_list_mismatch = [this] { m_facts.on_server_list_mismatch(); },
@@ -142,16 +147,9 @@
 {
     auto const callers = Transport::split_address(m_settings.callers_address);
     auto const readiness = Transport::split_address(m_settings.readiness_address);
-    auto fault_body = [this](Transport::IngressFault fault) {
-        m_metrics.count("mountbarrow_ingress_faults_total", "fault=\"" + std::to_string(static_cast<int>(fault)) + "\"");
-        Schema::Problem problem {};
-        problem.type = "urn:mountbarrow:problem:malformed";
-        problem.title = "The request cannot be read.";
-        problem.outcome = Schema::Outcome::Rejected;
-        return Schema::to_text(problem);
-    };
+    auto on_fault = [this](Transport::IngressFault fault, Transport::MessageHead const& head) { return answer_to_fault(fault, head); };
     m_callers = TRY(Transport::IngressServer::create(
-        m_loop, callers.first, callers.second, [this](auto request) { on_request(std::move(request)); }, fault_body));
+        m_loop, callers.first, callers.second, [this](auto request) { on_request(std::move(request)); }, on_fault));
     m_readiness = TRY(Transport::HttpServer::create(m_loop, readiness.first, readiness.second, {}, [this](auto const& exchange) {
         exchange->reply(is_ready() ? status_ok : status_unavailable, {}, {});
     }));
@@ -575,14 +573,14 @@
 
 bool DirectEntry::is_ready() const
 {
-    return m_context.routes && !m_drain_started;
+    return m_context.routes && !m_stop.has_begun();
 }
 
 // Callers.
 
 void DirectEntry::on_request(std::shared_ptr<Transport::IngressRequest> caller)
 {
-    if (m_drain_started)
+    if (m_stop.has_begun())
         log_request_while_stopping(*caller);
     auto const number = m_next_request++;
     auto request = std::make_shared<ProxiedRequest>(m_context, std::move(caller), number);
@@ -590,12 +588,26 @@
     request->begin();
 }
 
+Transport::FaultAnswer DirectEntry::answer_to_fault(Transport::IngressFault fault, Transport::MessageHead const& head)
+{
+    m_metrics.count("mountbarrow_ingress_faults_total", "fault=\"" + std::to_string(static_cast<int>(fault)) + "\"");
+    if (fault == Transport::IngressFault::Stopping) {
+        auto const problem = refusal_problem(Refusal::Stopping, status_unavailable, Schema::Outcome::NotRun, retry_after_when_unready);
+        return { m_heads->generated_answer_headers(m_heads->read_caller(head).request_id, retry_after_when_unready), Schema::to_text(problem) };
+    }
+    Schema::Problem problem {};
+    problem.type = "urn:mountbarrow:problem:malformed";
+    problem.title = "The request cannot be read.";
+    problem.outcome = Schema::Outcome::Rejected;
+    return { m_heads->generated_answer_headers({}, {}), Schema::to_text(problem) };
+}
+
 void DirectEntry::log_request_while_stopping(Transport::IngressRequest const& caller)
 {
     auto const now = Core::monotonic_now();
     m_metrics.count("mountbarrow_requests_while_stopping_total");
     Core::log_event(Core::LogLevel::Info, "request_while_stopping",
-        { { "request", m_heads->read_caller(caller.head()).request_id }, { "stopping_for_ms", std::to_string((now - *m_drain_started).count()) }, { "read_for_ms", std::to_string((now - caller.began()).count()) }, { "number_on_connection", std::to_string(caller.number_on_connection()) } });
+        { { "request", m_heads->read_caller(caller.head()).request_id }, { "stopping_for_ms", std::to_string(m_stop.elapsed(now).count()) }, { "read_for_ms", std::to_string((now - caller.began()).count()) }, { "number_on_connection", std::to_string(caller.number_on_connection()) } });
 }
 
 /// Returns a sender for messages that older builds do not know and would close the link for; it skips entries of such builds.
@@ -673,41 +685,52 @@
         requests.push_back(request);
     for (auto const& request : requests)
         request->tick(now);
-    if (m_drain_started)
-        finish_drain();
+    if (m_stop.has_begun())
+        finish_drain(now);
 }
 
 // Stopping.
 
 void DirectEntry::drain()
 {
-    if (m_drain_started)
+    if (m_stop.has_begun())
         return;
-    m_drain_started = Core::monotonic_now();
+    auto const grace = Core::Duration(static_cast<int64_t>(m_settings.bounds.grace_s * milliseconds_per_second));
+    m_stop.begin({ .notice = stop_notice, .available = grace - drain_margin }, Core::monotonic_now());
     m_callers->end_connections_gently();
     m_limits.stop_issuing();
     Core::log_event(Core::LogLevel::Info, "draining", { { "in_hand", std::to_string(m_requests.size()) } });
 }
 
-void DirectEntry::finish_drain()
+void DirectEntry::finish_drain(Core::Time now)
 {
-    auto const elapsed = Core::monotonic_now() - *m_drain_started;
-    if (elapsed < min_drain_time)
+    bool const is_out_of_time = m_stop.is_out_of_time(now);
+    if (!is_out_of_time && m_stop.elapsed(now) < min_listening_time)
         return;
     m_callers->stop_accepting();
-    auto const grace = Core::Duration(static_cast<int64_t>(m_settings.bounds.grace_s * milliseconds_per_second));
-    bool const is_late = elapsed >= grace - drain_margin;
-    if (is_late) {
-        auto const requests = m_requests;
-        for (auto const& [number, request] : requests)
-            request->end_at_shutdown();
-    }
-    if (!is_late && (!m_requests.empty() || !m_callers->has_finished()))
+    if (is_out_of_time)
+        give_up_unfinished();
+    // The answers to what was given up are still on their way out.
+    bool const must_exit = *m_stop.remaining(now) <= exit_margin - drain_margin;
+    bool const has_finished = m_requests.empty() && m_callers->has_finished();
+    if (!must_exit && !has_finished)
         return;
-    Core::log_event(Core::LogLevel::Info, "stopped", { { "after_ms", std::to_string(elapsed.count()) }, { "given_up", is_late ? "yes" : "no" } });
+    Core::log_event(Core::LogLevel::Info, "stopped", { { "after_ms", std::to_string(m_stop.elapsed(now).count()) }, { "given_up", std::to_string(m_given_up) }, { "connections", std::to_string(m_callers->connection_count()) } });
     m_loop.stop();
 }
 
+void DirectEntry::give_up_unfinished()
+{
+    auto const requests = m_requests;
+    for (auto const& [number, request] : requests) {
+        if (request->is_over())
+            continue;
+        m_given_up += 1;
+        request->end_at_shutdown();
+    }
+    m_callers->refuse_unread();
+}
+
 void DirectEntry::reload(Core::ErrorOr<Schema::DirectEntrySettings> const& settings)
 {
     if (!settings.has_value()) {
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -17,6 +17,7 @@
 #include <LibPlatform/RequestHeads.h>
 #include <LibRouting/FollowedEngines.h>
 #include <LibRouting/LimitCoordinator.h>
+#include <LibRouting/StopSchedule.h>
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/IngressServer.h>
 #include <LibTransport/LinkHub.h>
@@ -49,7 +50,8 @@
     ~DirectEntry();
 
     /// Reports not ready, closes each caller's connection after its answer, and stops the event loop once no request is in flight, but
-    /// not before 3 s have passed. Requests in flight 0.5 s before the end of the settings' grace period are refused or aborted.
+    /// not before 3 s have passed. After 2.5 s a request is refused at once if its deadline is not over 0.5 s before the end of the
+    /// settings' grace period; what is in flight then is refused or aborted.
     void drain();
 
     /// Applies the seeds and the bounds `version_ms` and `grace_s` of settings that were read again; the other bounds take effect at a
@@ -100,6 +102,7 @@
     bool is_ready() const;
 
     void on_request(std::shared_ptr<Transport::IngressRequest>);
+    Transport::FaultAnswer answer_to_fault(Transport::IngressFault, Transport::MessageHead const&);
     void log_request_while_stopping(Transport::IngressRequest const&);
     std::function<void(std::string const& entry, Schema::Message const&)> sender_to_capable_entries();
     CrashDetector::Callbacks crash_callbacks();
@@ -110,7 +113,9 @@
     void offer_slots();
     void tick();
     /// Stops the event loop once draining is complete or the grace period nearly over.
-    void finish_drain();
+    void finish_drain(Core::Time now);
+    /// Answers all requests that are not answered yet.
+    void give_up_unfinished();
     void reply_suspects(Transport::HttpExchange&);
     void on_internal_request(std::shared_ptr<Transport::HttpExchange> const&);
     size_t unreadable_server_fields() const;
@@ -155,6 +160,7 @@
     // Null if the settings give no metrics port or no link bandwidth, or if there is no origin.
     std::unique_ptr<EntryWeights> m_weights;
     Routing::ReturningCallers m_returning;
+    Routing::StopSchedule m_stop;
     RequestContext m_context;
     // Queues of the requests that wait for a slot, by service.
     std::map<std::string, Routing::ServiceQueue> m_service_queues;
@@ -167,7 +173,7 @@
     std::unique_ptr<Transport::HttpServer> m_metrics_server;
     std::unique_ptr<Core::Timer> m_tick_timer;
     std::unique_ptr<Core::Timer> m_link_timer;
-    std::optional<Core::Time> m_drain_started;
+    size_t m_given_up { 0 };
 };
 
 }
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -38,7 +38,6 @@
 // Factor on the silence limit while the server answers other requests: this one waits behind them, and sending it elsewhere would only
 // add to the load.
 static constexpr int64_t silence_factor_while_answering = 2;
-static constexpr Core::Duration retry_after_when_unready { 300 };
 // Bytes of a stream that may wait for a slow caller before its answer is aborted.
 static constexpr size_t max_undelivered_bytes = size_t { 1 } << 20;
 // Longest body of an answer that is passed on as a whole.
@@ -77,6 +76,8 @@
     if (refuse_if_blamed())
         return;
     set_terms();
+    if (refuse_if_too_late_to_send())
+        return;
     m_context.retries.on_request(m_service, m_started);
     m_context.request_admitted(m_service);
     if (!try_send())
@@ -180,6 +181,8 @@
 
 void ProxiedRequest::check_waiting(Core::Time now)
 {
+    if (refuse_if_too_late_to_send())
+        return;
     auto const request = waiting();
     if (m_wait.has_become_late(request, now)) {
         m_wait.leave();
@@ -220,7 +223,7 @@
 
 bool ProxiedRequest::try_send()
 {
-    if (is_over() || refuse_if_blamed())
+    if (is_over() || refuse_if_blamed() || refuse_if_too_late_to_send())
         return true;
     auto const now = Core::monotonic_now();
     // The deadline may have passed during a pause of the process; then the next tick refuses the request.
@@ -885,6 +888,18 @@
     return true;
 }
 
+/// Refuses a request that would still be unfinished when this process ends, as long as that can be said to have run nowhere. What has
+/// begun at a backend server gets the time that is left.
+bool ProxiedRequest::refuse_if_too_late_to_send()
+{
+    bool const has_begun = m_may_have_run || m_has_delivered || !m_silent_attempts.empty();
+    if (has_begun || m_context.stop.may_send(deadline(), Core::monotonic_now()))
+        return false;
+    m_wait.leave();
+    refuse(status_unavailable, Refusal::Stopping, retry_after_when_unready);
+    return true;
+}
+
 void ProxiedRequest::end_at_shutdown()
 {
     if (is_over())
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -125,6 +125,7 @@
     bool is_at_server() const { return m_phase == Phase::Sent || m_phase == Phase::CheckingServer; }
     Routing::RequestContent content() const;
     bool refuse_if_blamed();
+    bool refuse_if_too_late_to_send();
     Routing::AttemptState attempt_state(Core::Time now) const;
     void take_step(Routing::NextStep, Routing::AttemptOutcome);
     void refuse_not_run();
--- a/Services/DirectEntry/Refusal.h
+++ b/Services/DirectEntry/Refusal.h
@@ -7,6 +7,9 @@
 
 namespace DirectEntry {
 
+/// When callers should try again if this entry cannot serve for now, but others may.
+inline constexpr Core::Duration retry_after_when_unready { 300 };
+
 /// Why a request ended without a complete answer; None if it was answered. Each reason is counted in a metric and logged.
 enum class Refusal {
     None,
--- a/Services/DirectEntry/RequestContext.h
+++ b/Services/DirectEntry/RequestContext.h
@@ -11,6 +11,7 @@
 #include <LibRouting/ServerTable.h>
 #include <LibRouting/SharedRetryBudget.h>
 #include <LibRouting/SlotWait.h>
+#include <LibRouting/StopSchedule.h>
 #include <functional>
 #include <map>
 #include <memory>
@@ -48,6 +49,8 @@
     std::function<int64_t(std::string const& service)> newest_version;
     /// Recognises callers that repeat a request which this or another entry refused.
     Routing::ReturningCallers& returning;
+    /// Whether this process stops, and which requests it still sends to a backend server then.
+    Routing::StopSchedule const& stop;
     /// The queue of the requests that wait for a slot at the service.
     std::function<Routing::ServiceQueue&(std::string const& service)> service_queue;
     /// Called once for each admitted request for the service.
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -11,7 +11,6 @@
 
 static constexpr Core::Duration tick_interval { 20 };
 static constexpr size_t default_queue_limit = 256;
-static constexpr Core::Duration stopping_retry_after { 100 };
 static constexpr Core::Duration no_instance_retry_after { 500 };
 static constexpr Core::Duration least_queue_retry_after { 100 };
 // A caller that reads too slowly is cut off before it costs the entry its memory.
--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -109,18 +109,22 @@
 
 static Schema::Reason reason_of(Transport::IngressFault fault)
 {
+    if (fault == Transport::IngressFault::Stopping)
+        return Schema::Reason::Stopping;
     bool const is_too_large = fault == Transport::IngressFault::HeadTooLarge || fault == Transport::IngressFault::BodyTooLarge;
     return is_too_large ? Schema::Reason::TooLarge : Schema::Reason::Malformed;
 }
 
 Core::ErrorOr<void> Entry::listen()
 {
-    auto fault_body = [this](Transport::IngressFault fault) {
+    auto on_fault = [this](Transport::IngressFault fault, Transport::MessageHead const&) {
         m_metrics.count("mountbarrow_entry_ingress_faults_total", "fault=\"" + std::to_string(static_cast<int>(fault)) + "\"");
-        return Schema::to_text(problem_for(Schema::Outcome::NotRun, reason_of(fault), Core::Duration(0)));
+        auto const retry_after = fault == Transport::IngressFault::Stopping ? stopping_retry_after : Core::Duration(0);
+        auto const problem = problem_for(Schema::Outcome::NotRun, reason_of(fault), retry_after);
+        return Transport::FaultAnswer { problem_headers(problem), Schema::to_text(problem) };
     };
     auto handler = [this](std::shared_ptr<Transport::IngressRequest> const& exchange) { on_http(exchange); };
-    m_http = TRY(Transport::IngressServer::create(m_loop, m_settings.address, static_cast<uint16_t>(m_settings.http_port), handler, fault_body));
+    m_http = TRY(Transport::IngressServer::create(m_loop, m_settings.address, static_cast<uint16_t>(m_settings.http_port), handler, on_fault));
     m_http->set_limits(ingress_limits(m_settings));
     Core::log_event(Core::LogLevel::Info, "started", { { "http_port", std::to_string(m_http->port()) } });
     return {};
--- a/Services/Entry/Problems.cpp
+++ b/Services/Entry/Problems.cpp
@@ -7,7 +7,7 @@
 
 static constexpr char const* type_prefix = "urn:mountbarrow:problem:";
 
-void reply_problem(Transport::IngressRequest& exchange, Schema::Problem const& problem)
+Transport::HttpHeaders problem_headers(Schema::Problem const& problem)
 {
     Transport::HttpHeaders headers { { "Content-Type", "application/problem+json" } };
     if (problem.retry_after_ms) {
@@ -15,7 +15,12 @@
         auto const seconds = (*problem.retry_after_ms + 999) / 1000;
         headers.emplace_back("Retry-After", std::to_string(seconds));
     }
-    exchange.reply(static_cast<int>(problem.status), headers, Schema::to_text(problem));
+    return headers;
+}
+
+void reply_problem(Transport::IngressRequest& exchange, Schema::Problem const& problem)
+{
+    exchange.reply(static_cast<int>(problem.status), problem_headers(problem), Schema::to_text(problem));
 }
 
 static int status_of(Schema::Outcome outcome, Schema::Reason reason)
--- a/Services/Entry/Problems.h
+++ b/Services/Entry/Problems.h
@@ -8,6 +8,12 @@
 
 namespace Entry {
 
+/// When callers should try again at another entry if this one stops.
+inline constexpr Core::Duration stopping_retry_after { 100 };
+
+/// The headers of an answer whose body is the problem.
+Transport::HttpHeaders problem_headers(Schema::Problem const&);
+
 /// Answers with problem details (RFC 9457) that always say what is known of the request.
 void reply_problem(Transport::IngressRequest&, Schema::Problem const&);
 
--- a/Tests/LibTransport/TestIngressServer.cpp
+++ b/Tests/LibTransport/TestIngressServer.cpp
@@ -13,11 +13,11 @@
             if (m_on_request)
                 m_on_request(*request);
         };
-        auto fault_body = [this](IngressFault fault) {
+        auto fault_handler = [this](IngressFault fault, MessageHead const&) {
             m_faults.push_back(fault);
-            return std::string("{\"fault\":1}");
+            return FaultAnswer { { { "Content-Type", "application/problem+json" } }, "{\"fault\":1}" };
         };
-        m_server = IngressServer::create(m_loop, "127.0.0.1", 0, handler, fault_body).value();
+        m_server = IngressServer::create(m_loop, "127.0.0.1", 0, handler, fault_handler).value();
     }
 
     std::unique_ptr<IngressServer> m_server;
@@ -235,6 +235,56 @@
     run_until([&] { return m_server->has_finished(); });
 }
 
+// Guards against requests that cross the close of a connection whose last answer said nothing of it: its head went out before the stop.
+TEST_F(IngressServerTest, ANextRequestRightBehindAnAnswerIsAnsweredAfterTheServerStopped)
+{
+    RawClient client(m_server->port());
+    client.send_text("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return m_requests.size() == 1; });
+    m_requests[0]->start(200, {}, {});
+    m_requests[0]->part("part");
+    m_server->stop_accepting();
+    m_requests[0]->end();
+    bool is_later = false;
+    auto const timer = m_loop.after(Core::Duration(500), [&] { is_later = true; });
+    run_until([&] {
+        m_server->stop_accepting();
+        return is_later;
+    });
+    m_on_request = [](IngressRequest& request) { request.reply(200, {}, request.head().target); };
+    client.send_text("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return client.read_more(); });
+    EXPECT_FALSE(client.was_reset());
+    EXPECT_NE(client.text().find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(client.text().ends_with("/2"));
+    run_until([&] { return m_server->has_finished(); });
+}
+
+TEST_F(IngressServerTest, RequestsThatAreNotWholeAsTheProcessEndsAreRefused)
+{
+    RawClient in_head(m_server->port());
+    RawClient in_body(m_server->port());
+    RawClient at_rest(m_server->port());
+    in_head.send_text("GET / HTTP/1.1\r\nHost:");
+    in_body.send_text("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\na");
+    run_until([&] { return m_server->connection_count() == 3; });
+    bool is_later = false;
+    auto const timer = m_loop.after(Core::Duration(50), [&] { is_later = true; });
+    run_until([&] { return is_later; });
+    m_server->stop_accepting();
+    m_server->refuse_unread();
+    for (auto* client : { &in_head, &in_body }) {
+        run_until([&] { return client->read_more(); });
+        EXPECT_TRUE(client->text().starts_with("HTTP/1.1 503 "));
+        EXPECT_NE(client->text().find("Connection: close"), std::string::npos);
+    }
+    run_until([&] { return at_rest.read_more(); });
+    EXPECT_EQ(at_rest.text(), "");
+    EXPECT_EQ(m_faults, (std::vector<IngressFault> { IngressFault::Stopping, IngressFault::Stopping }));
+    EXPECT_TRUE(m_requests.empty());
+    run_until([&] { return m_server->has_finished(); });
+}
+
 // To the caller it is as if its packet were lost, so it has sent nothing that could be cut off.
 TEST_F(IngressServerTest, AConnectionThatComesAsTheListenerClosesIsRefusedAndNeverReset)
 {
