LibTransport: Hand on no request beside the one in hand on its connection

While an entry stops, a second request was taken although its connection already says that it closes. Cause: IngressConnection::on_bytes() fed the reader with whatever came while a request was in hand, and the reader, which stops behind a whole message only within one feed(), handed the next one on. Change: what comes meanwhile stays in the buffer, bounded by one request of the largest size, and is read once the answer is out. Why it works: the reader sees a byte of the next request only when no request is in hand.

--- a/Libraries/LibTransport/IngressServer.cpp
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -216,6 +216,15 @@
         evbuffer_drain(input, size);
         return;
     }
+    if (m_has_request) {
+        // What comes behind the request in hand waits in the buffer until that is answered.
+        bool const is_more_than_one = size > m_server->limits().max_head_bytes + m_server->limits().max_body_bytes;
+        if (is_more_than_one) {
+            evbuffer_drain(input, size);
+            m_closes = true;
+        }
+        return;
+    }
     std::string bytes(size, '\0');
     evbuffer_remove(input, bytes.data(), size);
     if (m_reader.is_between_messages())
@@ -225,7 +234,7 @@
         refuse(fed.error() == MessageFault::HeadTooLarge ? IngressFault::HeadTooLarge : IngressFault::Malformed);
         return;
     }
-    if (!m_is_closing && !m_has_request && m_body.size() > m_server->limits().max_body_bytes)
+    if (!m_is_closing && m_body.size() > m_server->limits().max_body_bytes)
         refuse(IngressFault::BodyTooLarge);
 }
 
@@ -243,11 +252,6 @@
 
 void IngressConnection::refuse(IngressFault fault)
 {
-    if (m_has_request) {
-        // The request in hand is answered first; what came behind it is dropped with the connection.
-        m_closes = true;
-        return;
-    }
     auto status = status_bad_request;
     if (fault == IngressFault::HeadTooLarge)
         status = status_head_too_large;
@@ -301,14 +305,10 @@
         close_when_written();
         return;
     }
-    // The next request may lie in the reader already; it must not start inside this one's callback.
+    // The next request may lie in the reader or the buffer already; it must not start inside this one's callback.
     m_loop.soon([weak = weak_from_this()] {
-        auto self = weak.lock();
-        if (!self || !self->m_stream || self->m_is_closing || self->m_has_request)
-            return;
-        auto const fed = self->m_reader.resume();
-        if (!fed.has_value())
-            self->refuse(fed.error() == MessageFault::HeadTooLarge ? IngressFault::HeadTooLarge : IngressFault::Malformed);
+        if (auto self = weak.lock(); self && self->m_stream && self->m_server)
+            self->on_bytes();
     });
 }
 
@@ -360,7 +360,7 @@
     // The end of an answer may still be on its way out.
     if (m_has_request || m_is_closing || !m_reader.is_between_messages())
         return false;
-    if (evbuffer_get_length(bufferevent_get_output(m_stream)) > 0)
+    if (evbuffer_get_length(bufferevent_get_output(m_stream)) > 0 || evbuffer_get_length(bufferevent_get_input(m_stream)) > 0)
         return false;
     return !has_unread(bufferevent_getfd(m_stream));
 }
--- a/Tests/LibTransport/TestIngressServer.cpp
+++ b/Tests/LibTransport/TestIngressServer.cpp
@@ -42,6 +42,46 @@
     EXPECT_LT(client.text().find("first"), client.text().find("second"));
 }
 
+// Guards against a second request that is run beside the one in hand, and answered in its place.
+TEST_F(IngressServerTest, ARequestThatComesWhileOneIsInHandWaitsForItsAnswer)
+{
+    RawClient client(m_server->port());
+    client.send_text("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return m_requests.size() == 1; });
+    client.send_text("GET /2 HTTP/1.1\r\nHost: x\r\n\r\nGET /3 HTTP/1.1\r\nHost: x\r\n\r\n");
+    bool is_later = false;
+    auto const timer = m_loop.after(Core::Duration(100), [&] { is_later = true; });
+    run_until([&] { return is_later; });
+    ASSERT_EQ(m_requests.size(), 1U);
+    m_on_request = [](IngressRequest& request) { request.reply(200, {}, "to " + request.head().target); };
+    m_requests[0]->reply(200, {}, "to /1");
+    run_until([&] {
+        client.read_more();
+        return client.text().ends_with("to /3");
+    });
+    EXPECT_LT(client.text().find("to /1"), client.text().find("to /2"));
+}
+
+TEST_F(IngressServerTest, MoreThanOneRequestBehindTheOneInHandEndsTheConnectionBehindItsAnswer)
+{
+    IngressLimits limits;
+    limits.max_head_bytes = 100;
+    limits.max_body_bytes = 100;
+    m_server->set_limits(limits);
+    RawClient client(m_server->port());
+    client.send_text("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return m_requests.size() == 1; });
+    client.send_text("POST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 300\r\n\r\n" + std::string(300, 'a'));
+    bool is_later = false;
+    auto const timer = m_loop.after(Core::Duration(100), [&] { is_later = true; });
+    run_until([&] { return is_later; });
+    m_requests[0]->reply(200, {}, "done");
+    run_until([&] { return client.read_more(); });
+    EXPECT_TRUE(client.text().ends_with("done"));
+    EXPECT_NE(client.text().find("Connection: close"), std::string::npos);
+    EXPECT_EQ(m_requests.size(), 1U);
+}
+
 TEST_F(IngressServerTest, TwoLengthsGetATypedAnswerAndNobodyActsOnTheRequest)
 {
     RawClient client(m_server->port());
