Entry: Refuse or answer what the product's interface cannot finish at a stop

Callers saw: calls that waited in a stopping entry's queue were kept there up to drain_ms; calls, changes and uploads in hand then ended with their connections, without an answer. Cause: the queue asked for no time left, and finish_when_idle() ended the loop over all that was unfinished. Change: CallerApi and OperatorApi ask the same StopSchedule as the entry of the users' platform. A call that waits and could outlast drain_ms is refused as not run once the notice (0.5 s) is over; at drain_ms RequestFlow::on_shutdown() answers each call, undecided changes are answered as such, unread requests refused, and the loop runs on for up to 0.3 s until all is sent. A change that may stay undecided for longer than what is left is refused as not run.

--- a/Libraries/LibRouting/RequestFlow.cpp
+++ b/Libraries/LibRouting/RequestFlow.cpp
@@ -219,19 +219,30 @@
     return actions;
 }
 
+FlowActions RequestFlow::give_up(Schema::Reason reason, InstanceOutcome outcome)
+{
+    if (m_phase == Phase::Choosing)
+        return on_no_instance(reason, not_run_retry_after);
+    FlowActions actions { SendCancel { m_instance, m_attempt } };
+    m_may_have_run = true;
+    auto rest = end_with(failure_action(reason), outcome, reason);
+    actions.insert(actions.end(), rest.begin(), rest.end());
+    return actions;
+}
+
+FlowActions RequestFlow::on_shutdown()
+{
+    if (m_phase == Phase::Over)
+        return {};
+    return give_up(Schema::Reason::Stopping, InstanceOutcome::Neutral);
+}
+
 FlowActions RequestFlow::on_tick(Core::Time now)
 {
     if (m_phase == Phase::Over)
         return {};
-    if (now >= m_deadline) {
-        if (m_phase == Phase::Choosing)
-            return on_no_instance(Schema::Reason::DeadlinePassed, not_run_retry_after);
-        FlowActions actions { SendCancel { m_instance, m_attempt } };
-        m_may_have_run = true;
-        auto rest = end_with(failure_action(Schema::Reason::DeadlinePassed), InstanceOutcome::Failure, Schema::Reason::DeadlinePassed);
-        actions.insert(actions.end(), rest.begin(), rest.end());
-        return actions;
-    }
+    if (now >= m_deadline)
+        return give_up(Schema::Reason::DeadlinePassed, InstanceOutcome::Failure);
     if (m_phase == Phase::LinkDown && now >= m_link_down_at + m_settings.resume_timeout)
         return fail_attempt(Schema::Reason::LinkLost, InstanceOutcome::Failure);
     bool const is_silent = m_phase == Phase::Dispatched && !m_is_accepted && now >= m_dispatched_at + m_settings.accept_timeout;
--- a/Libraries/LibRouting/RequestFlow.h
+++ b/Libraries/LibRouting/RequestFlow.h
@@ -115,12 +115,16 @@
     /// The link is up again. If the instance has another incarnation now, the attempt is lost.
     FlowActions on_link_up(std::string const& instance, int64_t incarnation);
     FlowActions on_caller_gone();
+    /// This process is about to end: cancels the attempt and ends the request.
+    FlowActions on_shutdown();
     /// Checks the deadline and the timeouts of FlowSettings.
     FlowActions on_tick(Core::Time now);
 
     bool is_over() const { return m_phase == Phase::Over; }
     /// Whether the request has no current attempt and needs an instance.
     bool is_choosing() const { return m_phase == Phase::Choosing; }
+    /// Whether an attempt that is over may have run.
+    bool may_have_run() const { return m_may_have_run; }
     /// Instances that failed or refused an attempt, or whose link did not accept it; the next instance should be another one.
     std::set<std::string> const& excluded() const { return m_excluded; }
     std::string const& attempt() const { return m_attempt; }
@@ -140,6 +144,7 @@
     bool may_repeat() const;
     FlowActions retry_or_end_with(Schema::Reason, InstanceOutcome, FlowAction final_action, bool is_charged_to_budget);
     FlowActions end_with(FlowAction last, std::optional<InstanceOutcome>, Schema::Reason);
+    FlowActions give_up(Schema::Reason, InstanceOutcome);
     FlowActions fail_attempt(Schema::Reason, InstanceOutcome);
     FlowAction failure_action(Schema::Reason) const;
 
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -21,13 +21,14 @@
     return "reason=\"" + Schema::enumerator_name(reason) + "\"";
 }
 
-CallerApi::CallerApi(Core::EventLoop& loop, CallerApiSettings settings, Core::Metrics& metrics, Transport::LinkHub& hub, Membership::InstanceList const& list, Configuration::ReplayedState const& replayed_state, IsConfirmed is_configuration_confirmed)
+CallerApi::CallerApi(Core::EventLoop& loop, CallerApiSettings settings, Core::Metrics& metrics, Transport::LinkHub& hub, Membership::InstanceList const& list, Configuration::ReplayedState const& replayed_state, Routing::StopSchedule const& stop, IsConfirmed is_configuration_confirmed)
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_metrics(metrics)
     , m_hub(hub)
     , m_list(list)
     , m_fold(replayed_state)
+    , m_stop(stop)
     , m_is_configuration_confirmed(std::move(is_configuration_confirmed))
     , m_table(m_settings.table, m_settings.seed)
     , m_budget(m_settings.retry_ratio)
@@ -63,7 +64,7 @@
 void CallerApi::handle(std::shared_ptr<Transport::IngressRequest> const& exchange)
 {
     m_metrics.count("mountbarrow_entry_requests_total");
-    if (m_is_stopping) {
+    if (m_stop.is_notice_over(Core::monotonic_now())) {
         refuse(*exchange, Schema::Reason::Stopping, spread(stopping_retry_after));
         return;
     }
@@ -252,6 +253,31 @@
     return found->second;
 }
 
+bool CallerApi::refuse_if_too_late_to_send(Context& context)
+{
+    bool const is_unsent = context.flow.is_choosing() && !context.flow.may_have_run();
+    if (!is_unsent || m_stop.may_send(context.flow.deadline(), Core::monotonic_now()))
+        return false;
+    perform(context, context.flow.on_no_instance(Schema::Reason::Stopping, stopping_retry_after));
+    return true;
+}
+
+void CallerApi::give_up_unfinished()
+{
+    for (auto id : request_ids()) {
+        if (auto* context = find(id))
+            perform(*context, context->flow.on_shutdown());
+    }
+}
+
+std::vector<uint64_t> CallerApi::request_ids() const
+{
+    std::vector<uint64_t> ids;
+    for (auto const& [id, context] : m_contexts)
+        ids.push_back(id);
+    return ids;
+}
+
 Routing::FlowActions CallerApi::wait_in_queue(Context& context)
 {
     auto const& dispatch = context.request.dispatch;
@@ -348,10 +374,7 @@
 void CallerApi::on_link_up(Schema::Hello const& hello)
 {
     m_table.on_link_up(hello.identity);
-    std::vector<uint64_t> ids;
-    for (auto const& [id, context] : m_contexts)
-        ids.push_back(id);
-    for (auto id : ids) {
+    for (auto id : request_ids()) {
         if (auto* context = find(id))
             perform(*context, context->flow.on_link_up(hello.identity, hello.incarnation));
     }
@@ -360,10 +383,7 @@
 void CallerApi::on_link_down(std::string const& agent)
 {
     m_table.on_link_down(agent);
-    std::vector<uint64_t> ids;
-    for (auto const& [id, context] : m_contexts)
-        ids.push_back(id);
-    for (auto id : ids) {
+    for (auto id : request_ids()) {
         if (auto* context = find(id))
             perform(*context, context->flow.on_link_down(agent, Core::monotonic_now()));
     }
@@ -397,11 +417,9 @@
 void CallerApi::tick()
 {
     auto const now = Core::monotonic_now();
-    std::vector<uint64_t> ids;
-    for (auto const& [id, context] : m_contexts)
-        ids.push_back(id);
-    for (auto id : ids) {
-        if (auto* context = find(id))
+    for (auto id : request_ids()) {
+        auto* context = find(id);
+        if (context && !refuse_if_too_late_to_send(*context))
             perform(*context, context->flow.on_tick(now));
     }
 }
--- a/Services/Entry/CallerApi.h
+++ b/Services/Entry/CallerApi.h
@@ -11,6 +11,7 @@
 #include <LibRouting/Limits.h>
 #include <LibRouting/RequestFlow.h>
 #include <LibRouting/RequestQueue.h>
+#include <LibRouting/StopSchedule.h>
 #include <LibTransport/IngressServer.h>
 #include <LibTransport/LinkHub.h>
 #include <map>
@@ -34,7 +35,7 @@
     /// Whether the configuration is all that is on the log, as read a moment ago.
     using IsConfirmed = std::function<bool()>;
 
-    CallerApi(Core::EventLoop&, CallerApiSettings, Core::Metrics&, Transport::LinkHub&, Membership::InstanceList const&, Configuration::ReplayedState const&, IsConfirmed);
+    CallerApi(Core::EventLoop&, CallerApiSettings, Core::Metrics&, Transport::LinkHub&, Membership::InstanceList const&, Configuration::ReplayedState const&, Routing::StopSchedule const&, IsConfirmed);
     ~CallerApi();
 
     void handle(std::shared_ptr<Transport::IngressRequest> const&);
@@ -45,8 +46,8 @@
     void on_link_up(Schema::Hello const&);
     void on_link_down(std::string const& agent);
 
-    /// From now on every new request is refused as not run.
-    void stop_accepting() { m_is_stopping = true; }
+    /// The process is about to end: answers all requests that are not answered yet.
+    void give_up_unfinished();
     size_t in_flight() const { return m_contexts.size(); }
     /// What customers ask of this entry, for the agents that pass it on to the others.
     std::vector<Schema::Demand> own_demand() const { return m_demand.local_demand(); }
@@ -78,6 +79,9 @@
     tl::expected<std::string, Schema::Reason> choose(Context const&);
     Routing::RequestQueue& queue_of(std::string const& service);
     void serve_queue(std::string const& service);
+    /// Ends the request if it has run nowhere and would still be unfinished when this process ends. @return whether it did.
+    bool refuse_if_too_late_to_send(Context&);
+    std::vector<uint64_t> request_ids() const;
     void end(Context&);
     Context* find(uint64_t id);
     Context* find_attempt(std::string const& attempt);
@@ -91,6 +95,7 @@
     Transport::LinkHub& m_hub;
     Membership::InstanceList const& m_list;
     Configuration::ReplayedState const& m_fold;
+    Routing::StopSchedule const& m_stop;
     IsConfirmed m_is_configuration_confirmed;
     Routing::InstanceTable m_table;
     Routing::CustomerLimits m_limits;
@@ -103,7 +108,6 @@
     std::set<std::string> m_listed;
     uint64_t m_next_request { 1 };
     uint64_t m_next_attempt { 1 };
-    bool m_is_stopping { false };
     std::unique_ptr<Core::Timer> m_tick_timer;
     std::unique_ptr<Core::Timer> m_share_timer;
 };
--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -29,6 +29,8 @@
 // The balancer's health checks need this long to send callers elsewhere.
 static constexpr Core::Duration health_grace { 500 };
 static constexpr Core::Duration drain_check { 20 };
+// For the answers to what is unfinished at the end to be sent.
+static constexpr Core::Duration exit_delay { 300 };
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
 
@@ -74,8 +76,8 @@
     options.offset = [this] { return m_replica.replayed_state().offset(); };
     options.list_version = [this] { return m_list.version(); };
     m_hub = std::make_unique<Transport::LinkHub>(loop, std::move(options), link_callbacks());
-    m_callers = std::make_unique<CallerApi>(loop, caller_settings(settings, incarnation), m_metrics, *m_hub, m_list, m_replica.replayed_state(), [this] { return is_configuration_confirmed(); });
-    m_operators = std::make_unique<OperatorApi>(loop, m_metrics, m_replica, m_tally, *m_platform, std::move(tokens), [this] { return is_configuration_confirmed(); });
+    m_callers = std::make_unique<CallerApi>(loop, caller_settings(settings, incarnation), m_metrics, *m_hub, m_list, m_replica.replayed_state(), m_stop, [this] { return is_configuration_confirmed(); });
+    m_operators = std::make_unique<OperatorApi>(loop, m_metrics, m_replica, m_tally, *m_platform, std::move(tokens), m_stop, [this] { return is_configuration_confirmed(); });
     m_list_timer = loop.every(Settings::duration_or(settings.list_poll_ms, default_list_poll), [this] { read_list(); });
     m_log_timer = loop.every(Settings::duration_or(settings.log_poll_ms, default_log_poll), [this] { read_log(); });
     m_tally_timer = loop.every(tally_interval, [this] { send_tallies(); });
@@ -193,7 +195,7 @@
 bool Entry::is_ready() const
 {
     bool const knows_configuration = m_log_read_at || m_replica.replayed_state().offset() >= 0;
-    return knows_configuration && !m_is_draining;
+    return knows_configuration && !m_stop.has_begun();
 }
 
 void Entry::on_ping(Schema::Hello const& from, Schema::Ping const& ping)
@@ -390,38 +392,47 @@
     value["list_confirmed"] = is_list_confirmed();
     value["links"] = m_last_heard.size();
     value["in_flight"] = m_callers->in_flight();
-    value["draining"] = m_is_draining;
+    value["draining"] = m_stop.has_begun();
     exchange.reply(status_ok, { { "Content-Type", "application/json" } }, value.dump());
 }
 
 void Entry::drain()
 {
-    if (m_is_draining)
+    if (m_stop.has_begun())
         return;
     Core::log_event(Core::LogLevel::Info, "draining", { { "in_flight", std::to_string(m_callers->in_flight()) } });
-    m_is_draining = true;
-    m_draining_since = Core::monotonic_now();
+    m_stop.begin({ .notice = health_grace, .available = Settings::duration_or(m_settings.drain_ms, default_drain) }, Core::monotonic_now());
     m_http->end_connections_gently();
     m_drain_timer = m_loop.every(drain_check, [this] { finish_when_idle(); });
 }
 
 void Entry::finish_when_idle()
 {
-    auto const waited = Core::monotonic_now() - m_draining_since;
-    if (waited < health_grace)
+    auto const now = Core::monotonic_now();
+    if (!m_stop.is_notice_over(now))
         return;
-    m_callers->stop_accepting();
-    m_operators->stop();
+    m_operators->end_watches();
+    bool const is_out_of_time = m_stop.is_out_of_time(now);
     // Callers who still connect are told that this entry stops, before they find nobody.
-    if (waited >= 2 * health_grace)
+    if (is_out_of_time || m_stop.elapsed(now) >= 2 * health_grace)
         m_http->stop_accepting();
+    if (is_out_of_time)
+        give_up_unfinished();
     bool const is_idle = m_callers->in_flight() == 0 && m_operators->pending_changes() == 0;
-    bool const is_out_of_time = waited >= Settings::duration_or(m_settings.drain_ms, default_drain);
-    if (!is_out_of_time && !(is_idle && m_http->has_finished()))
+    bool const must_exit = *m_stop.remaining(now) <= -exit_delay;
+    if (!must_exit && !(is_idle && m_http->has_finished()))
         return;
     Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped",
-        { { "unfinished", std::to_string(m_callers->in_flight()) }, { "connections", std::to_string(m_http->connection_count()) } });
+        { { "unfinished", std::to_string(m_given_up) }, { "connections", std::to_string(m_http->connection_count()) } });
     m_loop.stop();
 }
 
+void Entry::give_up_unfinished()
+{
+    m_given_up += m_callers->in_flight() + m_operators->pending_changes();
+    m_callers->give_up_unfinished();
+    m_operators->give_up_unfinished();
+    m_http->refuse_unread();
+}
+
 }
--- a/Services/Entry/Entry.h
+++ b/Services/Entry/Entry.h
@@ -46,6 +46,8 @@
     void drop_silent_links();
     void update_links();
     void finish_when_idle();
+    /// Answers all callers and operators that are not answered yet.
+    void give_up_unfinished();
     bool is_list_confirmed() const;
     bool is_configuration_confirmed() const;
     bool is_ready() const;
@@ -62,6 +64,8 @@
     std::unique_ptr<Platform::Platform> m_platform;
     std::unique_ptr<Transport::LinkHub> m_hub;
     std::unique_ptr<Transport::IngressServer> m_http;
+    Routing::StopSchedule m_stop;
+    size_t m_given_up { 0 };
     std::unique_ptr<CallerApi> m_callers;
     std::unique_ptr<OperatorApi> m_operators;
 
@@ -74,8 +78,6 @@
     bool m_is_reading_list { false };
     bool m_is_reading_log { false };
     Core::Time m_last_check { 0 };
-    bool m_is_draining { false };
-    Core::Time m_draining_since { 0 };
     std::unique_ptr<Core::Timer> m_list_timer;
     std::unique_ptr<Core::Timer> m_log_timer;
     std::unique_ptr<Core::Timer> m_tally_timer;
--- a/Services/Entry/OperatorApi.cpp
+++ b/Services/Entry/OperatorApi.cpp
@@ -55,13 +55,14 @@
     reply_problem(exchange, problem);
 }
 
-OperatorApi::OperatorApi(Core::EventLoop& loop, Core::Metrics& metrics, Configuration::Replica const& replica, Distribution::RolloutProgress const& tally, Platform::Platform& platform, std::map<std::string, Settings::OperatorRole> tokens, IsConfirmed is_configuration_confirmed)
+OperatorApi::OperatorApi(Core::EventLoop& loop, Core::Metrics& metrics, Configuration::Replica const& replica, Distribution::RolloutProgress const& tally, Platform::Platform& platform, std::map<std::string, Settings::OperatorRole> tokens, Routing::StopSchedule const& stop, IsConfirmed is_configuration_confirmed)
     : m_loop(loop)
     , m_metrics(metrics)
     , m_replica(replica)
     , m_tally(tally)
     , m_platform(platform)
     , m_tokens(std::move(tokens))
+    , m_stop(stop)
     , m_is_configuration_confirmed(std::move(is_configuration_confirmed))
     , m_timer(loop.every(tick_interval, [this] { tick(); }))
 {
@@ -176,6 +177,11 @@
         reply_problem(*exchange, rejection(428, "expected_revision_missing", "Say which revision this replaces; -1 for a resource that does not exist."));
         return;
     }
+    if (auto const now = Core::monotonic_now(); !m_stop.may_send(now + undecided_after, now)) {
+        m_metrics.count("mountbarrow_entry_api_refused_total", "reason=\"stopping\"");
+        reply_problem(*exchange, problem_for(Schema::Outcome::NotRun, Schema::Reason::Stopping, stopping_retry_after));
+        return;
+    }
     auto pending = std::make_shared<Pending>();
     pending->change.change_id = target.query_value("change_id").value_or(Core::random_hex(change_id_bytes));
     pending->change.kind = kind;
@@ -253,6 +259,16 @@
     reply_json(*pending.exchange, { { "change_id", pending.change.change_id }, { "revision", outcome.revision }, { "offset", outcome.offset } });
 }
 
+void OperatorApi::answer_undecided(Pending& pending)
+{
+    m_metrics.count("mountbarrow_entry_api_refused_total", "reason=\"undecided\"");
+    auto problem = rejection(504, "undecided", "The platform has not told whether the change was taken. Ask again by its id, or send it again with the same id.");
+    problem.outcome = Schema::Outcome::Unknown;
+    problem.change_id = pending.change.change_id;
+    problem.retry_after_ms = append_again_after.count();
+    reply_problem(*pending.exchange, problem);
+}
+
 void OperatorApi::read_change(Transport::IngressRequest& exchange, std::string const& change_id)
 {
     auto const outcome = m_replica.replayed_state().outcome(change_id);
@@ -332,12 +348,7 @@
             return true;
         if (now < pending->started + undecided_after)
             return false;
-        m_metrics.count("mountbarrow_entry_api_refused_total", "reason=\"undecided\"");
-        auto problem = rejection(504, "undecided", "The platform has not told whether the change was taken. Ask again by its id, or send it again with the same id.");
-        problem.outcome = Schema::Outcome::Unknown;
-        problem.change_id = pending->change.change_id;
-        problem.retry_after_ms = append_again_after.count();
-        reply_problem(*pending->exchange, problem);
+        answer_undecided(*pending);
         return true;
     });
     for (auto const& pending : m_pending) {
@@ -351,7 +362,15 @@
         tell_status(*watch);
 }
 
-void OperatorApi::stop()
+void OperatorApi::give_up_unfinished()
+{
+    for (auto const& pending : std::exchange(m_pending, {})) {
+        if (!pending->exchange->is_over())
+            answer_undecided(*pending);
+    }
+}
+
+void OperatorApi::end_watches()
 {
     for (auto const& watch : m_watches)
         watch->exchange->end();
--- a/Services/Entry/OperatorApi.h
+++ b/Services/Entry/OperatorApi.h
@@ -6,6 +6,7 @@
 #include <LibCore/Metrics.h>
 #include <LibDistribution/RolloutProgress.h>
 #include <LibPlatform/Platform.h>
+#include <LibRouting/StopSchedule.h>
 #include <LibSettings/Settings.h>
 #include <LibTransport/IngressServer.h>
 #include <list>
@@ -20,7 +21,7 @@
     /// Whether the configuration is all that is on the log, as read a moment ago.
     using IsConfirmed = std::function<bool()>;
 
-    OperatorApi(Core::EventLoop&, Core::Metrics&, Configuration::Replica const&, Distribution::RolloutProgress const&, Platform::Platform&, std::map<std::string, Settings::OperatorRole> tokens, IsConfirmed);
+    OperatorApi(Core::EventLoop&, Core::Metrics&, Configuration::Replica const&, Distribution::RolloutProgress const&, Platform::Platform&, std::map<std::string, Settings::OperatorRole> tokens, Routing::StopSchedule const&, IsConfirmed);
     ~OperatorApi();
 
     void handle(std::shared_ptr<Transport::IngressRequest> const&);
@@ -29,7 +30,9 @@
     void on_configuration();
 
     /// Ends the watches, so that a stop need not wait for them.
-    void stop();
+    void end_watches();
+    /// The process is about to end: answers the changes that are not decided yet.
+    void give_up_unfinished();
     /// Changes that are not answered yet.
     size_t pending_changes() const { return m_pending.size(); }
 
@@ -63,6 +66,7 @@
     nlohmann::json view(Configuration::Resource const&) const;
     void append(Pending&);
     void answer_pending();
+    void answer_undecided(Pending&);
     void answer_outcome(Pending&, Configuration::ChangeOutcome const&);
     void tick();
 
@@ -72,6 +76,7 @@
     Distribution::RolloutProgress const& m_tally;
     Platform::Platform& m_platform;
     std::map<std::string, Settings::OperatorRole> m_tokens;
+    Routing::StopSchedule const& m_stop;
     IsConfirmed m_is_configuration_confirmed;
     std::list<std::shared_ptr<Pending>> m_pending;
     std::list<std::shared_ptr<Watch>> m_watches;
