Agent: Tell entries which answers will not come as the agent ends

Callers saw: a call at an agent that ended by drain_ms was answered 3 s later, by the entry's wait for a link that does not come back. Cause: finish_when_idle() ended the loop over its unfinished attempts, as an entry did. Change: at drain_ms each unfinished attempt is told to its entry as broken (stopping), and the agent ends once that is sent. Measured: test_calls_that_an_ending_agent_breaks_off_are_answered_at_once, release build: fails on (the entry's own reason, after its wait), passes now; one run each.

--- a/Services/Agent/Agent.cpp
+++ b/Services/Agent/Agent.cpp
@@ -30,6 +30,8 @@
 static constexpr Core::Duration alone_before_reading { 3000 };
 static constexpr Core::Duration default_platform_poll { 1000 };
 static constexpr Core::Duration drain_check { 20 };
+// For the entries to be sent what is unfinished at the end.
+static constexpr Core::Duration exit_delay { 300 };
 // Long enough for the word of leaving to reach the entries before the port closes.
 static constexpr Core::Duration least_drain { 300 };
 static constexpr int status_ok = 200;
@@ -227,7 +229,7 @@
 Routing::AdmissionView Agent::admission_view() const
 {
     Routing::AdmissionView view;
-    view.is_draining = m_is_draining;
+    view.is_draining = m_stop.has_begun();
     view.is_switching = m_weights->is_switching();
     view.serving = m_weights->serving();
     view.capacity = m_capacity;
@@ -239,7 +241,7 @@
 Schema::Report Agent::report() const
 {
     Schema::Report report {};
-    report.draining = m_is_draining;
+    report.draining = m_stop.has_begun();
     report.in_flight = static_cast<int64_t>(m_requests->in_flight());
     report.capacity = static_cast<int64_t>(m_capacity);
     report.offset = m_replica.replayed_state().offset();
@@ -333,7 +335,7 @@
     } else if (path == "/report") {
         exchange->reply(status_ok, { { "Content-Type", "application/json" } }, Schema::to_text(report()));
     } else if (path == "/healthz") {
-        exchange->reply(m_is_draining ? 503 : status_ok, {}, {});
+        exchange->reply(m_stop.has_begun() ? 503 : status_ok, {}, {});
     } else {
         exchange->reply(status_not_found, {}, {});
     }
@@ -341,14 +343,14 @@
 
 void Agent::drain()
 {
-    if (m_is_draining)
+    if (m_stop.has_begun())
         return;
     Core::log_event(Core::LogLevel::Info, "draining", { { "in_flight", std::to_string(m_requests->in_flight()) } });
-    m_is_draining = true;
-    m_draining_since = Core::monotonic_now();
+    auto const now = Core::monotonic_now();
+    m_stop.begin({ .available = Settings::duration_or(m_settings.drain_ms, default_drain) }, now);
     m_http->end_connections_gently();
     send_report();
-    m_leave_notice.begin(m_hub->peers(Schema::Role::Entry), m_draining_since);
+    m_leave_notice.begin(m_hub->peers(Schema::Role::Entry), now);
     m_drain_timer = m_loop.every(drain_check, [this] { finish_when_idle(); });
 }
 
@@ -368,14 +370,19 @@
 
 void Agent::finish_when_idle()
 {
-    auto const waited = Core::monotonic_now() - m_draining_since;
-    bool const is_out_of_time = waited >= Settings::duration_or(m_settings.drain_ms, default_drain);
+    auto const now = Core::monotonic_now();
+    bool const is_out_of_time = m_stop.is_out_of_time(now);
     if (!m_leave_notice.is_acknowledged_by_all())
         ping();
-    if (!is_out_of_time && !(m_requests->is_idle() && has_taken_leave(waited) && m_http->stop_listening()))
+    if (is_out_of_time)
+        m_broken_off += m_requests->break_off_unfinished();
+    bool const must_exit = *m_stop.remaining(now) <= -exit_delay;
+    bool const has_told_entries = is_out_of_time && !m_hub->has_unsent();
+    bool const is_idle = m_requests->is_idle() && has_taken_leave(m_stop.elapsed(now)) && m_http->stop_listening();
+    if (!must_exit && !has_told_entries && !is_idle)
         return;
     Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped",
-        { { "unfinished", std::to_string(m_requests->in_flight()) }, { "unaware_entries", std::to_string(m_leave_notice.unacknowledged_peers()) } });
+        { { "unfinished", std::to_string(m_broken_off) }, { "unaware_entries", std::to_string(m_leave_notice.unacknowledged_peers()) } });
     m_loop.stop();
 }
 
--- a/Services/Agent/Agent.h
+++ b/Services/Agent/Agent.h
@@ -10,6 +10,7 @@
 #include <LibMembership/InstanceList.h>
 #include <LibMembership/LeaveAcknowledgements.h>
 #include <LibPlatform/Platform.h>
+#include <LibRouting/StopSchedule.h>
 #include <LibSchema/Generated.h>
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/LinkHub.h>
@@ -69,8 +70,9 @@
     };
     std::map<std::string, HeardDemand> m_demands;
 
-    bool m_is_draining { false };
-    Core::Time m_draining_since { 0 };
+    Routing::StopSchedule m_stop;
+    // Requests whose answers were broken off as the time to finish them was over.
+    size_t m_broken_off { 0 };
     Membership::LeaveAcknowledgements m_leave_notice;
     Core::Time m_last_entry_seen { 0 };
     bool m_is_reading_platform { false };
--- a/Services/Agent/RequestRunner.cpp
+++ b/Services/Agent/RequestRunner.cpp
@@ -289,6 +289,22 @@
     }
 }
 
+size_t RequestRunner::break_off_unfinished()
+{
+    std::vector<std::string> unfinished;
+    for (auto const& [id, attempt] : m_attempts) {
+        if (!attempt.has_ended)
+            unfinished.push_back(id);
+    }
+    for (auto const& id : unfinished) {
+        auto const& attempt = m_attempts.at(id);
+        if (!attempt.orphaned_at)
+            broken(attempt.entry, id, Schema::Reason::Stopping);
+        remove(id);
+    }
+    return unfinished.size();
+}
+
 void RequestRunner::housekeep()
 {
     auto const now = Core::monotonic_now();
--- a/Services/Agent/RequestRunner.h
+++ b/Services/Agent/RequestRunner.h
@@ -41,6 +41,8 @@
     void on_resume(std::string const& entry, Schema::Resume const&);
     void on_cancel(std::string const& attempt);
     void on_entry_down(std::string const& entry);
+    /// The process is about to end: tells the entries which answers will not come. @return how many.
+    size_t break_off_unfinished();
 
     /// Requests on the backend server.
     size_t in_flight() const;
--- a/Tests/Processes/test_planned_stops.py
+++ b/Tests/Processes/test_planned_stops.py
@@ -4,14 +4,17 @@
 import json
 import signal
 import socket
+import threading
 import time
 
-from cluster import HTTP_PORT, http, wait_until
+from cluster import HTTP_PORT, Cluster, http, wait_until
 from test_interfaces import problem
-from test_whole_path import LEDGER, start
+from test_whole_path import LEDGER, start, wait_links
 
 CALL = f"POST /{LEDGER}/redeem HTTP/1.1\r\nHost: x\r\nX-Call-Id: one\r\nContent-Length: 2\r\n\r\n{{}}".encode()
 PROBE_SECONDS = 0.2
+# For requests in hand as a process stops; shorter than the time that an entry waits for a link that was lost.
+DRAIN_MS = 2000
 
 
 def last_connection_before_the_listener_closes(entry):
@@ -104,3 +107,77 @@
         wait_until(lambda: cluster.call(entry, LEDGER, headers={"X-Call-Id": "one"})[0] == 200, "the service to be served")
         assert http("GET", cluster.entry_url(entry, "/healthz"))[0] == 200
         assert problem(cluster.call(entry, "nothing")) == (404, "no_such_service", "not_run")
+
+
+def short_drain(build, folders, drained, agents=1, **agent_settings):
+    """A service whose calls hang; what the given role has in hand at a stop gets 2 s."""
+    cluster = Cluster(build)
+    folders.append(cluster.folder)
+    cluster.add_entry("entry-0", **({"drain_ms": DRAIN_MS} if drained == "entry" else {}))
+    for i in range(agents):
+        cluster.add_agent(f"ledger-{i}", LEDGER, kind="plain", **({"drain_ms": DRAIN_MS} if drained == "agent" else {}), **agent_settings)
+    cluster.put("service", LEDGER, {"kind": "plain"})
+    entry = cluster.entries()[0]
+    wait_links(cluster, entry, agents)
+    wait_until(lambda: cluster.call(entry, LEDGER, headers={"X-Call-Id": "warm"})[0] == 200, "the service to be served")
+    for i in range(agents):
+        cluster.backend_faults(cluster.instances[f"ledger-{i}"], stop_answering=True)
+    return cluster
+
+
+class Call:
+    """A call that is answered in the background."""
+
+    def __init__(self, function, *arguments, **more):
+        self.answer = None
+        self.thread = threading.Thread(target=self.run, args=(function, arguments, more))
+        self.thread.start()
+
+    def run(self, function, arguments, more):
+        self.answer = function(*arguments, **more)
+
+    def wait(self):
+        self.thread.join()
+        return self.answer
+
+
+def test_what_a_stopping_entry_cannot_finish_is_refused_or_answered_before_it_ends(build, folders):
+    # Guards against calls that a stopping entry keeps in its queue, and against calls in hand that it ends without an answer.
+    with short_drain(build, folders, "entry", capacity=1) as cluster:
+        entry = cluster.entries()[0]
+        agent = cluster.instances["ledger-0"]
+        running = Call(cluster.call, entry, LEDGER, headers={"X-Call-Id": "running", "X-Repeatable": "false"}, timeout=60)
+        wait_until(lambda: cluster.report(agent).get("in_flight") == 1, "the call to run")
+        queued = Call(cluster.call, entry, LEDGER, headers={"X-Call-Id": "queued", "X-Repeatable": "false"}, timeout=60)
+        wait_until(lambda: cluster.metrics(entry).get("mountbarrow_entry_queued") == 1, "the second call to wait")
+        entry.process.send_signal(signal.SIGTERM)
+        assert problem(queued.wait()) == (503, "stopping", "not_run"), queued.answer
+        assert running.answer is None
+        assert problem(running.wait()) == (502, "stopping", "unknown"), running.answer
+        assert entry.process.wait(timeout=60) == 0
+
+
+def test_a_change_that_is_undecided_as_its_entry_ends_is_answered(build, folders):
+    # Guards against operators who are told nothing of a change that a stopping entry has in hand.
+    with short_drain(build, folders, "entry") as cluster:
+        entry = cluster.entries()[0]
+        cluster.faults(log_out=True)
+        change = Call(cluster.api, "PUT", "service/other?expected_revision=-1", json.dumps({"kind": "plain"}))
+        wait_until(lambda: cluster.metrics(entry).get("mountbarrow_entry_append_failures_total", 0) > 0, "the append to fail")
+        entry.process.send_signal(signal.SIGTERM)
+        status, answer = change.wait()
+        assert (status, answer["type"].split(":")[-1], answer["outcome"]) == (504, "undecided", "unknown"), answer
+        assert answer["change_id"]
+        assert entry.process.wait(timeout=60) == 0
+
+
+def test_calls_that_an_ending_agent_breaks_off_are_answered_at_once(build, folders):
+    # Guards against callers who wait for the link of an agent that has ended for good.
+    with short_drain(build, folders, "agent") as cluster:
+        entry = cluster.entries()[0]
+        agent = cluster.instances["ledger-0"]
+        running = Call(cluster.call, entry, LEDGER, headers={"X-Call-Id": "running", "X-Repeatable": "false"}, timeout=60)
+        wait_until(lambda: cluster.report(agent).get("in_flight") == 1, "the call to run")
+        agent.process.send_signal(signal.SIGTERM)
+        assert problem(running.wait()) == (502, "stopping", "unknown"), running.answer
+        assert agent.process.wait(timeout=60) == 0
