Soak: Plan stops of entries that have long streams and slow uploads in hand

Cause: no soak seed could show what a stopping entry cuts off. Streams lasted 60 ms and callers waited 4 s at most; and the end of a process that was told to stop counted as a disturbance of it, which excused whatever was cut off by that end. Change: one seed in seven plays streams of 4.8 s, deadlines of 6 s, bodies whose last byte comes up to 6 s late, 16 callers, and planned stops and changes alone. The end of a process is no disturbance any more (its kill, its pause and its start still are): the check becomes stricter for all seeds.

--- a/Tests/Soak/callers.py
+++ b/Tests/Soak/callers.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-2-Clause
 """Callers that ask without pause over kept connections, and keep what they saw."""
 
+import contextlib
 import http.client
 import random
 import socket
@@ -16,6 +17,8 @@
 UNKNOWN_KEY, UNREADABLE_KEY = "key-unknown", "key-unreadable"
 # One request in so many goes with a key that must not serve.
 BAD_KEY_ONE_IN = 25
+# One request with a body in so many is uploaded slowly, where the run has such.
+UPLOAD_ONE_IN = 4
 # One stream in so many is left by its caller after the first bytes.
 LEAVE_ONE_IN = 10
 
@@ -75,10 +78,13 @@
         path = f"/{kind}/{request_id}"
         seen = Seen(kind, request_id, path, entry, self.soak.lives[entry], self.key())
         self.seen.append(seen)
-        headers = caller_fields(request_id, seen.key, DEADLINE_MS)
+        headers = caller_fields(request_id, seen.key, self.soak.deadline_ms)
         connection = self.connection(entry)
         try:
-            connection.request("GET" if kind == "safe" else "POST", path, body=None if kind == "safe" else b"x", headers=headers)
+            if kind != "safe" and self.soak.upload_seconds > 0 and self.random.randrange(UPLOAD_ONE_IN) == 0:
+                self.upload(connection, path, headers, seen)
+            else:
+                connection.request("GET" if kind == "safe" else "POST", path, body=None if kind == "safe" else b"x", headers=headers)
             answer = connection.getresponse()
             seen.status = answer.status
             seen.answered_id, seen.seal = answer_marks(answer)
@@ -95,6 +101,20 @@
         seen.ended_at = time.monotonic()
 
 
+    def upload(self, connection, path, headers, seen):
+        """Sends the body's last byte some time after the head. The entry may have refused the request meanwhile."""
+        connection.putrequest("POST", path, skip_host=True)
+        for name, value in headers.items():
+            connection.putheader(name, value)
+        connection.putheader("Content-Length", "1")
+        connection.endheaders()
+        self.soak.is_over.wait(self.random.uniform(0, self.soak.upload_seconds))
+        seen.sent_at = time.monotonic()
+        # Where the entry has refused it and closed, its answer lies there unread.
+        with contextlib.suppress(ConnectionError):
+            connection.send(b"x")
+
+
 class CrashingCaller(threading.Thread):
     """Asks for a stream that ends each engine which begins it, again and again, at any entry."""
 
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -27,13 +27,13 @@
 sys.path[:0] = [HERE, os.path.join(os.path.dirname(HERE), "Platform"), os.path.join(os.path.dirname(HERE), "Processes")]
 
 import promises  # noqa: E402
-from callers import UNREADABLE_KEY, Caller, CrashingCaller, Press  # noqa: E402
+from callers import DEADLINE_MS, UNREADABLE_KEY, Caller, CrashingCaller, Press  # noqa: E402
 from cluster import wait_until  # noqa: E402
 from fault_proxy import MODES  # noqa: E402
 from fleet import CUSTOMER, KEY, LEDGER, limits, route  # noqa: E402
 from soak_fleet import MEMORY_LIMITS, SoakFleet, is_sanitized, peak_megabytes  # noqa: E402
 
-CALLERS = 4
+CALLERS, LASTING_CALLERS = 4, 16
 # One seed in so many plays with clocks that step, in programs linked for it; the others play with the programs as shipped.
 CLOCKS_ONE_IN = 3
 # One seed in so many plays with requests that end their engines.
@@ -46,6 +46,11 @@
 STATING_ONE_IN, STATING_REST = 5, 1
 STATED_LIMITS = (0, 0.3, 1.5, 4)
 STATED_SECONDS, REST_SECONDS = (9.0, 14.0), (0.5, 3.0)
+# One seed in so many plays with streams and uploads that last for seconds, and with planned stops and changes alone, far enough apart
+# that callers meet entries to which nothing else was done.
+LASTING_ONE_IN, LASTING_REST = 7, 5
+LASTING_EVENT_SECONDS, LASTING_DEADLINE_MS, LASTING_UPLOAD_SECONDS = 0.8, 6000, 6.0
+FAULT_GAP_SECONDS, LASTING_GAP_SECONDS = (0.05, 0.5), (1.0, 4.0)
 WIDE_ONE_IN = 10
 WIDE_ENTRIES, WIDE_ENGINES = 6, 30
 STORE_MODES = ("busy", "many", "reset", "silent")
@@ -91,7 +96,13 @@
         self.disturbances = promises.Disturbances()
         self.fault_log = open(os.path.join(self.fleet.folder, "faults.log"), "w", encoding="utf-8")
         self.crashing_callers = []
-        self.callers = [Caller(number, seed, self) for number in range(CALLERS)]
+        self.deadline_ms = LASTING_DEADLINE_MS if self.plays_lasting() else DEADLINE_MS
+        # The longest time between a request's head and its last byte.
+        self.upload_seconds = LASTING_UPLOAD_SECONDS if self.plays_lasting() else 0.0
+        if self.plays_lasting():
+            for engine in self.fleet.engines:
+                engine.event_seconds = LASTING_EVENT_SECONDS
+        self.callers = [Caller(number, seed, self) for number in range(LASTING_CALLERS if self.plays_lasting() else CALLERS)]
 
     def note(self, kind, **details):
         """Counts a fault, and keeps it for whoever traces the run."""
@@ -136,7 +147,6 @@
             if identity not in self.told_to_end:
                 self.own_ends.append(f"ended: {identity} ended by itself with {process.returncode}")
             self.returning.add(identity)
-            self.disturb_once(identity)
             self.later(self.random.uniform(0.1, 1.5), lambda identity=identity: self.start_again(identity))
 
     def start_again(self, identity):
@@ -222,6 +232,15 @@
         self.later(seconds, wake_up)
         self.note("suspend", identity=identity, seconds=seconds)
 
+    def plays_lasting(self):
+        return self.seed % LASTING_ONE_IN == LASTING_REST
+
+    def stop_entry(self):
+        """A planned stop of an entry, as long as another one takes callers."""
+        ready = [entry for entry in self.fleet.entries if entry not in self.told_to_end and self.fleet.processes[entry].poll() is None]
+        if len(ready) > 1:
+            self.send(self.random.choice(ready), signal.SIGTERM)
+
     def reload(self):
         self.send(self.any_process(), signal.SIGHUP)
 
@@ -453,6 +472,10 @@
                 engine.event_seconds = PAUSED_EVENT_SECONDS
         if self.plays_statements():
             faults += [self.state_limit, self.leave_by_answers, self.ask_for_rest, self.ask_for_rest]
+        gap_seconds, wait = FAULT_GAP_SECONDS, time.sleep
+        if self.plays_lasting():
+            faults = [self.stop_entry, self.stop_entry, self.stop_in_turn, self.reload, self.change_keys, self.change_series]
+            gap_seconds, wait = LASTING_GAP_SECONDS, self.wait_calm
         end = time.monotonic() + seconds
         for caller in self.callers:
             caller.start()
@@ -460,7 +483,7 @@
         while time.monotonic() < end:
             self.run_due()
             self.random.choice(faults)()
-            time.sleep(self.random.uniform(0.05, 0.5))
+            wait(self.random.uniform(*gap_seconds))
 
     def heal(self):
         """Ends all faults, and waits until everything serves as if there had been none."""
--- a/Tests/Soak/test_soak.py
+++ b/Tests/Soak/test_soak.py
@@ -8,6 +8,8 @@
 # The second plays with requests that end their engines, the third with engines that pause, the last with servers that state what they take.
 FIXED_SEEDS = (20261202, 20261203, 20261205, 16)
 SECONDS = 8
+# Long enough for stops of entries with streams and uploads in hand.
+LASTING_SEED, LASTING_SECONDS = 19, 20
 
 
 def failed_seeds():
@@ -16,7 +18,8 @@
 
 
 def test_promises_hold_under_random_faults(build, folders):
-    for seed in [*FIXED_SEEDS, *failed_seeds()]:
-        outcome = run_seed(build, seed, SECONDS, folders=folders)
+    plays = [(seed, SECONDS) for seed in [*FIXED_SEEDS, *failed_seeds()]]
+    for seed, seconds in [*plays, (LASTING_SEED, LASTING_SECONDS)]:
+        outcome = run_seed(build, seed, seconds, folders=folders)
         assert not outcome.broken, (seed, outcome.broken)
         assert outcome.good > 0
