LibRouting: Keep both ends of a stop in StopSchedule

Cause: three processes each reckoned by themselves when they must exit, two of them past drain_ms, at which a platform may end them; and nothing showed that a grace time under 3 s is kept. Change: the schedule holds when answers are written and when the process exits; entry and agent of the product's own interface answer 0.3 s before drain_ms and exit at it.

--- a/Libraries/LibRouting/StopSchedule.cpp
+++ b/Libraries/LibRouting/StopSchedule.cpp
@@ -10,22 +10,17 @@
     if (has_begun())
         return;
     m_began_at = now;
-    m_notice_ends_at = now + std::min(times.notice, times.available / 2);
-    m_ends_at = now + times.available;
-}
-
-std::optional<Core::Duration> StopSchedule::remaining(Core::Time now) const
-{
-    if (!has_begun())
-        return {};
-    return *m_ends_at - now;
+    auto const until_answers = std::max(times.until_answers, Core::Duration(0));
+    m_notice_ends_at = now + std::min(times.notice, until_answers / 2);
+    m_answers_at = now + until_answers;
+    m_exits_at = now + std::max(times.until_exit, until_answers);
 }
 
 bool StopSchedule::may_send(Core::Time deadline, Core::Time now) const
 {
     if (!has_begun() || !is_notice_over(now))
         return true;
-    return now < *m_ends_at && deadline <= *m_ends_at;
+    return now < *m_answers_at && deadline <= *m_answers_at;
 }
 
 }
--- a/Libraries/LibTransport/IngressServer.h
+++ b/Libraries/LibTransport/IngressServer.h
@@ -44,7 +44,7 @@
     std::string const& body() const { return m_body; }
     /// How many requests this one is on its connection, counted from 1.
     uint64_t number_on_connection() const { return m_number_on_connection; }
-    /// When the first byte of the request was read.
+    /// When the first byte of the request was read, or when the answer before it ended if that was later.
     Core::Time began() const { return m_began; }
 
     /// Sends a whole answer.
--- a/Services/Agent/Agent.cpp
+++ b/Services/Agent/Agent.cpp
@@ -30,8 +30,8 @@
 static constexpr Core::Duration alone_before_reading { 3000 };
 static constexpr Core::Duration default_platform_poll { 1000 };
 static constexpr Core::Duration drain_check { 20 };
-// For the entries to be sent what is unfinished at the end.
-static constexpr Core::Duration exit_delay { 300 };
+// For the entries to be told what is unfinished at the end.
+static constexpr Core::Duration answers_before_exit { 300 };
 // Long enough for the word of leaving to reach the entries before the port closes.
 static constexpr Core::Duration least_drain { 300 };
 static constexpr int status_ok = 200;
@@ -347,7 +347,8 @@
         return;
     Core::log_event(Core::LogLevel::Info, "draining", { { "in_flight", std::to_string(m_requests->in_flight()) } });
     auto const now = Core::monotonic_now();
-    m_stop.begin({ .available = Settings::duration_or(m_settings.drain_ms, default_drain) }, now);
+    auto const until_exit = Settings::duration_or(m_settings.drain_ms, default_drain);
+    m_stop.begin({ .until_answers = until_exit - answers_before_exit, .until_exit = until_exit }, now);
     m_http->end_connections_gently();
     send_report();
     m_leave_notice.begin(m_hub->peers(Schema::Role::Entry), now);
@@ -376,10 +377,9 @@
         ping();
     if (is_out_of_time)
         m_broken_off += m_requests->break_off_unfinished();
-    bool const must_exit = *m_stop.remaining(now) <= -exit_delay;
     bool const has_told_entries = is_out_of_time && !m_hub->has_unsent();
     bool const is_idle = m_requests->is_idle() && has_taken_leave(m_stop.elapsed(now)) && m_http->stop_listening();
-    if (!must_exit && !has_told_entries && !is_idle)
+    if (!m_stop.must_exit(now) && !has_told_entries && !is_idle)
         return;
     Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped",
         { { "unfinished", std::to_string(m_broken_off) }, { "unaware_entries", std::to_string(m_leave_notice.unacknowledged_peers()) } });
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -23,9 +23,9 @@
 // After a signal to stop the platform still leads new callers here until it has missed two readiness probes, a second apart.
 static constexpr Core::Duration stop_notice { 2500 };
 static constexpr Core::Duration min_listening_time { 3000 };
-// Of the grace time, for the answers to what is unfinished: when they are written, and by when they have been sent.
-static constexpr Core::Duration drain_margin { 500 };
-static constexpr Core::Duration exit_margin { 200 };
+// Before the end of the grace time: when what is unfinished is answered, and by when these answers must have been sent.
+static constexpr Core::Duration answers_before_kill { 500 };
+static constexpr Core::Duration exit_before_kill { 200 };
 // Engine roles are reassigned soon after an entry or engine appears, but once for all that appear within this time.
 static constexpr Core::Duration min_roles_interval { 100 };
 // Within this time a new entry is linked to a seed and has received the list of other entries from it, if the seed is up.
@@ -696,7 +696,7 @@
     if (m_stop.has_begun())
         return;
     auto const grace = Core::Duration(static_cast<int64_t>(m_settings.bounds.grace_s * milliseconds_per_second));
-    m_stop.begin({ .notice = stop_notice, .available = grace - drain_margin }, Core::monotonic_now());
+    m_stop.begin({ .notice = stop_notice, .until_answers = grace - answers_before_kill, .until_exit = grace - exit_before_kill }, Core::monotonic_now());
     m_callers->end_connections_gently();
     m_limits.stop_issuing();
     Core::log_event(Core::LogLevel::Info, "draining", { { "in_hand", std::to_string(m_requests.size()) } });
@@ -710,10 +710,9 @@
     m_callers->stop_accepting();
     if (is_out_of_time)
         give_up_unfinished();
-    // The answers to what was given up are still on their way out.
-    bool const must_exit = *m_stop.remaining(now) <= exit_margin - drain_margin;
+    // The answers to what was given up may still be on their way out.
     bool const has_finished = m_requests.empty() && m_callers->has_finished();
-    if (!must_exit && !has_finished)
+    if (!has_finished && !m_stop.must_exit(now))
         return;
     Core::log_event(Core::LogLevel::Info, "stopped", { { "after_ms", std::to_string(m_stop.elapsed(now).count()) }, { "given_up", std::to_string(m_given_up) }, { "connections", std::to_string(m_callers->connection_count()) } });
     m_loop.stop();
--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -30,7 +30,7 @@
 static constexpr Core::Duration health_grace { 500 };
 static constexpr Core::Duration drain_check { 20 };
 // For the answers to what is unfinished at the end to be sent.
-static constexpr Core::Duration exit_delay { 300 };
+static constexpr Core::Duration answers_before_exit { 300 };
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
 
@@ -401,7 +401,8 @@
     if (m_stop.has_begun())
         return;
     Core::log_event(Core::LogLevel::Info, "draining", { { "in_flight", std::to_string(m_callers->in_flight()) } });
-    m_stop.begin({ .notice = health_grace, .available = Settings::duration_or(m_settings.drain_ms, default_drain) }, Core::monotonic_now());
+    auto const until_exit = Settings::duration_or(m_settings.drain_ms, default_drain);
+    m_stop.begin({ .notice = health_grace, .until_answers = until_exit - answers_before_exit, .until_exit = until_exit }, Core::monotonic_now());
     m_http->end_connections_gently();
     m_drain_timer = m_loop.every(drain_check, [this] { finish_when_idle(); });
 }
@@ -419,8 +420,7 @@
     if (is_out_of_time)
         give_up_unfinished();
     bool const is_idle = m_callers->in_flight() == 0 && m_operators->pending_changes() == 0;
-    bool const must_exit = *m_stop.remaining(now) <= -exit_delay;
-    if (!must_exit && !(is_idle && m_http->has_finished()))
+    if (!m_stop.must_exit(now) && !(is_idle && m_http->has_finished()))
         return;
     Core::log_event(is_out_of_time ? Core::LogLevel::Warn : Core::LogLevel::Info, "stopped",
         { { "unfinished", std::to_string(m_given_up) }, { "connections", std::to_string(m_http->connection_count()) } });
--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -61,6 +61,8 @@
 
 
 class Fleet:
+    # Seconds between the signal to stop and the end of a process.
+    grace_seconds = 8
     # Where entries listen for links and dial those of others, if not at the port of all processes: that of proxies before agents.
     entry_link_port = None
 
@@ -161,7 +163,7 @@
         door = self.door(identity)
         return {"identity": identity, "failure_domain": zone, "region": ZONES[zone], "regions": ZONES, "platform_address": f"{door.address}:{door.port}",
                 "link_port": LINK_PORT, "key": "k", "seeds": [f"{entry}:{CONTROL_PORT}" for entry in getattr(self, "entries", [])][:3],
-                "bounds": {"drain_ms": 2000, "grace_s": 8, "version_ms": self.version_bound_ms, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 100}}
+                "bounds": {"drain_ms": 2000, "grace_s": self.grace_seconds, "version_ms": self.version_bound_ms, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 100}}
 
     def start(self, program, identity, settings):
         path = os.path.join(self.folder, f"{identity}.json")
--- a/Tests/Platform/test_stopping_entries.py
+++ b/Tests/Platform/test_stopping_entries.py
@@ -13,6 +13,8 @@
 LONG_EVENTS, LONG_EVENT_SECONDS = 20, 0.25
 # Longer than an entry that has closed its listener still runs, and shorter.
 LONG_DEADLINE_MS, SHORT_DEADLINE_MS = 8000, 1000
+# Longer than any entry takes to stop.
+PATIENT_DEADLINE_MS = 30000
 PROBE_SECONDS = 0.2
 
 
@@ -157,11 +159,11 @@
         server.enlist()
         wait_until(lambda: fleet.times_logged(entry, "server_changed", server=server.id) == 2, "the entry to read of the one slot")
         # An objective as long as the deadline: the request is never late, and waits for the slot.
-        fleet.configure(Routes=[route("once", "/once/", "unsafe", LEDGER, MaxAttempts=1), route("safe", "/safe/", "safe", LEDGER, TargetLatencyMs=LONG_DEADLINE_MS)])
+        fleet.configure(Routes=[route("once", "/once/", "unsafe", LEDGER, MaxAttempts=1, TimeoutMs=PATIENT_DEADLINE_MS), route("safe", "/safe/", "safe", LEDGER, TargetLatencyMs=LONG_DEADLINE_MS)])
         wait_until(lambda: fleet.configuration_in_force(entry) == fleet.version, "the configuration with a long objective")
         server.fault, server.faults_left = "hang", 10
         busy, waiting = Caller(entry), Caller(entry)
-        busy.send("busy", path="/once/a")
+        busy.send("busy", path="/once/a", deadline_ms=PATIENT_DEADLINE_MS)
         wait_until(lambda: fleet.runs("busy") == 1, "the first request to run")
         waiting.send("waiting", "GET", "/safe/a")
         wait_until(lambda: fleet.metric(entry, "mountbarrow_in_hand") == 2, "the second request to wait")
@@ -175,17 +177,36 @@
         assert fleet.runs("waiting") == 0
 
 
+class PatientFleet(Fleet):
+    @staticmethod
+    def routes(**stream):
+        return [{**each, "TimeoutMs": PATIENT_DEADLINE_MS} for each in Fleet.routes(**stream)]
+
+
+class ShortGraceFleet(PatientFleet):
+    grace_seconds = 2
+
+
 def test_what_is_in_hand_as_an_entry_ends_is_answered(build, folders):
     # Guards against answers of the last moment that stay in the buffers of a process that ends.
-    with Fleet(build, folders, entries=2, engines=1, plains=2) as fleet:
+    check_last_answer(PatientFleet, build, folders)
+
+
+def test_what_is_in_hand_is_answered_also_in_a_short_grace_time(build, folders):
+    # Guards against entries that listen on for seconds although the platform ends them sooner.
+    check_last_answer(ShortGraceFleet, build, folders)
+
+
+def check_last_answer(fleet_type, build, folders):
+    with fleet_type(build, folders, entries=2, engines=1, plains=2) as fleet:
         wait_linked(fleet)
         entry = fleet.entries[0]
         for server in fleet.plains:
             server.fault, server.faults_left = "hang", 10
-        fleet.terminate(entry)
-        wait_until(lambda: not fleet.is_ready(entry), "the entry to say that it stops")
         caller = Caller(entry)
-        caller.send("hanging", path="/once/a")
+        caller.send("hanging", path="/once/a", deadline_ms=PATIENT_DEADLINE_MS)
+        wait_until(lambda: fleet.runs("hanging") == 1, "the request to run")
+        fleet.terminate(entry)
         status, _, _, problem = caller.receive()
         assert (status, problem) == (502, "stopping"), (status, problem)
         assert fleet.processes[entry].wait(timeout=60) == 0
