--- a/Tests/Platform/test_stopping_entries.py
+++ b/Tests/Platform/test_stopping_entries.py
@@ -4,8 +4,8 @@
 import http.client
 import json
 import socket
-import time
 
+from cluster import last_connection_before_the_listener_closes
 from fleet import CALLERS_PORT, KEY, LEDGER, Fleet, caller_fields, route, wait_until
 from test_direct_path import wait_linked
 
@@ -15,7 +15,6 @@
 LONG_DEADLINE_MS, SHORT_DEADLINE_MS = 8000, 1000
 # Longer than any entry takes to stop.
 PATIENT_DEADLINE_MS = 30000
-PROBE_SECONDS = 0.2
 
 
 class Caller:
@@ -53,21 +52,6 @@
         return b"reset"
 
 
-def last_connection_before_the_listener_closes(entry):
-    """One of the last connections that the entry took; nothing was sent on it yet."""
-    last = None
-    while True:
-        try:
-            connection = socket.create_connection((entry, CALLERS_PORT), timeout=PROBE_SECONDS)
-        except OSError:
-            last.settimeout(60)
-            return last
-        if last:
-            last.close()
-        last = connection
-        time.sleep(0.01)
-
-
 def begin_long_streams(fleet, callers, prefix):
     wait_linked(fleet)
     for engine in fleet.engines:
@@ -123,7 +107,7 @@
         for engine in fleet.engines:
             engine.events, engine.event_seconds = LONG_EVENTS, LONG_EVENT_SECONDS
         fleet.terminate(entry)
-        connection = last_connection_before_the_listener_closes(entry)
+        connection = last_connection_before_the_listener_closes(entry, CALLERS_PORT)
         connection.sendall(head_of("late", 0))
         answer = read_to_end(connection)
         assert answer.startswith(b"HTTP/1.1 503 ") and b"Connection: close" in answer and b":stopping" in answer, answer
@@ -140,7 +124,7 @@
         late.sendall(head_of("late", 2) + b"x")
         unfinished.sendall(head_of("unfinished", 2) + b"x")
         fleet.terminate(entry)
-        last_connection_before_the_listener_closes(entry).close()
+        last_connection_before_the_listener_closes(entry, CALLERS_PORT).close()
         late.sendall(b"x")
         for request_id, connection in (("late", late), ("unfinished", unfinished)):
             answer = read_to_end(connection)
--- a/Tests/Processes/cluster.py
+++ b/Tests/Processes/cluster.py
@@ -20,6 +20,8 @@
 BACKEND_PORT = 8003
 # Only ends a hang: no test judges how long something took.
 HANG_SECONDS = 60
+# A listener that takes part in no new handshake does not answer.
+PROBE_SECONDS = 0.2
 
 
 def free_network():
@@ -50,6 +52,21 @@
     raise AssertionError(f"waited in vain for: {what}")
 
 
+def last_connection_before_the_listener_closes(address, port):
+    """One of the last connections that a stopping process took; nothing was sent on it yet."""
+    last = None
+    while True:
+        try:
+            connection = socket.create_connection((address, port), timeout=PROBE_SECONDS)
+        except OSError:
+            last.settimeout(HANG_SECONDS)
+            return last
+        if last:
+            last.close()
+        last = connection
+        time.sleep(0.01)
+
+
 def http(method, url, body=None, headers=None, timeout=20):
     """The status, headers and body of an answer; status 0 if there was none."""
     data = body.encode() if isinstance(body, str) else body
--- a/Tests/Processes/test_planned_stops.py
+++ b/Tests/Processes/test_planned_stops.py
@@ -7,31 +7,15 @@
 import threading
 import time
 
-from cluster import HTTP_PORT, Cluster, http, wait_until
+from cluster import HTTP_PORT, Cluster, http, last_connection_before_the_listener_closes, wait_until
 from test_interfaces import problem
 from test_whole_path import LEDGER, start, wait_links
 
 CALL = f"POST /{LEDGER}/redeem HTTP/1.1\r\nHost: x\r\nX-Call-Id: one\r\nContent-Length: 2\r\n\r\n{{}}".encode()
-PROBE_SECONDS = 0.2
 # For requests in hand as a process stops; shorter than the time that an entry waits for a link that was lost.
 DRAIN_MS = 2000
 
 
-def last_connection_before_the_listener_closes(entry):
-    """A connection that an entry took as one of its last ones; nothing was sent on it yet."""
-    last = None
-    while True:
-        try:
-            connection = socket.create_connection((entry.address, HTTP_PORT), timeout=PROBE_SECONDS)
-        except OSError:
-            last.settimeout(60)
-            return last
-        if last:
-            last.close()
-        last = connection
-        time.sleep(0.01)
-
-
 def read_answer(connection):
     """The status and the problem type of an answer that ends with its connection."""
     try:
@@ -49,7 +33,7 @@
     with start(build, folders, engines=0, ledgers=1) as cluster:
         entry = cluster.entries()[0]
         entry.process.send_signal(signal.SIGTERM)
-        connection = last_connection_before_the_listener_closes(entry)
+        connection = last_connection_before_the_listener_closes(entry.address, HTTP_PORT)
         entry.process.send_signal(signal.SIGSTOP)
         connection.sendall(CALL)
         time.sleep(1)
@@ -64,7 +48,7 @@
     with start(build, folders, engines=0, ledgers=1) as cluster:
         entry = cluster.entries()[0]
         entry.process.send_signal(signal.SIGTERM)
-        connection = last_connection_before_the_listener_closes(entry)
+        connection = last_connection_before_the_listener_closes(entry.address, HTTP_PORT)
         time.sleep(0.6)
         connection.sendall(CALL)
         outcome = read_answer(connection)
