Tests: Send nothing at all once a stop is out of time

Cause: the property of StopSchedule allowed a send out of time while the notice lasts, which cannot be. Change: the check is the whole claim.

--- a/Tests/LibRouting/TestStopSchedule.cpp
+++ b/Tests/LibRouting/TestStopSchedule.cpp
@@ -64,7 +64,7 @@
     if (schedule.is_notice_over(now) && schedule.may_send(deadline, now))
         RC_ASSERT(deadline <= began + Core::Duration(available));
     if (schedule.is_out_of_time(now))
-        RC_ASSERT(!schedule.may_send(deadline, now) || !schedule.is_notice_over(now));
+        RC_ASSERT(!schedule.may_send(deadline, now));
     // What would be over in time is never refused.
     if (deadline <= began + Core::Duration(available) && !schedule.is_out_of_time(now))
         RC_ASSERT(schedule.may_send(deadline, now));
