Entry: Ask for the time left wherever a call is sent

Cause: only the tick looked for calls that cannot be finished any more. A call that an agent refuses is sent to another at once, and one from the queue as a slot becomes free, in either case between two ticks. Change: find_instance(), the one way to an agent, asks as well.

--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -235,6 +235,8 @@
 
 Routing::FlowActions CallerApi::find_instance(Context& context)
 {
+    if (is_too_late_to_send(context))
+        return context.flow.on_no_instance(Schema::Reason::Stopping, stopping_retry_after);
     auto const chosen = choose(context);
     if (chosen.has_value())
         return dispatch_to(context, *chosen);
@@ -253,13 +255,10 @@
     return found->second;
 }
 
-bool CallerApi::refuse_if_too_late_to_send(Context& context)
+bool CallerApi::is_too_late_to_send(Context const& context) const
 {
     bool const is_unsent = context.flow.is_choosing() && !context.flow.may_have_run();
-    if (!is_unsent || m_stop.may_send(context.flow.deadline(), Core::monotonic_now()))
-        return false;
-    perform(context, context.flow.on_no_instance(Schema::Reason::Stopping, stopping_retry_after));
-    return true;
+    return is_unsent && !m_stop.may_send(context.flow.deadline(), Core::monotonic_now());
 }
 
 void CallerApi::give_up_unfinished()
@@ -419,7 +418,11 @@
     auto const now = Core::monotonic_now();
     for (auto id : request_ids()) {
         auto* context = find(id);
-        if (context && !refuse_if_too_late_to_send(*context))
+        if (!context)
+            continue;
+        if (is_too_late_to_send(*context))
+            perform(*context, context->flow.on_no_instance(Schema::Reason::Stopping, stopping_retry_after));
+        else
             perform(*context, context->flow.on_tick(now));
     }
 }
--- a/Services/Entry/CallerApi.h
+++ b/Services/Entry/CallerApi.h
@@ -79,8 +79,8 @@
     tl::expected<std::string, Schema::Reason> choose(Context const&);
     Routing::RequestQueue& queue_of(std::string const& service);
     void serve_queue(std::string const& service);
-    /// Ends the request if it has run nowhere and would still be unfinished when this process ends. @return whether it did.
-    bool refuse_if_too_late_to_send(Context&);
+    /// Whether the request has run nowhere and would still be unfinished when this process ends.
+    bool is_too_late_to_send(Context const&) const;
     std::vector<uint64_t> request_ids() const;
     void end(Context&);
     Context* find(uint64_t id);
