Tests: Let the stand-in of an engine judge what each load takes

Cause: the stand-in compared digests at the load and nothing else; nothing told since when a chunk was bad or who had written it, no call was slow, and no order came late, so rule WHOLE could not fail in a test. Change: StagingArea keeps when each chunk came to be as it is, and each load is judged chunk by chunk: missing, of another version, or bad for over 3 s. A request that begins on such layers is recorded.

--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -129,7 +129,7 @@
     def add_engine(self, number, version):
         engine = Engine(self.loop, self.address(), BACKEND_PORT, self.store, LLM, f"zone-{'ab'[number % 2]}", MODEL, LAYERS, CHUNKS, version)
         if version:
-            engine.staged = {i: Origin.chunk(version, i) for i in range(CHUNKS)}
+            engine.staged.fill(Origin.chunk(version, i) for i in range(CHUNKS))
         return engine
 
     @staticmethod
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -16,6 +16,8 @@
 import time
 import urllib.parse
 
+from staging import StagingArea
+
 STAGED_CHUNK_BYTES = 256
 
 
@@ -400,12 +402,31 @@
         self.layers = layers
         self.chunks = chunks
         self.version = version
-        self.staged = {}
+        self.staged = StagingArea()
         self.order_sequence = 0
+        # The layers that it holds of its version: the first, and the one behind the last.
+        self.held_layers = (0, layers)
         # Unix millisecond of its start; None as in older records, which lack it.
         self.born = time.time_ns() // 1000000
-        # What each load took: (version, the staged bytes' digests in order).
+        # What each load of a whole version took: (version, the staged bytes' digests in order).
         self.loads = []
+        # The chunks that each such load took wrongly, as judged when it took the order: (version, when, [BadChunk, ...]).
+        self.wrong_loads = []
+        # Chunks that the layers held now were wrongly loaded from.
+        self.held_wrong = []
+        # (request id, version, chunks) of each request that began on layers that were wrongly loaded.
+        self.wrong_runs = []
+        # Seconds that it is busy with a load of all layers.
+        self.warm_seconds = 0.0
+        self.busy_until = 0.0
+        # Seconds that each call that stages, reads back or orders is on its way to it, and each answer on its way back.
+        self.call_seconds = self.answer_seconds = 0.0
+        # When each chunk was read back, as (when, number).
+        self.reads = []
+        # Seconds between the moment at which it could take an order and that at which it does.
+        self.order_seconds = 0.0
+        # Called as an order arrives, before anything is done about it.
+        self.on_order = None
         self.refuses_staging = False
         self.lose_order_answers = 0
         self.events = 6
@@ -441,7 +462,10 @@
         if self.version == 0:
             return {"Models": []}
         return {"Models": [{"Name": self.model, "Version": self.version, "Adapters": []}],
-                "layers": {"From": 0, "TargetVersion": self.layers, "Version": self.version}}
+                "layers": {"From": self.held_layers[0], "TargetVersion": self.held_layers[1], "Version": self.version}}
+
+    def holds_all_layers(self):
+        return self.version != 0 and self.held_layers == (0, self.layers)
 
     def restart(self):
         """A crash: a new incarnation with another id and no layers; what was staged stays."""
@@ -454,6 +478,9 @@
         """A start: it holds nothing, does not leave, and counts anew."""
         self.is_leaving = False
         self.version = 0
+        self.held_layers = (0, self.layers)
+        self.held_wrong = []
+        self.busy_until = 0.0
         self.order_sequence = 0
         if self.born is not None:
             self.born = max(self.born + 1, time.time_ns() // 1000000)
@@ -499,22 +526,47 @@
     async def answer(self, request):
         if self.is_frozen:
             await asyncio.sleep(3600)
+        if request.path == "/order" and self.on_order:
+            self.on_order()
+        is_of_agent = request.path == "/order" or request.path.startswith("/stage-")
+        if is_of_agent:
+            await asyncio.sleep(self.call_seconds)
         await self.silence()
         if request.path == "/report":
-            body = {"Stage": "both", "Busy": False, "CallSeq": self.order_sequence, "Waiting": 0, "Running": self.running, "pace": 1.0, **self.start(), **self.held()}
+            body = {"Stage": "both", "Busy": self.is_busy(), "CallSeq": self.order_sequence, "Waiting": 0, "Running": self.running, "pace": 1.0, **self.start(), **self.held()}
             return await self.reply(request, 200, body=json.dumps(body).encode())
-        if request.path.startswith("/stage-put/"):
-            if self.refuses_staging:
-                return await self.reply(request, 507)
-            self.staged[int(request.query["Num"])] = request.body
-            return await self.reply(request, 200)
-        if request.path.startswith("/stage-get/"):
-            staged = self.staged.get(int(request.query["Num"]))
-            return await self.reply(request, 200 if staged is not None else 404, body=staged or b"")
-        if request.path == "/order":
-            return await self.take_order(request)
+        if is_of_agent:
+            return await self.answer_agent(request)
         return await self.stream(request)
 
+    async def answer_agent(self, request):
+        """What the agent beside it asks: staged chunks are written and read, and orders taken, at once; the answer may take its time."""
+        if request.path == "/order":
+            await asyncio.sleep(self.order_seconds)
+            status, body = self.take_order(json.loads(request.body)), b""
+        elif request.path.startswith("/stage-put/"):
+            status, body = self.take_chunk(int(request.query["Num"]), request.body), b""
+        else:
+            number = int(request.query["Num"])
+            self.reads.append((time.monotonic(), number))
+            staged = self.staged.get(number)
+            status, body = 200 if staged is not None else 404, staged or b""
+        if status == 202 and self.lose_order_answers > 0:
+            self.lose_order_answers -= 1
+            self.reset(request)
+            return False
+        await asyncio.sleep(self.answer_seconds)
+        return await self.reply(request, status, body=body)
+
+    def take_chunk(self, number, data):
+        if self.refuses_staging:
+            return 507
+        self.staged.put(number, data)
+        return 200
+
+    def is_busy(self):
+        return time.monotonic() < self.busy_until
+
     def be_silent(self, seconds):
         self.silent_until = time.monotonic() + seconds
 
@@ -522,19 +574,33 @@
         while (left := self.silent_until - time.monotonic()) > 0:
             await asyncio.sleep(left)
 
-    async def take_order(self, request):
-        order = json.loads(request.body)
-        if order.get("ExpectRev") != self.order_sequence:
-            return await self.reply(request, 409)
+    def take_order(self, order):
+        """Loads what is staged at this moment; what comes of it is judged by when each chunk came to be as it is."""
+        if order.get("ExpectRev") != self.order_sequence or self.is_busy():
+            return 409
+        version, first, end = order["Version"], order.get("From", 0), order.get("TargetVersion", self.layers)
+        has_version = self.version == version
+        if has_version and self.held_layers[0] <= first and end <= self.held_layers[1]:
+            return 200
         self.order_sequence += 1
-        self.version = order["Version"]
-        self.loads.append((order["Version"], [hashlib.sha256(self.staged.get(i, b"")).hexdigest() for i in range(self.chunks)]))
+        # Layers that it holds of the same version stay as they are, the others are loaded anew.
+        kept = range(*self.held_layers) if has_version else range(0)
+        taken = [layer for layer in range(first, end) if layer not in kept]
+        numbers = sorted({number for layer in taken for number in self.chunks_of(layer)})
+        wrong = self.staged.judge([Origin.chunk(version, i) for i in range(self.chunks)], numbers)
+        self.held_wrong = (self.held_wrong if kept else []) + wrong
+        self.version, self.held_layers = version, (first, end)
+        self.busy_until = time.monotonic() + self.warm_seconds * len(taken) / self.layers
+        if self.holds_all_layers():
+            self.loads.append((version, [hashlib.sha256(self.staged.get(i) or b"").hexdigest() for i in range(self.chunks)]))
+            if self.held_wrong:
+                self.wrong_loads.append((version, time.monotonic(), list(self.held_wrong)))
         self.store.topics["keyed.servers"].append((self.id, json.dumps(self.entry()).encode()))
-        if self.lose_order_answers > 0:
-            self.lose_order_answers -= 1
-            self.reset(request)
-            return False
-        return await self.reply(request, 202)
+        return 202
+
+    def chunks_of(self, layer):
+        """The chunks that a layer is made from; two layers may share one."""
+        return range(layer * self.chunks // self.layers, -(-(layer + 1) * self.chunks // self.layers))
 
     async def stream(self, request):
         self.note_arrival(request)
@@ -544,7 +610,7 @@
         wanted = request.headers.get("x-expect-version")
         if self.is_misdirected(request) or (wanted and int(wanted) != self.version):
             return await self.refuse(request, 421)
-        if self.version == 0:
+        if not self.holds_all_layers() or self.is_busy():
             return await self.refuse(request, 503)
         fault = self.take_fault(request)
         if fault == "full" or (self.is_bounded and self.running >= self.slots):
@@ -552,6 +618,8 @@
         if fault == "wait_long":
             await asyncio.sleep(3600)
         self.begin(request, self.version)
+        if self.held_wrong:
+            self.wrong_runs.append((request.headers["x-request-id"], self.version, list(self.held_wrong)))
         fields = "".join(f"{name}: {value}\r\n" for name, value in self.head(request))
         framing = "Connection: close" if self.is_unframed else "Transfer-Encoding: chunked"
         request.writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n{fields}\r\n".encode())
--- a/Tests/Platform/test_direct_path.py
+++ b/Tests/Platform/test_direct_path.py
@@ -265,7 +265,7 @@
         wait_until(lambda: grown.version == 1, "the new engine to be filled")
         assert fleet.origin.pieces_sent < CHUNKS, "peers held the version already"
         crashed = fleet.engines[0]
-        crashed.staged[2] = b"turned bad"
+        crashed.staged.put(2, b"turned bad")
         crashed.restart()
         wait_until(lambda: crashed.version == 1, "the restarted engine to be filled")
         assert right_loads(fleet, 1)
@@ -415,7 +415,7 @@
         wait_until(lambda: fleet.call(fleet.entries[0], "POST", "/stream/a").status == 503, "no engine to be left")
         engine.restart()
         wait_linked(fleet)
-        assert engine.service == LLM and Origin.chunk(1, 0) == engine.staged[0]
+        assert engine.service == LLM and Origin.chunk(1, 0) == engine.staged.get(0)
 
 
 def origin_chunks(fleet, identity):
@@ -439,7 +439,7 @@
         for engine in fleet.engines:
             fleet.kill(engine.address)
             engine.restart()
-            engine.staged = {}
+            engine.staged.lose()
             fleet.start_agent(engine)
         wait_until(lambda: all(engine.version == 1 for engine in fleet.engines), "version 1 at all engines")
         assert sum(origin_chunks(fleet, entry) for entry in fleet.entries) > 0
@@ -453,7 +453,7 @@
         engine, entry = fleet.engines[0], fleet.entries[0]
         fleet.kill(engine.address)
         engine.forget()
-        engine.staged = {}
+        engine.staged.lose()
         fleet.start_agent(engine)
         wait_until(lambda: engine.version == 1, "the engine to load the version from its peers")
         fleet.pause(entry)
--- a/Tests/Platform/test_engine_restarts.py
+++ b/Tests/Platform/test_engine_restarts.py
@@ -83,7 +83,7 @@
                 for engine in fleet.engines:
                     engine.crash()
                     if is_power_lost:
-                        engine.staged = {}
+                        engine.staged.lose()
                     engine.start_again()
                     time.sleep(0.2)
             wait_serving(fleet, 2)
--- a/Tests/Platform/test_lost_versions.py
+++ b/Tests/Platform/test_lost_versions.py
@@ -61,7 +61,7 @@
         for engine in fleet.engines:
             fleet.kill(engine.address)
         for engine in fleet.engines:
-            engine.staged = {}
+            engine.staged.lose()
             engine.restart()
         wait_until(lambda: all(fleet.times_logged(entry, "goal_changed", version="1") for entry in fleet.entries), "the goal at every entry")
         for engine in fleet.engines:
@@ -76,7 +76,7 @@
         for engine in fleet.engines:
             fleet.kill(engine.address)
         for engine in fleet.engines:
-            engine.staged = {}
+            engine.staged.lose()
             engine.forget()
         for engine in fleet.engines:
             fleet.start_agent(engine)
@@ -92,7 +92,7 @@
         for engine in fleet.engines:
             fleet.kill(engine.address)
         for engine in fleet.engines:
-            engine.staged = {}
+            engine.staged.lose()
         for engine in others:
             engine.restart()
         last.forget()
@@ -112,7 +112,7 @@
         for identity in [*fleet.entries, *[engine.address for engine in fleet.engines]]:
             fleet.kill(identity)
         for engine in fleet.engines:
-            engine.staged = {}
+            engine.staged.lose()
             engine.forget()
         before = links(fleet)
         known = {entry: len(fleet.log_lines(entry)) for entry in fleet.entries}
@@ -134,7 +134,7 @@
         for engine in fleet.engines:
             before = links(fleet)
             fleet.kill(engine.address)
-            engine.staged = {}
+            engine.staged.lose()
             engine.restart()
             fleet.start_agent(engine)
             wait_linked_anew(fleet, before, [engine])
