EngineAgent: Log how old read-backs are at an order and its answer, and which loads are dropped with calls under way

Cause: nothing told the hypotheses of the incident apart: no line gave the age of the read-backs, the time that an order took, a load that was dropped with calls or an order open, or an order that the engine counted. Change: fields of load_ordered and load_answered; load_dropped; order_sequence_changed. No decision asks for any of it.

--- a/Libraries/LibDistribution/StagedLoad.cpp
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -144,6 +144,7 @@
         if (is_correct || chunk.is_in_call)
             continue;
         chunk.is_in_call = true;
+        chunk.read_back_sent_at = now;
         m_calls += 1;
         actions.emplace_back(ReadBackChunk { i });
         return true;
@@ -158,6 +159,20 @@
     });
 }
 
+std::optional<Core::Time> StagedLoad::oldest_read_back_sent_at() const
+{
+    if (!oldest_read_back_answered_at())
+        return {};
+    return std::min_element(m_chunks.begin(), m_chunks.end(), [](auto const& a, auto const& b) { return a.read_back_sent_at < b.read_back_sent_at; })->read_back_sent_at;
+}
+
+std::optional<Core::Time> StagedLoad::oldest_read_back_answered_at() const
+{
+    // An empty value compares less than any time.
+    auto const oldest = std::min_element(m_chunks.begin(), m_chunks.end(), [](auto const& a, auto const& b) { return a.verified_at < b.verified_at; });
+    return oldest == m_chunks.end() ? std::nullopt : oldest->verified_at;
+}
+
 std::optional<Platform::LoadMode> StagedLoad::load_mode(Core::Time now, SwitchPermissions const& permissions)
 {
     bool const serves_something = !m_report->held.empty();
--- a/Libraries/LibDistribution/StagedLoad.h
+++ b/Libraries/LibDistribution/StagedLoad.h
@@ -100,6 +100,13 @@
     size_t held_count() const;
     /// Number of read-backs that found a wrong digest.
     uint64_t corrupt_count() const { return m_corrupt_count; }
+    /// Number of stage and read-back calls in flight.
+    size_t calls_in_flight() const { return m_calls; }
+    /// Whether an order is in flight, or may still take effect.
+    bool has_open_order() const { return m_is_ordering || m_order_wait_since.has_value(); }
+    /// When the oldest of the read-backs that count was asked for, and when it was answered. Empty if some chunk has none.
+    std::optional<Core::Time> oldest_read_back_sent_at() const;
+    std::optional<Core::Time> oldest_read_back_answered_at() const;
 
 private:
     struct Chunk {
@@ -108,6 +115,8 @@
         bool is_in_call { false };
         /// The engine has restarted since the call was sent.
         bool is_call_outdated { false };
+        /// When the last read-back was sent.
+        Core::Time read_back_sent_at { 0 };
         /// When the chunk was last read back with the right digest.
         std::optional<Core::Time> verified_at;
     };
--- a/Services/EngineAgent/WeightsLoader.cpp
+++ b/Services/EngineAgent/WeightsLoader.cpp
@@ -101,6 +101,8 @@
 {
     keep_loading_older();
     m_unreached_versions.on_named(next.version, named_at);
+    if (m_load)
+        log_dropped(*m_load);
     m_load.reset();
 }
 
@@ -265,8 +267,10 @@
     m_callbacks.detect_pause();
     if (!is_goal_current(now) || is_engine_leaving())
         return;
-    if (m_older && is_older_load_over(now))
+    if (m_older && is_older_load_over(now)) {
+        log_dropped(*m_older->load);
         m_older.reset();
+    }
     // The engine's staging area holds only one version at a time: the newer one waits here until the older one is loaded.
     if (m_older) {
         for (auto const& action : m_older->load->step(now, { may_switch(m_older->goal, m_older->goal_at, now), m_older->goal.may_evict }))
@@ -335,13 +339,22 @@
     return Distribution::may_switch(m_settings.fetcher.identity, ranked, ready, slack);
 }
 
+static std::string age_ms(std::optional<Core::Time> since, Core::Time now)
+{
+    return since ? std::to_string((now - *since).count()) : "none";
+}
+
 void WeightsLoader::order(int64_t version, Distribution::OrderLoad const& due)
 {
+    auto const sent_at = Core::monotonic_now();
+    auto const* ordered = load_of(version);
+    auto const verified_at = ordered->oldest_read_back_sent_at();
     auto const goal_at = m_older && m_older->goal.version == version ? m_older->goal_at : m_goal.named_at();
-    Core::log_event(Core::LogLevel::Info, "load_ordered", { { "version", std::to_string(version) }, { "expected_sequence", due.expected_sequence ? std::to_string(*due.expected_sequence) : "any" }, { "manner", due.mode == Platform::LoadMode::EvictRunning ? "evict" : "wait" }, { "running", std::to_string(m_report ? m_report->running : 0) }, { "after_ms", std::to_string((Core::monotonic_now() - goal_at).count()) } });
+    Core::log_event(Core::LogLevel::Info, "load_ordered", { { "version", std::to_string(version) }, { "expected_sequence", due.expected_sequence ? std::to_string(*due.expected_sequence) : "any" }, { "manner", due.mode == Platform::LoadMode::EvictRunning ? "evict" : "wait" }, { "running", std::to_string(m_report ? m_report->running : 0) }, { "after_ms", std::to_string((sent_at - goal_at).count()) }, { "oldest_read_back_sent_ms", age_ms(verified_at, sent_at) }, { "oldest_read_back_answered_ms", age_ms(ordered->oldest_read_back_answered_at(), sent_at) } });
     m_metrics.count("mountbarrow_load_orders_total");
-    m_engine.start(goal()->model, version, due.mode, due.expected_sequence, [this, version](Platform::OrderOutcome outcome) {
-        Core::log_event(Core::LogLevel::Info, "load_answered", { { "version", std::to_string(version) }, { "outcome", std::to_string(static_cast<int>(outcome)) } });
+    m_engine.start(goal()->model, version, due.mode, due.expected_sequence, [this, version, sent_at, verified_at](Platform::OrderOutcome outcome) {
+        auto const now = Core::monotonic_now();
+        Core::log_event(Core::LogLevel::Info, "load_answered", { { "version", std::to_string(version) }, { "outcome", std::to_string(static_cast<int>(outcome)) }, { "waited_ms", age_ms(sent_at, now) }, { "oldest_read_back_sent_ms", age_ms(verified_at, now) } });
         if (auto* load = load_of(version))
             load->on_ordered(outcome, Core::monotonic_now());
         poll_engine();
@@ -395,6 +408,20 @@
     m_started_at_ms = started_at_ms;
 }
 
+void WeightsLoader::log_order_sequence(std::optional<int64_t> sequence)
+{
+    auto const before = std::exchange(m_order_sequence, sequence);
+    if (before && sequence && before != sequence)
+        Core::log_event(Core::LogLevel::Info, "order_sequence_changed", { { "sequence", std::to_string(*sequence) }, { "before", std::to_string(*before) } });
+}
+
+void WeightsLoader::log_dropped(Distribution::StagedLoad const& load)
+{
+    if (load.calls_in_flight() == 0 && !load.has_open_order())
+        return;
+    Core::log_event(Core::LogLevel::Info, "load_dropped", { { "version", std::to_string(load.version()) }, { "calls_in_flight", std::to_string(load.calls_in_flight()) }, { "order_open", load.has_open_order() ? "yes" : "no" } });
+}
+
 void WeightsLoader::apply_report(Core::ErrorOr<Platform::EngineReport> const& report)
 {
     log_report_fault(report);
@@ -407,6 +434,7 @@
     } else {
         m_report = *report;
         log_restart(report->started_at_ms);
+        log_order_sequence(report->order_sequence);
         auto const now = Core::monotonic_now();
         if (m_load)
             m_load->on_report(*m_report, goal()->layers, now);
--- a/Services/EngineAgent/WeightsLoader.h
+++ b/Services/EngineAgent/WeightsLoader.h
@@ -113,6 +113,9 @@
     void on_report(Core::ErrorOr<Platform::EngineReport> const&);
     void apply_report(Core::ErrorOr<Platform::EngineReport> const&);
     void log_restart(std::optional<int64_t> started_at_ms);
+    void log_order_sequence(std::optional<int64_t> sequence);
+    /// Logs that a load is dropped while calls of it are in flight or its order may still take effect.
+    static void log_dropped(Distribution::StagedLoad const&);
     /// Reads back the chunks that an earlier process wrote to the engine's staging area, and keeps those that belong to the goal's version.
     void adopt_staged();
     void begin_transfer();
@@ -160,6 +163,8 @@
     std::optional<int64_t> m_published_start;
     // The starts of the incarnations that are known to leave. An entry may tell of an earlier one late.
     std::set<int64_t> m_leaving_starts;
+    // The sequence number of orders last reported.
+    std::optional<int64_t> m_order_sequence;
     int64_t m_last_version { -1 };
     bool m_was_busy { false };
     bool m_is_polling { false };
