LibRouting: Use no listed version that the engine's agent did not live to report

Callers saw: answers made with a load that nobody had checked, where the agent that ordered it was killed or stood still. Cause: while an agent is silent, entries go by the list, which names what the engine loaded, whole or not. Change: a listed version newer than the last one that the agent reported is not used before the agent reports again.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -173,6 +173,7 @@
             own += static_cast<int64_t>(server.pending.size());
     }
     m_reported[ip] = { .state = state, .at = now, .own_in_flight = own, .own_sent = 0 };
+    m_stated_versions[ip] = state.version;
 }
 
 void ServerTable::on_agent_disconnected(std::string const& ip)
@@ -207,6 +208,10 @@
 {
     if (auto const* report = reported(server, now))
         return report->state.version;
+    // Only its agent knows whether what the engine has loaded since the agent's last report is whole.
+    auto const stated = m_stated_versions.find(server.ip);
+    if (stated != m_stated_versions.end() && server.listed_version > stated->second)
+        return 0;
     // What an earlier incarnation held, as listed, was lost when it terminated.
     return is_earlier_start(server.record.started_at_ms, server.started_at_ms) ? 0 : server.listed_version;
 }
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -358,6 +358,8 @@
     std::map<std::string, EngineService> m_engine_services;
     // By the IP address that agent and engine share.
     std::map<std::string, Reported> m_reported;
+    // The version that the agent at each address reported last, kept while the agent is silent.
+    std::map<std::string, int64_t> m_stated_versions;
     std::optional<std::map<std::string, EngineRole>> m_roles;
 };
 
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -82,6 +82,24 @@
     EXPECT_FALSE(choose(2).has_value());
 }
 
+// Guards against requests on a load that the agent ordered and did not live to check.
+TEST_F(ServerTableTest, AVersionLoadedSinceTheAgentsLastReportIsNotUsedWhileTheAgentIsSilent)
+{
+    m_table.set_server(engine("1", "a", 1), m_now);
+    Schema::EngineState state {};
+    state.version = 1;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    m_table.on_agent_disconnected("10.0.0.1");
+    EXPECT_TRUE(choose().has_value());
+    m_table.set_server(engine("1", "a", 2), m_now);
+    EXPECT_EQ(choose().error(), NoServer::NoneUsable);
+    state.version = 2;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    EXPECT_TRUE(choose(2).has_value());
+    m_table.on_agent_disconnected("10.0.0.1");
+    EXPECT_TRUE(choose(2).has_value());
+}
+
 TEST_F(ServerTableTest, AnEngineThatExecutesAnOrderGetsNoWork)
 {
     m_table.set_server(engine("1", "a"), m_now);
