DirectEntry: Name the expected version in every request to an engine

Cause: while no version was required, a request named none, on the assumption that any complete version is whole. The engine woke, reported the old version, and took the late order before the requests arrived (request_sent: expected_version any). Change: the version that the engine was chosen for is always named; an engine that has loaded another refuses.

--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -284,8 +284,8 @@
     terms.server_id = choice.id;
     terms.customer = m_customer;
     terms.remaining = deadline() - now;
-    // An engine that has switched to another version refuses the request. While no version is required, any whole version will do.
-    if (m_context.required_version(m_service))
+    // An engine that has loaded another version refuses the request: that load may not have been found whole.
+    if (version > 0)
         terms.expected_version = version;
     terms.last_event = m_last_event;
     m_context.servers.on_sent(m_head.request_id, choice, m_head.prompt_tokens, now);
