Tests: Wait for every link before the links are reset

Cause: test_an_agent_that_entries_can_no_longer_reach_dials_them waits for each agent to lose each entry, also where a link had not been made yet as the proxies began to reset: then nothing is lost (logs: the agent's first link_up with that entry came 0.37 s after the reset). Change: one more wait before the resets; the check is as it was.

--- a/Tests/Platform/test_silent_links.py
+++ b/Tests/Platform/test_silent_links.py
@@ -275,6 +275,9 @@
     """Guards against an agent that loses its last link to an entry after its start, and gets no goals from then on."""
     with AgentsBehindProxies(build, folders) as fleet:
         wait_linked(fleet)
+        for engine in fleet.engines:
+            for entry in fleet.entries:
+                wait_until(lambda agent=engine.address, entry=entry: fleet.times_logged(agent, "link_up", peer=entry), f"{engine.address} to be linked to {entry}")
         for proxy in fleet.proxies:
             proxy.set_mode("reset")
         for engine in fleet.engines:
