EngineAgent: Serve a load only once it was found whole after the engine took the order

Cause: staged chunks were judged when the order was sent, and the engine takes them when it takes the order. Between the two lie the order's way, an engine or an agent that stands still, the writes of another load or of an earlier process, and a new incarnation; nothing was upheld until then, and nobody asked afterwards. The class: a judgement of one moment that is acted on at another. Change: LoadCheck reads every chunk once more after the order was taken, and nothing is written meanwhile: what is right then was right when it was taken, and what is wrong is accepted only if it was read back as right at most 2.9 s before the order was known to be taken. StagingArea, shared by all loads of a process, knows of writes and orders whose answers are missing, so that no later write hides or spoils what the check sees. A load in doubt is not reported as served; it is given up (an order for another version with one layer) and ordered anew. A read-back counts from its question. A read that was not answered is repeated and no longer taken for a wrong chunk. An order that was not answered holds the staging area. Library tests of the changed classes: 30 passed.

--- a/Libraries/LibDistribution/StagedLoad.cpp
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -12,8 +12,9 @@
     return last && last->started_at_ms && report.started_at_ms && *report.started_at_ms < *last->started_at_ms;
 }
 
-StagedLoad::StagedLoad(int64_t version, size_t chunks, StagedLoadSettings settings)
+StagedLoad::StagedLoad(int64_t version, size_t chunks, StagingArea& area, StagedLoadSettings settings)
     : m_version(version)
+    , m_area(area)
     , m_settings(settings)
     , m_chunks(chunks)
 {
@@ -24,7 +25,7 @@
     m_chunks[chunk].is_held = true;
 }
 
-void StagedLoad::on_staged(size_t chunk, bool has_succeeded)
+void StagedLoad::on_staged(size_t chunk, bool has_succeeded, Core::Time now)
 {
     auto& state = m_chunks[chunk];
     state.is_in_call = false;
@@ -32,9 +33,12 @@
     state.is_call_outdated = false;
     state.verified_at.reset();
     m_calls -= 1;
+    m_writes -= 1;
+    if (!has_succeeded)
+        state.retry_at = now + m_settings.call_retry;
 }
 
-void StagedLoad::on_read_back(size_t chunk, bool is_correct, Core::Time now)
+void StagedLoad::on_read_back(size_t chunk, ReadBack result, Core::Time now)
 {
     auto& state = m_chunks[chunk];
     state.is_in_call = false;
@@ -42,8 +46,18 @@
     // The staged chunk may have been lost when the engine restarted after the read-back was sent.
     if (std::exchange(state.is_call_outdated, false))
         return;
-    if (is_correct) {
-        state.verified_at = now;
+    if (result == ReadBack::Unanswered) {
+        state.retry_at = now + m_settings.call_retry;
+        return;
+    }
+    if (is_checking()) {
+        m_check->on_read_back(chunk, result, m_area.can_change_unseen());
+        // A read that showed nothing is repeated.
+        if (is_checking() && m_check->is_due(chunk))
+            state.retry_at = now + m_settings.call_retry;
+    }
+    if (result == ReadBack::Right) {
+        state.verified_at = state.read_back_sent_at;
         return;
     }
     state.verified_at.reset();
@@ -51,7 +65,7 @@
     m_corrupt_count += 1;
 }
 
-void StagedLoad::on_report(Platform::EngineReport const& report, int64_t layers, Core::Time now)
+void StagedLoad::on_report(Platform::EngineReport const& report, int64_t layers, Core::Time requested_at, Core::Time now)
 {
     if (is_of_earlier_incarnation(report, m_report)) {
         on_unreachable();
@@ -59,29 +73,40 @@
     }
     if (is_restart(report))
         begin_incarnation();
+    else if (m_is_ordering || requested_at < m_order_ended_at)
+        return;
     bool const has_order_wait_ended = m_order_wait_since && !report.is_busy && now - *m_order_wait_since >= m_settings.order_result_timeout;
     m_report = report;
     if (report.started_at_ms)
         m_started_at_ms = report.started_at_ms;
-    // An engine that holds a newer version was ordered to load it by someone else. It is never ordered back to this older version.
-    m_is_serving = Configuration::highest_complete_version(report.held, layers) >= m_version;
-    if (m_is_serving || has_order_wait_ended)
+    m_held_version = Configuration::highest_complete_version(report.held, layers);
+    if (m_held_version >= m_version || has_order_wait_ended)
         m_order_wait_since.reset();
+    if (m_held_version == m_version && !m_check && !m_is_ordering)
+        begin_check(now);
+    // The order was accepted, but its load did not come about.
+    if (m_held_version != m_version && has_order_wait_ended)
+        m_check.reset();
 }
 
 bool StagedLoad::is_restart(Platform::EngineReport const& report) const
 {
     if (m_started_at_ms && report.started_at_ms)
         return *m_started_at_ms != *report.started_at_ms;
-    // If the engine reports no start time, a lower sequence number shows that it has restarted.
+    // If the engine reports no start time, a lower sequence number shows that it has restarted, as does the loss of its layers without an
+    // order.
     bool const has_sequences = m_report && m_report->order_sequence && report.order_sequence;
-    return has_sequences && *report.order_sequence < *m_report->order_sequence;
+    if (!has_sequences)
+        return false;
+    bool const has_lost_layers = !m_report->held.empty() && report.held.empty() && *report.order_sequence == *m_report->order_sequence;
+    return *report.order_sequence < *m_report->order_sequence || has_lost_layers;
 }
 
 void StagedLoad::begin_incarnation()
 {
     m_order_wait_since.reset();
     m_draining_since.reset();
+    m_check.reset();
     m_is_order_outdated = m_is_ordering;
     for (auto& chunk : m_chunks) {
         chunk.is_call_outdated = chunk.is_in_call;
@@ -89,27 +114,83 @@
     }
 }
 
+void StagedLoad::begin_check(Core::Time now)
+{
+    if (m_area.has_written_beside_open_order()) {
+        m_check = LoadCheck::of_unknown_load();
+        return;
+    }
+    std::vector<std::optional<Core::Time>> verified_at;
+    for (auto& chunk : m_chunks) {
+        verified_at.push_back(chunk.verified_at);
+        // Reads that were sent before the engine took the order do not count.
+        chunk.is_call_outdated = chunk.is_in_call;
+    }
+    m_check.emplace(now, std::move(verified_at), m_settings.allowed_corruption);
+}
+
 void StagedLoad::on_unreachable()
 {
     m_report.reset();
-    m_is_serving = false;
+    m_held_version = 0;
 }
 
-void StagedLoad::on_ordered(Platform::OrderOutcome outcome, Core::Time now)
+void StagedLoad::begin_order(Core::Time now)
+{
+    m_is_ordering = true;
+    m_order_sent_at = now;
+    m_order_sequence = m_report->order_sequence;
+    m_draining_since.reset();
+}
+
+bool StagedLoad::end_order(Platform::OrderOutcome outcome, Core::Time now)
 {
     m_is_ordering = false;
+    m_order_ended_at = now;
+    if (outcome == Platform::OrderOutcome::Unknown)
+        m_area.on_order_unanswered(m_order_sent_at);
     // The incarnation that the order was sent to has ended. If the new incarnation has accepted the order after all, its report shows that,
     // and its changed sequence number keeps the next order from taking effect as well.
-    if (std::exchange(m_is_order_outdated, false))
+    if (std::exchange(m_is_order_outdated, false)) {
+        m_area.on_order_unanswered(m_order_sent_at);
+        return false;
+    }
+    if (outcome == Platform::OrderOutcome::Accepted)
+        m_area.on_order_accepted(m_order_sequence);
+    return true;
+}
+
+void StagedLoad::on_ordered(Platform::OrderOutcome outcome, Core::Time now)
+{
+    if (!end_order(outcome, now))
+        return;
+    switch (outcome) {
+    case Platform::OrderOutcome::Accepted:
+        m_order_wait_since = now;
+        begin_check(now);
+        return;
+    case Platform::OrderOutcome::Unknown:
+        // The time spent waiting for the answer counts towards `order_result_timeout`.
+        m_order_wait_since = m_order_sent_at;
         return;
-    // After a refusal, only a newer report is needed for the next order.
-    if (outcome == Platform::OrderOutcome::Refused) {
+    case Platform::OrderOutcome::AlreadyHeld:
+    case Platform::OrderOutcome::Refused:
+        // Only a newer report is needed for what comes next.
         m_order_wait_since.reset();
         m_report.reset();
         return;
     }
-    // If there was no answer, the time spent waiting for it counts towards `order_result_timeout`.
-    m_order_wait_since = outcome == Platform::OrderOutcome::Unknown ? m_order_sent_at : now;
+}
+
+void StagedLoad::on_unload_ordered(Platform::OrderOutcome outcome, Core::Time now)
+{
+    if (!end_order(outcome, now))
+        return;
+    m_report.reset();
+    if (outcome != Platform::OrderOutcome::Accepted)
+        return;
+    m_check.reset();
+    m_held_version = 0;
 }
 
 bool StagedLoad::is_complete() const
@@ -122,26 +203,34 @@
     return static_cast<size_t>(std::count_if(m_chunks.begin(), m_chunks.end(), [](auto const& chunk) { return chunk.is_held; }));
 }
 
-bool StagedLoad::stage_next(std::vector<LoadAction>& actions)
+std::optional<Core::Time> StagedLoad::oldest_verification() const
+{
+    // An empty value compares less than any time.
+    auto const oldest = std::min_element(m_chunks.begin(), m_chunks.end(), [](auto const& a, auto const& b) { return a.verified_at < b.verified_at; });
+    return oldest == m_chunks.end() ? std::nullopt : oldest->verified_at;
+}
+
+bool StagedLoad::stage_next(Core::Time now, std::vector<LoadAction>& actions)
 {
     for (size_t i = 0; i < m_chunks.size(); ++i) {
         auto& chunk = m_chunks[i];
-        if (!chunk.is_held || chunk.is_staged || chunk.is_in_call)
+        if (!chunk.is_held || chunk.is_staged || chunk.is_in_call || now < chunk.retry_at)
             continue;
         chunk.is_in_call = true;
         m_calls += 1;
+        m_writes += 1;
         actions.emplace_back(StageChunk { i });
         return true;
     }
     return false;
 }
 
-bool StagedLoad::read_back_next(Core::Time now, std::vector<LoadAction>& actions)
+template<typename IsDue>
+bool StagedLoad::read_back_next(Core::Time now, IsDue const& is_due, std::vector<LoadAction>& actions)
 {
     for (size_t i = 0; i < m_chunks.size(); ++i) {
         auto& chunk = m_chunks[i];
-        bool const is_correct = chunk.verified_at && now - *chunk.verified_at < m_settings.read_back_validity;
-        if (is_correct || chunk.is_in_call)
+        if (chunk.is_in_call || now < chunk.retry_at || !is_due(i))
             continue;
         chunk.is_in_call = true;
         chunk.read_back_sent_at = now;
@@ -152,30 +241,19 @@
     return false;
 }
 
-bool StagedLoad::are_all_read_back(Core::Time now) const
+bool StagedLoad::is_verified(Chunk const& chunk, Core::Time now) const
 {
-    return std::all_of(m_chunks.begin(), m_chunks.end(), [&](auto const& chunk) {
-        return chunk.verified_at && now - *chunk.verified_at < m_settings.read_back_validity;
-    });
+    return chunk.verified_at && now - *chunk.verified_at < m_settings.read_back_validity;
 }
 
-std::optional<Core::Time> StagedLoad::oldest_read_back_sent_at() const
+bool StagedLoad::are_all_verified(Core::Time now) const
 {
-    if (!oldest_read_back_answered_at())
-        return {};
-    return std::min_element(m_chunks.begin(), m_chunks.end(), [](auto const& a, auto const& b) { return a.read_back_sent_at < b.read_back_sent_at; })->read_back_sent_at;
-}
-
-std::optional<Core::Time> StagedLoad::oldest_read_back_answered_at() const
-{
-    // An empty value compares less than any time.
-    auto const oldest = std::min_element(m_chunks.begin(), m_chunks.end(), [](auto const& a, auto const& b) { return a.verified_at < b.verified_at; });
-    return oldest == m_chunks.end() ? std::nullopt : oldest->verified_at;
+    return std::all_of(m_chunks.begin(), m_chunks.end(), [&](auto const& chunk) { return is_verified(chunk, now); });
 }
 
 std::optional<Platform::LoadMode> StagedLoad::load_mode(Core::Time now, SwitchPermissions const& permissions)
 {
-    bool const serves_something = !m_report->held.empty();
+    bool const serves_something = m_held_version > 0;
     if (!serves_something)
         return Platform::LoadMode::WaitForRunning;
     if (!permissions.may_switch && !m_draining_since)
@@ -196,29 +274,60 @@
 }
 
 std::vector<LoadAction> StagedLoad::step(Core::Time now, SwitchPermissions permissions)
+{
+    // A write of the load of an earlier version is still in flight.
+    bool const is_area_in_use = m_area.writes_in_flight() > m_writes;
+    if (is_area_in_use || m_is_ordering || m_held_version > m_version)
+        return {};
+    if (is_checking())
+        return check_load(now);
+    if (is_in_doubt())
+        return order_unload(now);
+    return prepare_load(now, permissions);
+}
+
+std::vector<LoadAction> StagedLoad::check_load(Core::Time now)
 {
     std::vector<LoadAction> actions;
     bool has_more = true;
     while (has_more && m_calls < m_settings.max_calls_in_flight)
-        has_more = stage_next(actions);
-    bool const needs_load = m_report && !m_report->is_busy && !m_is_serving && !m_is_ordering && !m_order_wait_since && is_complete();
-    if (!needs_load) {
-        if (m_is_serving)
-            m_draining_since.reset();
+        has_more = read_back_next(
+            now, [this](size_t chunk) { return m_check->is_due(chunk); }, actions);
+    return actions;
+}
+
+std::vector<LoadAction> StagedLoad::order_unload(Core::Time now)
+{
+    bool const can_be_ordered = m_report && !m_report->is_busy && !m_order_wait_since && m_calls == 0;
+    if (!can_be_ordered)
+        return {};
+    begin_order(now);
+    return { OrderUnload { m_order_sequence } };
+}
+
+std::vector<LoadAction> StagedLoad::prepare_load(Core::Time now, SwitchPermissions const& permissions)
+{
+    std::vector<LoadAction> actions;
+    bool has_more = true;
+    while (has_more && m_calls < m_settings.max_calls_in_flight)
+        has_more = stage_next(now, actions);
+    if (m_held_version == m_version)
+        m_draining_since.reset();
+    bool const needs_load = m_report && !m_report->is_busy && m_held_version < m_version && !m_order_wait_since && is_complete();
+    if (!needs_load)
         return actions;
-    }
     auto const allowed_mode = load_mode(now, permissions);
     bool const is_due = allowed_mode.has_value() || m_draining_since.has_value();
-    if (allowed_mode && are_all_read_back(now)) {
-        m_is_ordering = true;
-        m_order_sent_at = now;
-        m_draining_since.reset();
-        actions.emplace_back(OrderLoad { m_report->order_sequence, *allowed_mode });
+    if (allowed_mode && are_all_verified(now)) {
+        begin_order(now);
+        m_check.reset();
+        actions.emplace_back(OrderLoad { m_order_sequence, *allowed_mode });
         return actions;
     }
     has_more = is_due;
     while (has_more && m_calls < m_settings.max_calls_in_flight)
-        has_more = read_back_next(now, actions);
+        has_more = read_back_next(
+            now, [&](size_t chunk) { return !is_verified(m_chunks[chunk], now); }, actions);
     return actions;
 }
 
--- a/Libraries/LibPlatform/EngineApi.h
+++ b/Libraries/LibPlatform/EngineApi.h
@@ -41,8 +41,10 @@
 
 /// How an order to load weights ended.
 enum class OrderOutcome {
-    /// The engine has started to load, or has already loaded.
+    /// The engine has started to carry out this order.
     Accepted,
+    /// The engine does nothing, since it already holds the weights: it took another order for them.
+    AlreadyHeld,
     /// The engine refused the order because it does not fit the engine's state.
     Refused,
     /// No answer; the engine may have accepted the order.
@@ -64,8 +66,11 @@
     /// Stores a chunk in the engine's staging area, from which start() loads. The callback gets true if the engine confirmed it.
     virtual void stage(std::string const& model, size_t chunk, std::string const& bytes, std::function<void(bool)>) = 0;
 
-    /// Reads a staged chunk back; the callback gets null if there is none or the engine did not return it.
-    virtual void read_staged(std::string const& model, size_t chunk, std::function<void(std::shared_ptr<std::string const>)>) = 0;
+    /// Reads a staged chunk back; the callback gets null if none is staged, and an error if the engine did not answer.
+    virtual void read_staged(std::string const& model, size_t chunk, std::function<void(Core::ErrorOr<std::shared_ptr<std::string const>>)>) = 0;
+
+    /// Orders the engine to give up the version of a model that it holds: it ignores an order to load what it holds already.
+    virtual void unload(std::string const& model, int64_t version, std::optional<int64_t> expected_sequence, std::function<void(OrderOutcome)>) = 0;
 };
 
 /// The digests of the chunks of one version of a model's weights, in order.
--- a/Services/EngineAgent/WeightsLoader.cpp
+++ b/Services/EngineAgent/WeightsLoader.cpp
@@ -115,9 +115,12 @@
 
 void WeightsLoader::keep_loading_older()
 {
-    // Each version has its own deadline, and a version that is complete here can be served before the newer one.
-    bool const is_worth_it = m_load && m_fetcher.is_complete() && !m_older && serving_version() < goal()->version;
-    if (!is_worth_it)
+    if (!m_load || m_older)
+        return;
+    // Each version has its own deadline, and a version that is complete here can be served before the newer one. An order that the engine may
+    // still take keeps the staging area as it is.
+    bool const is_worth_it = m_fetcher.is_complete() && serving_version() < goal()->version;
+    if (!is_worth_it && !m_load->has_open_order())
         return;
     m_older = OlderLoad { *goal(), m_goal.named_at(), m_fetcher.spec(), std::move(m_load) };
     Core::log_event(Core::LogLevel::Info, "older_load_goes_on", { { "version", std::to_string(m_older->goal.version) } });
@@ -125,7 +128,7 @@
 
 bool WeightsLoader::is_older_load_over(Core::Time now) const
 {
-    if (serving_version() >= m_older->goal.version)
+    if (serving_version() >= m_older->goal.version || held_version() > m_older->goal.version)
         return true;
     if (m_older->load->is_switching())
         return false;
@@ -144,11 +147,22 @@
     return m_older && m_older->load->version() == version ? m_older->spec : m_fetcher.spec();
 }
 
-int64_t WeightsLoader::serving_version() const
+int64_t WeightsLoader::held_version() const
 {
     return m_report && goal() ? Configuration::highest_complete_version(m_report->held, goal()->layers) : 0;
 }
 
+bool WeightsLoader::is_held_from_start(int64_t version) const
+{
+    return m_held_from_start && goal() && Configuration::highest_complete_version(*m_held_from_start, goal()->layers) == version;
+}
+
+int64_t WeightsLoader::serving_version() const
+{
+    auto const held = held_version();
+    return held == m_whole_version || is_held_from_start(held) ? held : 0;
+}
+
 bool WeightsLoader::is_busy() const
 {
     bool const is_switching = (m_load && m_load->is_switching()) || (m_older && m_older->load->is_switching());
@@ -169,7 +183,7 @@
 {
     m_resumed_at = Core::monotonic_now();
     m_is_polling = false;
-    apply_report(Core::failure(Core::ErrorCode::ConnectFailed, "no report was requested since the process was paused"));
+    apply_report(Core::failure(Core::ErrorCode::ConnectFailed, "no report was requested since the process was paused"), *m_resumed_at);
     poll_engine();
 }
 
@@ -225,9 +239,11 @@
 void WeightsLoader::on_manifest()
 {
     auto const& manifest = m_fetcher.manifest();
-    m_load = std::make_unique<Distribution::StagedLoad>(manifest.version, manifest.digests.size(), Distribution::StagedLoadSettings {});
+    m_load = std::make_unique<Distribution::StagedLoad>(manifest.version, manifest.digests.size(), m_staging_area, Distribution::StagedLoadSettings {});
+    if (serving_version() == manifest.version)
+        m_load->on_known_whole();
     if (m_report)
-        m_load->on_report(*m_report, goal()->layers, Core::monotonic_now());
+        m_load->on_report(*m_report, goal()->layers, m_report_requested_at, Core::monotonic_now());
     if (m_has_adopted)
         begin_transfer();
     else
@@ -247,7 +263,8 @@
     m_adopting = m_fetcher.spec().chunks.size();
     auto const version = m_fetcher.manifest().version;
     for (size_t i = 0; i < m_fetcher.spec().chunks.size(); ++i) {
-        m_engine.read_staged(goal()->model, i, [this, i, version](std::shared_ptr<std::string const> const& bytes) {
+        m_engine.read_staged(goal()->model, i, [this, i, version](Core::ErrorOr<std::shared_ptr<std::string const>> const& read) {
+            auto const bytes = read.value_or(nullptr);
             bool const is_wanted = bytes && m_fetcher.has_manifest() && m_fetcher.manifest().version == version;
             if (is_wanted && m_fetcher.add_local_chunk(i, *bytes))
                 m_metrics.count("mountbarrow_chunks_adopted_total");
@@ -265,22 +282,25 @@
 void WeightsLoader::run_load(Core::Time now)
 {
     m_callbacks.detect_pause();
-    if (!is_goal_current(now) || is_engine_leaving())
-        return;
-    if (m_older && is_older_load_over(now)) {
+    bool const may_order = is_goal_current(now) && !is_engine_leaving();
+    if (may_order && m_older && is_older_load_over(now)) {
         log_dropped(*m_older->load);
         m_older.reset();
     }
     // The engine's staging area holds only one version at a time: the newer one waits here until the older one is loaded.
-    if (m_older) {
-        for (auto const& action : m_older->load->step(now, { may_switch(m_older->goal, m_older->goal_at, now), m_older->goal.may_evict }))
-            perform(action, m_older->goal.version);
-        return;
-    }
-    if (!m_load || m_adopting > 0)
+    if (m_older)
+        run_step(*m_older->load, m_older->goal, m_older->goal_at, may_order, now);
+    else if (m_load && m_adopting == 0)
+        run_step(*m_load, *goal(), m_goal.named_at(), may_order, now);
+}
+
+void WeightsLoader::run_step(Distribution::StagedLoad& load, Schema::WeightsGoal const& goal, Core::Time goal_at, bool may_order, Core::Time now)
+{
+    // A check only reads.
+    if (!may_order && !load.is_checking())
         return;
-    for (auto const& action : m_load->step(now, { may_switch(*goal(), m_goal.named_at(), now), goal()->may_evict }))
-        perform(action, goal()->version);
+    for (auto const& action : load.step(now, { may_switch(goal, goal_at, now), goal.may_evict }))
+        perform(action, load.version());
 }
 
 void WeightsLoader::perform(Distribution::LoadAction const& action, int64_t version)
@@ -291,36 +311,69 @@
         read_back(version, read->chunk);
     else if (auto const* due = std::get_if<Distribution::OrderLoad>(&action))
         order(version, *due);
+    else if (auto const* due_unload = std::get_if<Distribution::OrderUnload>(&action))
+        unload(version, *due_unload);
 }
 
 void WeightsLoader::stage(int64_t version, size_t chunk)
 {
     auto const bytes = m_fetcher.store().find(spec_of(version).chunks[chunk].digest);
+    m_staging_area.on_write_sent(Core::monotonic_now());
     m_engine.stage(goal()->model, chunk, bytes ? *bytes : std::string(), [this, version, chunk](bool is_done) {
-        auto* load = load_of(version);
-        if (!load)
-            return;
-        load->on_staged(chunk, is_done);
-        run_load(Core::monotonic_now());
+        auto const now = Core::monotonic_now();
+        m_staging_area.on_write_ended(is_done, now);
+        if (auto* load = load_of(version))
+            load->on_staged(chunk, is_done, now);
+        run_load(now);
     });
 }
 
+static Distribution::ReadBack read_back_result(Core::ErrorOr<std::shared_ptr<std::string const>> const& read, std::string const& digest)
+{
+    if (!read.has_value())
+        return Distribution::ReadBack::Unanswered;
+    if (!*read)
+        return Distribution::ReadBack::Absent;
+    return Core::sha256(**read) == digest ? Distribution::ReadBack::Right : Distribution::ReadBack::Wrong;
+}
+
 void WeightsLoader::read_back(int64_t version, size_t chunk)
 {
-    m_engine.read_staged(goal()->model, chunk, [this, version, chunk](std::shared_ptr<std::string const> const& bytes) {
+    m_engine.read_staged(goal()->model, chunk, [this, version, chunk](Core::ErrorOr<std::shared_ptr<std::string const>> const& read) {
         auto* load = load_of(version);
         if (!load)
             return;
-        bool const is_right = bytes && Core::sha256(*bytes) == spec_of(version).chunks[chunk].digest;
-        if (!is_right)
-            Core::log_event(Core::LogLevel::Warn, "staged_chunk_bad", { { "chunk", std::to_string(chunk) }, { "version", std::to_string(version) } });
-        load->on_read_back(chunk, is_right, Core::monotonic_now());
-        run_load(Core::monotonic_now());
+        auto const result = read_back_result(read, spec_of(version).chunks[chunk].digest);
+        bool const is_bad = result == Distribution::ReadBack::Wrong || result == Distribution::ReadBack::Absent;
+        if (is_bad)
+            Core::log_event(Core::LogLevel::Warn, "staged_chunk_bad", { { "chunk", std::to_string(chunk) }, { "version", std::to_string(version) }, { "checking", load->is_checking() ? "yes" : "no" } });
+        auto const now = Core::monotonic_now();
+        load->on_read_back(chunk, result, now);
+        note_verdict(*load);
+        run_load(now);
     });
 }
 
+void WeightsLoader::note_verdict(Distribution::StagedLoad const& load)
+{
+    using Verdict = Distribution::LoadCheck::Verdict;
+    if (load.is_served_whole())
+        m_whole_version = load.version();
+    if (!load.verdict() || load.is_checking())
+        return;
+    std::pair const verdict { load.version(), *load.verdict() };
+    if (verdict == std::exchange(m_logged_verdict, verdict))
+        return;
+    bool const is_whole = verdict.second == Verdict::Whole;
+    m_metrics.count("mountbarrow_load_checks_total", is_whole ? "verdict=\"whole\"" : "verdict=\"doubtful\"");
+    Core::log_event(is_whole ? Core::LogLevel::Info : Core::LogLevel::Warn, "load_checked", { { "version", std::to_string(load.version()) }, { "verdict", is_whole ? "whole" : "doubtful" } });
+}
+
 bool WeightsLoader::may_switch(Schema::WeightsGoal const& goal, Core::Time goal_at, Core::Time now) const
 {
+    // An engine without a version that was found whole serves nothing that it could be taken out of.
+    if (serving_version() == 0)
+        return true;
     // The deadline takes precedence over serving capacity: an engine that is close to it switches at once.
     auto const named_at = std::min(goal_at, m_unreached_versions.oldest_named_at().value_or(goal_at));
     if (now >= named_at + Core::Duration(goal.bound_ms) - switch_time_before_deadline)
@@ -347,16 +400,29 @@
 void WeightsLoader::order(int64_t version, Distribution::OrderLoad const& due)
 {
     auto const sent_at = Core::monotonic_now();
-    auto const* ordered = load_of(version);
-    auto const verified_at = ordered->oldest_read_back_sent_at();
+    auto const verified_at = load_of(version)->oldest_verification();
+    m_logged_verdict = {};
     auto const goal_at = m_older && m_older->goal.version == version ? m_older->goal_at : m_goal.named_at();
-    Core::log_event(Core::LogLevel::Info, "load_ordered", { { "version", std::to_string(version) }, { "expected_sequence", due.expected_sequence ? std::to_string(*due.expected_sequence) : "any" }, { "manner", due.mode == Platform::LoadMode::EvictRunning ? "evict" : "wait" }, { "running", std::to_string(m_report ? m_report->running : 0) }, { "after_ms", std::to_string((sent_at - goal_at).count()) }, { "oldest_read_back_sent_ms", age_ms(verified_at, sent_at) }, { "oldest_read_back_answered_ms", age_ms(ordered->oldest_read_back_answered_at(), sent_at) } });
+    Core::log_event(Core::LogLevel::Info, "load_ordered", { { "version", std::to_string(version) }, { "expected_sequence", due.expected_sequence ? std::to_string(*due.expected_sequence) : "any" }, { "manner", due.mode == Platform::LoadMode::EvictRunning ? "evict" : "wait" }, { "running", std::to_string(m_report ? m_report->running : 0) }, { "after_ms", std::to_string((sent_at - goal_at).count()) }, { "oldest_read_back_ms", age_ms(verified_at, sent_at) } });
     m_metrics.count("mountbarrow_load_orders_total");
     m_engine.start(goal()->model, version, due.mode, due.expected_sequence, [this, version, sent_at, verified_at](Platform::OrderOutcome outcome) {
         auto const now = Core::monotonic_now();
-        Core::log_event(Core::LogLevel::Info, "load_answered", { { "version", std::to_string(version) }, { "outcome", std::to_string(static_cast<int>(outcome)) }, { "waited_ms", age_ms(sent_at, now) }, { "oldest_read_back_sent_ms", age_ms(verified_at, now) } });
+        Core::log_event(Core::LogLevel::Info, "load_answered", { { "version", std::to_string(version) }, { "outcome", std::to_string(static_cast<int>(outcome)) }, { "waited_ms", age_ms(sent_at, now) }, { "oldest_read_back_ms", age_ms(verified_at, now) } });
+        if (auto* load = load_of(version))
+            load->on_ordered(outcome, now);
+        poll_engine();
+        run_load(now);
+    });
+}
+
+void WeightsLoader::unload(int64_t version, Distribution::OrderUnload const& due)
+{
+    Core::log_event(Core::LogLevel::Warn, "unload_ordered", { { "version", std::to_string(version) }, { "expected_sequence", due.expected_sequence ? std::to_string(*due.expected_sequence) : "any" } });
+    m_metrics.count("mountbarrow_unload_orders_total");
+    m_engine.unload(goal()->model, version, due.expected_sequence, [this, version](Platform::OrderOutcome outcome) {
+        Core::log_event(Core::LogLevel::Info, "unload_answered", { { "version", std::to_string(version) }, { "outcome", std::to_string(static_cast<int>(outcome)) } });
         if (auto* load = load_of(version))
-            load->on_ordered(outcome, Core::monotonic_now());
+            load->on_unload_ordered(outcome, Core::monotonic_now());
         poll_engine();
     });
 }
@@ -368,11 +434,11 @@
     m_callbacks.detect_pause();
     if (std::exchange(m_is_polling, true))
         return;
-    m_engine.read_report([this, number = ++m_poll_number](Core::ErrorOr<Platform::EngineReport> const& report) {
+    m_engine.read_report([this, number = ++m_poll_number, requested_at = Core::monotonic_now()](Core::ErrorOr<Platform::EngineReport> const& report) {
         if (number != m_poll_number)
             return;
         m_is_polling = false;
-        on_report(report);
+        on_report(report, requested_at);
     });
 }
 
@@ -390,13 +456,13 @@
         Core::log_event(fault.empty() ? Core::LogLevel::Info : Core::LogLevel::Warn, "report_fault", { { "fault", fault.empty() ? "none" : fault } });
 }
 
-void WeightsLoader::on_report(Core::ErrorOr<Platform::EngineReport> const& report)
+void WeightsLoader::on_report(Core::ErrorOr<Platform::EngineReport> const& report, Core::Time requested_at)
 {
     bool const is_late = report.has_value() && Distribution::is_of_earlier_incarnation(*report, m_report);
     if (is_late)
-        apply_report(Core::failure(Core::ErrorCode::UnreadableField, "the report is of an earlier incarnation of the engine"));
+        apply_report(Core::failure(Core::ErrorCode::UnreadableField, "the report is of an earlier incarnation of the engine"), requested_at);
     else
-        apply_report(report);
+        apply_report(report, requested_at);
 }
 
 void WeightsLoader::log_restart(std::optional<int64_t> started_at_ms)
@@ -422,28 +488,55 @@
     Core::log_event(Core::LogLevel::Info, "load_dropped", { { "version", std::to_string(load.version()) }, { "calls_in_flight", std::to_string(load.calls_in_flight()) }, { "order_open", load.has_open_order() ? "yes" : "no" } });
 }
 
-void WeightsLoader::apply_report(Core::ErrorOr<Platform::EngineReport> const& report)
+bool WeightsLoader::is_restart(Platform::EngineReport const& report) const
+{
+    bool const has_other_start = m_started_at_ms && report.started_at_ms && *m_started_at_ms != *report.started_at_ms;
+    return has_other_start || (m_order_sequence && report.order_sequence && *report.order_sequence < *m_order_sequence);
+}
+
+void WeightsLoader::update_whole_version(Platform::EngineReport const& report)
+{
+    if (!std::exchange(m_has_been_reported, true) && !report.is_busy)
+        m_held_from_start = report.held;
+    if (m_held_from_start && (is_restart(report) || Schema::to_value(*m_held_from_start) != Schema::to_value(report.held)))
+        m_held_from_start.reset();
+    if (goal() && (is_restart(report) || Configuration::highest_complete_version(report.held, goal()->layers) != m_whole_version))
+        m_whole_version = 0;
+}
+
+void WeightsLoader::apply_report(Core::ErrorOr<Platform::EngineReport> const& report, Core::Time requested_at)
 {
     log_report_fault(report);
     if (!report.has_value()) {
         m_report.reset();
+        m_staging_area.on_unreachable();
         if (m_load)
             m_load->on_unreachable();
         if (m_older)
             m_older->load->on_unreachable();
     } else {
+        auto const now = Core::monotonic_now();
+        update_whole_version(*report);
         m_report = *report;
+        m_report_requested_at = requested_at;
         log_restart(report->started_at_ms);
         log_order_sequence(report->order_sequence);
-        auto const now = Core::monotonic_now();
-        if (m_load)
-            m_load->on_report(*m_report, goal()->layers, now);
+        m_staging_area.on_report(*report, now);
+        apply_to_load(m_load.get());
         if (m_older)
-            m_older->load->on_report(*m_report, m_older->goal.layers, now);
+            apply_to_load(m_older->load.get());
     }
     publish_changes();
 }
 
+void WeightsLoader::apply_to_load(Distribution::StagedLoad* load)
+{
+    if (!load)
+        return;
+    load->on_report(*m_report, goal()->layers, m_report_requested_at, Core::monotonic_now());
+    note_verdict(*load);
+}
+
 void WeightsLoader::publish_changes()
 {
     auto const is_busy = this->is_busy();
--- a/Services/EngineAgent/WeightsLoader.h
+++ b/Services/EngineAgent/WeightsLoader.h
@@ -7,6 +7,7 @@
 #include <LibCore/Metrics.h>
 #include <LibDistribution/EngineControl.h>
 #include <LibDistribution/StagedLoad.h>
+#include <LibDistribution/StagingArea.h>
 #include <LibDistribution/UnreachedVersions.h>
 #include <LibPlatform/EngineApi.h>
 #include <LibSchema/Generated.h>
@@ -75,7 +76,8 @@
     std::optional<Platform::EngineReport> const& report() const { return m_report; }
     /// Returns true if the engine should get no new requests because it is loading, or about to load.
     bool is_busy() const;
-    /// Returns the highest version of which the engine holds all layers; 0 if there is none or it is not known.
+    /// Returns the highest version of which the engine holds all layers; 0 if there is none, it is not known, or the load was not found
+    /// whole.
     int64_t serving_version() const;
 
 private:
@@ -107,12 +109,24 @@
     /// Returns the load of a version, or null if it was abandoned.
     Distribution::StagedLoad* load_of(int64_t version);
     Schema::VersionSpec const& spec_of(int64_t version) const;
+    /// Returns the highest version of which the engine holds all layers, whole or not; 0 if there is none or it is not known.
+    int64_t held_version() const;
+    /// Returns true if the engine reported this version in its first report to this process, and has held it since.
+    bool is_held_from_start(int64_t version) const;
+    /// Notes what a report shows of the loads that were found whole.
+    void update_whole_version(Platform::EngineReport const&);
+    /// Notes and logs the verdict on the load of a version.
+    void note_verdict(Distribution::StagedLoad const&);
     void poll_engine();
     /// Counts and logs a report that failed or has unreadable fields.
     void log_report_fault(Core::ErrorOr<Platform::EngineReport> const&);
-    void on_report(Core::ErrorOr<Platform::EngineReport> const&);
-    void apply_report(Core::ErrorOr<Platform::EngineReport> const&);
+    void on_report(Core::ErrorOr<Platform::EngineReport> const&, Core::Time requested_at);
+    void apply_report(Core::ErrorOr<Platform::EngineReport> const&, Core::Time requested_at);
+    /// Applies the engine's last report to a load, which may be null.
+    void apply_to_load(Distribution::StagedLoad*);
     void log_restart(std::optional<int64_t> started_at_ms);
+    /// Returns true if the report shows that the engine has restarted since the last one.
+    bool is_restart(Platform::EngineReport const&) const;
     void log_order_sequence(std::optional<int64_t> sequence);
     /// Logs that a load is dropped while calls of it are in flight or its order may still take effect.
     static void log_dropped(Distribution::StagedLoad const&);
@@ -121,6 +135,8 @@
     void begin_transfer();
     /// Executes the steps of the load that are due: staging chunks, reading them back, and ordering the engine.
     void run_load(Core::Time now);
+    /// @param may_order whether the engine may be ordered anything, or written to.
+    void run_step(Distribution::StagedLoad&, Schema::WeightsGoal const&, Core::Time goal_at, bool may_order, Core::Time now);
     bool is_engine_leaving() const { return m_started_at_ms && m_leaving_starts.contains(*m_started_at_ms); }
     /// Returns true unless the process resumed after a pause less than 3 s ago and has not received the goal since.
     bool is_goal_current(Core::Time now);
@@ -128,6 +144,7 @@
     void stage(int64_t version, size_t chunk);
     void read_back(int64_t version, size_t chunk);
     void order(int64_t version, Distribution::OrderLoad const&);
+    void unload(int64_t version, Distribution::OrderUnload const&);
     /// Returns true if this engine may stop serving to load the goal: near the deadline, or if enough peers serve.
     bool may_switch(Schema::WeightsGoal const&, Core::Time goal_at, Core::Time now) const;
     /// Announces to the peers which version the engine serves, or that it serves none and seeks the goal's version.
@@ -141,6 +158,7 @@
     Callbacks m_callbacks;
 
     Distribution::UnreachedVersions m_unreached_versions;
+    Distribution::StagingArea m_staging_area;
     std::unique_ptr<Distribution::StagedLoad> m_load;
     Weights::CopyFetcher m_fetcher;
     Weights::CopyGoal m_goal;
@@ -155,7 +173,17 @@
     // Number of such chunks whose reading has not ended.
     size_t m_adopting { 0 };
 
+    // The version that the engine holds, if its load was found whole; otherwise 0.
+    int64_t m_whole_version { 0 };
+    // What the engine held in its first report to this process, as long as it holds that. Empty if it was loading then: another process
+    // ordered that load, and may have died before it checked it.
+    std::optional<std::vector<Schema::HeldLayers>> m_held_from_start;
+    bool m_has_been_reported { false };
+    // The version and the verdict last logged.
+    std::pair<int64_t, Distribution::LoadCheck::Verdict> m_logged_verdict { 0, Distribution::LoadCheck::Verdict::Open };
+
     std::optional<Platform::EngineReport> m_report;
+    Core::Time m_report_requested_at { 0 };
     // The error of the last report; empty if there was none.
     std::string m_report_fault;
     // The engine's start time as last reported, in milliseconds since the epoch, and the one last published to the entries.
--- a/Tests/LibDistribution/TestStagedLoad.cpp
+++ b/Tests/LibDistribution/TestStagedLoad.cpp
@@ -18,6 +18,52 @@
     return report;
 }
 
+/// A load whose engine answers each call at the moment at which it is sent.
+class ImmediateLoad {
+public:
+    ImmediateLoad(int64_t version, size_t chunks, StagedLoadSettings settings)
+        : m_load(version, chunks, m_area, settings)
+    {
+    }
+
+    void on_held(size_t chunk) { m_load.on_held(chunk); }
+    void on_unreachable()
+    {
+        m_area.on_unreachable();
+        m_load.on_unreachable();
+    }
+    void on_report(Platform::EngineReport const& report, int64_t layers, Core::Time now)
+    {
+        m_area.on_report(report, now);
+        m_load.on_report(report, layers, now, now);
+    }
+    std::vector<LoadAction> step(Core::Time now, SwitchPermissions permissions = {})
+    {
+        m_now = now;
+        auto actions = m_load.step(now, permissions);
+        for (auto const& action : actions) {
+            if (std::holds_alternative<StageChunk>(action))
+                m_area.on_write_sent(now);
+        }
+        return actions;
+    }
+    void on_staged(size_t chunk, bool has_succeeded)
+    {
+        m_area.on_write_ended(has_succeeded, m_now);
+        m_load.on_staged(chunk, has_succeeded, m_now);
+    }
+    void on_read_back(size_t chunk, bool is_correct, Core::Time now) { m_load.on_read_back(chunk, is_correct ? ReadBack::Right : ReadBack::Wrong, now); }
+    void on_ordered(Platform::OrderOutcome outcome, Core::Time now) { m_load.on_ordered(outcome, now); }
+    bool is_served_whole() const { return m_load.is_served_whole(); }
+    bool is_in_doubt() const { return m_load.is_in_doubt(); }
+    bool is_switching() const { return m_load.is_switching(); }
+
+private:
+    StagingArea m_area;
+    StagedLoad m_load;
+    Core::Time m_now { 0 };
+};
+
 /// An engine that restarts, loses its answers to orders, and whose staged chunks become corrupt (state 2; 1 is correct, 0 is not staged).
 struct FakeEngine {
     std::vector<int> staged;
@@ -42,7 +88,7 @@
 {
     static constexpr size_t chunks = 4;
     StagedLoadSettings const settings;
-    StagedLoad load(2, chunks, settings);
+    ImmediateLoad load(2, chunks, settings);
     FakeEngine engine { std::vector<int>(chunks, 0), 1, 0, 0 };
     // When each chunk was last read back right.
     std::vector<std::optional<Core::Time>> right(chunks);
@@ -87,7 +133,7 @@
     }
 }
 
-static void finish_calls(StagedLoad& load, Core::Time now, std::optional<OrderLoad>& order)
+static void finish_calls(ImmediateLoad& load, Core::Time now, std::optional<OrderLoad>& order)
 {
     for (int round = 0; round < 20; ++round) {
         for (auto const& action : load.step(now)) {
@@ -103,7 +149,7 @@
 
 TEST(StagedLoad, NothingIsOrderedWhileChunksAreMissing)
 {
-    StagedLoad load(2, 3, {});
+    ImmediateLoad load(2, 3, {});
     // The engine is empty; an engine that serves a version would be drained first.
     load.on_report(report(0, false, 0), layers, Core::Time(0));
     load.on_held(0);
@@ -119,13 +165,16 @@
 
 TEST(StagedLoad, ARestartedEngineIsOrderedAgain)
 {
-    StagedLoad load(2, 1, {});
+    ImmediateLoad load(2, 1, {});
     load.on_held(0);
-    load.on_report(report(2, false, 3), layers, Core::Time(0));
     std::optional<OrderLoad> order;
-    finish_calls(load, Core::Time(1), order);
+    // The load is found whole once no write of an earlier process can reach the staging area any more.
+    for (int64_t now = 0; now <= 2500; now += 100) {
+        load.on_report(report(2, false, 3), layers, Core::Time(now));
+        finish_calls(load, Core::Time(now), order);
+    }
     EXPECT_FALSE(order.has_value());
-    EXPECT_TRUE(load.is_serving());
+    EXPECT_TRUE(load.is_served_whole());
     load.on_report(report(0, false, 0), layers, Core::Time(5000));
     finish_calls(load, Core::Time(5001), order);
     ASSERT_TRUE(order.has_value());
@@ -135,7 +184,7 @@
 TEST(StagedLoad, AnOrderWithoutAnAnswerIsNotRepeatedBeforeItsResultTimeout)
 {
     StagedLoadSettings const settings;
-    StagedLoad load(2, 1, settings);
+    ImmediateLoad load(2, 1, settings);
     load.on_held(0);
     load.on_report(report(0, false, 0), layers, Core::Time(0));
     std::optional<OrderLoad> order;
@@ -154,7 +203,7 @@
 TEST(StagedLoad, TheWaitForALostAnswerCountsTowardsTheOrdersResultTimeout)
 {
     StagedLoadSettings const settings;
-    StagedLoad load(2, 1, settings);
+    ImmediateLoad load(2, 1, settings);
     load.on_held(0);
     load.on_report(report(0, false, 0), layers, Core::Time(0));
     std::optional<OrderLoad> order;
@@ -266,7 +315,7 @@
 TEST(StagedLoad, AnEngineThatServesIsTakenOutOnlyWhenItMayAndIsDrainedFirst)
 {
     StagedLoadSettings const settings;
-    StagedLoad load(2, 1, settings);
+    ImmediateLoad load(2, 1, settings);
     load.on_held(0);
     auto busy_engine = report(1, false, 0);
     busy_engine.running = 9;
@@ -298,7 +347,7 @@
 
 TEST(StagedLoad, RequestsAreNotEvictedUnlessAllowed)
 {
-    StagedLoad load(2, 1, {});
+    ImmediateLoad load(2, 1, {});
     load.on_held(0);
     auto busy_engine = report(1, false, 0);
     busy_engine.running = 9;
@@ -321,7 +370,7 @@
 TEST(StagedLoad, AnEngineThatServesANewerVersionIsNotOrderedBack)
 {
     static constexpr size_t chunks = 2;
-    StagedLoad load(2, chunks, {});
+    ImmediateLoad load(2, chunks, {});
     for (size_t i = 0; i < chunks; ++i)
         load.on_held(i);
     for (int step = 1; step < 400; ++step) {
@@ -346,7 +395,7 @@
 
 TEST(StagedLoad, ARestartIsDetectedByTheStartTimeIfTheSequenceIsNotLower)
 {
-    StagedLoad load(2, 1, {});
+    ImmediateLoad load(2, 1, {});
     load.on_held(0);
     load.on_report(started_at(1000, report(0, false, 0)), layers, Core::Time(0));
     std::optional<OrderLoad> order;
@@ -363,7 +412,7 @@
 
 TEST(StagedLoad, ARestartIsDetectedAfterAFailedReport)
 {
-    StagedLoad load(2, 1, {});
+    ImmediateLoad load(2, 1, {});
     load.on_held(0);
     load.on_report(started_at(1000, report(0, false, 0)), layers, Core::Time(0));
     std::optional<OrderLoad> order;
@@ -376,7 +425,7 @@
 
 TEST(StagedLoad, ARestartedEngineGetsNoOrderForWhatWasReadBackBefore)
 {
-    StagedLoad load(2, 1, {});
+    ImmediateLoad load(2, 1, {});
     load.on_held(0);
     auto serving = started_at(1000, report(1, false, 0));
     load.on_report(serving, layers, Core::Time(0));
@@ -394,7 +443,7 @@
 
 TEST(StagedLoad, AChunkReadBackFromAnEarlierIncarnationIsReadBackAgain)
 {
-    StagedLoad load(2, 1, {});
+    ImmediateLoad load(2, 1, {});
     load.on_held(0);
     load.on_report(started_at(1000, report(0, false, 0)), layers, Core::Time(0));
     ASSERT_TRUE(std::holds_alternative<StageChunk>(load.step(Core::Time(1)).at(0)));
@@ -409,7 +458,7 @@
 
 TEST(StagedLoad, AnEarlierIncarnationsAnswerToAnOrderDelaysNothing)
 {
-    StagedLoad load(2, 1, {});
+    ImmediateLoad load(2, 1, {});
     load.on_held(0);
     load.on_report(started_at(1000, report(0, false, 0)), layers, Core::Time(0));
     std::optional<OrderLoad> order;
@@ -425,15 +474,16 @@
 
 TEST(StagedLoad, ALateReportOfAnEarlierIncarnationIsNotAccepted)
 {
-    StagedLoad load(2, 1, {});
+    ImmediateLoad load(2, 1, {});
     load.on_held(0);
     load.on_report(started_at(2000, report(0, false, 0)), layers, Core::Time(0));
     load.on_report(started_at(1000, report(2, false, 7)), layers, Core::Time(1));
-    EXPECT_FALSE(load.is_serving());
+    EXPECT_FALSE(load.is_served_whole());
     std::optional<OrderLoad> order;
     finish_calls(load, Core::Time(2), order);
     EXPECT_FALSE(order.has_value());
     // An engine that keeps reporting an earlier start is running: its clock was set back.
     load.on_report(started_at(1000, report(2, false, 7)), layers, Core::Time(100));
-    EXPECT_TRUE(load.is_serving());
+    // What it loaded while the chunk was staged is unknown.
+    EXPECT_TRUE(load.is_in_doubt());
 }
