LibTransport: Bound each answer that is read, in length and in time

Cause: libevent's client limits neither head nor body unless told, a timeout of silence begins anew with each byte, and a line without an end, such as that of a chunk's size, is kept whole. The class: an answer whose size its sender alone decides. It was in every reader that goes through HttpClient, HttpCall or KeptConnection; answers to callers' requests go through MessageReader, which is bounded. Change: each call states the longest head and body that it takes (a chunk has the manifest's length, a report, a record and a manifest limits of their own), what waits unread is bounded besides, and a whole answer has a total time. A longer answer fails the call as TooLong, with a line, answer_too_long; the counters of failed reports, manifests and reads count it. A manifest that states chunks of no or of over 16 MiB is refused. Links between our processes are bounded at 32 MB a message and were left as they are.

--- a/Libraries/LibPlatform/EngineApi.h
+++ b/Libraries/LibPlatform/EngineApi.h
@@ -66,13 +66,19 @@
     /// Stores a chunk in the engine's staging area, from which start() loads. The callback gets true if the engine confirmed it.
     virtual void stage(std::string const& model, size_t chunk, std::string const& bytes, std::function<void(bool)>) = 0;
 
-    /// Reads a staged chunk back; the callback gets null if none is staged, and an error if the engine did not answer.
-    virtual void read_staged(std::string const& model, size_t chunk, std::function<void(Core::ErrorOr<std::shared_ptr<std::string const>>)>) = 0;
+    /// Reads a staged chunk back; the callback gets null if none is staged, an empty chunk if the engine sends more than `max_bytes`, and an
+    /// error if it did not answer.
+    virtual void read_staged(std::string const& model, size_t chunk, size_t max_bytes, std::function<void(Core::ErrorOr<std::shared_ptr<std::string const>>)>) = 0;
 
     /// Orders the engine to give up the version of a model that it holds: it ignores an order to load what it holds already.
     virtual void unload(std::string const& model, int64_t version, std::optional<int64_t> expected_sequence, std::function<void(OrderOutcome)>) = 0;
 };
 
+/// The longest manifest that is read, in bytes: some 15,000 digests.
+inline constexpr size_t max_manifest_bytes = size_t { 1 } << 20;
+/// The longest chunk that a manifest may state, in bytes. A process holds several at once while it reads them.
+inline constexpr int64_t max_chunk_bytes = int64_t { 16 } << 20;
+
 /// The digests of the chunks of one version of a model's weights, in order.
 struct Manifest {
     std::string model;
@@ -88,8 +94,8 @@
 
     /// Reads the manifest of a version. `address`: IP:PORT of the origin.
     virtual void read_manifest(std::string const& address, std::string const& model, int64_t version, std::function<void(Core::ErrorOr<Manifest>)>) = 0;
-    /// Reads one chunk of a version. Returns the number to pass to cancel().
-    virtual uint64_t read_chunk(std::string const& address, std::string const& model, int64_t version, size_t chunk, std::function<void(Core::ErrorOr<std::string>)>) = 0;
+    /// Reads one chunk, of at most `max_bytes`, of a version. Returns the number to pass to cancel().
+    virtual uint64_t read_chunk(std::string const& address, std::string const& model, int64_t version, size_t chunk, size_t max_bytes, std::function<void(Core::ErrorOr<std::string>)>) = 0;
     /// Cancels a read of a chunk without calling its callback, so that the origin stops sending data that is no longer needed.
     virtual void cancel(uint64_t) = 0;
 };
--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -7,6 +7,8 @@
 
 static constexpr Core::Duration call_timeout { 3000 };
 static constexpr int status_ok = 200;
+// A page of the log, and a list of instances, have no limit of their own.
+static constexpr size_t max_answer_bytes = size_t { 32 } << 20;
 
 HttpPlatform::HttpPlatform(Core::EventLoop& loop, std::string address, uint16_t port)
     : m_client(loop)
@@ -23,6 +25,7 @@
     request.method = std::move(method);
     request.path = std::move(path);
     request.timeout = call_timeout;
+    request.max_body_bytes = max_answer_bytes;
     return request;
 }
 
--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibTransport/HttpClient.h>
 
+#include <LibTransport/AnswerLimits.h>
 #include <LibTransport/EvhttpAnswer.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -44,12 +45,18 @@
     void on_end(evhttp_request*);
     void report_end(bool is_whole);
     void on_error(evhttp_request_error);
+    void on_total_timeout();
     bool is_framed(evhttp_request*) const;
     void free_connection_soon();
 
     Core::EventLoop& m_loop;
     Callbacks m_callbacks;
     evhttp_connection* m_connection { nullptr };
+    std::unique_ptr<Core::Timer> m_end_timer;
+    // Where the call goes, for the log.
+    std::string m_address;
+    uint16_t m_port { 0 };
+    std::string m_path;
     // Keeps the state alive while libevent may call it back.
     std::shared_ptr<State> m_self;
     bool m_has_head { false };
@@ -63,9 +70,16 @@
 {
     m_self = shared_from_this();
     m_is_head_request = call.method == "HEAD";
+    m_address = call.address;
+    m_port = call.port;
+    m_path = call.path;
     m_connection = evhttp_connection_base_new(m_loop.base(), nullptr, call.address.c_str(), call.port);
     auto const timeout = Core::to_timeval(call.timeout);
     evhttp_connection_set_timeout_tv(m_connection, &timeout);
+    limit_answer(m_connection, call.max_head_bytes, call.max_body_bytes, BodyUse::PassedOn);
+    // The timeout of the connection begins anew with each byte.
+    if (call.total_timeout)
+        m_end_timer = m_loop.after(*call.total_timeout, [this] { on_total_timeout(); });
     if (call.limit)
         call.limit->add(evhttp_connection_get_bufferevent(m_connection));
 
@@ -89,6 +103,7 @@
 void HttpCall::State::cancel()
 {
     m_callbacks = {};
+    m_end_timer.reset();
     free_connection_soon();
 }
 
@@ -124,7 +139,17 @@
 {
     // libevent reports an error here only once the connection stood; a failed connect has none.
     m_has_failed = true;
-    m_failure = error == EVREQ_HTTP_TIMEOUT ? HttpFailure::TimedOut : HttpFailure::BrokenOff;
+    m_failure = failure_of(error);
+}
+
+void HttpCall::State::on_total_timeout()
+{
+    if (!m_connection)
+        return;
+    m_has_failed = true;
+    m_failure = HttpFailure::TimedOut;
+    free_connection_soon();
+    m_loop.soon([self = shared_from_this()] { self->report_end(false); });
 }
 
 bool HttpCall::State::is_framed(evhttp_request* request) const
@@ -147,6 +172,9 @@
 
 void HttpCall::State::report_end(bool is_whole)
 {
+    m_end_timer.reset();
+    if (m_failure == HttpFailure::TooLong)
+        log_too_long(m_address, m_port, m_path);
     auto callbacks = std::exchange(m_callbacks, {});
     if (is_whole) {
         if (callbacks.done)
@@ -178,7 +206,6 @@
 
 struct HttpClient::Running {
     std::unique_ptr<HttpCall> call;
-    std::unique_ptr<Core::Timer> end_timer;
     HttpAnswer answer;
 };
 
@@ -200,16 +227,15 @@
             callback(std::move(result));
     };
     auto* raw = running.get();
-    running->call = HttpCall::start(m_loop, request,
+    auto bounded = request;
+    bounded.total_timeout = request.total_timeout.value_or(request.timeout * total_timeout_factor);
+    running->call = HttpCall::start(m_loop, bounded,
         { .head = [raw](int status, HttpHeaders const& headers) {
              raw->answer.status = status;
              raw->answer.headers = headers; },
             .data = [raw](std::string_view data) { raw->answer.body += data; },
             .done = [raw, ended] { ended(std::move(raw->answer)); },
             .failed = [ended](HttpFailure failure) { ended(tl::unexpected(failure)); } });
-    // The time-out of the connection begins anew with each byte.
-    if (request.total_timeout)
-        running->end_timer = m_loop.after(*request.total_timeout, [this, ended] { m_loop.soon([ended] { ended(tl::unexpected(HttpFailure::TimedOut)); }); });
     return id;
 }
 
--- a/Libraries/LibTransport/KeptConnection.cpp
+++ b/Libraries/LibTransport/KeptConnection.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibTransport/KeptConnection.h>
 
+#include <LibTransport/AnswerLimits.h>
 #include <LibTransport/EvhttpAnswer.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -13,14 +14,17 @@
 struct KeptConnection::Call {
     KeptConnection* owner { nullptr };
     Callback callback;
+    std::string path;
     HttpFailure failure { HttpFailure::NotConnected };
+    bool has_ended { false };
 };
 
-KeptConnection::KeptConnection(Core::EventLoop& loop, std::string address, uint16_t port, Core::Duration timeout)
+KeptConnection::KeptConnection(Core::EventLoop& loop, std::string address, uint16_t port, Core::Duration timeout, size_t max_body_bytes)
     : m_loop(loop)
     , m_address(std::move(address))
     , m_port(port)
     , m_timeout(timeout)
+    , m_max_body_bytes(max_body_bytes)
 {
 }
 
@@ -34,6 +38,7 @@
     m_connection = evhttp_connection_base_new(m_loop.base(), nullptr, m_address.c_str(), m_port);
     auto const timeout = Core::to_timeval(m_timeout);
     evhttp_connection_set_timeout_tv(m_connection, &timeout);
+    limit_answer(m_connection, default_max_head_bytes, m_max_body_bytes, BodyUse::KeptWhole);
 }
 
 void KeptConnection::close_connection()
@@ -51,6 +56,7 @@
     if (m_call)
         m_call->owner = nullptr;
     m_call.reset();
+    m_end_timer.reset();
 }
 
 static HttpAnswer answer_of(evhttp_request* request)
@@ -79,7 +85,9 @@
         close_connection();
     if (!m_connection)
         connect();
-    m_call = std::make_shared<Call>(Call { this, std::move(callback) });
+    m_call = std::make_shared<Call>(Call { this, std::move(callback), path });
+    // The timeout of the connection begins anew with each byte.
+    m_end_timer = m_loop.after(m_timeout * total_timeout_factor, [this] { on_total_timeout(); });
     auto const on_end = [](evhttp_request* ended, void* raw) {
         auto& call = *static_cast<Call*>(raw);
         if (!call.owner)
@@ -90,7 +98,7 @@
     };
     auto const on_error = [](evhttp_request_error error, void* raw) {
         // libevent reports an error here only once the connection stood.
-        static_cast<Call*>(raw)->failure = error == EVREQ_HTTP_TIMEOUT ? HttpFailure::TimedOut : HttpFailure::BrokenOff;
+        static_cast<Call*>(raw)->failure = failure_of(error);
     };
     auto* request = evhttp_request_new(on_end, m_call.get());
     evhttp_request_set_error_cb(request, on_error);
@@ -98,8 +106,19 @@
     evhttp_make_request(m_connection, request, EVHTTP_REQ_GET, path.c_str());
 }
 
+void KeptConnection::on_total_timeout()
+{
+    if (!m_call || m_call->has_ended)
+        return;
+    m_call->failure = HttpFailure::TimedOut;
+    on_end(false, {});
+}
+
 void KeptConnection::on_end(bool is_whole, HttpAnswer answer)
 {
+    m_call->has_ended = true;
+    if (m_call->failure == HttpFailure::TooLong)
+        log_too_long(m_address, m_port, m_call->path);
     if (!is_whole)
         close_connection();
     // libevent may call this before get() has returned, so the caller hears of it in the loop's next turn.
@@ -107,6 +126,7 @@
         if (!call->owner)
             return;
         call->owner->m_call.reset();
+        call->owner->m_end_timer.reset();
         if (is_whole)
             call->callback(answer);
         else
--- a/Libraries/LibTransport/KeptConnection.h
+++ b/Libraries/LibTransport/KeptConnection.h
@@ -19,8 +19,10 @@
 public:
     using Callback = std::function<void(tl::expected<HttpAnswer, HttpFailure>)>;
 
-    /// @param timeout longest silence before a call is given up, connecting included.
-    KeptConnection(Core::EventLoop&, std::string address, uint16_t port, Core::Duration timeout);
+    /// @param timeout longest silence before a call is given up, connecting included. A whole answer may take `total_timeout_factor` times
+    /// as long.
+    /// @param max_body_bytes longest body of an answer.
+    KeptConnection(Core::EventLoop&, std::string address, uint16_t port, Core::Duration timeout, size_t max_body_bytes = default_max_body_bytes);
     /// Ends the call under way without calling back.
     ~KeptConnection();
     KeptConnection(KeptConnection const&) = delete;
@@ -38,13 +40,16 @@
     void connect();
     void close_connection();
     void on_end(bool is_whole, HttpAnswer);
+    void on_total_timeout();
 
     Core::EventLoop& m_loop;
     std::string m_address;
     uint16_t m_port;
     Core::Duration m_timeout;
+    size_t m_max_body_bytes;
     evhttp_connection* m_connection { nullptr };
     std::shared_ptr<Call> m_call;
+    std::unique_ptr<Core::Timer> m_end_timer;
 };
 
 }
--- a/Services/Agent/WeightsRunner.cpp
+++ b/Services/Agent/WeightsRunner.cpp
@@ -16,6 +16,7 @@
 static constexpr Core::Duration hold_down { 10000 };
 static constexpr size_t neighbours_per_widening = 4;
 static constexpr size_t versions_remembered_per_peer = 4;
+static constexpr size_t max_status_bytes = size_t { 1 } << 20;
 static constexpr int status_ok = 200;
 static constexpr int status_unavailable = 503;
 
@@ -279,6 +280,7 @@
         request.path = "/chunks/" + digest + "?held=" + std::to_string(m_transfer->held_count());
     }
     request.limit = m_download_limit.get();
+    request.max_body_bytes = static_cast<size_t>(m_version->chunks[fetch.chunk].bytes);
     auto download = std::make_unique<Download>();
     download->digest = digest;
     download->is_from_origin = fetch.source.is_origin();
@@ -419,6 +421,7 @@
     request.port = m_settings.backend_port;
     request.path = "/engine/status";
     request.timeout = engine_call_timeout;
+    request.max_body_bytes = max_status_bytes;
     auto const sent_at = Core::monotonic_now();
     m_client.call(request, [this, sent_at](auto answer) {
         m_is_polling = false;
--- a/Services/EngineAgent/WeightsLoader.cpp
+++ b/Services/EngineAgent/WeightsLoader.cpp
@@ -255,6 +255,11 @@
     m_fetcher.begin();
 }
 
+static size_t max_staged_bytes(Schema::VersionSpec const& spec, size_t chunk)
+{
+    return static_cast<size_t>(spec.chunks[chunk].bytes);
+}
+
 // Chunks that an earlier process of this agent wrote to the engine's staging area.
 
 void WeightsLoader::adopt_staged()
@@ -263,7 +268,7 @@
     m_adopting = m_fetcher.spec().chunks.size();
     auto const version = m_fetcher.manifest().version;
     for (size_t i = 0; i < m_fetcher.spec().chunks.size(); ++i) {
-        m_engine.read_staged(goal()->model, i, [this, i, version](Core::ErrorOr<std::shared_ptr<std::string const>> const& read) {
+        m_engine.read_staged(goal()->model, i, max_staged_bytes(m_fetcher.spec(), i), [this, i, version](Core::ErrorOr<std::shared_ptr<std::string const>> const& read) {
             auto const bytes = read.value_or(nullptr);
             bool const is_wanted = bytes && m_fetcher.has_manifest() && m_fetcher.manifest().version == version;
             if (is_wanted && m_fetcher.add_local_chunk(i, *bytes))
@@ -339,7 +344,7 @@
 
 void WeightsLoader::read_back(int64_t version, size_t chunk)
 {
-    m_engine.read_staged(goal()->model, chunk, [this, version, chunk](Core::ErrorOr<std::shared_ptr<std::string const>> const& read) {
+    m_engine.read_staged(goal()->model, chunk, max_staged_bytes(spec_of(version), chunk), [this, version, chunk](Core::ErrorOr<std::shared_ptr<std::string const>> const& read) {
         auto* load = load_of(version);
         if (!load)
             return;
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -23,6 +23,8 @@
 // SHA-256 in hexadecimal.
 static constexpr size_t digest_characters = 64;
 static constexpr int status_ok = 200;
+// A chunk may wait for others at its source, and be read at a small part of the link.
+static constexpr int chunk_timeout_factor = 10;
 static constexpr int status_not_found = 404;
 static constexpr int status_unavailable = 503;
 
@@ -207,6 +209,7 @@
     call.port = m_settings.chunk_port;
     call.path = "/manifest?model=" + m_goal->model + "&version=" + std::to_string(m_goal->version);
     call.timeout = manifest_retry;
+    call.max_body_bytes = Platform::max_manifest_bytes;
     m_client.call(call, [this, peer](auto answer) {
         if (!answer.has_value() || answer->status != status_ok)
             return;
@@ -230,7 +233,8 @@
     // If the configuration does not say how many chunks the version has, the manifest's number is accepted.
     bool const is_whole = m_goal->chunks > 0 ? manifest.digests.size() == static_cast<size_t>(m_goal->chunks) : !manifest.digests.empty();
     bool const has_valid_digests = std::all_of(manifest.digests.begin(), manifest.digests.end(), [](auto const& digest) { return digest.size() == digest_characters; });
-    if (!is_wanted || !is_whole || !has_valid_digests) {
+    bool const has_valid_size = manifest.chunk_bytes > 0 && manifest.chunk_bytes <= Platform::max_chunk_bytes;
+    if (!is_wanted || !is_whole || !has_valid_digests || !has_valid_size) {
         m_metrics.count("mountbarrow_manifest_failures_total", "source=\"spoilt\"");
         Core::log_event(Core::LogLevel::Warn, "manifest_refused", { { "source", source }, { "version", std::to_string(manifest.version) }, { "digests", std::to_string(manifest.digests.size()) } });
         return;
@@ -355,7 +359,7 @@
     auto const version = m_wanted->manifest.version;
     auto const id = fetch.id;
     m_metrics.count("mountbarrow_fetches_total", "source=\"origin\"");
-    m_origin_reads[id] = m_origin.read_chunk(m_goal->origin_address, m_wanted->manifest.model, version, fetch.chunk, [this, id, version](Core::ErrorOr<std::string> bytes) {
+    m_origin_reads[id] = m_origin.read_chunk(m_goal->origin_address, m_wanted->manifest.model, version, fetch.chunk, static_cast<size_t>(m_wanted->manifest.chunk_bytes), [this, id, version](Core::ErrorOr<std::string> bytes) {
         m_origin_reads.erase(id);
         if (!m_wanted || m_wanted->manifest.version != version)
             return;
@@ -385,6 +389,8 @@
     if (m_settings.is_cache)
         call.path += "&for=cache";
     call.timeout = m_settings.transfer.stall_timeout;
+    call.total_timeout = call.timeout * chunk_timeout_factor;
+    call.max_body_bytes = static_cast<size_t>(m_wanted->manifest.chunk_bytes);
     auto download = std::make_unique<Download>();
     auto* raw = download.get();
     auto const id = fetch.id;
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -49,9 +49,28 @@
         self.writer = writer
 
 
+# Beginnings of answers, and what follows each of them without end.
+ENDLESS = {
+    "first line": (b"HTTP/1.1 200 ", b"O"),
+    "head": (b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n"),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"bytes"),
+    "length": (b"HTTP/1.1 200 OK\r\nContent-Length: 4611686018427387904\r\n\r\n", b"bytes"),
+    "chunk size": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"0"),
+    "trailer": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X-More: 1\r\n"),
+}
+ENDLESS_PART_BYTES = 65536
+
+
 class HttpStandIn:
     """An HTTP/1.1 server, one request a connection at a time, whose subclass answers."""
 
+    # Answers to paths that begin with this have no end, of the kind that ENDLESS names.
+    endless_path = None
+    endless_kind = ""
+    # Bytes that were sent so, and how many answers.
+    endless_bytes = 0
+    endless_answers = 0
+
     def __init__(self, loop, address, port):
         self.loop = loop
         self.address = address
@@ -78,7 +97,11 @@
         try:
             while True:
                 request = await self.read(reader, writer)
-                if request is None or not await self.answer(request):
+                if request is None:
+                    break
+                if self.endless_path and request.path.startswith(self.endless_path):
+                    await self.answer_without_end(request)
+                if not await self.answer(request):
                     break
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -87,6 +110,17 @@
             self.writers.discard(writer)
             writer.close()
 
+    async def answer_without_end(self, request):
+        """Sends until the caller closes; where it only stops reading, this waits."""
+        beginning, repeated = ENDLESS[self.endless_kind]
+        part = repeated * (ENDLESS_PART_BYTES // len(repeated))
+        self.endless_answers += 1
+        request.writer.write(beginning)
+        while True:
+            request.writer.write(part)
+            await request.writer.drain()
+            self.endless_bytes += len(part)
+
     @staticmethod
     async def read(reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
--- a/Tests/StandIns/FakeEngine/FakeEngine.cpp
+++ b/Tests/StandIns/FakeEngine/FakeEngine.cpp
@@ -107,6 +107,7 @@
     request.address = m_load->order.source_address;
     request.port = static_cast<uint16_t>(m_load->order.source_port);
     request.path = "/chunks/" + m_load->order.chunks[m_load->next] + "?for=engine";
+    request.max_body_bytes = size_t { 64 } << 20;
     m_client.call(request, [this, fence = m_fence](auto answer) {
         if (!m_load || fence != m_load->order.fence)
             return;
--- a/Tests/Weights/HeldBackOrigin.h
+++ b/Tests/Weights/HeldBackOrigin.h
@@ -26,7 +26,7 @@
         m_answers.emplace_back([manifest, callback = std::move(callback)] { callback(manifest); });
     }
 
-    uint64_t read_chunk(std::string const&, std::string const&, int64_t version, size_t chunk, std::function<void(Core::ErrorOr<std::string>)> callback) override
+    uint64_t read_chunk(std::string const&, std::string const&, int64_t version, size_t chunk, size_t, std::function<void(Core::ErrorOr<std::string>)> callback) override
     {
         m_answers.emplace_back([version, chunk, callback = std::move(callback)] { callback(bytes_of(version, chunk)); });
         return ++m_reads;
--- a/Utilities/mountbarrow-load/LoadRunner.cpp
+++ b/Utilities/mountbarrow-load/LoadRunner.cpp
@@ -55,6 +55,8 @@
     request.port = target.port;
     request.method = "POST";
     request.timeout = m_settings.deadline + grace;
+    // Only counted.
+    request.max_body_bytes.reset();
     request.headers.emplace_back("X-Deadline-Ms", std::to_string(m_settings.deadline.count()));
     request.headers.emplace_back("X-Priority", std::to_string(m_settings.priority));
     if (!running.customer.empty())
--- a/Utilities/mountbarrow/Client.cpp
+++ b/Utilities/mountbarrow/Client.cpp
@@ -5,6 +5,7 @@
 
 static constexpr Core::Duration call_timeout { 20000 };
 static constexpr Core::Duration stream_timeout { 3600000 };
+static constexpr size_t max_answer_bytes = size_t { 64 } << 20;
 
 Client::Client(std::string address, uint16_t port, std::string token)
     : m_address(std::move(address))
@@ -31,6 +32,7 @@
     Transport::HttpClient client(m_loop);
     auto call = request(method, path);
     call.body = body;
+    call.max_body_bytes = max_answer_bytes;
     client.call(call, [&](auto answer) {
         if (answer.has_value())
             result = Answer { answer->status, nlohmann::json::parse(answer->body, nullptr, false) };
@@ -46,6 +48,7 @@
     std::string pending;
     auto call = request("GET", path);
     call.timeout = stream_timeout;
+    call.max_body_bytes.reset();
     auto running = Transport::HttpCall::start(m_loop, call,
         { .head = [&](int status, auto const&) { is_reached = status == 200; },
             .data = [&](std::string_view data) {
