Soak: Spoil staged chunks, hold up orders and slow agents' calls amid versions in quick succession

Change: three seeds in eleven spoil or lose what is staged, hold an order up while a chunk turns bad, make engines deaf or slow to their agents, and let the origin and engines answer without end. Every seed checks that no request began on layers that were wrongly loaded; the strict check of a load's digests stays for the seeds that spoil nothing.

--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -471,6 +471,8 @@
         self.is_frozen = False
         # Until then it neither answers nor goes on with what it runs; afterwards it does as if nothing had been.
         self.silent_until = 0.0
+        # Until then it reports nothing, and takes none of its agent's calls; what it runs goes on.
+        self.deaf_until = 0.0
         # A request with one of these bodies ends the engine so long after it began there; it is back after some seconds.
         self.crashing_bodies = set()
         # So does one with one of these parts in its prompt, unless the part is the last.
@@ -566,6 +568,8 @@
         if is_of_agent:
             await asyncio.sleep(self.call_seconds)
         await self.silence()
+        if is_of_agent or request.path == "/report":
+            await asyncio.sleep(max(0, self.deaf_until - time.monotonic()))
         if request.path == "/report":
             body = {"Stage": "both", "Busy": self.is_busy(), "CallSeq": self.order_sequence, "Waiting": 0, "Running": self.running, "pace": 1.0, **self.start(), **self.held()}
             return await self.reply(request, 200, body=json.dumps(body).encode())
--- a/Tests/Soak/promises.py
+++ b/Tests/Soak/promises.py
@@ -40,7 +40,7 @@
     "leaving": "a server whose answers say that it leaves gets nothing from an entry that was told so two seconds before",
     "rest": "a server that asked an entry for rest gets nothing from it meanwhile",
     "version": "no stream begins on an old version past its bound",
-    "weights": "an engine loads only the exact bytes of a version",
+    "weights": "no request begins on layers that were loaded from chunks that were missing, of another version or bad for over three seconds",
     "ended": "no process ends by itself",
     "memory": "no process grows past its limit",
 }
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -31,6 +31,7 @@
 from cluster import wait_until  # noqa: E402
 from fault_proxy import MODES  # noqa: E402
 from fleet import CUSTOMER, KEY, LEDGER, limits, route  # noqa: E402
+from stand_ins import ENDLESS  # noqa: E402
 from soak_fleet import MEMORY_LIMITS, SoakFleet, is_sanitized, peak_megabytes  # noqa: E402
 
 CALLERS, LASTING_CALLERS = 4, 16
@@ -50,6 +51,11 @@
 # that callers meet entries to which nothing else was done.
 LASTING_ONE_IN, LASTING_REST = 7, 5
 LASTING_EVENT_SECONDS, LASTING_DEADLINE_MS, LASTING_UPLOAD_SECONDS = 0.8, 6000, 6.0
+# A few seeds in so many play with staged chunks that turn bad, engines that take orders and staged chunks in their own time, and versions
+# in quick succession.
+STAGING_ONE_IN, STAGING_RESTS = 11, (2, 7, 10)
+DEAF_SECONDS, SLOW_CALL_SECONDS, SLOW_SECONDS = (0.5, 4.5), (0.1, 0.95), (0.5, 3.0)
+ENDLESS_SECONDS, WARM_SECONDS = (0.2, 1.0), 0.3
 FAULT_GAP_SECONDS, LASTING_GAP_SECONDS = (0.05, 0.5), (1.0, 4.0)
 WIDE_ONE_IN = 10
 WIDE_ENTRIES, WIDE_ENGINES = 6, 30
@@ -359,6 +365,65 @@
         self.disturb_once(f"server {engine.address}")
         engine.restart()
 
+    # Weights.
+
+    def plays_staging(self):
+        return self.seed % STAGING_ONE_IN in STAGING_RESTS
+
+    def spoil_staging(self):
+        """Staged chunks of an engine turn bad."""
+        engine = self.random.choice(self.fleet.engines)
+        chunks = self.random.sample(range(engine.chunks), self.random.randint(1, 3))
+        self.note("staging_spoilt", address=engine.address, chunks=chunks)
+        for chunk in chunks:
+            engine.staged.corrupt(chunk)
+
+    def lose_staging(self):
+        """An engine loses power."""
+        engine = self.random.choice(self.fleet.engines)
+        self.note("staging_lost", address=engine.address)
+        self.disturb_once(f"server {engine.address}")
+        engine.staged.lose()
+        engine.restart()
+
+    def be_deaf(self):
+        """An engine takes what its agent sends, and reports, only after a while."""
+        engine = self.random.choice(self.fleet.engines)
+        seconds = self.random.uniform(*DEAF_SECONDS)
+        self.note("engine_deaf", address=engine.address, seconds=seconds)
+        engine.deaf_until = time.monotonic() + seconds
+
+    def hold_up_order(self):
+        """The next order reaches an engine that takes nothing for a while, in which a chunk turns bad."""
+        engine = self.random.choice(self.fleet.engines)
+        seconds, chunk = self.random.uniform(*DEAF_SECONDS), self.random.randrange(engine.chunks)
+
+        def on_order():
+            engine.on_order = None
+            engine.deaf_until = time.monotonic() + seconds
+            engine.staged.corrupt(chunk)
+        self.note("order_held_up", address=engine.address, seconds=seconds, chunk=chunk)
+        engine.on_order = on_order
+
+    def slow_agent_calls(self):
+        """An agent's calls, their answers or the orders among them are long on their way."""
+        engine = self.random.choice(self.fleet.engines)
+        name = self.random.choice(("call_seconds", "answer_seconds", "order_seconds"))
+        self.note("engine_slow", address=engine.address, name=name)
+        setattr(engine, name, self.random.uniform(*SLOW_CALL_SECONDS))
+        self.later(self.random.uniform(*SLOW_SECONDS), lambda: setattr(engine, name, 0.0))
+
+    def answer_without_end(self):
+        """The origin, or an engine to its agent, sends bytes without end."""
+        server, path = self.random.choice(((self.fleet.origin, "/piece/"), (self.fleet.origin, "/manifest/"), (self.random.choice(self.fleet.engines), "/report"),
+                                           (self.random.choice(self.fleet.engines), "/stage-get/")))
+        server.endless_kind, server.endless_path = self.random.choice(list(ENDLESS)), path
+        self.note("answers_without_end", path=path, what=server.endless_kind)
+
+        def end():
+            server.endless_path = None
+        self.later(self.random.uniform(*ENDLESS_SECONDS), end)
+
     # What servers state about themselves.
 
     def plays_statements(self):
@@ -472,6 +537,10 @@
                 engine.event_seconds = PAUSED_EVENT_SECONDS
         if self.plays_statements():
             faults += [self.state_limit, self.leave_by_answers, self.ask_for_rest, self.ask_for_rest]
+        if self.plays_staging():
+            faults += 2 * [self.spoil_staging, self.hold_up_order, self.hold_up_order, self.be_deaf, self.slow_agent_calls] + [self.lose_staging, self.answer_without_end, self.name_version]
+            for engine in self.fleet.engines:
+                engine.warm_seconds = WARM_SECONDS
         gap_seconds, wait = FAULT_GAP_SECONDS, time.sleep
         if self.plays_lasting():
             faults = [self.stop_entry, self.stop_entry, self.stop_in_turn, self.reload, self.change_keys, self.change_series]
@@ -571,8 +640,11 @@
         yield from self.own_ends
         yield from promises.request_faults(self.record())
         for engine in self.fleet.engines:
+            for request_id, version, chunks in engine.wrong_runs:
+                yield f"weights: {request_id} began at {engine.address} on version {version}, loaded from {chunks}"
             for version, digests in engine.loads:
-                if digests != self.fleet.origin.digests(version):
+                # Chunks that turned bad just before the load are allowed; nothing else turns bad.
+                if not self.plays_staging() and digests != self.fleet.origin.digests(version):
                     yield f"weights: {engine.address} loaded bytes that are not version {version}"
         if any(is_sanitized(self.fleet.processes[identity].pid) for identity in self.living()):
             return
