LibDistribution: Wait before an order to give a version up is repeated

Cause: an order that the engine refuses was sent anew with each report, ten times a second, and orders are priced. Change: the next one goes out after the time that an order's result may take. Measured: 30 library tests of the classes pass; found by reading.

--- a/Libraries/LibDistribution/StagedLoad.cpp
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -187,8 +187,10 @@
     if (!end_order(outcome, now))
         return;
     m_report.reset();
-    if (outcome != Platform::OrderOutcome::Accepted)
+    if (outcome != Platform::OrderOutcome::Accepted) {
+        m_unload_retry_at = now + m_settings.order_result_timeout;
         return;
+    }
     m_check.reset();
     m_held_version = 0;
 }
@@ -298,7 +300,7 @@
 
 std::vector<LoadAction> StagedLoad::order_unload(Core::Time now)
 {
-    bool const can_be_ordered = m_report && !m_report->is_busy && !m_order_wait_since && m_calls == 0;
+    bool const can_be_ordered = m_report && !m_report->is_busy && !m_order_wait_since && m_calls == 0 && now >= m_unload_retry_at;
     if (!can_be_ordered)
         return {};
     begin_order(now);
--- a/Libraries/LibDistribution/StagedLoad.h
+++ b/Libraries/LibDistribution/StagedLoad.h
@@ -113,8 +113,8 @@
     /// Records the result of an OrderUnload action.
     void on_unload_ordered(Platform::OrderOutcome, Core::Time now);
 
-    /// Returns the actions to start now. The caller records writes in the StagingArea, and reports the result of each through on_staged(), on_read_back(), on_ordered() or
-    /// on_unload_ordered().
+    /// Returns the actions to start now. The caller records writes in the StagingArea, and reports the result of each action through
+    /// on_staged(), on_read_back(), on_ordered() or on_unload_ordered().
     std::vector<LoadAction> step(Core::Time now, SwitchPermissions = {});
 
     /// Whether the engine reports that it holds all layers of this version, and the load was found whole.
@@ -196,6 +196,8 @@
     std::optional<Core::Time> m_order_wait_since;
     // Of the load that the engine has taken, if any.
     std::optional<LoadCheck> m_check;
+    // Earliest time of the next order to give the version up, after one that was not accepted.
+    Core::Time m_unload_retry_at { 0 };
     std::optional<Core::Time> m_draining_since;
     uint64_t m_corrupt_count { 0 };
 };
