--- a/Libraries/LibDistribution/StagingArea.cpp
+++ b/Libraries/LibDistribution/StagingArea.cpp
@@ -66,7 +66,7 @@
         return true;
     if (!m_last_write_at)
         return false;
-    return m_may_have_earlier_order || (m_order_open_since && *m_last_write_at >= *m_order_open_since);
+    return m_may_have_earlier_order || (m_order_open_since && *m_last_write_at > *m_order_open_since);
 }
 
 }
