EngineAgent: Replace a load in doubt layer by layer

Cause: a load in doubt was given up by an order for one layer of the version before. And an engine keeps the layers that it holds of the version that it is ordered: a part of it, left behind by a process that ended in between, would stay under the next load. Change: the engine is ordered to hold the first layer alone, then, once all chunks are verified, the last one alone, and then all; a part that was found there is replaced in the same way. A write after the second order begins it anew.

--- a/Libraries/LibDistribution/StagedLoad.cpp
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -79,6 +79,7 @@
     m_report = report;
     if (report.started_at_ms)
         m_started_at_ms = report.started_at_ms;
+    m_layers = layers;
     m_held_version = Configuration::highest_complete_version(report.held, layers);
     if (m_held_version >= m_version || has_order_wait_ended)
         m_order_wait_since.reset();
@@ -107,6 +108,7 @@
     m_order_wait_since.reset();
     m_draining_since.reset();
     m_check.reset();
+    m_verified_layer.reset();
     m_is_order_outdated = m_is_ordering;
     for (auto& chunk : m_chunks) {
         chunk.is_call_outdated = chunk.is_in_call;
@@ -182,17 +184,29 @@
     }
 }
 
-void StagedLoad::on_unload_ordered(Platform::OrderOutcome outcome, Core::Time now)
+void StagedLoad::on_hold_layer_ordered(Platform::OrderOutcome outcome, Core::Time now)
 {
     if (!end_order(outcome, now))
         return;
     m_report.reset();
     if (outcome != Platform::OrderOutcome::Accepted) {
-        m_unload_retry_at = now + m_settings.order_result_timeout;
+        m_hold_layer_retry_at = now + m_settings.order_result_timeout;
         return;
     }
     m_check.reset();
     m_held_version = 0;
+    if (m_is_layer_verified)
+        m_verified_layer = m_ordered_layer;
+}
+
+std::optional<int64_t> StagedLoad::held_part() const
+{
+    for (auto const& held : m_report->held) {
+        bool const is_part = held.version == m_version && held.end_layer - held.first_layer < m_layers;
+        if (is_part)
+            return held.first_layer;
+    }
+    return {};
 }
 
 bool StagedLoad::is_complete() const
@@ -221,6 +235,7 @@
         chunk.is_in_call = true;
         m_calls += 1;
         m_writes += 1;
+        m_verified_layer.reset();
         actions.emplace_back(StageChunk { i });
         return true;
     }
@@ -284,7 +299,7 @@
     if (is_checking())
         return check_load(now);
     if (is_in_doubt())
-        return order_unload(now);
+        return begin_replacement(now);
     return prepare_load(now, permissions);
 }
 
@@ -298,13 +313,20 @@
     return actions;
 }
 
-std::vector<LoadAction> StagedLoad::order_unload(Core::Time now)
+std::vector<LoadAction> StagedLoad::begin_replacement(Core::Time now)
 {
-    bool const can_be_ordered = m_report && !m_report->is_busy && !m_order_wait_since && m_calls == 0 && now >= m_unload_retry_at;
+    bool const can_be_ordered = m_report && !m_report->is_busy && !m_order_wait_since && m_calls == 0 && now >= m_hold_layer_retry_at;
     if (!can_be_ordered)
         return {};
+    m_is_layer_verified = false;
+    return { order_layer(0, now) };
+}
+
+LoadAction StagedLoad::order_layer(int64_t layer, Core::Time now)
+{
     begin_order(now);
-    return { OrderUnload { m_order_sequence } };
+    m_ordered_layer = layer;
+    return OrderHoldLayer { layer, m_order_sequence };
 }
 
 std::vector<LoadAction> StagedLoad::prepare_load(Core::Time now, SwitchPermissions const& permissions)
@@ -320,9 +342,19 @@
         return actions;
     auto const allowed_mode = load_mode(now, permissions);
     bool const is_due = allowed_mode.has_value() || m_draining_since.has_value();
+    auto const part = held_part();
+    if (allowed_mode && are_all_verified(now) && part && part != m_verified_layer) {
+        if (now < m_hold_layer_retry_at)
+            return actions;
+        m_is_layer_verified = true;
+        // A layer that it does not hold, so that it gives up the part.
+        actions.push_back(order_layer(*part > 0 ? 0 : m_layers - 1, now));
+        return actions;
+    }
     if (allowed_mode && are_all_verified(now)) {
         begin_order(now);
         m_check.reset();
+        m_verified_layer.reset();
         actions.emplace_back(OrderLoad { m_order_sequence, *allowed_mode });
         return actions;
     }
--- a/Libraries/LibDistribution/StagedLoad.h
+++ b/Libraries/LibDistribution/StagedLoad.h
@@ -31,13 +31,14 @@
     Platform::LoadMode mode { Platform::LoadMode::WaitForRunning };
 };
 
-/// Order the engine to give up the version, so that it can be loaded anew.
-struct OrderUnload {
+/// Order the engine to hold a single layer of the version, so that it gives up the others and loads them anew later.
+struct OrderHoldLayer {
+    int64_t layer { 0 };
     /// As in OrderLoad.
     std::optional<int64_t> expected_sequence;
 };
 
-using LoadAction = std::variant<StageChunk, ReadBackChunk, OrderLoad, OrderUnload>;
+using LoadAction = std::variant<StageChunk, ReadBackChunk, OrderLoad, OrderHoldLayer>;
 
 /// Limits and timeouts of a StagedLoad. Durations are in milliseconds.
 struct StagedLoadSettings {
@@ -79,7 +80,11 @@
 ///
 /// An order is sent only when every chunk of the version is staged and was read back with the right digest within the last
 /// `read_back_validity`. The engine takes the staged chunks when it takes the order, which may be much later, so the load counts as served
-/// only once a LoadCheck has found it whole. A load in doubt is given up and ordered anew.
+/// only once a LoadCheck has found it whole.
+///
+/// A load in doubt is replaced layer by layer, since the engine keeps the layers of the version that it holds: it is ordered to hold the first
+/// layer alone, then, once all chunks are verified, the last one alone, and then all. A part of the version that an earlier process left behind
+/// is replaced in the same way.
 ///
 /// An order without an answer may have been accepted: the engine's next report shows it, and the sequence number that the next order
 /// expects keeps two orders from both taking effect. An engine may restart under its identity: answers from before the restart then no
@@ -110,11 +115,11 @@
     void on_unreachable();
     /// Records the result of an OrderLoad action.
     void on_ordered(Platform::OrderOutcome, Core::Time now);
-    /// Records the result of an OrderUnload action.
-    void on_unload_ordered(Platform::OrderOutcome, Core::Time now);
+    /// Records the result of an OrderHoldLayer action.
+    void on_hold_layer_ordered(Platform::OrderOutcome, Core::Time now);
 
     /// Returns the actions to start now. The caller records writes in the StagingArea, and reports the result of each action through
-    /// on_staged(), on_read_back(), on_ordered() or on_unload_ordered().
+    /// on_staged(), on_read_back(), on_ordered() or on_hold_layer_ordered().
     std::vector<LoadAction> step(Core::Time now, SwitchPermissions = {});
 
     /// Whether the engine reports that it holds all layers of this version, and the load was found whole.
@@ -167,7 +172,10 @@
     bool are_all_verified(Core::Time now) const;
     std::optional<Platform::LoadMode> load_mode(Core::Time now, SwitchPermissions const&);
     std::vector<LoadAction> check_load(Core::Time now);
-    std::vector<LoadAction> order_unload(Core::Time now);
+    std::vector<LoadAction> begin_replacement(Core::Time now);
+    LoadAction order_layer(int64_t layer, Core::Time now);
+    /// Returns the first layer of the part of this version that the engine holds; empty if it holds none of it, or all.
+    std::optional<int64_t> held_part() const;
     std::vector<LoadAction> prepare_load(Core::Time now, SwitchPermissions const&);
     void begin_order(Core::Time now);
     /// Ends the order in flight. Returns false if its outcome says nothing about the engine's present incarnation.
@@ -196,8 +204,15 @@
     std::optional<Core::Time> m_order_wait_since;
     // Of the load that the engine has taken, if any.
     std::optional<LoadCheck> m_check;
-    // Earliest time of the next order to give the version up, after one that was not accepted.
-    Core::Time m_unload_retry_at { 0 };
+    // The number of layers of the model.
+    int64_t m_layers { 0 };
+    // The layer in the OrderHoldLayer in flight, and whether all chunks were verified when it was sent.
+    int64_t m_ordered_layer { 0 };
+    bool m_is_layer_verified { false };
+    // The layer that the engine was ordered to hold when all chunks were verified, if nothing was written since.
+    std::optional<int64_t> m_verified_layer;
+    // Earliest time of the next OrderHoldLayer, after one that was not accepted.
+    Core::Time m_hold_layer_retry_at { 0 };
     std::optional<Core::Time> m_draining_since;
     uint64_t m_corrupt_count { 0 };
 };
--- a/Libraries/LibPlatform/EngineApi.h
+++ b/Libraries/LibPlatform/EngineApi.h
@@ -59,7 +59,7 @@
     /// Reads the engine's state; the callback gets an error if the engine did not answer or the answer could not be decoded.
     virtual void read_report(std::function<void(Core::ErrorOr<EngineReport>)>) = 0;
 
-    /// Orders the engine to load the staged weights of a model.
+    /// Orders the engine to load the staged weights of a model. Layers of the same version that it holds already stay as they are.
     /// `expected_sequence`: number of orders that the engine must have accepted before this one; std::nullopt if that is unknown.
     virtual void start(std::string const& model, int64_t version, LoadMode, std::optional<int64_t> expected_sequence, std::function<void(OrderOutcome)>) = 0;
 
@@ -70,8 +70,8 @@
     /// error if it did not answer.
     virtual void read_staged(std::string const& model, size_t chunk, size_t max_bytes, std::function<void(Core::ErrorOr<std::shared_ptr<std::string const>>)>) = 0;
 
-    /// Orders the engine to give up the version of a model that it holds: it ignores an order to load what it holds already.
-    virtual void unload(std::string const& model, int64_t version, std::optional<int64_t> expected_sequence, std::function<void(OrderOutcome)>) = 0;
+    /// Orders the engine to hold this layer of a version and no other. It loads the layer from the staged weights unless it holds it already.
+    virtual void hold_layer(std::string const& model, int64_t version, int64_t layer, std::optional<int64_t> expected_sequence, std::function<void(OrderOutcome)>) = 0;
 };
 
 /// The longest manifest that is read, in bytes: some 15,000 digests.
--- a/Services/EngineAgent/WeightsLoader.cpp
+++ b/Services/EngineAgent/WeightsLoader.cpp
@@ -316,8 +316,8 @@
         read_back(version, read->chunk);
     else if (auto const* due = std::get_if<Distribution::OrderLoad>(&action))
         order(version, *due);
-    else if (auto const* due_unload = std::get_if<Distribution::OrderUnload>(&action))
-        unload(version, *due_unload);
+    else if (auto const* due_layer = std::get_if<Distribution::OrderHoldLayer>(&action))
+        hold_layer(version, *due_layer);
 }
 
 void WeightsLoader::stage(int64_t version, size_t chunk)
@@ -420,14 +420,14 @@
     });
 }
 
-void WeightsLoader::unload(int64_t version, Distribution::OrderUnload const& due)
+void WeightsLoader::hold_layer(int64_t version, Distribution::OrderHoldLayer const& due)
 {
-    Core::log_event(Core::LogLevel::Warn, "unload_ordered", { { "version", std::to_string(version) }, { "expected_sequence", due.expected_sequence ? std::to_string(*due.expected_sequence) : "any" } });
-    m_metrics.count("mountbarrow_unload_orders_total");
-    m_engine.unload(goal()->model, version, due.expected_sequence, [this, version](Platform::OrderOutcome outcome) {
-        Core::log_event(Core::LogLevel::Info, "unload_answered", { { "version", std::to_string(version) }, { "outcome", std::to_string(static_cast<int>(outcome)) } });
+    Core::log_event(Core::LogLevel::Warn, "layer_ordered", { { "version", std::to_string(version) }, { "layer", std::to_string(due.layer) }, { "expected_sequence", due.expected_sequence ? std::to_string(*due.expected_sequence) : "any" } });
+    m_metrics.count("mountbarrow_layer_orders_total");
+    m_engine.hold_layer(goal()->model, version, due.layer, due.expected_sequence, [this, version](Platform::OrderOutcome outcome) {
+        Core::log_event(Core::LogLevel::Info, "layer_answered", { { "version", std::to_string(version) }, { "outcome", std::to_string(static_cast<int>(outcome)) } });
         if (auto* load = load_of(version))
-            load->on_unload_ordered(outcome, Core::monotonic_now());
+            load->on_hold_layer_ordered(outcome, Core::monotonic_now());
         poll_engine();
     });
 }
--- a/Services/EngineAgent/WeightsLoader.h
+++ b/Services/EngineAgent/WeightsLoader.h
@@ -144,7 +144,7 @@
     void stage(int64_t version, size_t chunk);
     void read_back(int64_t version, size_t chunk);
     void order(int64_t version, Distribution::OrderLoad const&);
-    void unload(int64_t version, Distribution::OrderUnload const&);
+    void hold_layer(int64_t version, Distribution::OrderHoldLayer const&);
     /// Returns true if this engine may stop serving to load the goal: near the deadline, or if enough peers serve.
     bool may_switch(Schema::WeightsGoal const&, Core::Time goal_at, Core::Time now) const;
     /// Announces to the peers which version the engine serves, or that it serves none and seeks the goal's version.
--- a/Tests/LibDistribution/TestLoadVerification.cpp
+++ b/Tests/LibDistribution/TestLoadVerification.cpp
@@ -27,26 +27,46 @@
 
     std::vector<Chunk> staged { chunks };
     int64_t held_version { 0 };
-    bool holds_all_layers { false };
-    bool is_load_wrong { false };
+    int64_t first_layer { 0 };
+    int64_t end_layer { 0 };
+    // Whether each layer was loaded from a wrong chunk.
+    std::vector<bool> wrong_layers = std::vector<bool>(layers);
     int64_t sequence { 0 };
     int64_t started_at_ms { 1 };
     Core::Time busy_until { 0 };
     Core::Time stands_still_until { 0 };
 
-    Platform::OrderOutcome take(int64_t version, bool has_all_layers, std::optional<int64_t> expected, Core::Time now)
+    bool holds_all_layers() const { return first_layer == 0 && end_layer == layers; }
+    bool is_load_wrong() const { return std::find(wrong_layers.begin(), wrong_layers.end(), true) != wrong_layers.end(); }
+
+    bool is_wrong(int64_t layer, int64_t version, Core::Time now) const
+    {
+        // Two layers may share a chunk.
+        auto const count = static_cast<int64_t>(chunks);
+        auto const begin = staged.begin() + layer * count / layers;
+        auto const end = staged.begin() + ((layer + 1) * count + layers - 1) / layers;
+        return std::any_of(begin, end, [&](auto const& chunk) {
+            return chunk.written_version != version || (chunk.corrupt_since && now - *chunk.corrupt_since > allowed_corruption);
+        });
+    }
+
+    Platform::OrderOutcome take(int64_t version, int64_t first, int64_t end, std::optional<int64_t> expected, Core::Time now)
     {
         if (expected != sequence || now < busy_until)
             return Platform::OrderOutcome::Refused;
-        if (held_version == version && (holds_all_layers || !has_all_layers))
+        if (held_version == version && first_layer == first && end_layer == end)
             return Platform::OrderOutcome::AlreadyHeld;
         sequence += 1;
+        for (int64_t layer = 0; layer < layers; ++layer) {
+            bool const is_ordered = first <= layer && layer < end;
+            bool const is_kept = held_version == version && first_layer <= layer && layer < end_layer;
+            if (!is_ordered || !is_kept)
+                wrong_layers[static_cast<size_t>(layer)] = is_ordered && is_wrong(layer, version, now);
+        }
         held_version = version;
-        holds_all_layers = has_all_layers;
-        busy_until = now + Core::Duration(300);
-        is_load_wrong = std::any_of(staged.begin(), staged.end(), [&](auto const& chunk) {
-            return chunk.written_version != version || (chunk.corrupt_since && now - *chunk.corrupt_since > allowed_corruption);
-        });
+        first_layer = first;
+        end_layer = end;
+        busy_until = now + Core::Duration(300) * (end - first) / layers;
         return Platform::OrderOutcome::Accepted;
     }
 
@@ -64,7 +84,7 @@
     {
         Platform::EngineReport report;
         if (held_version > 0)
-            report.held = { { .end_layer = holds_all_layers ? layers : 1, .first_layer = 0, .model = "m", .version = held_version } };
+            report.held = { { .end_layer = end_layer, .first_layer = first_layer, .model = "m", .version = held_version } };
         report.is_busy = now < busy_until;
         report.order_sequence = sequence;
         if (tells_start)
@@ -117,7 +137,7 @@
     bool is_newest_served() const { return m_load->is_served_whole() && m_load->version() == m_version && m_engine.held_version == m_version; }
     uint64_t wrong_claims() const { return m_wrong_claims; }
     int64_t orders() const { return m_orders; }
-    int64_t unloads() const { return m_unloads; }
+    int64_t layer_orders() const { return m_layer_orders; }
 
 private:
     struct Call {
@@ -248,8 +268,8 @@
     void note_claim(Core::Time executed_at, Platform::EngineReport const& report)
     {
         bool const is_same_load = m_engine.sequence == report.order_sequence && m_engine_restarted_at < executed_at;
-        bool const is_claimed = m_load->is_served_whole() && m_engine.holds_all_layers && m_engine.held_version == m_load->version();
-        if (is_claimed && is_same_load && m_engine.is_load_wrong)
+        bool const is_claimed = m_load->is_served_whole() && m_engine.holds_all_layers() && m_engine.held_version == m_load->version();
+        if (is_claimed && is_same_load && m_engine.is_load_wrong())
             m_wrong_claims += 1;
     }
 
@@ -291,17 +311,17 @@
         } else if (auto const* order = std::get_if<OrderLoad>(&action)) {
             m_orders += 1;
             send([this, load, version, expected = order->expected_sequence] {
-                auto const outcome = m_engine.take(version, true, expected, m_now);
+                auto const outcome = m_engine.take(version, 0, layers, expected, m_now);
                 return for_load(load, [this, outcome] { m_load->on_ordered(outcome, m_now); }); }, [this, load] {
                 if (load == m_load_number)
                     m_load->on_ordered(Platform::OrderOutcome::Unknown, m_now); });
-        } else if (auto const* unload = std::get_if<OrderUnload>(&action)) {
-            m_unloads += 1;
-            send([this, load, version, expected = unload->expected_sequence] {
-                auto const outcome = m_engine.take(version - 1, false, expected, m_now);
-                return for_load(load, [this, outcome] { m_load->on_unload_ordered(outcome, m_now); }); }, [this, load] {
+        } else if (auto const* hold = std::get_if<OrderHoldLayer>(&action)) {
+            m_layer_orders += 1;
+            send([this, load, version, layer = hold->layer, expected = hold->expected_sequence] {
+                auto const outcome = m_engine.take(version, layer, layer + 1, expected, m_now);
+                return for_load(load, [this, outcome] { m_load->on_hold_layer_ordered(outcome, m_now); }); }, [this, load] {
                 if (load == m_load_number)
-                    m_load->on_unload_ordered(Platform::OrderOutcome::Unknown, m_now); });
+                    m_load->on_hold_layer_ordered(Platform::OrderOutcome::Unknown, m_now); });
         }
     }
 
@@ -324,7 +344,7 @@
     bool m_is_polling { false };
     uint64_t m_wrong_claims { 0 };
     int64_t m_orders { 0 };
-    int64_t m_unloads { 0 };
+    int64_t m_layer_orders { 0 };
 };
 
 static constexpr Core::Duration trouble_time { 40000 };
@@ -369,7 +389,7 @@
     simulation.run(Core::Duration(5000));
     EXPECT_TRUE(simulation.is_newest_served());
     EXPECT_EQ(simulation.orders(), 2);
-    EXPECT_EQ(simulation.unloads(), 0);
+    EXPECT_EQ(simulation.layer_orders(), 0);
 }
 
 // A version is reached while chunks keep turning bad.
--- a/Tests/LibDistribution/TestStagingArea.cpp
+++ b/Tests/LibDistribution/TestStagingArea.cpp
@@ -43,6 +43,24 @@
         load.on_report(report(version, sequence), layers, m_now, m_now);
     }
 
+    void show_part(StagedLoad& load, int64_t layer, int64_t sequence)
+    {
+        auto part = report(load.version(), sequence);
+        part.held[0].first_layer = layer;
+        part.held[0].end_layer = layer + 1;
+        m_area.on_report(part, m_now);
+        load.on_report(part, layers, m_now, m_now);
+    }
+
+    /// Returns the layer that the engine is ordered to hold alone.
+    int64_t next_layer(StagedLoad& load)
+    {
+        auto const actions = load.step(m_now);
+        auto const* order = actions.size() == 1 ? std::get_if<OrderHoldLayer>(&actions[0]) : nullptr;
+        EXPECT_NE(order, nullptr);
+        return order ? order->layer : -1;
+    }
+
     template<typename Action>
     void expect_next(StagedLoad& load)
     {
@@ -111,7 +129,7 @@
     show(load, 2, m_sequence + 1);
     EXPECT_TRUE(load.is_in_doubt());
     EXPECT_FALSE(load.is_served_whole());
-    expect_next<OrderUnload>(load);
+    expect_next<OrderHoldLayer>(load);
 }
 
 TEST_F(StagingAreaTest, ALoadThatAnUnansweredOrderTookWithoutWritesIsChecked)
@@ -161,7 +179,7 @@
     EXPECT_FALSE(m_area.can_change_unseen());
 }
 
-TEST_F(StagingAreaTest, AnOrderToGiveTheVersionUpIsNotRepeatedAtOnce)
+TEST_F(StagingAreaTest, ALoadInDoubtIsReplacedLayerByLayer)
 {
     auto load = load_of(2);
     stage(load);
@@ -170,18 +188,54 @@
     load.on_ordered(Platform::OrderOutcome::Accepted, m_now);
     read_back(load, ReadBack::Absent);
     show(load, 2, m_sequence + 1);
-    expect_next<OrderUnload>(load);
-    load.on_unload_ordered(Platform::OrderOutcome::Refused, m_now);
+    expect_next<OrderHoldLayer>(load);
+    load.on_hold_layer_ordered(Platform::OrderOutcome::Refused, m_now);
     m_now += Core::Duration(100);
     show(load, 2, m_sequence + 1);
     EXPECT_TRUE(load.step(m_now).empty());
     m_now += StagedLoadSettings {}.order_result_timeout;
     show(load, 2, m_sequence + 1);
-    expect_next<OrderUnload>(load);
-    load.on_unload_ordered(Platform::OrderOutcome::Accepted, m_now);
-    show(load, 0, m_sequence + 2);
+    expect_next<OrderHoldLayer>(load);
+    load.on_hold_layer_ordered(Platform::OrderOutcome::Accepted, m_now);
+    show_part(load, 0, m_sequence + 2);
     // The chunk is staged and read back again before the next order.
     stage(load);
     read_back(load, ReadBack::Right);
+    EXPECT_EQ(next_layer(load), layers - 1);
+    load.on_hold_layer_ordered(Platform::OrderOutcome::Accepted, m_now);
+    show_part(load, layers - 1, m_sequence + 3);
     expect_next<OrderLoad>(load);
 }
+
+// Guards against a layer that a process before this one left at the engine, and that the engine keeps at the next load.
+TEST_F(StagingAreaTest, APartThatAnEarlierProcessLeftIsReplaced)
+{
+    for (int64_t part : { int64_t { 0 }, layers - 1 }) {
+        auto load = load_of(2);
+        show_part(load, part, m_sequence);
+        stage(load);
+        read_back(load, ReadBack::Right);
+        auto const replacement = next_layer(load);
+        EXPECT_NE(replacement, part);
+        load.on_hold_layer_ordered(Platform::OrderOutcome::Accepted, m_now);
+        show_part(load, replacement, m_sequence + 1);
+        expect_next<OrderLoad>(load);
+    }
+}
+
+// A write after the replacement would leave a layer that was loaded from what stood there before.
+TEST_F(StagingAreaTest, AWriteAfterAReplacementMakesAnotherOneDue)
+{
+    auto load = load_of(2);
+    show_part(load, 0, m_sequence);
+    stage(load);
+    read_back(load, ReadBack::Right);
+    EXPECT_EQ(next_layer(load), layers - 1);
+    load.on_hold_layer_ordered(Platform::OrderOutcome::Accepted, m_now);
+    m_now += StagedLoadSettings {}.read_back_validity;
+    show_part(load, layers - 1, m_sequence + 1);
+    read_back(load, ReadBack::Wrong);
+    stage(load);
+    read_back(load, ReadBack::Right);
+    EXPECT_EQ(next_layer(load), 0);
+}
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -617,16 +617,19 @@
         if order.get("ExpectRev") != self.order_sequence or self.is_busy():
             return 409
         version, first, end = order["Version"], order.get("From", 0), order.get("TargetVersion", self.layers)
+        if version < 1:
+            return 400
         has_version = self.version == version
-        if has_version and self.held_layers[0] <= first and end <= self.held_layers[1]:
+        if has_version and self.held_layers == (first, end):
             return 200
         self.order_sequence += 1
         # Layers that it holds of the same version stay as they are, the others are loaded anew.
-        kept = range(*self.held_layers) if has_version else range(0)
+        kept = [layer for layer in range(first, end) if has_version and layer in range(*self.held_layers)]
         taken = [layer for layer in range(first, end) if layer not in kept]
         numbers = sorted({number for layer in taken for number in self.chunks_of(layer)})
+        kept_numbers = {number for layer in kept for number in self.chunks_of(layer)}
         wrong = self.staged.judge([Origin.chunk(version, i) for i in range(self.chunks)], numbers)
-        self.held_wrong = (self.held_wrong if kept else []) + wrong
+        self.held_wrong = [bad for bad in self.held_wrong if bad.chunk in kept_numbers] + wrong
         self.version, self.held_layers = version, (first, end)
         self.busy_until = time.monotonic() + self.warm_seconds * len(taken) / self.layers
         if self.holds_all_layers():
