LibDistribution: Take the times of a check by reference

Cause: clang-tidy, performance-unnecessary-value-param. Change: as it asks. Measured: lint of the changed units is clean; 15 library tests pass.

--- a/Libraries/LibDistribution/LoadCheck.cpp
+++ b/Libraries/LibDistribution/LoadCheck.cpp
@@ -3,7 +3,7 @@
 
 namespace Distribution {
 
-LoadCheck::LoadCheck(Core::Time taken_by, std::vector<std::optional<Core::Time>> verified_at, Core::Duration allowed_corruption)
+LoadCheck::LoadCheck(Core::Time taken_by, std::vector<std::optional<Core::Time>> const& verified_at, Core::Duration allowed_corruption)
     : m_taken_by(taken_by)
     , m_allowed_corruption(allowed_corruption)
     , m_unread(verified_at.size())
--- a/Libraries/LibDistribution/LoadCheck.h
+++ b/Libraries/LibDistribution/LoadCheck.h
@@ -37,7 +37,7 @@
     /// @param taken_by the latest time at which the engine can have taken the order.
     /// @param verified_at when each chunk was last known to be right before the order, at the latest at `taken_by`.
     /// @param allowed_corruption the time for which a loaded chunk may have been corrupt, in milliseconds.
-    LoadCheck(Core::Time taken_by, std::vector<std::optional<Core::Time>> verified_at, Core::Duration allowed_corruption);
+    LoadCheck(Core::Time taken_by, std::vector<std::optional<Core::Time>> const& verified_at, Core::Duration allowed_corruption);
 
     /// Returns a check of a load that is known to be whole.
     static LoadCheck of_whole_load();
--- a/Libraries/LibDistribution/StagedLoad.cpp
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -128,7 +128,7 @@
         // Reads that were sent before the engine took the order do not count.
         chunk.is_call_outdated = chunk.is_in_call;
     }
-    m_check.emplace(now, std::move(verified_at), m_settings.allowed_corruption);
+    m_check.emplace(now, verified_at, m_settings.allowed_corruption);
 }
 
 void StagedLoad::on_unreachable()
--- a/Tests/LibDistribution/TestLoadCheck.cpp
+++ b/Tests/LibDistribution/TestLoadCheck.cpp
@@ -8,9 +8,9 @@
 static constexpr Core::Time taken_by { 10000 };
 using Verdict = LoadCheck::Verdict;
 
-static LoadCheck check_of(std::vector<std::optional<Core::Time>> verified_at)
+static LoadCheck check_of(std::vector<std::optional<Core::Time>> const& verified_at)
 {
-    return { taken_by, std::move(verified_at), allowed };
+    return { taken_by, verified_at, allowed };
 }
 
 TEST(LoadCheck, ALoadIsWholeOnceEveryChunkIsRight)
