--- a/Tests/Platform/fleet.py
+++ b/Tests/Platform/fleet.py
@@ -12,7 +12,7 @@
 import tempfile
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "Processes"))
-from cluster import free_network, wait_until  # noqa: E402
+from cluster import free_network, release_network, wait_until  # noqa: E402
 from stand_ins import Engine, Loop, Origin, PlainService, Store, StoreDoor  # noqa: E402
 
 CALLERS_PORT, READY_PORT, CONTROL_PORT, LINK_PORT, CHUNK_PORT = 8005, 8002, 8000, 7700, 7715
@@ -121,6 +121,7 @@
         for server in [self.origin, *self.engines, *self.plains]:
             server.close()
         self.loop.stop()
+        release_network(self.network)
 
     def address(self):
         self.next_host += 1
--- a/Tests/Processes/cluster.py
+++ b/Tests/Processes/cluster.py
@@ -12,9 +12,9 @@
 import urllib.error
 import urllib.request
 
-# Nothing else binds it; its sockets are kept to the end of the process.
+# Nothing else binds it; its sockets are kept until the network is released.
 CLAIM_PORT = 64999
-CLAIMS = []
+CLAIMS = {}
 HTTP_PORT = 8001
 LINK_PORT = 8002
 BACKEND_PORT = 8003
@@ -25,7 +25,8 @@
 
 
 def free_network():
-    """A 127.X network of this process's own: the port that claims it stays bound, so runs beside each other never share one."""
+    """A 127.X network of this process's own until release_network(): the port that claims it stays bound, so runs beside each other never
+    share one."""
     while True:
         network = f"127.{random.SystemRandom().randint(10, 250)}"
         claim = socket.socket()
@@ -38,10 +39,17 @@
         except OSError:
             claim.close()
             continue
-        CLAIMS.append(claim)
+        CLAIMS[network] = claim
         return network
 
 
+def release_network(network):
+    """Lets other runs use a network on which nothing runs any more. There are fewer networks than two runs have tests."""
+    claim = CLAIMS.pop(network, None)
+    if claim:
+        claim.close()
+
+
 def wait_until(condition, what, seconds=HANG_SECONDS):
     end = time.monotonic() + seconds
     while time.monotonic() < end:
@@ -230,6 +238,7 @@
                 process.kill()
         for process in self.processes:
             process.wait()
+        release_network(self.network)
 
     # What an operator does.
 
