--- a/Tests/Platform/test_load_verification.py
+++ b/Tests/Platform/test_load_verification.py
@@ -1,44 +1,24 @@
 # SPDX-License-Identifier: BSD-2-Clause
 """Engines that load, at a moment of their own, chunks that their agents verified at another."""
 
-import itertools
 import threading
 import time
 
 from fleet import CHUNKS, Fleet, wait_until
 from test_direct_path import wait_linked
+from test_engine_restarts import Callers
 
 BOUND_MS = 8000
 # A load that took what had been bad for longer than a load may take breaks the promise.
 STANDSTILL_SECONDS = 3.5
 
 
-class Callers:
-    """Callers at each entry that ask for streams one after another, enough of them to reach every engine."""
+# At each entry, enough to reach every engine.
+CALLERS = 10
 
-    def __init__(self, fleet, at_each_entry=10):
-        self.fleet = fleet
-        self.is_over = False
-        self.numbers = itertools.count()
-        self.served = 0
-        self.threads = [threading.Thread(target=self.ask, args=(entry,)) for entry in fleet.entries for _ in range(at_each_entry)]
 
-    def __enter__(self):
-        for thread in self.threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self.is_over = True
-        for thread in self.threads:
-            thread.join()
-
-    def ask(self, entry):
-        while not self.is_over:
-            answer = self.fleet.call(entry, "POST", "/stream/a", request_id=f"c{next(self.numbers)}", headers={"X-Deadline-Ms": "2000"})
-            self.served += answer.status == 200
-            if answer.status != 200:
-                time.sleep(0.05)
+def callers(fleet):
+    return Callers(fleet, ["/stream/a"] * CALLERS)
 
 
 class Orders:
@@ -74,20 +54,21 @@
     assert not wrong, (len(wrong), wrong[0], [engine.wrong_loads for engine in fleet.engines])
 
 
+def stand_still_beside_corruption(engine):
+    engine.be_silent(STANDSTILL_SECONDS)
+    engine.staged.corrupt(3)
+
+
 def deployment(build, folders):
     return Fleet(build, folders, engines=2, version_bound_ms=BOUND_MS)
 
 
 def test_an_order_that_a_standing_engine_takes_late_serves_nothing_bad(build, folders):
     """Guards against answers made with a chunk that turned bad while the order to load it lay at an engine that stood still."""
-    with deployment(build, folders) as fleet, Callers(fleet):
+    with deployment(build, folders) as fleet, callers(fleet):
         wait_linked(fleet)
         engine = fleet.engines[0]
-
-        def stand_still():
-            engine.be_silent(STANDSTILL_SECONDS)
-            engine.staged.corrupt(3)
-        orders = Orders(engine, stand_still)
+        orders = Orders(engine, lambda: stand_still_beside_corruption(engine))
         fleet.name_version(2)
         orders.wait()
         wait_served(fleet, 2)
@@ -96,15 +77,11 @@
 
 def test_an_order_that_outlives_its_agent_serves_nothing_bad(build, folders):
     """Guards against answers made with a bad chunk that an order loaded whose agent was killed and knows nothing of it."""
-    with deployment(build, folders) as fleet, Callers(fleet):
+    with deployment(build, folders) as fleet, callers(fleet):
         wait_linked(fleet)
         engine = fleet.engines[0]
         engine.warm_seconds = 0.3
-
-        def stand_still():
-            engine.be_silent(STANDSTILL_SECONDS)
-            engine.staged.corrupt(3)
-        orders = Orders(engine, stand_still)
+        orders = Orders(engine, lambda: stand_still_beside_corruption(engine))
         fleet.name_version(2)
         orders.wait()
         fleet.kill(engine.address)
@@ -115,7 +92,7 @@
 
 def test_an_order_of_an_older_version_serves_no_chunk_of_a_newer_one(build, folders):
     """Guards against answers made with chunks of two versions: an order without an answer is taken while the next version is staged."""
-    with deployment(build, folders) as fleet, Callers(fleet):
+    with deployment(build, folders) as fleet, callers(fleet):
         wait_linked(fleet)
         engine = fleet.engines[0]
 
@@ -132,7 +109,7 @@
 
 def test_an_order_that_the_next_incarnation_takes_serves_nothing_missing(build, folders):
     """Guards against answers made with missing chunks: the engine lost power, and the order fits its next incarnation as well."""
-    with deployment(build, folders) as fleet, Callers(fleet):
+    with deployment(build, folders) as fleet, callers(fleet):
         wait_linked(fleet)
         engine = fleet.engines[0]
         engine.born = None
@@ -149,7 +126,7 @@
 
 def test_read_backs_that_waited_for_a_paused_agent_serve_nothing_bad(build, folders):
     """Guards against read-backs that count from when a paused agent handles them, and not from when the engine answered."""
-    with deployment(build, folders) as fleet, Callers(fleet):
+    with deployment(build, folders) as fleet, callers(fleet):
         wait_linked(fleet)
         engine = fleet.engines[0]
         for number in range(2, 5):
@@ -168,7 +145,7 @@
 
 def test_a_clean_load_takes_one_order(build, folders):
     """Without any fault each engine is ordered once for a version, and out of service for one load."""
-    with deployment(build, folders) as fleet, Callers(fleet):
+    with deployment(build, folders) as fleet, callers(fleet):
         wait_linked(fleet)
         for engine in fleet.engines:
             engine.warm_seconds = 0.3
