EngineAgent: Check also what an agent finds at its start, and judge late writes as of the order

A load that was there when an agent started was taken for whole, so a bad load whose agent was killed before its check was served until the next version. An order without an answer was open for ever at engines that number no orders. The test that asserted the fault (a right chunk that a late write may have repaired) is replaced by one that asks for a verification in time.

--- a/Libraries/LibDistribution/LoadCheck.cpp
+++ b/Libraries/LibDistribution/LoadCheck.cpp
@@ -3,8 +3,9 @@
 
 namespace Distribution {
 
-LoadCheck::LoadCheck(Core::Time taken_by, std::vector<std::optional<Core::Time>> const& verified_at, Core::Duration allowed_corruption)
+LoadCheck::LoadCheck(Core::Time taken_by, std::vector<std::optional<Core::Time>> const& verified_at, bool could_change_unseen, Core::Duration allowed_corruption)
     : m_taken_by(taken_by)
+    , m_could_change_unseen(could_change_unseen)
     , m_allowed_corruption(allowed_corruption)
     , m_unread(verified_at.size())
 {
@@ -32,16 +33,16 @@
     return chunk.verified_at && m_taken_by - *chunk.verified_at <= m_allowed_corruption;
 }
 
-void LoadCheck::on_read_back(size_t chunk, ReadBack result, bool can_change_unseen)
+void LoadCheck::on_read_back(size_t chunk, ReadBack result)
 {
     if (!is_due(chunk) || result == ReadBack::Unanswered)
         return;
     auto& state = m_chunks[chunk];
-    // A late write of the same bytes may have repaired the chunk after it was taken.
-    if (result == ReadBack::Right && can_change_unseen && !was_verified_in_time(state))
-        return;
-    // A chunk that is absent, or that a late write may have replaced, did not merely become corrupt.
-    bool const is_acceptable = result == ReadBack::Right || (result == ReadBack::Wrong && was_verified_in_time(state) && !can_change_unseen);
+    bool const is_in_time = was_verified_in_time(state);
+    // A late write of the same bytes may have repaired a chunk after it was taken. One that is absent, or that a late write may have replaced,
+    // did not merely become corrupt.
+    bool const is_acceptable = result == ReadBack::Right ? is_in_time || !m_could_change_unseen
+                                                         : result == ReadBack::Wrong && is_in_time && !m_could_change_unseen;
     state.is_read = true;
     m_unread -= 1;
     if (!is_acceptable)
--- a/Libraries/LibDistribution/LoadCheck.h
+++ b/Libraries/LibDistribution/LoadCheck.h
@@ -36,8 +36,10 @@
 
     /// @param taken_by the latest time at which the engine can have taken the order.
     /// @param verified_at when each chunk was last known to be right before the order, at the latest at `taken_by`.
+    /// @param could_change_unseen whether a write that nobody waited for could change a chunk when the order was sent. A chunk that is wrong may
+    /// then hold another version, and one that is right may have been repaired since the load.
     /// @param allowed_corruption the time for which a loaded chunk may have been corrupt, in milliseconds.
-    LoadCheck(Core::Time taken_by, std::vector<std::optional<Core::Time>> const& verified_at, Core::Duration allowed_corruption);
+    LoadCheck(Core::Time taken_by, std::vector<std::optional<Core::Time>> const& verified_at, bool could_change_unseen, Core::Duration allowed_corruption);
 
     /// Returns a check of a load that is known to be whole.
     static LoadCheck of_whole_load();
@@ -47,9 +49,8 @@
     Verdict verdict() const { return m_verdict; }
     /// Whether the chunk must still be read.
     bool is_due(size_t chunk) const { return m_verdict == Verdict::Open && !m_chunks[chunk].is_read; }
-    /// Records a read of the chunk that was sent after the order was taken. One that shows nothing leaves the chunk due.
-    /// @param can_change_unseen whether a write that nobody waits for may have changed the chunk since the order was sent.
-    void on_read_back(size_t chunk, ReadBack, bool can_change_unseen);
+    /// Records a read of the chunk that was sent after the order was taken. One that was not answered leaves the chunk due.
+    void on_read_back(size_t chunk, ReadBack);
 
 private:
     struct Chunk {
@@ -62,6 +63,7 @@
 
     Verdict m_verdict { Verdict::Open };
     Core::Time m_taken_by { 0 };
+    bool m_could_change_unseen { false };
     Core::Duration m_allowed_corruption { 0 };
     std::vector<Chunk> m_chunks;
     size_t m_unread { 0 };
--- a/Libraries/LibDistribution/StagedLoad.cpp
+++ b/Libraries/LibDistribution/StagedLoad.cpp
@@ -50,12 +50,8 @@
         state.retry_at = now + m_settings.call_retry;
         return;
     }
-    if (is_checking()) {
-        m_check->on_read_back(chunk, result, m_area.can_change_unseen());
-        // A read that showed nothing is repeated.
-        if (is_checking() && m_check->is_due(chunk))
-            state.retry_at = now + m_settings.call_retry;
-    }
+    if (is_checking())
+        m_check->on_read_back(chunk, result);
     if (result == ReadBack::Right) {
         state.verified_at = state.read_back_sent_at;
         return;
@@ -81,10 +77,12 @@
         m_started_at_ms = report.started_at_ms;
     m_layers = layers;
     m_held_version = Configuration::highest_complete_version(report.held, layers);
+    // Of a load that no order of this load is known to have brought about, reads show something only once no late write can repair a chunk.
+    bool const can_be_checked = m_order_wait_since || !m_area.can_change_unseen() || m_area.has_written_beside_open_order();
+    if (m_held_version == m_version && !m_check && !m_is_ordering && can_be_checked)
+        begin_check(now);
     if (m_held_version >= m_version || has_order_wait_ended)
         m_order_wait_since.reset();
-    if (m_held_version == m_version && !m_check && !m_is_ordering)
-        begin_check(now);
     // The order was accepted, but its load did not come about.
     if (m_held_version != m_version && has_order_wait_ended)
         m_check.reset();
@@ -128,7 +126,7 @@
         // Reads that were sent before the engine took the order do not count.
         chunk.is_call_outdated = chunk.is_in_call;
     }
-    m_check.emplace(now, verified_at, m_settings.allowed_corruption);
+    m_check.emplace(now, verified_at, m_could_change_unseen || m_area.can_change_unseen(), m_settings.allowed_corruption);
 }
 
 void StagedLoad::on_unreachable()
@@ -142,6 +140,7 @@
     m_is_ordering = true;
     m_order_sent_at = now;
     m_order_sequence = m_report->order_sequence;
+    m_could_change_unseen = m_area.can_change_unseen();
     m_draining_since.reset();
 }
 
@@ -294,7 +293,8 @@
 {
     // A write of the load of an earlier version is still in flight.
     bool const is_area_in_use = m_area.writes_in_flight() > m_writes;
-    if (is_area_in_use || m_is_ordering || m_held_version > m_version)
+    bool const waits_for_check = m_held_version == m_version && !m_check;
+    if (is_area_in_use || m_is_ordering || m_held_version > m_version || waits_for_check)
         return {};
     if (is_checking())
         return check_load(now);
--- a/Libraries/LibDistribution/StagedLoad.h
+++ b/Libraries/LibDistribution/StagedLoad.h
@@ -99,7 +99,7 @@
 
     /// Records that this instance holds the chunk's verified bytes, so that the chunk can be staged.
     void on_held(size_t chunk);
-    /// Records that the load of this version which the engine holds was found whole earlier.
+    /// Records that this process found the load of this version which the engine holds whole.
     void on_known_whole() { m_check = LoadCheck::of_whole_load(); }
     /// Records the result of a StageChunk action.
     void on_staged(size_t chunk, bool has_succeeded, Core::Time now);
@@ -200,6 +200,8 @@
     bool m_is_order_outdated { false };
     Core::Time m_order_sent_at { 0 };
     Core::Time m_order_ended_at { 0 };
+    // Whether a late write could change a staged chunk when the last order was sent.
+    bool m_could_change_unseen { false };
     // Start of the wait for a report that shows whether the last order took effect; empty if there is no such wait.
     std::optional<Core::Time> m_order_wait_since;
     // Of the load that the engine has taken, if any.
--- a/Libraries/LibDistribution/StagingArea.cpp
+++ b/Libraries/LibDistribution/StagingArea.cpp
@@ -49,6 +49,10 @@
     m_order_sequence = report.order_sequence;
     if (!m_answering_since)
         m_answering_since = now;
+    // Without sequence numbers only time tells that an order will not be taken any more.
+    bool const is_order_over = m_order_open_since && now - std::max(*m_order_open_since, *m_answering_since) >= m_settings.settle_time;
+    if (!report.order_sequence && is_order_over)
+        m_order_open_since.reset();
     if (!m_unsettled_since || now - std::max(*m_unsettled_since, *m_answering_since) < m_settings.settle_time)
         return;
     m_unsettled_since.reset();
--- a/Services/EngineAgent/WeightsLoader.cpp
+++ b/Services/EngineAgent/WeightsLoader.cpp
@@ -240,7 +240,7 @@
 {
     auto const& manifest = m_fetcher.manifest();
     m_load = std::make_unique<Distribution::StagedLoad>(manifest.version, manifest.digests.size(), m_staging_area, Distribution::StagedLoadSettings {});
-    if (serving_version() == manifest.version)
+    if (held_version() == manifest.version && m_whole_version == manifest.version)
         m_load->on_known_whole();
     if (m_report)
         m_load->on_report(*m_report, goal()->layers, m_report_requested_at, Core::monotonic_now());
@@ -370,6 +370,9 @@
     if (verdict == std::exchange(m_logged_verdict, verdict))
         return;
     bool const is_whole = verdict.second == Verdict::Whole;
+    // A load that was there before this process counts as whole only until its check.
+    if (!is_whole)
+        m_held_from_start.reset();
     m_metrics.count("mountbarrow_load_checks_total", is_whole ? "verdict=\"whole\"" : "verdict=\"doubtful\"");
     Core::log_event(is_whole ? Core::LogLevel::Info : Core::LogLevel::Warn, "load_checked", { { "version", std::to_string(load.version()) }, { "verdict", is_whole ? "whole" : "doubtful" } });
 }
--- a/Services/EngineAgent/WeightsLoader.h
+++ b/Services/EngineAgent/WeightsLoader.h
@@ -175,8 +175,8 @@
 
     // The version that the engine holds, if its load was found whole; otherwise 0.
     int64_t m_whole_version { 0 };
-    // What the engine held in its first report to this process, as long as it holds that. Empty if it was loading then: another process
-    // ordered that load, and may have died before it checked it.
+    // What the engine held in its first report to this process, as long as it holds that and no check has put it in doubt. Empty if it was
+    // loading then: another process ordered that load, and may have died before it checked it.
     std::optional<std::vector<Schema::HeldLayers>> m_held_from_start;
     bool m_has_been_reported { false };
     // The version and the verdict last logged.
--- a/Tests/LibDistribution/TestLoadVerification.cpp
+++ b/Tests/LibDistribution/TestLoadVerification.cpp
@@ -379,6 +379,11 @@
     check_simulation(seed, { .has_corruption = true, .has_standstills = true, .names_versions = true });
 }
 
+RC_GTEST_PROP(LoadVerification, LoadsOfAgentsThatWereKilledAreNotServedUnchecked, (uint32_t seed))
+{
+    check_simulation(seed, { .has_corruption = true, .has_standstills = true, .has_kills = true });
+}
+
 TEST(LoadVerification, WithoutTroubleOneOrderServesAVersion)
 {
     Simulation simulation(1, {});
--- a/Tests/LibDistribution/TestStagingArea.cpp
+++ b/Tests/LibDistribution/TestStagingArea.cpp
@@ -160,11 +160,28 @@
     read_back(load, ReadBack::Right);
     expect_next<OrderLoad>(load);
     load.on_ordered(Platform::OrderOutcome::Accepted, m_now);
+    // The write is settled before the check, but not before the order.
+    settle();
     read_back(load, ReadBack::Wrong);
     show(load, 3, m_sequence + 1);
     EXPECT_TRUE(load.is_in_doubt());
 }
 
+// Guards against engines without sequence numbers whose every load stays in doubt after one order without an answer.
+TEST_F(StagingAreaTest, AnUnansweredOrderIsOverAfterAWhileIfTheEngineNumbersNoOrders)
+{
+    Platform::EngineReport unnumbered;
+    m_area.on_report(unnumbered, m_now);
+    m_area.on_order_unanswered(m_now);
+    m_now += Core::Duration(1);
+    m_area.on_write_sent(m_now);
+    m_area.on_write_ended(true, m_now);
+    EXPECT_TRUE(m_area.has_written_beside_open_order());
+    m_now += StagingAreaSettings {}.settle_time;
+    m_area.on_report(unnumbered, m_now);
+    EXPECT_FALSE(m_area.has_written_beside_open_order());
+}
+
 TEST_F(StagingAreaTest, AWriteWithoutAnAnswerIsSettledOnceTheEngineHasAnsweredForAWhile)
 {
     m_area.on_write_sent(m_now);
@@ -239,3 +256,27 @@
     read_back(load, ReadBack::Right);
     EXPECT_EQ(next_layer(load), 0);
 }
+
+// Guards against a bad load whose agent was killed before it checked it: the next agent must not repair the staged chunks before it reads them.
+TEST(StagingArea, NothingIsWrittenBeforeALoadThatWasFoundAtTheEngineIsChecked)
+{
+    StagingArea area;
+    StagedLoad load(2, 1, area, {});
+    load.on_held(0);
+    Core::Time now(1);
+    auto show = [&] {
+        area.on_report(report(2, 3), now);
+        load.on_report(report(2, 3), layers, now, now);
+    };
+    show();
+    EXPECT_TRUE(load.step(now).empty());
+    now += StagingAreaSettings {}.settle_time;
+    show();
+    // An earlier process's write can no longer change what the reads find.
+    show();
+    auto const actions = load.step(now);
+    ASSERT_EQ(actions.size(), 1u);
+    ASSERT_TRUE(std::holds_alternative<ReadBackChunk>(actions[0]));
+    load.on_read_back(0, ReadBack::Wrong, now);
+    EXPECT_TRUE(load.is_in_doubt());
+}
--- a/Tests/Platform/test_load_verification.py
+++ b/Tests/Platform/test_load_verification.py
@@ -90,6 +90,21 @@
         assert_whole(fleet)
 
 
+def test_a_bad_load_that_is_there_before_its_agent_is_replaced(build, folders):
+    """Guards against a bad load whose agent was killed before it checked it, and that the next agent takes for whole until the next version."""
+    with deployment(build, folders) as fleet, callers(fleet):
+        wait_linked(fleet)
+        engine = fleet.engines[0]
+        orders = Orders(engine, lambda: stand_still_beside_corruption(engine))
+        fleet.name_version(2)
+        orders.wait()
+        fleet.kill(engine.address)
+        wait_until(lambda: engine.version == 2 and engine.wrong_loads, "the order to be taken")
+        fleet.start_agent(engine)
+        wait_until(lambda: engine.holds_all_layers() and not engine.held_wrong, "the load to be replaced")
+        wait_served(fleet, 2)
+
+
 def test_an_order_of_an_older_version_serves_no_chunk_of_a_newer_one(build, folders):
     """Guards against answers made with chunks of two versions: an order without an answer is taken while the next version is staged."""
     with deployment(build, folders) as fleet, callers(fleet):
