LibTransport: Let each call end once, let large chunks through, and bound interim answers

On a kept connection the total timeout and libevent's own end could both end a call in one iteration of the loop, and the second one dropped the next call. A chunk of a body longer than 80 KiB was never handled, since libevent waits for whole chunks. Interim answers with fields passed the limit of the head one by one. An error page longer than a chunk was taken for a wrong chunk.

--- a/Libraries/LibPlatform/EngineApi.h
+++ b/Libraries/LibPlatform/EngineApi.h
@@ -66,8 +66,8 @@
     /// Stores a chunk in the engine's staging area, from which start() loads. The callback gets true if the engine confirmed it.
     virtual void stage(std::string const& model, size_t chunk, std::string const& bytes, std::function<void(bool)>) = 0;
 
-    /// Reads a staged chunk back; the callback gets null if none is staged, an empty chunk if the engine sends more than `max_bytes`, and an
-    /// error if it did not answer.
+    /// Reads a staged chunk of `max_bytes` at most back; the callback gets null if none is staged, and an error if the engine did not answer, or
+    /// sent much more.
     virtual void read_staged(std::string const& model, size_t chunk, size_t max_bytes, std::function<void(Core::ErrorOr<std::shared_ptr<std::string const>>)>) = 0;
 
     /// Orders the engine to hold this layer of a version and no other. It loads the layer from the staged weights unless it holds it already.
--- a/Libraries/LibTransport/HttpClient.cpp
+++ b/Libraries/LibTransport/HttpClient.cpp
@@ -40,7 +40,8 @@
     void cancel();
 
 private:
-    void on_head(evhttp_request*);
+    /// Returns false if the call should end.
+    bool on_head(evhttp_request*);
     void on_data(evhttp_request*);
     void on_end(evhttp_request*);
     void report_end(bool is_whole);
@@ -63,6 +64,7 @@
     bool m_has_failed { false };
     bool m_has_reached_server { false };
     bool m_is_head_request { false };
+    int m_interim_answers { 0 };
     HttpFailure m_failure { HttpFailure::NotConnected };
 };
 
@@ -76,7 +78,7 @@
     m_connection = evhttp_connection_base_new(m_loop.base(), nullptr, call.address.c_str(), call.port);
     auto const timeout = Core::to_timeval(call.timeout);
     evhttp_connection_set_timeout_tv(m_connection, &timeout);
-    limit_answer(m_connection, call.max_head_bytes, call.max_body_bytes, BodyUse::PassedOn);
+    limit_answer(m_connection, call.max_head_bytes, call.max_body_bytes);
     // The timeout of the connection begins anew with each byte.
     if (call.total_timeout)
         m_end_timer = m_loop.after(*call.total_timeout, [this] { on_total_timeout(); });
@@ -85,8 +87,7 @@
 
     auto* request = evhttp_request_new([](evhttp_request* request, void* self) { static_cast<State*>(self)->on_end(request); }, this);
     evhttp_request_set_header_cb(request, [](evhttp_request* request, void* self) {
-        static_cast<State*>(self)->on_head(request);
-        return 0;
+        return static_cast<State*>(self)->on_head(request) ? 0 : -1;
     });
     evhttp_request_set_chunked_cb(request, [](evhttp_request* request, void* self) { static_cast<State*>(self)->on_data(request); });
     evhttp_request_set_error_cb(request, [](evhttp_request_error error, void* self) { static_cast<State*>(self)->on_error(error); });
@@ -119,11 +120,16 @@
     m_loop.soon([owner = std::move(owner)] {});
 }
 
-void HttpCall::State::on_head(evhttp_request* request)
+bool HttpCall::State::on_head(evhttp_request* request)
 {
+    if (is_interim_answer(request)) {
+        m_interim_answers += 1;
+        return m_interim_answers <= max_interim_answers;
+    }
     m_has_head = true;
     if (m_callbacks.head)
         m_callbacks.head(evhttp_request_get_response_code(request), headers_of(request));
+    return true;
 }
 
 void HttpCall::State::on_data(evhttp_request* request)
@@ -137,6 +143,9 @@
 
 void HttpCall::State::on_error(evhttp_request_error error)
 {
+    // The total timeout has ended the call.
+    if (!m_connection)
+        return;
     // libevent reports an error here only once the connection stood; a failed connect has none.
     m_has_failed = true;
     m_failure = failure_of(error);
--- a/Libraries/LibTransport/KeptConnection.cpp
+++ b/Libraries/LibTransport/KeptConnection.cpp
@@ -17,6 +17,7 @@
     std::string path;
     HttpFailure failure { HttpFailure::NotConnected };
     bool has_ended { false };
+    int interim_answers { 0 };
 };
 
 KeptConnection::KeptConnection(Core::EventLoop& loop, std::string address, uint16_t port, Core::Duration timeout, size_t max_body_bytes)
@@ -38,7 +39,7 @@
     m_connection = evhttp_connection_base_new(m_loop.base(), nullptr, m_address.c_str(), m_port);
     auto const timeout = Core::to_timeval(m_timeout);
     evhttp_connection_set_timeout_tv(m_connection, &timeout);
-    limit_answer(m_connection, default_max_head_bytes, m_max_body_bytes, BodyUse::KeptWhole);
+    limit_answer(m_connection, default_max_head_bytes, m_max_body_bytes);
 }
 
 void KeptConnection::close_connection()
@@ -90,7 +91,8 @@
     m_end_timer = m_loop.after(m_timeout * total_timeout_factor, [this] { on_total_timeout(); });
     auto const on_end = [](evhttp_request* ended, void* raw) {
         auto& call = *static_cast<Call*>(raw);
-        if (!call.owner)
+        // The total timeout may have ended the call in the same iteration of the loop.
+        if (!call.owner || call.has_ended)
             return;
         bool const is_answered = ended && evhttp_request_get_response_code(ended) != 0;
         bool const is_whole = is_answered && call.failure == HttpFailure::NotConnected && says_its_length(ended);
@@ -102,6 +104,12 @@
     };
     auto* request = evhttp_request_new(on_end, m_call.get());
     evhttp_request_set_error_cb(request, on_error);
+    evhttp_request_set_header_cb(request, [](evhttp_request* arrived, void* raw) {
+        auto& call = *static_cast<Call*>(raw);
+        if (is_interim_answer(arrived))
+            call.interim_answers += 1;
+        return call.interim_answers <= max_interim_answers ? 0 : -1;
+    });
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", (m_address + ":" + std::to_string(m_port)).c_str());
     evhttp_make_request(m_connection, request, EVHTTP_REQ_GET, path.c_str());
 }
@@ -123,10 +131,11 @@
         close_connection();
     // libevent may call this before get() has returned, so the caller hears of it in the loop's next turn.
     m_loop.soon([call = m_call, is_whole, answer = std::move(answer)] {
-        if (!call->owner)
+        auto* owner = std::exchange(call->owner, nullptr);
+        if (!owner)
             return;
-        call->owner->m_call.reset();
-        call->owner->m_end_timer.reset();
+        owner->m_call.reset();
+        owner->m_end_timer.reset();
         if (is_whole)
             call->callback(answer);
         else
--- a/Services/Agent/RequestRunner.cpp
+++ b/Services/Agent/RequestRunner.cpp
@@ -122,7 +122,7 @@
             call.headers.emplace_back(header.name, header.value);
     }
     call.headers.emplace_back("Priority", "u=" + std::to_string(dispatch.priority));
-    // The answer is passed on as it comes, until the caller's deadline.
+    // The answer is passed on as it comes.
     call.max_body_bytes.reset();
     attempt.call = Transport::HttpCall::start(m_loop, call,
         { .head = [this, id](int status, Transport::HttpHeaders const& headers) { on_head(id, status, headers); },
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -25,6 +25,7 @@
 static constexpr int status_ok = 200;
 // A chunk may wait for others at its source, and be read at a small part of the link.
 static constexpr int chunk_timeout_factor = 10;
+static constexpr int64_t least_bytes_per_millisecond = 100;
 static constexpr int status_not_found = 404;
 static constexpr int status_unavailable = 503;
 
@@ -389,7 +390,7 @@
     if (m_settings.is_cache)
         call.path += "&for=cache";
     call.timeout = m_settings.transfer.stall_timeout;
-    call.total_timeout = call.timeout * chunk_timeout_factor;
+    call.total_timeout = call.timeout * chunk_timeout_factor + Core::Duration(m_wanted->manifest.chunk_bytes / least_bytes_per_millisecond);
     call.max_body_bytes = static_cast<size_t>(m_wanted->manifest.chunk_bytes);
     auto download = std::make_unique<Download>();
     auto* raw = download.get();
--- a/Utilities/mountbarrow-load/LoadRunner.cpp
+++ b/Utilities/mountbarrow-load/LoadRunner.cpp
@@ -8,6 +8,7 @@
 
 static constexpr Core::Duration send_interval { 5 };
 static constexpr Core::Duration grace { 3000 };
+static constexpr size_t max_answer_bytes = size_t { 16 } << 20;
 static constexpr size_t prompt_characters = 400;
 static constexpr size_t most_failures_told = 50;
 
@@ -55,8 +56,7 @@
     request.port = target.port;
     request.method = "POST";
     request.timeout = m_settings.deadline + grace;
-    // Only counted.
-    request.max_body_bytes.reset();
+    request.max_body_bytes = max_answer_bytes;
     request.headers.emplace_back("X-Deadline-Ms", std::to_string(m_settings.deadline.count()));
     request.headers.emplace_back("X-Priority", std::to_string(m_settings.priority));
     if (!running.customer.empty())
