Tests: A listed version is no word of the agent

Cause: the whole script on failed one library test, AnEngineThatHasYetToReachTheNewestVersionIsUsedOnlyOnItsAgentsWord. Its last line asked that an engine be used by the list as soon as that names the newest version, though its agent had said otherwise and is frozen: the load was ordered before and checked by nobody, which is the fault of the incident. Change: there the engine is refused, and used once the agent reports the version; the test checks one thing more than before.

--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -188,7 +188,11 @@
     m_now += Core::Duration(5000);
     EXPECT_FALSE(m_table.choose(requirements, m_now).has_value());
 
+    // What it loaded since, by an order that the agent sent before, is not known to be whole.
     m_table.set_server(engine("1", "a", 2), m_now);
+    EXPECT_FALSE(m_table.choose(requirements, m_now).has_value());
+    state.version = 2;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
     EXPECT_TRUE(m_table.choose(requirements, m_now).has_value());
 }
 
