--- a/Tests/Platform/test_load_verification.py
+++ b/Tests/Platform/test_load_verification.py
@@ -59,6 +59,19 @@
     engine.staged.corrupt(3)
 
 
+def leave_bad_load_to_the_next_agent(fleet):
+    """An agent is killed before its order is taken, and the next one starts after the load. Returns their engine."""
+    wait_linked(fleet)
+    engine = fleet.engines[0]
+    orders = Orders(engine, lambda: stand_still_beside_corruption(engine))
+    fleet.name_version(2)
+    orders.wait()
+    fleet.kill(engine.address)
+    wait_until(lambda: engine.version == 2 and engine.wrong_loads, "the order to be taken")
+    fleet.start_agent(engine)
+    return engine
+
+
 def deployment(build, folders):
     return Fleet(build, folders, engines=2, version_bound_ms=BOUND_MS)
 
@@ -93,14 +106,7 @@
 def test_a_bad_load_that_is_there_before_its_agent_is_replaced(build, folders):
     """Guards against a bad load whose agent was killed before it checked it, and that the next agent takes for whole until the next version."""
     with deployment(build, folders) as fleet, callers(fleet):
-        wait_linked(fleet)
-        engine = fleet.engines[0]
-        orders = Orders(engine, lambda: stand_still_beside_corruption(engine))
-        fleet.name_version(2)
-        orders.wait()
-        fleet.kill(engine.address)
-        wait_until(lambda: engine.version == 2 and engine.wrong_loads, "the order to be taken")
-        fleet.start_agent(engine)
+        engine = leave_bad_load_to_the_next_agent(fleet)
         wait_until(lambda: engine.holds_all_layers() and not engine.held_wrong, "the load to be replaced")
         wait_served(fleet, 2)
 
@@ -108,14 +114,7 @@
 def test_a_bad_load_that_is_there_before_its_agent_serves_nothing(build, folders):
     """Guards against answers made with a bad load between the start of an agent, whose predecessor ended before it checked that load, and its check."""
     with deployment(build, folders) as fleet, callers(fleet):
-        wait_linked(fleet)
-        engine = fleet.engines[0]
-        orders = Orders(engine, lambda: stand_still_beside_corruption(engine))
-        fleet.name_version(2)
-        orders.wait()
-        fleet.kill(engine.address)
-        wait_until(lambda: engine.version == 2 and engine.wrong_loads, "the order to be taken")
-        fleet.start_agent(engine)
+        leave_bad_load_to_the_next_agent(fleet)
         wait_served(fleet, 2)
         assert_whole(fleet)
 
