--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,94 +1,108 @@
 # SPDX-License-Identifier: BSD-2-Clause
-"""A configuration allows longer heads; connections that were opened before it keep the old limit."""
+"""A heartbeat that a server wrote before it began to drain is carried out late, and the server gets requests again."""
 
 import os
-import socket
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common-2"))
 import case as common  # noqa: E402
-import fleet  # noqa: E402
 
-OLD_LIMIT, NEW_LIMIT, PROMPT_BYTES = 16384, 32768, 20000
-CONNECTIONS, ROUNDS = 20, 5
-ALLOWED_DENIALS, ALLOWED_SHARE = 5, 1 / 500
+SERVERS, CALLERS = 7, 8
+HEARTBEAT_SECONDS, DRAIN_SECONDS = 1.2, 2.0
+# A write that is left without an answer is done 1 to 6 s later.
+LATE_SECONDS = 5.8
+# The store is stable again ContactMs after it lost the answer.
+DRAINS_AFTER_SECONDS = common.CONTACT_SECONDS + 0.3
+SERVES_ON_SECONDS = 6.0
 
 
-class KeptConnection:
-    """A client's connection for many requests."""
+class Heartbeats:
+    """Each server writes its entry every HeartbeatMs."""
 
-    def __init__(self, entry):
-        self.entry = entry
-        self.socket = socket.create_connection((entry, fleet.CALLERS_PORT), timeout=10)
+    def __init__(self, servers):
+        self.states = {server: "ready" for server in servers}
+        self.is_over = threading.Event()
+        self.lock = threading.Lock()
+        self.threads = [threading.Thread(target=self.beat, args=(server,)) for server in servers]
+        self.next = {}
+        for thread in self.threads:
+            thread.start()
 
-    def ask(self, request_id, prompt_bytes):
-        """Returns the status of the answer; 0 if the connection ended without one."""
-        parts = ",".join(f"{number:08x}:1" for number in range(prompt_bytes // 11))
-        head = f"GET /safe/a HTTP/1.1\r\nHost: {fleet.HOST}\r\nX-Request-Id: {request_id}\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer {fleet.KEY}\r\n"
-        head += f"X-Prompt-Prefix: {parts}\r\n" if parts else ""
-        try:
-            self.socket.sendall(head.encode() + b"\r\n")
-            return self.read_answer()
-        except OSError:
-            return 0
-
-    def read_answer(self):
-        data = b""
-        while b"\r\n\r\n" not in data:
-            data += self.read_some()
-        head, body = data.split(b"\r\n\r\n", 1)
-        length = next(int(line.split(b":")[1]) for line in head.split(b"\r\n") if line.lower().startswith(b"content-length:"))
-        while len(body) < length:
-            body += self.read_some()
-        return int(head.split(b" ")[1])
-
-    def read_some(self):
-        part = self.socket.recv(65536)
-        if not part:
-            raise OSError("closed")
-        return part
+    def beat(self, server):
+        self.next[server] = time.monotonic() + HEARTBEAT_SECONDS
+        while not self.is_over.wait(max(0, self.next[server] - time.monotonic())):
+            if time.monotonic() < self.next[server]:
+                continue
+            self.next[server] += HEARTBEAT_SECONDS
+            with self.lock:
+                server.enlist(self.states[server])
+
+    def drain(self, server):
+        with self.lock:
+            self.states[server] = "draining"
+            server.enlist("draining")
+            self.next[server] = time.monotonic() + HEARTBEAT_SECONDS
+
+    def stop(self):
+        self.is_over.set()
+        for thread in self.threads:
+            thread.join()
 
 
 def play(record, folders):
-    with common.Deployment(common.TARGET, folders, entries=2, engines=2) as deployment:
-        time.sleep(2)
-        deployment.configure(**fleet.limits(MaxHeaderBytes=OLD_LIMIT if common.TROUBLE else NEW_LIMIT))
-        record.note(f"configuration {deployment.version} is acknowledged: MaxHeaderBytes {OLD_LIMIT if common.TROUBLE else NEW_LIMIT}")
-        time.sleep(common.CONFIG_APPLY_SECONDS + 1)
-        connections = [KeptConnection(deployment.entries[number % 2]) for number in range(CONNECTIONS)]
-        for number, connection in enumerate(connections):
-            status = connection.ask(f"first-{number}", 0)
-            record.note(f"first-{number} on a new connection to {connection.entry}: answered {status}")
-            if status != 200:
-                raise RuntimeError("a first request was not served")
-        if common.TROUBLE:
-            deployment.configure(**fleet.limits(MaxHeaderBytes=NEW_LIMIT))
-            record.note(f"configuration {deployment.version} is acknowledged: MaxHeaderBytes {NEW_LIMIT}")
-        time.sleep(common.CONFIG_APPLY_SECONDS + common.CONTACT_SECONDS)
-        for entry in deployment.entries:
-            record.note(f"{entry} goes by configuration {deployment.configuration_in_force(entry)}")
-        return judge(record, deployment, connections)
-
-
-def judge(record, deployment, connections):
-    requests, denied = CONNECTIONS, 0
-    for number in range(ROUNDS * CONNECTIONS):
-        connection = connections[number % CONNECTIONS]
-        status = connection.ask(f"long-{number}", PROMPT_BYTES)
-        requests += 1
-        denied += 400 <= status < 500 and status not in (408, 421, 429)
-        record.note(f"long-{number} with a head of over {PROMPT_BYTES} bytes on a kept connection to {connection.entry}: answered {status}, run {deployment.runs(f'long-{number}')} times")
-        if status == 0:
-            connections[number % CONNECTIONS] = KeptConnection(connection.entry)
-    for number in range(4):
-        connection = KeptConnection(deployment.entries[number % 2])
-        record.note(f"new-{number} with such a head on a new connection to {connection.entry}: answered {connection.ask(f'new-{number}', PROMPT_BYTES)}")
-        requests += 1
-    allowed = ALLOWED_DENIALS + requests * ALLOWED_SHARE
-    record.note(f"{denied} of {requests} requests were denied; {allowed:.1f} may be")
-    return denied > allowed
+    with common.Deployment(common.TARGET, folders, entries=2, engines=1, plains=SERVERS) as deployment:
+        heartbeats = Heartbeats(deployment.plains)
+        is_over, answers = threading.Event(), []
+        callers = [threading.Thread(target=ask, args=(deployment, number, is_over, answers)) for number in range(CALLERS)]
+        try:
+            time.sleep(3)
+            for caller in callers:
+                caller.start()
+            time.sleep(1)
+            return play_with(record, deployment, heartbeats, answers)
+        finally:
+            is_over.set()
+            for caller in callers:
+                caller.join()
+            heartbeats.stop()
+
+
+def ask(deployment, caller, is_over, answers):
+    number = 0
+    while not is_over.is_set():
+        number += 1
+        request_id = f"q{caller}-{number}"
+        answer = deployment.call(deployment.entries[caller % 2], "GET", "/safe/a", request_id=request_id, headers={"X-Deadline-Ms": "3000"})
+        answers.append([request_id, answer.status])
+        time.sleep(0.03)
+
+
+def play_with(record, deployment, heartbeats, answers):
+    server = deployment.plains[0]
+    lost_at = time.monotonic()
+    if common.TROUBLE:
+        record.note(f"server {server.id} writes its heartbeat, ready; no answer comes")
+        late = threading.Timer(LATE_SECONDS, lambda: (server.enlist("ready"), record.note(f"the store carries out the heartbeat that {server.id} wrote {LATE_SECONDS} s ago")))
+        late.start()
+    time.sleep(max(0, lost_at + DRAINS_AFTER_SECONDS - time.monotonic()))
+    heartbeats.drain(server)
+    drains_at = time.monotonic()
+    record.note(f"server {server.id} says that it is draining; the store acknowledges it")
+    time.sleep(SERVES_ON_SECONDS)
+    # The store is stable ContactMs after the lost answer, and machines are in touch when it has been so for ContactMs.
+    judged_from = max(drains_at + DRAIN_SECONDS, lost_at + 2 * common.CONTACT_SECONDS)
+    late_arrivals = server.arrivals_since(judged_from)
+    for when, request_id in server.arrivals_since(drains_at):
+        record.note(f"request {request_id} reached server {server.id} {when - drains_at:.3f} s after that")
+    for request_id, status in answers:
+        record.note(f"{request_id} GET /safe/a answered {status}")
+    record.note(f"{len(late_arrivals)} requests reached the server later than {judged_from - drains_at:.2f} s after it said that it is draining")
+    if not any(status == 200 for _, status in answers):
+        raise RuntimeError("nothing was served")
+    return bool(late_arrivals)
 
 
 if __name__ == "__main__":
