--- a/review/8/play.py
+++ b/review/8/play.py
@@ -75,8 +75,9 @@
     while not is_over.is_set():
         number += 1
         request_id = f"q{caller}-{number}"
-        answer = deployment.call(deployment.entries[caller % 2], "GET", "/safe/a", request_id=request_id, headers={"X-Deadline-Ms": "3000"})
-        answers.append([request_id, answer.status])
+        entry, sent_at = deployment.entries[caller % 2], time.monotonic()
+        answer = deployment.call(entry, "GET", "/safe/a", request_id=request_id, headers={"X-Deadline-Ms": "3000"})
+        answers.append([request_id, entry, sent_at, answer.status])
         time.sleep(0.03)
 
 
@@ -97,13 +98,14 @@
     late_arrivals = server.arrivals_since(judged_from)
     for when, request_id in server.arrivals_since(drains_at):
         record.note(f"request {request_id} reached server {server.id} {when - drains_at:.3f} s after that")
-    for request_id, status in answers:
-        record.note(f"{request_id} GET /safe/a answered {status}")
+    ran = {run[0]: each.id for each in deployment.plains for run in each.runs}
+    for request_id, entry, sent_at, status in list(answers):
+        record.note(f"{request_id} GET /safe/a sent to {entry} at {sent_at - record.began:.3f} s: answered {status}; run by {ran.get(request_id, 'none')}")
     record.note(f"{len(late_arrivals)} requests reached the server later than {judged_from - drains_at:.2f} s after it said that it is draining")
-    if not any(status == 200 for _, status in answers):
+    if not any(status == 200 for _, _, _, status in answers):
         raise RuntimeError("nothing was served")
     return bool(late_arrivals)
 
 
 if __name__ == "__main__":
-    common.run(FOLDER, play)
+    common.run(os.path.join(FOLDER, "record.txt"), play)
--- a/review/common-2/case.py
+++ b/review/common-2/case.py
@@ -49,8 +49,10 @@
 
 
 class Record:
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    """What was sent, answered and run, line by line with the time since the start."""
+
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.began = time.monotonic()
         self.lock = threading.Lock()
 
@@ -60,9 +62,9 @@
             self.file.flush()
 
 
-def run(folder, play):
-    """Plays a case and exits: `play(record, folders)` returns whether the rule was broken."""
-    record, folders = Record(folder), []
+def run(record_path, play):
+    """Plays a case, writes its record, and exits: `play(record, folders)` returns whether the rule was broken."""
+    record, folders = Record(record_path), []
     record.note(f"TROUBLE={1 if TROUBLE else 0}")
     code = CANNOT_RUN
     try:
