DirectEntry: Count and log by size of the prompt who is late, refused and served

Cause: logs and metrics couldn't tell the hypotheses of the incident of large requests apart: no metric counted by size, no line said when and why a request began to count as late, and a refusal's line lacked its cause and the sizes.

No decision changes.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -48,6 +48,21 @@
 // other_region_penalty_ms, so that an idle server in another region is preferred.
 static constexpr double request_at_risk_penalty_ms = 50;
 
+char const* no_server_name(NoServer reason)
+{
+    switch (reason) {
+    case NoServer::NoneUsable:
+        return "none_usable";
+    case NoServer::AllFull:
+        return "all_full";
+    case NoServer::NoneInTime:
+        return "none_in_time";
+    case NoServer::Limited:
+        return "limited";
+    }
+    return "";
+}
+
 /// Whether the server's latest incarnation is leaving by the list. A list record of an earlier incarnation says nothing about the latest one.
 static bool is_listed_leaving(Schema::BackendServer const& record, std::optional<int64_t> latest_start)
 {
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -57,6 +57,9 @@
     Limited,
 };
 
+/// The reason's name in logs.
+char const* no_server_name(NoServer);
+
 /// The backend server that a request is sent to.
 struct ServerChoice {
     std::string id;
--- a/Libraries/LibRouting/SlotWait.cpp
+++ b/Libraries/LibRouting/SlotWait.cpp
@@ -118,13 +118,13 @@
     return std::clamp(spread_wait, min_retry_after, longest);
 }
 
-void SlotWait::log_refusal(std::string const& id, WaitingRequest const& request, Core::Time now) const
+void SlotWait::log_refusal(std::string const& id, WaitingRequest const& request, NoServer reason, Core::Time now) const
 {
     auto const& service_queue = m_queue_of(request.service);
     auto const interval = m_servers.slot_interval(request.service, now);
     auto const milliseconds = [](Core::Duration duration) { return std::to_string(duration.count()); };
     Core::log_event(Core::LogLevel::Info, "no_place_in_time",
-        { { "request", id }, { "in_line", m_queue ? "yes" : "no" }, { "late", m_is_late ? "yes" : "no" }, { "late_waiting", std::to_string(service_queue.late_count) }, { "waiting", std::to_string(service_queue.queue.size()) }, { "late_interval_ms", milliseconds(service_queue.late_slot_interval.expected_interval(now, interval)) }, { "place_interval_ms", milliseconds(interval) }, { "left_ms", milliseconds(request.terms.deadline - now) }, { "service_ms", milliseconds(service_time(request)) } });
+        { { "request", id }, { "cause", no_server_name(reason) }, { "in_line", m_queue ? "yes" : "no" }, { "late", m_is_late ? "yes" : "no" }, { "late_waiting", std::to_string(service_queue.late_count) }, { "waiting", std::to_string(service_queue.queue.size()) }, { "late_interval_ms", milliseconds(service_queue.late_slot_interval.expected_interval(now, interval)) }, { "place_interval_ms", milliseconds(interval) }, { "left_ms", milliseconds(request.terms.deadline - now) }, { "service_ms", milliseconds(service_time(request)) }, { "prompt_tokens", std::to_string(request.prompt_tokens) }, { "answer_tokens", std::to_string(request.answer_tokens) }, { "in_time_for_ms", milliseconds(request.terms.in_time_until - now) }, { "first_event_at_least_ms", milliseconds(m_servers.min_time_to_first_event(request.service, request.prompt_tokens)) } });
 }
 
 }
--- a/Libraries/LibRouting/SlotWait.h
+++ b/Libraries/LibRouting/SlotWait.h
@@ -95,7 +95,8 @@
     Core::Duration retry_after(std::string const& service, NoServer reason, Core::Time now, std::mt19937_64& random) const;
 
     /// Logs the figures on which the refusal of the request is based.
-    void log_refusal(std::string const& id, WaitingRequest const&, Core::Time now) const;
+    /// @param reason why ServerTable::choose() found no backend server.
+    void log_refusal(std::string const& id, WaitingRequest const&, NoServer reason, Core::Time now) const;
 
 private:
     /// Time that the request takes at a full engine.
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -2,6 +2,7 @@
 #include "ProxiedRequest.h"
 
 #include "AnswerStatements.h"
+#include "PromptSizeLabel.h"
 #include <LibCore/Log.h>
 #include <LibRouting/PromptParts.h>
 #include <LibSchema/Json.h>
@@ -92,6 +93,8 @@
             m_route.name, *m_head.deadline, [this] { return m_suspicion.digest(); }, m_started);
     m_terms.in_time_until = m_first_requested_at + Core::Duration(m_route.objective_ms) - answer_margin;
     m_terms.deadline = deadline();
+    if (m_started > m_terms.in_time_until)
+        count_late("returned");
 }
 
 bool ProxiedRequest::admit()
@@ -186,7 +189,7 @@
     auto const request = waiting();
     if (m_wait.has_become_late(request, now)) {
         m_wait.leave();
-        m_terms.in_time_until = now - Core::Duration(1);
+        set_late("waited", now);
         wait_for_slot();
         return;
     }
@@ -250,10 +253,24 @@
     m_no_server = choice.error();
     if (m_no_server != Routing::NoServer::NoneInTime)
         return false;
-    m_terms.in_time_until = now - Core::Duration(1);
+    set_late("none_in_time", now);
     return try_send_late(now);
 }
 
+void ProxiedRequest::count_late(char const* reason)
+{
+    m_context.metrics.count("mountbarrow_late_requests_total", std::string("reason=\"") + reason + "\"," + prompt_size_label(m_head.prompt_tokens));
+}
+
+/// The request's answer can't begin within the objective any more: it is treated as late from now on.
+void ProxiedRequest::set_late(char const* reason, Core::Time now)
+{
+    count_late(reason);
+    Core::log_event(Core::LogLevel::Info, "request_late",
+        { { "request", m_head.request_id }, { "route", m_route.name }, { "reason", reason }, { "after_ms", milliseconds(now - m_started) }, { "in_time_for_ms", milliseconds(m_terms.in_time_until - now) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) } });
+    m_terms.in_time_until = now - Core::Duration(1);
+}
+
 bool ProxiedRequest::try_send_late(Core::Time now)
 {
     auto requirements = this->requirements();
@@ -812,7 +829,7 @@
 
 void ProxiedRequest::refuse_waiting(Core::Time now)
 {
-    m_wait.log_refusal(m_head.request_id, waiting(), now);
+    m_wait.log_refusal(m_head.request_id, waiting(), m_no_server, now);
     m_wait.leave();
     if (return_to_silent_attempt())
         return;
@@ -922,12 +939,14 @@
     if (was_sent)
         report_server_outcome(ServerOutcome::Neutral, now);
     m_context.metrics.count("mountbarrow_requests_total", std::string("end=\"") + refusal_name(refusal) + "\"");
+    if (m_head.prompt_tokens > 0 && !m_service.empty())
+        m_context.metrics.count("mountbarrow_requests_by_prompt_total", std::string("end=\"") + refusal_name(refusal) + "\"," + prompt_size_label(m_head.prompt_tokens));
     m_context.metrics.observe_ms("mountbarrow_request_ms", static_cast<double>((now - m_started).count()));
     if (m_has_delivered)
         m_context.metrics.observe_ms("mountbarrow_longest_pause_ms", static_cast<double>(m_longest_pause.count()));
     auto const level = refusal == Refusal::None ? Core::LogLevel::Info : Core::LogLevel::Warn;
     Core::log_event(level, "request_ended",
-        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "longest_pause_ms", milliseconds(m_longest_pause) }, { "objective_ms", std::to_string(m_route.objective_ms) }, { "pause_objective_ms", std::to_string(m_route.objective_gap_ms) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "asked_before_ms", milliseconds(m_started - m_first_requested_at) }, { "server", m_attempt ? m_attempt->target().id : "" }, { "sends", std::to_string(m_counted_attempts) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "longest_pause_ms", milliseconds(m_longest_pause) }, { "objective_ms", std::to_string(m_route.objective_ms) }, { "pause_objective_ms", std::to_string(m_route.objective_gap_ms) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "answer_tokens", std::to_string(m_head.answer_tokens) }, { "answer_tokens_hint", std::to_string(m_head.answer_tokens_hint) }, { "asked_before_ms", milliseconds(m_started - m_first_requested_at) }, { "server", m_attempt ? m_attempt->target().id : "" }, { "sends", std::to_string(m_counted_attempts) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
     m_context.request_over(m_number);
 }
 
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -67,6 +67,8 @@
     bool try_send_in_time(Core::Time now);
     /// Sends without that condition, once the objective can no longer be met.
     bool try_send_late(Core::Time now);
+    void count_late(char const* reason);
+    void set_late(char const* reason, Core::Time now);
     /// Joins the queue of the service, or refuses the request if waiting is hopeless or the queue is full.
     void wait_for_slot();
     Routing::WaitingRequest waiting() const;
