LibRouting: Long and short prompts are judged in time by the same prefill

What callers saw: while engines are full, requests with long prompts are refused and those with short ones served, though both arrived together.

Cause: whether a request can begin within its objective was judged by its own prompt, at the engine (predicted time to the first event), while it waits (least time to the first event) and for the pause of running streams. A long prompt was late sooner; late requests wait behind all that is in time, and under lasting load there is always a short one that is. No share of the places was kept for what this order puts last.

Change: PrefillAllowance, one prefill for all requests of a route: the length that nine in ten of its recent prompts don't exceed, at most a third of the objective. Each size is late at the same moment and finds the same engines in time; the cost that chooses the engine stays that of its own.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -395,13 +395,18 @@
     return server_slot_interval(service) / std::max<int64_t>(1, filled);
 }
 
-Core::Duration ServerTable::min_time_to_first_event(std::string const& service, int64_t prompt_tokens) const
+static double prefill_ms(EngineTimingModel const& times, PrefillAllowance const& allowance, double slowdown)
+{
+    return std::min(slowdown * times.prefill_ms(static_cast<double>(allowance.prompt_tokens)), static_cast<double>(allowance.at_most.count()));
+}
+
+Core::Duration ServerTable::min_time_to_first_event(std::string const& service, PrefillAllowance const& allowance) const
 {
     auto const* model = engine_service(service);
     if (!model)
         return Core::Duration(0);
     auto const& times = model->times;
-    return Core::Duration(static_cast<int64_t>(times.correction() * (times.stream_event_interval_ms(times.slots()) + times.prefill_ms(static_cast<double>(prompt_tokens)))));
+    return Core::Duration(static_cast<int64_t>(times.correction() * times.stream_event_interval_ms(times.slots()) + prefill_ms(times, allowance, times.correction())));
 }
 
 Core::Duration ServerTable::service_time(std::string const& service, int64_t prompt_tokens, int64_t answer_tokens) const
@@ -484,19 +489,47 @@
     return load;
 }
 
+double ServerTable::slowdown(Server const& server, EngineTimingModel const& times, Core::Time now) const
+{
+    auto const* report = reported(server, now);
+    return times.correction() * (report ? std::max(1.0, report->state.pace) : 1.0);
+}
+
+double ServerTable::predicted_ms_without_prefill(Server const& server, EngineTimingModel const& times, Core::Time now) const
+{
+    auto const load = this->load(server, times, now);
+    auto const queue = load.queued_ahead * times.slot_interval_ms();
+    // Half of the current interval between events, then one in which the engine does the pending prefill and that of this prompt, and
+    // sends the first event.
+    return slowdown(server, times, now) * (times.stream_event_interval_ms(load.running) * 1.5 + load.pending_prefill_ms + queue);
+}
+
 double ServerTable::predicted_ms(Server const& server, ServerRequirements const& requirements, Core::Time now) const
 {
     auto const* model = engine_service(server.record.service);
     if (!model)
         return plain_service_answer_ms * (1 + static_cast<double>(server.pending.size()));
     auto const& times = model->times;
-    auto const load = this->load(server, times, now);
-    auto const queue = load.queued_ahead * times.slot_interval_ms();
-    auto const* report = reported(server, now);
-    auto const pace = report ? std::max(1.0, report->state.pace) : 1.0;
-    // Half of the current interval between events, then one in which the engine does the pending prefill and that of this prompt, and
-    // sends the first event.
-    return times.correction() * pace * (times.stream_event_interval_ms(load.running) * 1.5 + load.pending_prefill_ms + times.prefill_ms(static_cast<double>(requirements.prompt_tokens)) + queue);
+    return predicted_ms_without_prefill(server, times, now) + slowdown(server, times, now) * times.prefill_ms(static_cast<double>(requirements.prompt_tokens));
+}
+
+double ServerTable::allowed_prefill_ms(EngineTimingModel const& times, ServerRequirements const& requirements, double slowdown)
+{
+    if (!requirements.prefill_allowance)
+        return slowdown * times.prefill_ms(static_cast<double>(requirements.prompt_tokens));
+    return prefill_ms(times, *requirements.prefill_allowance, slowdown);
+}
+
+bool ServerTable::begins_soon_enough(Server const& server, ServerRequirements const& requirements, Core::Time now) const
+{
+    if (!requirements.max_time_to_first_event)
+        return true;
+    auto const limit = static_cast<double>(requirements.max_time_to_first_event->count());
+    auto const* model = engine_service(server.record.service);
+    if (!model)
+        return predicted_ms(server, requirements, now) <= limit;
+    auto const& times = model->times;
+    return predicted_ms_without_prefill(server, times, now) + allowed_prefill_ms(times, requirements, slowdown(server, times, now)) <= limit;
 }
 
 bool ServerTable::would_exceed_max_event_gap(Server const& server, ServerRequirements const& requirements, Core::Time now) const
@@ -509,8 +542,8 @@
     // If no other prefill is pending, the prompt is accepted in any case: its prefill alone may exceed every limit.
     if (load.pending_prefill_ms <= 0)
         return false;
-    auto const pause = times.stream_event_interval_ms(load.running) + load.pending_prefill_ms + times.prefill_ms(static_cast<double>(requirements.prompt_tokens));
-    return times.correction() * pause > static_cast<double>(requirements.max_event_gap.count());
+    auto const pause = times.correction() * (times.stream_event_interval_ms(load.running) + load.pending_prefill_ms) + allowed_prefill_ms(times, requirements, times.correction());
+    return pause > static_cast<double>(requirements.max_event_gap.count());
 }
 
 bool ServerTable::has_spare_slot(Server const& server, Core::Time now) const
@@ -570,7 +603,7 @@
     bool const is_open = !requirements.temporarily_unavailable.contains(id) && has_free_slot_at(server, now) && !would_exceed_max_event_gap(server, requirements, now) && (!requirements.uses_only_spare_slots || has_spare_slot(server, now));
     if (!is_open)
         return Obstacle::Full;
-    if (requirements.max_time_to_first_event && predicted_ms(server, requirements, now) > static_cast<double>(requirements.max_time_to_first_event->count()))
+    if (!begins_soon_enough(server, requirements, now))
         return Obstacle::Slow;
     return m_permits.may_send(id, now) ? Obstacle::None : Obstacle::NoPermit;
 }
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 #include <LibRouting/EngineOwners.h>
 #include <LibRouting/EngineTimingModel.h>
+#include <LibRouting/PrefillAllowance.h>
 #include <LibRouting/SendPermits.h>
 #include <LibRouting/StatedAvailability.h>
 #include <LibSchema/Generated.h>
@@ -36,6 +37,8 @@
     std::set<std::string> avoided {};
     /// Prefers servers with few requests in flight, as this request may terminate its server.
     bool prefers_idle_servers { false };
+    /// Prefill by which max_time_to_first_event and max_event_gap are judged; std::nullopt for that of this request's own prompt.
+    std::optional<PrefillAllowance> prefill_allowance {};
     /// Longest acceptable predicted time to the first event of the answer; std::nullopt if there is no limit.
     std::optional<Core::Duration> max_time_to_first_event {};
     /// Longest acceptable pause between two events of a stream of this service; 0 if there is no limit. The prefill of a new prompt
@@ -223,9 +226,8 @@
     Core::Duration server_slot_interval(std::string const& service) const;
     /// Mean time between two slots that become free at any of the engines that this entry owns and that state no limit, when they are full.
     Core::Duration slot_interval(std::string const& service, Core::Time now) const;
-    /// Least time to the first event for a prompt at an engine whose slots are in use and that has no other pending prefill; 0 for a plain
-    /// service.
-    Core::Duration min_time_to_first_event(std::string const& service, int64_t prompt_tokens) const;
+    /// Least time to the first event at an engine whose slots are in use and that has no other pending prefill; 0 for a plain service.
+    Core::Duration min_time_to_first_event(std::string const& service, PrefillAllowance const&) const;
     /// Time that a request with a prompt and an answer of this size takes at a full engine; 0 for a plain service.
     Core::Duration service_time(std::string const& service, int64_t prompt_tokens, int64_t answer_tokens) const;
     /// Expected time until this entry may have sent `count` requests to limited servers of the service, which it shares with the entries that
@@ -354,6 +356,15 @@
     bool has_spare_slot(Server const&, Core::Time now) const;
     /// Predicted time to the first event, or to the answer of a plain service, in milliseconds.
     double predicted_ms(Server const&, ServerRequirements const&, Core::Time now) const;
+    /// The part of predicted_ms() of an engine that doesn't depend on the request's own prompt.
+    double predicted_ms_without_prefill(Server const&, EngineTimingModel const&, Core::Time now) const;
+    /// Factor by which the engine is slower at present than its timing model.
+    double slowdown(Server const&, EngineTimingModel const&, Core::Time now) const;
+    /// Time in milliseconds that the judgements of ServerRequirements::prefill_allowance count for prefill at an engine this much slower than
+    /// its timing model.
+    static double allowed_prefill_ms(EngineTimingModel const&, ServerRequirements const&, double slowdown);
+    /// Whether the answer is predicted to begin within ServerRequirements::max_time_to_first_event.
+    bool begins_soon_enough(Server const&, ServerRequirements const&, Core::Time now) const;
     /// Added to the cost for the distance between this entry and the server, in milliseconds.
     double distance_penalty_ms(Server const&) const;
     EngineRole role(Server const&) const;
--- a/Libraries/LibRouting/SlotWait.cpp
+++ b/Libraries/LibRouting/SlotWait.cpp
@@ -75,7 +75,7 @@
 {
     if (request.delivered_at || m_is_late)
         return false;
-    return now + m_servers.min_time_to_first_event(request.service, request.prompt_tokens) > request.terms.in_time_until;
+    return now + m_servers.min_time_to_first_event(request.service, request.prefill_allowance) > request.terms.in_time_until;
 }
 
 bool SlotWait::should_refuse(WaitingRequest const& request, NoServer reason, Core::Time now) const
@@ -124,7 +124,7 @@
     auto const interval = m_servers.slot_interval(request.service, now);
     auto const milliseconds = [](Core::Duration duration) { return std::to_string(duration.count()); };
     Core::log_event(Core::LogLevel::Info, "no_place_in_time",
-        { { "request", id }, { "cause", no_server_name(reason) }, { "in_line", m_queue ? "yes" : "no" }, { "late", m_is_late ? "yes" : "no" }, { "late_waiting", std::to_string(service_queue.late_count) }, { "waiting", std::to_string(service_queue.queue.size()) }, { "late_interval_ms", milliseconds(service_queue.late_slot_interval.expected_interval(now, interval)) }, { "place_interval_ms", milliseconds(interval) }, { "left_ms", milliseconds(request.terms.deadline - now) }, { "service_ms", milliseconds(service_time(request)) }, { "prompt_tokens", std::to_string(request.prompt_tokens) }, { "answer_tokens", std::to_string(request.answer_tokens) }, { "in_time_for_ms", milliseconds(request.terms.in_time_until - now) }, { "first_event_at_least_ms", milliseconds(m_servers.min_time_to_first_event(request.service, request.prompt_tokens)) } });
+        { { "request", id }, { "cause", no_server_name(reason) }, { "in_line", m_queue ? "yes" : "no" }, { "late", m_is_late ? "yes" : "no" }, { "late_waiting", std::to_string(service_queue.late_count) }, { "waiting", std::to_string(service_queue.queue.size()) }, { "late_interval_ms", milliseconds(service_queue.late_slot_interval.expected_interval(now, interval)) }, { "place_interval_ms", milliseconds(interval) }, { "left_ms", milliseconds(request.terms.deadline - now) }, { "service_ms", milliseconds(service_time(request)) }, { "prompt_tokens", std::to_string(request.prompt_tokens) }, { "answer_tokens", std::to_string(request.answer_tokens) }, { "in_time_for_ms", milliseconds(request.terms.in_time_until - now) }, { "first_event_at_least_ms", milliseconds(m_servers.min_time_to_first_event(request.service, request.prefill_allowance)) } });
 }
 
 }
--- a/Libraries/LibRouting/SlotWait.h
+++ b/Libraries/LibRouting/SlotWait.h
@@ -3,6 +3,7 @@
 
 #include <LibCore/Time.h>
 #include <LibRouting/AnswerDeadlines.h>
+#include <LibRouting/PrefillAllowance.h>
 #include <LibRouting/RequestQueue.h>
 #include <LibRouting/ServerTable.h>
 #include <LibRouting/SpareSlotInterval.h>
@@ -57,6 +58,7 @@
     int64_t prompt_tokens { 0 };
     /// Length of the answer that the caller expects.
     int64_t answer_tokens { 0 };
+    PrefillAllowance prefill_allowance;
     AnswerDeadlines terms;
     /// When the caller last received events; std::nullopt unless this request resumes a stream that broke off.
     std::optional<Core::Time> delivered_at {};
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -44,6 +44,9 @@
 // Longest body of an answer that is passed on as a whole.
 static constexpr size_t max_buffered_answer_bytes = size_t { 8 } << 20;
 
+// Part of the objective for the first event that is set aside for prefill at the most.
+static constexpr int64_t max_prefill_fraction = 3;
+
 static std::string milliseconds(Core::Duration duration)
 {
     return std::to_string(duration.count());
@@ -93,6 +96,7 @@
             m_route.name, *m_head.deadline, [this] { return m_suspicion.digest(); }, m_started);
     m_terms.in_time_until = m_first_requested_at + Core::Duration(m_route.objective_ms) - answer_margin;
     m_terms.deadline = deadline();
+    m_prefill_allowance = { m_context.recent_prompts.record(m_route.name, m_head.prompt_tokens), Core::Duration(m_route.objective_ms / max_prefill_fraction) };
     if (m_started > m_terms.in_time_until)
         count_late("returned");
 }
@@ -157,6 +161,7 @@
     request.priority = m_priority;
     request.prompt_tokens = m_head.prompt_tokens;
     request.answer_tokens = m_head.answer_tokens_hint > 0 ? std::min(m_head.answer_tokens_hint, m_head.answer_tokens) : m_head.answer_tokens;
+    request.prefill_allowance = m_prefill_allowance;
     request.terms = m_terms;
     // A pause of this process must not count as a pause of the servers' answer.
     if (m_has_delivered)
@@ -205,6 +210,7 @@
     requirements.required_version = m_context.required_version(m_service);
     requirements.newest_version = m_context.newest_version(m_service);
     requirements.prompt_tokens = m_head.prompt_tokens;
+    requirements.prefill_allowance = m_prefill_allowance;
     requirements.excluded = tried_servers();
     requirements.max_event_gap = Core::Duration(m_route.objective_gap_ms);
     m_suspicion.add_to(requirements);
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -177,6 +177,7 @@
     std::optional<int64_t> m_last_event;
     // When the caller first sent this request, also to another entry that refused it, as far as is known.
     Core::Time m_first_requested_at { 0 };
+    Routing::PrefillAllowance m_prefill_allowance;
     Routing::AnswerDeadlines m_terms;
     Routing::SlotWait m_wait;
     // Why no backend server could be chosen last.
--- a/Services/DirectEntry/RequestContext.h
+++ b/Services/DirectEntry/RequestContext.h
@@ -6,6 +6,7 @@
 #include <LibCore/EventLoop.h>
 #include <LibCore/Metrics.h>
 #include <LibPlatform/RequestHeads.h>
+#include <LibRouting/RecentPrompts.h>
 #include <LibRouting/ReturningCallers.h>
 #include <LibRouting/RouteTable.h>
 #include <LibRouting/ServerTable.h>
@@ -47,6 +48,8 @@
     std::function<std::optional<int64_t>(std::string const& service)> required_version;
     /// The newest named version of the service's model; 0 if none is named.
     std::function<int64_t(std::string const& service)> newest_version;
+    /// The prompts of the requests that arrived here.
+    Routing::RecentPrompts recent_prompts {};
     /// Recognises callers that repeat a request which this or another entry refused.
     Routing::ReturningCallers& returning;
     /// Whether this process stops, and which requests it still sends to a backend server then.
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -283,6 +283,59 @@
     EXPECT_TRUE(m_table.choose(requirements, m_now).has_value());
 }
 
+// Judged by its own prefill, a long prompt finds no engine in time at a load at which short ones still do, and is put behind them for good.
+TEST_F(ServerTableTest, LongAndShortPromptsAreInTimeAtTheSameEngines)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    for (auto const* request : { "r1", "r2", "r3" })
+        m_table.on_sent(request, { .id = "1" }, 3000, m_now);
+    ServerRequirements typical;
+    typical.service = "llm";
+    typical.prompt_tokens = 2000;
+    auto const predicted = m_table.choose(typical, m_now)->predicted;
+    for (int64_t prompt_tokens : { 50, 2000, 9000 }) {
+        ServerRequirements requirements;
+        requirements.service = "llm";
+        requirements.prompt_tokens = prompt_tokens;
+        requirements.prefill_allowance = PrefillAllowance { 2000, Core::Duration(1000) };
+        requirements.max_time_to_first_event = predicted - Core::Duration(1);
+        EXPECT_EQ(m_table.choose(requirements, m_now).error(), NoServer::NoneInTime) << prompt_tokens;
+        requirements.max_time_to_first_event = predicted + Core::Duration(1);
+        EXPECT_TRUE(m_table.choose(requirements, m_now).has_value()) << prompt_tokens;
+    }
+}
+
+// On a slow engine the prefill of a long prompt may exceed any objective: requests must not be late there from the start.
+TEST_F(ServerTableTest, TheTimeSetAsideForPrefillIsLimited)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    ServerRequirements requirements;
+    requirements.service = "llm";
+    requirements.prompt_tokens = 900;
+    requirements.prefill_allowance = PrefillAllowance { 100000, Core::Duration(100) };
+    requirements.max_time_to_first_event = Core::Duration(400);
+    EXPECT_TRUE(m_table.choose(requirements, m_now).has_value());
+    requirements.prefill_allowance = PrefillAllowance { 100000, Core::Duration(1000) };
+    EXPECT_EQ(m_table.choose(requirements, m_now).error(), NoServer::NoneInTime);
+}
+
+// While other prompts are read, short prompts must not get every place in turn that long ones are denied.
+TEST_F(ServerTableTest, LongAndShortPromptsWaitForTheSamePauseOfRunningStreams)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.on_sent("r1", { .id = "1" }, 2000, m_now);
+    for (int64_t prompt_tokens : { 50, 9000 }) {
+        ServerRequirements requirements;
+        requirements.service = "llm";
+        requirements.prompt_tokens = prompt_tokens;
+        requirements.prefill_allowance = PrefillAllowance { 2000, Core::Duration(1000) };
+        requirements.max_event_gap = Core::Duration(200);
+        EXPECT_EQ(m_table.choose(requirements, m_now).error(), NoServer::AllFull) << prompt_tokens;
+        requirements.max_event_gap = Core::Duration(400);
+        EXPECT_TRUE(m_table.choose(requirements, m_now).has_value()) << prompt_tokens;
+    }
+}
+
 TEST_F(ServerTableTest, APromptThatWouldPauseRunningStreamsForTooLongWaits)
 {
     m_table.set_server(engine("1", "a"), m_now);
--- a/Tests/LibRouting/TestSlotWait.cpp
+++ b/Tests/LibRouting/TestSlotWait.cpp
@@ -56,6 +56,7 @@
         request.service = "llm";
         request.prompt_tokens = 900;
         request.answer_tokens = 90;
+        request.prefill_allowance = { 900, Duration(1000) };
         request.terms = { .in_time_until = m_now - asked_before + Duration(400), .deadline = m_now - asked_before + Duration(6000) };
         return request;
     }
@@ -118,6 +119,19 @@
     EXPECT_TRUE(wait.should_refuse(returned, NoServer::AllFull, m_now + Duration(3000)));
 }
 
+// A long prompt that becomes late sooner than short ones is overtaken by all that arrive meanwhile, as long as engines are full.
+TEST_F(SlotWaitTest, LongAndShortPromptsBecomeLateAtTheSameMoment)
+{
+    add_engine(1);
+    auto wait = this->wait();
+    wait.begin(request(1), m_now);
+    for (auto waited = Duration(0); waited < Duration(400); waited += Duration(10)) {
+        auto longer = request(1);
+        longer.prompt_tokens = 9000;
+        EXPECT_EQ(wait.has_become_late(longer, m_now + waited), wait.has_become_late(request(1), m_now + waited));
+    }
+}
+
 TEST_F(SlotWaitTest, ARequestBecomesLateOnceTheFirstEventCannotComeInTime)
 {
     add_engine(1);
