LibConfiguration: A record that states a start in the future says nothing of the order

What callers saw: one record of another writer under a living engine's id, with a start of 2^53, and the engine got no more work for good (draining), or what it said later counted as older (ready).

Cause: records of a server are ordered by the start that they state, and any start was believed.

--- a/Libraries/LibConfiguration/FactReplica.cpp
+++ b/Libraries/LibConfiguration/FactReplica.cpp
@@ -25,6 +25,25 @@
     return server.is_draining && server.unreadable_fields.empty();
 }
 
+// Clocks of instances differ by less.
+static constexpr Core::WallTime max_clock_difference = std::chrono::hours(24);
+
+/// Whether the record states a start that lies in the future. Every later record would count as one of an earlier incarnation.
+static bool has_impossible_start(Fact const& fact)
+{
+    auto const* server = std::get_if<Schema::BackendServer>(&fact.value);
+    return server && server->started_at_ms && *server->started_at_ms > (Core::wall_now() + max_clock_difference).count();
+}
+
+/// Returns the record without its start, which counts as a field that could not be decoded.
+static Fact without_start(Fact fact)
+{
+    auto& server = std::get<Schema::BackendServer>(fact.value);
+    server.started_at_ms.reset();
+    server.unreadable_fields.emplace_back("started_at_ms");
+    return fact;
+}
+
 static std::optional<Core::Time> time_before(Core::Time now, std::optional<int64_t> milliseconds)
 {
     if (!milliseconds)
@@ -115,7 +134,7 @@
         return;
     }
     if (fact.kind == Schema::FactKind::BackendServer) {
-        apply_server(fact, read, changes);
+        apply_server(has_impossible_start(fact) ? without_start(fact) : fact, read, changes);
         return;
     }
     auto const key = Key(fact.kind, fact.key);
--- a/Tests/LibConfiguration/TestFactReplica.cpp
+++ b/Tests/LibConfiguration/TestFactReplica.cpp
@@ -493,6 +493,23 @@
     EXPECT_TRUE(apply_server_record(replica, with_start(2000, server_fact("s", true, 4))).has_any());
 }
 
+// Another writer's record with a number too large as the server's start must not make all that the server writes count as older.
+TEST(FactReplica, ARecordThatStatesAStartInTheFutureDoesNotOutliveTheServersOwn)
+{
+    static constexpr int64_t largest_number = int64_t { 1 } << 53;
+    for (bool is_draining : { false, true }) {
+        FactReplica replica;
+        apply_server_record(replica, with_start(1000, server_fact("s", false, 1)));
+        apply_server_record(replica, with_start(largest_number, server_fact("s", is_draining, 2)));
+        EXPECT_TRUE(apply_server_record(replica, with_start(1000, server_at("a:2", "s", 3))).has_any());
+        ASSERT_TRUE(replica.server("s"));
+        EXPECT_EQ(replica.server("s")->address, "a:2");
+        EXPECT_FALSE(replica.server("s")->is_draining);
+        EXPECT_TRUE(apply_server_record(replica, with_start(1000, server_fact("s", true, 4))).has_any());
+        EXPECT_TRUE(replica.server("s")->is_draining);
+    }
+}
+
 TEST(FactReplica, WithinOneIncarnationADrainingServerDoesNotBecomeReady)
 {
     FactReplica replica;
