LibSchema: Text that is nested too deeply is not parsed

What callers saw: entries that read a deeply nested record at their start ended again and again, or stopped following the list.

Cause: JSON of others was parsed without a bound. Schema::without_nulls and unknown_member are recursive over the value: a member that this build does not know, nested 200,000 deep, overflows the stack (trial: segmentation fault). Reading 28 records nested 100,000 deep held a process for 2.5 s in the sanitizer build; it counted as paused, read again, and refused everything as stale.

--- a/Libraries/LibSchema/Json.h
+++ b/Libraries/LibSchema/Json.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <LibCore/Error.h>
+#include <LibCore/JsonNesting.h>
 #include <LibSchema/Generated.h>
 #include <fstream>
 #include <sstream>
@@ -90,11 +91,24 @@
     return object;
 }
 
+enum class JsonComments {
+    Malformed,
+    Ignored,
+};
+
+/// Parses JSON text. Returns a discarded value for text that is not JSON or that is nested too deeply, see Core::is_nested_too_deeply().
+inline nlohmann::json parse(std::string_view text, JsonComments comments = JsonComments::Malformed)
+{
+    if (Core::is_nested_too_deeply(text))
+        return nlohmann::json::value_t::discarded;
+    return nlohmann::json::parse(text, nullptr, false, comments == JsonComments::Ignored);
+}
+
 /// Reads a record that another build of the product may have written.
 template<typename T>
 Core::ErrorOr<T> from_text_of_any_build(std::string_view text)
 {
-    auto value = nlohmann::json::parse(text, nullptr, false);
+    auto value = parse(text);
     if (value.is_discarded())
         return Core::failure(Core::ErrorCode::MalformedJson, "not JSON");
     std::string unknown;
@@ -104,7 +118,7 @@
 template<typename T>
 Core::ErrorOr<T> from_text(std::string_view text)
 {
-    auto value = nlohmann::json::parse(text, nullptr, false, true);
+    auto value = parse(text, JsonComments::Ignored);
     if (value.is_discarded())
         return Core::failure(Core::ErrorCode::MalformedJson, "not JSON");
     return from_value<T>(value);
--- a/Services/Entry/CallerRequest.cpp
+++ b/Services/Entry/CallerRequest.cpp
@@ -3,8 +3,8 @@
 
 #include <LibCore/Hash.h>
 #include <LibMembership/IdempotencyKeyOwner.h>
+#include <LibSchema/Json.h>
 #include <charconv>
-#include <nlohmann/json.hpp>
 
 namespace Entry {
 
@@ -64,7 +64,7 @@
 /// What a chat completions body asks for.
 static tl::expected<void, Schema::Reason> read_model(CallerRequest& request)
 {
-    auto const body = nlohmann::json::parse(request.dispatch.body, nullptr, false);
+    auto const body = Schema::parse(request.dispatch.body);
     if (body.is_discarded() || !body.is_object())
         return tl::unexpected(Schema::Reason::Malformed);
     auto const model = body.find("model");
--- a/Services/Entry/OperatorApi.cpp
+++ b/Services/Entry/OperatorApi.cpp
@@ -138,7 +138,7 @@
     value["kind"] = Schema::enumerator_name(resource.kind);
     value["name"] = resource.name;
     value["revision"] = resource.revision;
-    value["spec"] = nlohmann::json::parse(resource.spec, nullptr, false);
+    value["spec"] = Schema::parse(resource.spec, Schema::JsonComments::Ignored);
     if (resource.kind == Schema::ChangeKind::Rollout) {
         if (auto status = m_tally.status(resource.name))
             value["status"] = Schema::to_value(*status);
@@ -189,7 +189,7 @@
     pending->change.expected_revision = *expected;
     pending->change.operation = exchange->method() == "DELETE" ? Schema::Operation::Delete : Schema::Operation::Put;
     if (pending->change.operation == Schema::Operation::Put) {
-        auto const spec = nlohmann::json::parse(exchange->body(), nullptr, false, true);
+        auto const spec = Schema::parse(exchange->body(), Schema::JsonComments::Ignored);
         if (spec.is_discarded()) {
             reply_problem(*exchange, rejection(400, "malformed_json", "The body is not JSON."));
             return;
--- a/Services/Weights/CopyFetcher.cpp
+++ b/Services/Weights/CopyFetcher.cpp
@@ -4,6 +4,7 @@
 #include <LibConfiguration/ReplayedState.h>
 #include <LibCore/Hash.h>
 #include <LibCore/Log.h>
+#include <LibSchema/Json.h>
 #include <algorithm>
 
 namespace Weights {
@@ -214,7 +215,7 @@
     m_client.call(call, [this, peer](auto answer) {
         if (!answer.has_value() || answer->status != status_ok)
             return;
-        auto const value = nlohmann::json::parse(answer->body, nullptr, false);
+        auto const value = Schema::parse(answer->body);
         if (!value.is_object())
             return;
         Platform::Manifest manifest;
--- a/Tests/Platform/test_foreign_records.py
+++ b/Tests/Platform/test_foreign_records.py
@@ -62,9 +62,9 @@
     return records
 
 
-def write_raw(store, records):
+def write_raw(store, records, topic="keyed.servers"):
     async def append():
-        store.topics["keyed.servers"] += list(records.items())
+        store.topics[topic] += list(records.items())
         store.changed.set()
     store.loop.run(append())
 
@@ -122,3 +122,62 @@
         wait_until(lambda: fleet.call(entry, "GET", "/safe/a").status == 503, "no server to use")
         server.enlist()
         wait_until(lambda: fleet.call(entry, "GET", "/safe/a").status == 200, "the server after its next heartbeat")
+
+
+# Records of another writer under a living server's own id: a start that no server can have had, deep nesting, numbers too large, ports out
+# of range. Each took the server out for good, or ended the processes that read it, if it outlived the server's heartbeats.
+def test_odd_records_under_a_living_servers_id_last_for_a_few_heartbeats(build, folders):
+    with Fleet(build, folders, entries=1, engines=1, plains=1) as fleet:
+        wait_linked(fleet)
+        nobody = fleet.address()
+        for number, change in enumerate(ODD_CHANGES):
+            records = {server.id: odd_record(server, change) for server in fleet.engines + fleet.plains}
+            # Under an id of its own, it names an address where nobody listens.
+            records.update({f"odd-{number}-{server.service}": odd_record(server, {"Address": f'"{nobody}:{BACKEND_PORT}"', **change}) for server in (fleet.engines[0], fleet.plains[0])})
+            write_raw(fleet.store, records)
+            name = ", ".join(f"{field} {text[:40]}" for field, text in change.items())
+            for path, method in (("/stream/a", "POST"), ("/safe/a", "GET")):
+                wait_until(lambda path=path, method=method: is_served_after_heartbeat(fleet, method, path), f"{path} after {name}")
+            assert all(process.poll() is None for process in fleet.processes.values()), name
+        # Those that read the whole list now.
+        for identity in list(fleet.processes):
+            fleet.kill(identity)
+        fleet.start_all()
+        wait_linked(fleet)
+
+
+# Records of the system's own topics are read at each start: one that overflows the stack ended every entry again and again.
+def test_a_deeply_nested_record_of_an_own_topic_ends_no_entry(build, folders):
+    with Fleet(build, folders, entries=1, engines=1, plains=1) as fleet:
+        wait_linked(fleet)
+        version = {"model": "model-1", "version": 1, "known_at_ms": 1}
+        for topic in ("keyed.mountbarrow-versions", "keyed.mountbarrow-blames"):
+            write_raw(fleet.store, {"model-1/1": json.dumps(version).replace("}", f',"more":{NESTED}}}').encode()}, topic)
+        entry = fleet.entries[0]
+        fleet.kill(entry)
+        fleet.start_entry(entry)
+        fleet.wait_ready(entry)
+        wait_linked(fleet)
+        assert fleet.processes[entry].poll() is None
+
+
+def is_served_after_heartbeat(fleet, method, path):
+    for server in fleet.engines + fleet.plains:
+        server.enlist()
+    time.sleep(HEARTBEAT_SECONDS)
+    return fleet.call(fleet.entries[0], method, path).status == 200
+
+
+NESTED = "[" * 100000 + "]" * 100000
+TOO_LARGE = ("9007199254740992", "9223372036854775808", "1e400", "-1")
+# The text of a field's value, by field; as the whole record under no name.
+ODD_CHANGES = [{"": NESTED}, *({name: NESTED} for name in ("Service", "Address", "Models", "born", "State")),
+               *({name: number} for name in ("born", "Slots", "ColdLeftMs", "CallSeq") for number in TOO_LARGE),
+               *({"born": number, "State": '"draining"'} for number in TOO_LARGE),
+               *({"Address": f'"127.0.0.1:{port}"'} for port in ("0", "65536", "99999999999999999999", "-1"))]
+
+
+def odd_record(server, change):
+    fields = {name: json.dumps(value) for name, value in server.entry().items()}
+    fields.update(change)
+    return (fields.pop("", None) or "{" + ",".join(f'"{name}":{text}' for name, text in fields.items()) + "}").encode()
