--- a/Libraries/LibRouting/RecentPrompts.cpp
+++ b/Libraries/LibRouting/RecentPrompts.cpp
@@ -2,6 +2,7 @@
 #include <LibRouting/RecentPrompts.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <vector>
 
 namespace Routing {
@@ -17,7 +18,7 @@
     if (recent.size() > max_recent_prompts)
         recent.pop_front();
     std::vector<int64_t> lengths(recent.begin(), recent.end());
-    auto const rank = lengths.end() - 1 - static_cast<ptrdiff_t>(lengths.size() / longer_fraction);
+    auto const rank = lengths.end() - 1 - static_cast<std::ptrdiff_t>(lengths.size() / longer_fraction);
     std::nth_element(lengths.begin(), rank, lengths.end());
     return *rank;
 }
--- a/Tests/LibRouting/TestRecentPrompts.cpp
+++ b/Tests/LibRouting/TestRecentPrompts.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibRouting/RecentPrompts.h>
 #include <algorithm>
+#include <cstddef>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -30,6 +31,6 @@
     for (auto length : lengths)
         typical = prompts.record("route", length);
     auto const recent = std::min<size_t>(64, lengths.size());
-    auto const longer = std::count_if(lengths.end() - static_cast<ptrdiff_t>(recent), lengths.end(), [&](auto length) { return length > typical; });
+    auto const longer = std::count_if(lengths.end() - static_cast<std::ptrdiff_t>(recent), lengths.end(), [&](auto length) { return length > typical; });
     RC_ASSERT(static_cast<size_t>(longer) <= recent / 10);
 }
