--- a/Tests/Platform/test_foreign_records.py
+++ b/Tests/Platform/test_foreign_records.py
@@ -124,8 +124,8 @@
         wait_until(lambda: fleet.call(entry, "GET", "/safe/a").status == 200, "the server after its next heartbeat")
 
 
-# Records of another writer under a living server's own id: a start that no server can have had, deep nesting, numbers too large, ports out
-# of range. Each took the server out for good, or ended the processes that read it, if it outlived the server's heartbeats.
+# Another writer's records: deep nesting, numbers too large, ports out of range, a start in the future. One under a living server's id must not
+# outlive that server's heartbeats, and none may end or occupy the processes that read it.
 def test_odd_records_under_a_living_servers_id_last_for_a_few_heartbeats(build, folders):
     with Fleet(build, folders, entries=1, engines=1, plains=1) as fleet:
         wait_linked(fleet)
@@ -139,14 +139,14 @@
             for path, method in (("/stream/a", "POST"), ("/safe/a", "GET")):
                 wait_until(lambda path=path, method=method: is_served_after_heartbeat(fleet, method, path), f"{path} after {name}")
             assert all(process.poll() is None for process in fleet.processes.values()), name
-        # Those that read the whole list now.
+        # Processes that start read the whole list.
         for identity in list(fleet.processes):
             fleet.kill(identity)
         fleet.start_all()
         wait_linked(fleet)
 
 
-# Records of the system's own topics are read at each start: one that overflows the stack ended every entry again and again.
+# Entries read the system's own topics at each start: a record that overflows the stack there ends them again and again.
 def test_a_deeply_nested_record_of_an_own_topic_ends_no_entry(build, folders):
     with Fleet(build, folders, entries=1, engines=1, plains=1) as fleet:
         wait_linked(fleet)
--- a/Tests/Platform/test_request_sizes.py
+++ b/Tests/Platform/test_request_sizes.py
@@ -13,7 +13,7 @@
 TOKENS_PER_EVENT, PROMPT_TOKENS_PER_SECOND = 5, 12000
 OBJECTIVE_MS, PAUSE_OBJECTIVE_MS, DEADLINE_MS = 500, 400, 4000
 REQUESTS, REQUESTS_PER_SECOND = 3600, 150
-# The median of the prompts' lengths, and the standard deviation of their logarithm: the largest tenth is five times as long.
+# The median of the prompts' lengths, and the standard deviation of their logarithm: the largest tenth is some four times as long.
 MEDIAN_PROMPT, SPREAD, LONGEST_PROMPT = 600, 0.8, 5000
 # How often the largest requests are to be served at least, as a share of how often all are.
 LEAST_RATIO = 0.7
