LibTransport: A deeply nested message is refused before it is read

Cause: the library's CBOR reader is recursive over arrays, maps, tags and strings in parts; a link takes messages before the peer's key is proved. Trial on the reader alone: 4 MB of arrays of one element end the process by a segmentation fault.

Before / after: MessageCodec.ADeeplyNestedMessageIsRefused passes (sanitizers); it was not run without the change, as it would end the test program. The other tests and properties of MessageCodec pass.

--- a/Libraries/LibCore/JsonNesting.cpp
+++ b/Libraries/LibCore/JsonNesting.cpp
@@ -1,12 +1,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibCore/JsonNesting.h>
 
-#include <cstddef>
-
 namespace Core {
 
-static constexpr size_t max_depth = 64;
-
 bool is_nested_too_deeply(std::string_view text)
 {
     size_t depth = 0;
@@ -21,7 +17,7 @@
             is_in_string = !is_in_string;
         if (is_in_string)
             continue;
-        if ((byte == '[' || byte == '{') && ++depth > max_depth)
+        if ((byte == '[' || byte == '{') && ++depth > max_nesting_depth)
             return true;
         if ((byte == ']' || byte == '}') && depth > 0)
             --depth;
--- a/Tests/LibTransport/TestDecoders.cpp
+++ b/Tests/LibTransport/TestDecoders.cpp
@@ -32,6 +32,18 @@
     RC_ASSERT(!decoded.has_value() || bytes.size() > 2);
 }
 
+// The library's reader is recursive over these: the message of a peer whose key is not proved yet overflowed the stack.
+TEST(MessageCodec, ADeeplyNestedMessageIsRefused)
+{
+    // An array of one element, a map of one member, a tag, and a string and bytes in parts, each within the one before.
+    for (std::string const& head : { std::string("\x81"), std::string("\xA1\x61k"), std::string("\xC1"), std::string("\x7F"), std::string("\x5F"), std::string("\x9F"), std::string("\xBF\x61k") }) {
+        std::string bytes;
+        for (int i = 0; i < 1000000; ++i)
+            bytes += head;
+        EXPECT_EQ(decode_message(bytes + '\x01', s_unknown).error().code, Core::ErrorCode::MalformedMessage);
+    }
+}
+
 TEST(MessageCodec, ALengthPastAllMemoryIsRefusedAndNotThrown)
 {
     // An array, then a map, of 0x6161616161616161 elements.
