--- a/Libraries/LibRouting/SlotWait.h
+++ b/Libraries/LibRouting/SlotWait.h
@@ -58,6 +58,7 @@
     int64_t prompt_tokens { 0 };
     /// Length of the answer that the caller expects.
     int64_t answer_tokens { 0 };
+    /// Prefill by which has_become_late() judges, whatever the length of this request's own prompt.
     PrefillAllowance prefill_allowance;
     AnswerDeadlines terms;
     /// When the caller last received events; std::nullopt unless this request resumes a stream that broke off.
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -44,7 +44,7 @@
 // Longest body of an answer that is passed on as a whole.
 static constexpr size_t max_buffered_answer_bytes = size_t { 8 } << 20;
 
-// Part of the objective for the first event that is set aside for prefill at the most.
+// At most one part in this many of the objective for the first event is set aside for prefill.
 static constexpr int64_t max_prefill_fraction = 3;
 
 static std::string milliseconds(Core::Duration duration)
