DirectEntry: A refusal says which of its causes applied and in which states the servers are

Cause: no_place stood for five causes, and the line of the refusal held neither the cause nor how many engines were usable, empty, loading, outdated, silent or full. The hypotheses on the late recovery can't be told apart by it. Nothing told of requests that wait without an end. Change: NoServer has an enumerator for each cause that was lumped into AllFull (no decision depends on them); request_ended of a refusal has cause and servers (the counts and the reported pace), mountbarrow_no_place_total counts by cause, and requests_in_flight tells each 3 s count, waiting, oldest and connections.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -59,6 +59,14 @@
         return "none_in_time";
     case NoServer::Limited:
         return "limited";
+    case NoServer::StaleFacts:
+        return "stale_facts";
+    case NoServer::DeadlinePassed:
+        return "deadline_passed";
+    case NoServer::SuspectRuns:
+        return "suspect_runs";
+    case NoServer::NoRetryBudget:
+        return "no_retry_budget";
     }
     return "";
 }
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -6,6 +6,7 @@
 #include <LibRouting/EngineTimingModel.h>
 #include <LibRouting/PrefillAllowance.h>
 #include <LibRouting/SendPermits.h>
+#include <LibRouting/ServerCensus.h>
 #include <LibRouting/StatedAvailability.h>
 #include <LibSchema/Generated.h>
 #include <map>
@@ -48,7 +49,7 @@
     bool uses_only_spare_slots { false };
 };
 
-/// Why ServerTable::choose() found no backend server.
+/// Why ServerTable::choose() found no backend server, or why it was not asked: the last four.
 enum class NoServer {
     /// No server of the service could serve the request, even if it had a free slot.
     NoneUsable,
@@ -58,6 +59,14 @@
     NoneInTime,
     /// Servers that could serve it are limited, and this entry holds no permit to send to them, or they asked this entry for rest.
     Limited,
+    /// The entry resumed after a pause, and has not read the facts again.
+    StaleFacts,
+    /// The time that the caller allowed has passed.
+    DeadlinePassed,
+    /// The request is a suspect, of which a copy runs already (see CrashSuspects).
+    SuspectRuns,
+    /// No retry budget is left to try another server beside a silent one.
+    NoRetryBudget,
 };
 
 /// The reason's name in logs.
@@ -170,6 +179,9 @@
     /// distance, role and failures (or what the setting `choice` says instead). Equal costs are decided at random.
     tl::expected<ServerChoice, NoServer> choose(ServerRequirements const&, Core::Time now);
 
+    /// The states of the service's servers, as far as they matter for a request with these requirements.
+    ServerCensus census(ServerRequirements const&, Core::Time now) const;
+
     /// Whether any usable server of the service has a free slot for this entry, for a request without special criteria.
     bool has_free_slot(std::string const& service, Core::Time now) const;
 
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -17,6 +17,7 @@
 // than slots become free.
 static constexpr int ticks_per_offer_without_slot = 5;
 static constexpr Core::Duration link_check_interval { 500 };
+static constexpr Core::Duration report_interval { 3000 };
 static constexpr int link_checks_per_sharing = EngineSharing::interval / link_check_interval;
 // A configuration older than this may be out of date: a newer one, not received yet, may allow a request that it denies.
 static constexpr Core::Duration stale_after { 4000 };
@@ -136,6 +137,7 @@
     m_facts.pauses().on_resumed(link_losing_pause, [this](Core::Duration paused_for) { handle_pause(paused_for); });
     m_tick_timer = loop.every(tick_interval, [this] { tick(); });
     m_link_timer = loop.every(link_check_interval, [this] { check_links(); });
+    m_report_timer = loop.every(report_interval, [this] { log_requests_in_flight(); });
 }
 
 DirectEntry::~DirectEntry()
@@ -611,6 +613,19 @@
         { { "request", m_heads->read_caller(caller.head()).request_id }, { "stopping_for_ms", std::to_string(m_stop.elapsed(now).count()) }, { "read_for_ms", std::to_string((now - caller.began()).count()) }, { "number_on_connection", std::to_string(caller.number_on_connection()) } });
 }
 
+void DirectEntry::log_requests_in_flight()
+{
+    auto const now = Core::monotonic_now();
+    size_t waiting = 0;
+    auto oldest = now;
+    for (auto const& [number, request] : m_requests) {
+        waiting += request->is_waiting() ? 1 : 0;
+        oldest = std::min(oldest, request->started());
+    }
+    Core::log_event(Core::LogLevel::Info, "requests_in_flight",
+        { { "count", std::to_string(m_requests.size()) }, { "waiting", std::to_string(waiting) }, { "oldest_ms", std::to_string((now - oldest).count()) }, { "connections", std::to_string(m_callers ? m_callers->connection_count() : 0) }, { "up_ms", std::to_string((now - m_started_at).count()) } });
+}
+
 /// Returns a sender for messages that older builds do not know and would close the link for; it skips entries of such builds.
 std::function<void(std::string const&, Schema::Message const&)> DirectEntry::sender_to_capable_entries()
 {
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -104,6 +104,8 @@
     void on_request(std::shared_ptr<Transport::IngressRequest>);
     Transport::FaultAnswer answer_to_fault(Transport::IngressFault, Transport::MessageHead const&);
     void log_request_while_stopping(Transport::IngressRequest const&);
+    /// Logs the number of requests in flight, in which phase they are, and the age of the oldest.
+    void log_requests_in_flight();
     std::function<void(std::string const& entry, Schema::Message const&)> sender_to_capable_entries();
     CrashDetector::Callbacks crash_callbacks();
     LeavingServers::Callbacks leaving_callbacks();
@@ -173,6 +175,7 @@
     std::unique_ptr<Transport::HttpServer> m_metrics_server;
     std::unique_ptr<Core::Timer> m_tick_timer;
     std::unique_ptr<Core::Timer> m_link_timer;
+    std::unique_ptr<Core::Timer> m_report_timer;
     size_t m_given_up { 0 };
 };
 
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -230,15 +230,28 @@
     return tried;
 }
 
+std::optional<Routing::NoServer> ProxiedRequest::obstacle_to_sending(Core::Time now)
+{
+    if (!m_context.are_facts_current())
+        return Routing::NoServer::StaleFacts;
+    // The deadline may have passed during a pause of the process; then the next tick refuses the request.
+    if (now >= deadline())
+        return Routing::NoServer::DeadlinePassed;
+    if (!m_suspicion.can_send())
+        return Routing::NoServer::SuspectRuns;
+    bool const has_budget = m_silent_attempts.empty() || m_context.retries.has_remaining(m_service, now);
+    if (!has_budget)
+        return Routing::NoServer::NoRetryBudget;
+    return {};
+}
+
 bool ProxiedRequest::try_send()
 {
     if (is_over() || refuse_if_blamed() || refuse_if_too_late_to_send())
         return true;
     auto const now = Core::monotonic_now();
-    // The deadline may have passed during a pause of the process; then the next tick refuses the request.
-    bool const has_budget = m_silent_attempts.empty() || m_context.retries.has_remaining(m_service, now);
-    if (!m_context.are_facts_current() || now >= deadline() || !m_suspicion.can_send() || !has_budget) {
-        m_no_server = Routing::NoServer::AllFull;
+    if (auto const obstacle = obstacle_to_sending(now)) {
+        m_no_server = *obstacle;
         return false;
     }
     if (m_has_delivered || now <= m_terms.in_time_until)
@@ -951,8 +964,11 @@
     if (m_has_delivered)
         m_context.metrics.observe_ms("mountbarrow_longest_pause_ms", static_cast<double>(m_longest_pause.count()));
     auto const level = refusal == Refusal::None ? Core::LogLevel::Info : Core::LogLevel::Warn;
+    bool const has_found_no_place = refusal == Refusal::NoServer || refusal == Refusal::NoSlot;
+    if (has_found_no_place)
+        m_context.metrics.count("mountbarrow_no_place_total", std::string("cause=\"") + Routing::no_server_name(m_no_server) + "\"");
     Core::log_event(level, "request_ended",
-        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "longest_pause_ms", milliseconds(m_longest_pause) }, { "objective_ms", std::to_string(m_route.objective_ms) }, { "pause_objective_ms", std::to_string(m_route.objective_gap_ms) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "answer_tokens", std::to_string(m_head.answer_tokens) }, { "answer_tokens_hint", std::to_string(m_head.answer_tokens_hint) }, { "asked_before_ms", milliseconds(m_started - m_first_requested_at) }, { "server", m_attempt ? m_attempt->target().id : "" }, { "sends", std::to_string(m_counted_attempts) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
+        { { "request", m_head.request_id }, { "route", m_route.name }, { "end", refusal_name(refusal) }, { "cause", has_found_no_place ? Routing::no_server_name(m_no_server) : "" }, { "servers", has_found_no_place ? m_context.servers.census(requirements(), now).to_text() : "" }, { "status", std::to_string(status) }, { "after_ms", milliseconds(now - m_started) }, { "first_event_ms", m_first_event_after ? milliseconds(*m_first_event_after) : "" }, { "longest_pause_ms", milliseconds(m_longest_pause) }, { "objective_ms", std::to_string(m_route.objective_ms) }, { "pause_objective_ms", std::to_string(m_route.objective_gap_ms) }, { "prompt_tokens", std::to_string(m_head.prompt_tokens) }, { "answer_tokens", std::to_string(m_head.answer_tokens) }, { "answer_tokens_hint", std::to_string(m_head.answer_tokens_hint) }, { "asked_before_ms", milliseconds(m_started - m_first_requested_at) }, { "server", m_attempt ? m_attempt->target().id : "" }, { "sends", std::to_string(m_counted_attempts) }, { "last_event", m_last_event ? std::to_string(*m_last_event) : "" } });
     m_context.request_over(m_number);
 }
 
--- a/Services/DirectEntry/ProxiedRequest.h
+++ b/Services/DirectEntry/ProxiedRequest.h
@@ -47,7 +47,9 @@
     void on_blamed(std::string const& key);
 
     uint64_t number() const { return m_number; }
+    Core::Time started() const { return m_started; }
     bool is_over() const { return m_phase == Phase::Over; }
+    bool is_waiting() const { return m_phase == Phase::Waiting; }
 
 private:
     enum class Phase {
@@ -63,6 +65,8 @@
     bool admit();
     void refuse_denied(Routing::RouteDenial);
     void set_terms();
+    /// What forbids to send the request to any server now.
+    std::optional<Routing::NoServer> obstacle_to_sending(Core::Time now);
     /// Sends to a server that is predicted to begin the answer within the route's objective.
     bool try_send_in_time(Core::Time now);
     /// Sends without that condition, once the objective can no longer be met.
