--- a/Libraries/LibRouting/ServerCensus.cpp
+++ b/Libraries/LibRouting/ServerCensus.cpp
@@ -10,7 +10,11 @@
 {
     std::string text;
     auto const add = [&text](char const* name, std::string const& value) {
-        text += (text.empty() ? "" : " ") + std::string(name) + "=" + value;
+        if (!text.empty())
+            text += ' ';
+        text += name;
+        text += '=';
+        text += value;
     };
     add("open", std::to_string(open));
     add("full", std::to_string(full));
