LibRouting: What an engine says of its pace counts in every judgement of its time

Cause: an engine's reported pace entered the predicted time to the first event alone. Whether a request can end before its deadline, the pause that a prompt causes, the time at which a waiting request is late, and how long a server may be silent went by the rates of an ordinary engine. So requests were sent that slow engines could not end, and were sent a second time beside an engine that was slow and not silent: in seconds 41 to 50 some 300 streams had 179 second sends, 132 were answered, 170 were given up by their callers. Ruled out: the loss itself; the same engines and callers without one serve as few. Change: slowdown() of the engine in all of these judgements; choose() takes no engine that is predicted to end the answer after the deadline; a slow engine is silent only after a correspondingly longer time. A pace of 1 changes nothing but the check of the end.

--- a/Libraries/LibRouting/EngineTimingModel.cpp
+++ b/Libraries/LibRouting/EngineTimingModel.cpp
@@ -60,6 +60,12 @@
     return prefill_ms(prompt_tokens) + answer_tokens * per_token;
 }
 
+double EngineTimingModel::answer_ms(double tokens, double running) const
+{
+    auto const prefill_per_token = running * usual_prefill_ms() / std::max(1.0, m_usual_answer);
+    return tokens * (step_ms(running) + prefill_per_token);
+}
+
 void EngineTimingModel::on_first_event(double predicted_ms, double observed_ms)
 {
     if (predicted_ms <= 0)
--- a/Libraries/LibRouting/EngineTimingModel.h
+++ b/Libraries/LibRouting/EngineTimingModel.h
@@ -29,6 +29,11 @@
     double usual_service_ms() const;
     /// As usual_service_ms(), for a request with a prompt and an answer of the given size.
     double service_ms(double prompt_tokens, double answer_tokens) const;
+    /// Time from the first event to the end of an answer of so many tokens while `running` requests run, the engine reading a prompt of the
+    /// usual size whenever one of them ends and another one begins.
+    double answer_ms(double tokens, double running) const;
+    /// Number of tokens of a usual answer.
+    double usual_answer_tokens() const { return m_usual_answer; }
     /// Mean time between two requests that end at a full engine, and so between two slots that become free.
     double slot_interval_ms() const { return usual_service_ms() / m_slots; }
     /// Number of requests that the engine runs at once.
--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -36,6 +36,8 @@
 static constexpr double other_region_penalty_ms = 25;
 static constexpr double other_domain_penalty_ms = 8;
 static constexpr double milliseconds_per_second = 1000;
+// Limits what a report of an engine can do to the time that callers wait for it.
+static constexpr double max_slowdown = 10;
 // Assumed time of an answer of a plain service.
 static constexpr double plain_service_answer_ms = 30;
 // Entries learn late what others send to an engine, so all that see it idle would collide there. These penalties make its owner use it
@@ -408,21 +410,41 @@
     return std::min(slowdown * times.prefill_ms(static_cast<double>(allowance.prompt_tokens)), static_cast<double>(allowance.at_most.count()));
 }
 
-Core::Duration ServerTable::min_time_to_first_event(std::string const& service, PrefillAllowance const& allowance) const
+double ServerTable::least_slowdown(std::string const& service, EngineTimingModel const& times, Core::Time now) const
+{
+    std::optional<double> least;
+    for (auto const& [id, server] : m_servers) {
+        if (!server.is_selectable || server.record.service != service || !is_usable(server, ServerRequirements { .service = service }, now))
+            continue;
+        auto const slowdown = this->slowdown(server, times, now);
+        least = std::min(least.value_or(slowdown), slowdown);
+    }
+    return least.value_or(times.correction());
+}
+
+double ServerTable::slowdown(std::string const& id, Core::Time now) const
+{
+    auto const found = m_servers.find(id);
+    auto const* model = found == m_servers.end() ? nullptr : engine_service(found->second.record.service);
+    return model ? std::clamp(slowdown(found->second, model->times, now), 1.0, max_slowdown) : 1.0;
+}
+
+Core::Duration ServerTable::min_time_to_first_event(std::string const& service, PrefillAllowance const& allowance, Core::Time now) const
 {
     auto const* model = engine_service(service);
     if (!model)
         return Core::Duration(0);
     auto const& times = model->times;
-    return Core::Duration(static_cast<int64_t>(times.correction() * times.stream_event_interval_ms(times.slots()) + prefill_ms(times, allowance, times.correction())));
+    auto const slowdown = least_slowdown(service, times, now);
+    return Core::Duration(static_cast<int64_t>(slowdown * times.stream_event_interval_ms(times.slots()) + prefill_ms(times, allowance, slowdown)));
 }
 
-Core::Duration ServerTable::service_time(std::string const& service, int64_t prompt_tokens, int64_t answer_tokens) const
+Core::Duration ServerTable::service_time(std::string const& service, int64_t prompt_tokens, int64_t answer_tokens, Core::Time now) const
 {
     auto const* model = engine_service(service);
     if (!model)
         return Core::Duration(0);
-    return Core::Duration(static_cast<int64_t>(model->times.correction() * model->times.service_ms(static_cast<double>(prompt_tokens), static_cast<double>(answer_tokens))));
+    return Core::Duration(static_cast<int64_t>(least_slowdown(service, model->times, now) * model->times.service_ms(static_cast<double>(prompt_tokens), static_cast<double>(answer_tokens))));
 }
 
 std::optional<Core::Duration> ServerTable::time_until_rest_ends(std::string const& service, Core::Time now) const
@@ -540,6 +562,18 @@
     return predicted_ms_without_prefill(server, times, now) + allowed_prefill_ms(times, requirements, slowdown(server, times, now)) <= limit;
 }
 
+bool ServerTable::ends_soon_enough(Server const& server, ServerRequirements const& requirements, Core::Time now) const
+{
+    auto const* model = engine_service(server.record.service);
+    if (!model || !requirements.max_time_to_end)
+        return true;
+    auto const& times = model->times;
+    auto const running = std::min(times.slots(), load(server, times, now).running + 1);
+    auto const answer_tokens = requirements.answer_tokens > 0 ? static_cast<double>(requirements.answer_tokens) : times.usual_answer_tokens();
+    auto const answer_ms = slowdown(server, times, now) * times.answer_ms(answer_tokens, running);
+    return predicted_ms(server, requirements, now) + answer_ms <= static_cast<double>(requirements.max_time_to_end->count());
+}
+
 bool ServerTable::would_exceed_max_event_gap(Server const& server, ServerRequirements const& requirements, Core::Time now) const
 {
     auto const* model = engine_service(server.record.service);
@@ -550,7 +584,8 @@
     // If no other prefill is pending, the prompt is accepted in any case: its prefill alone may exceed every limit.
     if (load.pending_prefill_ms <= 0)
         return false;
-    auto const pause = times.correction() * (times.stream_event_interval_ms(load.running) + load.pending_prefill_ms) + allowed_prefill_ms(times, requirements, times.correction());
+    auto const slowdown = this->slowdown(server, times, now);
+    auto const pause = slowdown * (times.stream_event_interval_ms(load.running) + load.pending_prefill_ms) + allowed_prefill_ms(times, requirements, slowdown);
     return pause > static_cast<double>(requirements.max_event_gap.count());
 }
 
@@ -611,7 +646,7 @@
     bool const is_open = !requirements.temporarily_unavailable.contains(id) && has_free_slot_at(server, now) && !would_exceed_max_event_gap(server, requirements, now) && (!requirements.uses_only_spare_slots || has_spare_slot(server, now));
     if (!is_open)
         return Obstacle::Full;
-    if (!begins_soon_enough(server, requirements, now))
+    if (!begins_soon_enough(server, requirements, now) || !ends_soon_enough(server, requirements, now))
         return Obstacle::Slow;
     return m_permits.may_send(id, now) ? Obstacle::None : Obstacle::NoPermit;
 }
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -29,6 +29,10 @@
     /// chosen while its agent reports, as only the agent knows whether the engine is about to load a version, or still runs.
     int64_t newest_version { 0 };
     int64_t prompt_tokens { 0 };
+    /// Length of the answer that the caller expects; 0 if unknown, which stands for the service's usual one.
+    int64_t answer_tokens { 0 };
+    /// Longest acceptable predicted time to the end of a streamed answer; std::nullopt if there is no limit.
+    std::optional<Core::Duration> max_time_to_end {};
     /// Ids of servers that must not be chosen, as earlier attempts of the request went to their present incarnations.
     std::set<std::string> excluded {};
     /// Ids of servers that can't be chosen at the moment, and are treated as full.
@@ -55,7 +59,7 @@
     NoneUsable,
     /// Servers that could serve it have no free slot for it.
     AllFull,
-    /// Servers with a free slot are there, but are predicted to begin the answer too late.
+    /// Servers with a free slot are there, but are predicted to begin or end the answer too late.
     NoneInTime,
     /// Servers that could serve it are limited, and this entry holds no permit to send to them, or they asked this entry for rest.
     Limited,
@@ -238,10 +242,13 @@
     Core::Duration server_slot_interval(std::string const& service) const;
     /// Mean time between two slots that become free at any of the engines that this entry owns and that state no limit, when they are full.
     Core::Duration slot_interval(std::string const& service, Core::Time now) const;
-    /// Least time to the first event at an engine whose slots are in use and that has no other pending prefill; 0 for a plain service.
-    Core::Duration min_time_to_first_event(std::string const& service, PrefillAllowance const&) const;
-    /// Time that a request with a prompt and an answer of this size takes at a full engine; 0 for a plain service.
-    Core::Duration service_time(std::string const& service, int64_t prompt_tokens, int64_t answer_tokens) const;
+    /// Least time to the first event at the fastest usable engine, if its slots are in use and it has no other pending prefill; 0 for a plain
+    /// service.
+    Core::Duration min_time_to_first_event(std::string const& service, PrefillAllowance const&, Core::Time now) const;
+    /// Time that a request with a prompt and an answer of this size takes at the fastest usable engine, if that is full; 0 for a plain service.
+    Core::Duration service_time(std::string const& service, int64_t prompt_tokens, int64_t answer_tokens, Core::Time now) const;
+    /// Factor by which the server is at present slower than its timing model, at least 1 and at most 10.
+    double slowdown(std::string const& id, Core::Time now) const;
     /// Expected time until this entry may have sent `count` requests to limited servers of the service, which it shares with the entries that
     /// wait for permits, or to a resting one after its rest; std::nullopt if no usable server is limited or rests.
     std::optional<Core::Duration> limited_wait(std::string const& service, size_t count, Core::Time now) const;
@@ -345,7 +352,7 @@
         Unusable,
         Resting,
         Full,
-        /// It is predicted to begin the answer too late.
+        /// It is predicted to begin or end the answer too late.
         Slow,
         /// It is limited, and this entry holds no permit.
         NoPermit,
@@ -377,6 +384,10 @@
     static double allowed_prefill_ms(EngineTimingModel const&, ServerRequirements const&, double slowdown);
     /// Whether the answer is predicted to begin within ServerRequirements::max_time_to_first_event.
     bool begins_soon_enough(Server const&, ServerRequirements const&, Core::Time now) const;
+    /// Whether the answer is predicted to end within ServerRequirements::max_time_to_end.
+    bool ends_soon_enough(Server const&, ServerRequirements const&, Core::Time now) const;
+    /// The least slowdown() of the service's usable engines.
+    double least_slowdown(std::string const& service, EngineTimingModel const&, Core::Time now) const;
     /// Added to the cost for the distance between this entry and the server, in milliseconds.
     double distance_penalty_ms(Server const&) const;
     EngineRole role(Server const&) const;
--- a/Libraries/LibRouting/SlotWait.cpp
+++ b/Libraries/LibRouting/SlotWait.cpp
@@ -23,14 +23,14 @@
 {
 }
 
-Core::Duration SlotWait::service_time(WaitingRequest const& request) const
+Core::Duration SlotWait::service_time(WaitingRequest const& request, Core::Time now) const
 {
-    return m_servers.service_time(request.service, request.prompt_tokens, request.answer_tokens);
+    return m_servers.service_time(request.service, request.prompt_tokens, request.answer_tokens, now);
 }
 
-Timeliness SlotWait::timeliness(WaitingRequest const& request, Core::Time begins) const
+Timeliness SlotWait::timeliness(WaitingRequest const& request, Core::Time begins, Core::Time now) const
 {
-    return request.terms.classify(begins, begins + service_time(request));
+    return request.terms.classify(begins, begins + service_time(request, now));
 }
 
 void SlotWait::begin(WaitingRequest const& request, Core::Time now)
@@ -75,7 +75,7 @@
 {
     if (request.delivered_at || m_is_late)
         return false;
-    return now + m_servers.min_time_to_first_event(request.service, request.prefill_allowance) > request.terms.in_time_until;
+    return now + m_servers.min_time_to_first_event(request.service, request.prefill_allowance, now) > request.terms.in_time_until;
 }
 
 bool SlotWait::should_refuse(WaitingRequest const& request, NoServer reason, Core::Time now) const
@@ -84,13 +84,13 @@
         return now >= *request.delivered_at + max_resume_wait;
     if (reason == NoServer::NoneUsable) {
         auto const next = m_servers.time_until_next_engine(request.service, now);
-        return !next || timeliness(request, now + *next) == Timeliness::TooLate;
+        return !next || timeliness(request, now + *next, now) == Timeliness::TooLate;
     }
     auto const& service_queue = m_queue_of(request.service);
     if (reason == NoServer::Limited) {
         auto const position = m_queue ? 1 : service_queue.queue.size() + 1;
         auto const begins = now + expected_wait(request.service, reason, position, now);
-        return timeliness(request, begins) == Timeliness::TooLate;
+        return timeliness(request, begins, now) == Timeliness::TooLate;
     }
     if (!m_is_late)
         return false;
@@ -98,7 +98,7 @@
     auto const expected_interval = Core::Duration(static_cast<int64_t>(static_cast<double>(interval.count()) * m_policy.leftover_factor));
     auto const ahead = m_queue ? 1 : service_queue.late_count + 1;
     auto const begins = now + service_queue.late_slot_interval.expected_interval(now, expected_interval) * static_cast<int64_t>(ahead);
-    return timeliness(request, begins) == Timeliness::TooLate;
+    return timeliness(request, begins, now) == Timeliness::TooLate;
 }
 
 Core::Duration SlotWait::expected_wait(std::string const& service, NoServer reason, size_t count, Core::Time now) const
@@ -124,7 +124,7 @@
     auto const interval = m_servers.slot_interval(request.service, now);
     auto const milliseconds = [](Core::Duration duration) { return std::to_string(duration.count()); };
     Core::log_event(Core::LogLevel::Info, "no_place_in_time",
-        { { "request", id }, { "cause", no_server_name(reason) }, { "in_line", m_queue ? "yes" : "no" }, { "late", m_is_late ? "yes" : "no" }, { "late_waiting", std::to_string(service_queue.late_count) }, { "waiting", std::to_string(service_queue.queue.size()) }, { "late_interval_ms", milliseconds(service_queue.late_slot_interval.expected_interval(now, interval)) }, { "place_interval_ms", milliseconds(interval) }, { "left_ms", milliseconds(request.terms.deadline - now) }, { "service_ms", milliseconds(service_time(request)) }, { "prompt_tokens", std::to_string(request.prompt_tokens) }, { "answer_tokens", std::to_string(request.answer_tokens) }, { "in_time_for_ms", milliseconds(request.terms.in_time_until - now) }, { "first_event_at_least_ms", milliseconds(m_servers.min_time_to_first_event(request.service, request.prefill_allowance)) } });
+        { { "request", id }, { "cause", no_server_name(reason) }, { "in_line", m_queue ? "yes" : "no" }, { "late", m_is_late ? "yes" : "no" }, { "late_waiting", std::to_string(service_queue.late_count) }, { "waiting", std::to_string(service_queue.queue.size()) }, { "late_interval_ms", milliseconds(service_queue.late_slot_interval.expected_interval(now, interval)) }, { "place_interval_ms", milliseconds(interval) }, { "left_ms", milliseconds(request.terms.deadline - now) }, { "service_ms", milliseconds(service_time(request, now)) }, { "prompt_tokens", std::to_string(request.prompt_tokens) }, { "answer_tokens", std::to_string(request.answer_tokens) }, { "in_time_for_ms", milliseconds(request.terms.in_time_until - now) }, { "first_event_at_least_ms", milliseconds(m_servers.min_time_to_first_event(request.service, request.prefill_allowance, now)) } });
 }
 
 }
--- a/Libraries/LibRouting/SlotWait.h
+++ b/Libraries/LibRouting/SlotWait.h
@@ -103,8 +103,8 @@
 
 private:
     /// Time that the request takes at a full engine.
-    Core::Duration service_time(WaitingRequest const&) const;
-    Timeliness timeliness(WaitingRequest const&, Core::Time begins) const;
+    Core::Duration service_time(WaitingRequest const&, Core::Time now) const;
+    Timeliness timeliness(WaitingRequest const&, Core::Time begins, Core::Time now) const;
     /// Expected time until this entry can have sent `count` requests to the service.
     Core::Duration expected_wait(std::string const& service, NoServer reason, size_t count, Core::Time now) const;
 
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -210,6 +210,9 @@
     requirements.required_version = m_context.required_version(m_service);
     requirements.newest_version = m_context.newest_version(m_service);
     requirements.prompt_tokens = m_head.prompt_tokens;
+    requirements.answer_tokens = std::min(m_head.answer_tokens_hint, m_head.answer_tokens);
+    if (is_stream() && !m_has_delivered)
+        requirements.max_time_to_end = deadline() - Core::monotonic_now();
     requirements.prefill_allowance = m_prefill_allowance;
     requirements.excluded = tried_servers();
     requirements.max_event_gap = Core::Duration(m_route.objective_gap_ms);
@@ -823,7 +826,9 @@
     auto const objective = m_has_delivered ? m_route.objective_gap_ms : m_route.objective_ms;
     auto const silence = std::max(min_silence_limit, Core::Duration(static_cast<int64_t>(silence_limit_per_objective * static_cast<double>(objective))));
     bool const may_try_another = Routing::is_repeatable(attempt_state(now)) && m_counted_attempts < m_route.max_attempts;
-    auto const silence_limit = m_context.servers.is_answering(m_attempt->target().id, now) ? silence * silence_factor_while_answering : silence;
+    // A slow engine sends later, and a second engine would only do the same work again.
+    auto const expected_silence = Core::Duration(static_cast<int64_t>(static_cast<double>(silence.count()) * m_context.servers.slowdown(m_attempt->target().id, now)));
+    auto const silence_limit = m_context.servers.is_answering(m_attempt->target().id, now) ? expected_silence * silence_factor_while_answering : expected_silence;
     if (m_phase == Phase::Sent && m_attempt->is_connected() && may_try_another && m_attempt->check_silence(m_context.running_time(), silence_limit))
         try_beside_silent(now);
 }
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -930,3 +930,76 @@
     m_now += Core::Duration(2000);
     EXPECT_EQ(choose().error(), NoServer::NoneUsable);
 }
+
+// Guards against overload by work that nobody gets: after a loss of all instances slow engines were sent what they could not end in time.
+TEST_F(ServerTableTest, ARequestThatASlowEngineCannotEndInTimeGoesToAFastOne)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    m_table.set_server(engine("2", "b"), m_now);
+    Schema::EngineState state {};
+    state.version = 1;
+    state.pace = 5;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    ServerRequirements requirements { .service = "llm", .prompt_tokens = 10, .answer_tokens = 200, .max_time_to_end = Core::Duration(6000) };
+    EXPECT_EQ(m_table.choose(requirements, m_now)->id, "2");
+    requirements.excluded = { "2" };
+    EXPECT_EQ(m_table.choose(requirements, m_now).error(), NoServer::NoneInTime);
+    requirements.answer_tokens = 20;
+    EXPECT_EQ(m_table.choose(requirements, m_now)->id, "1");
+}
+
+// Guards against refusals by the time of an ordinary engine while all are slow, and by that of a slow one while another is not.
+TEST_F(ServerTableTest, TheTimeOfARequestIsThatOfTheFastestUsableEngine)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    auto const usual = m_table.service_time("llm", 900, 90, m_now);
+    Schema::EngineState state {};
+    state.version = 1;
+    state.pace = 4;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    EXPECT_NEAR(static_cast<double>(m_table.service_time("llm", 900, 90, m_now).count()), 4.0 * static_cast<double>(usual.count()), 4);
+    EXPECT_EQ(m_table.slowdown("1", m_now), 4);
+    m_table.set_server(engine("2", "a"), m_now);
+    EXPECT_EQ(m_table.service_time("llm", 900, 90, m_now), usual);
+    m_table.on_ended("2", "r1", ServerOutcome::Unreachable, m_now);
+    EXPECT_GT(m_table.service_time("llm", 900, 90, m_now), usual);
+}
+
+TEST_F(ServerTableTest, AnUnusableReportOfThePaceDoesNotStopTheWaitForAnEngine)
+{
+    m_table.set_server(engine("1", "a"), m_now);
+    Schema::EngineState state {};
+    state.version = 1;
+    for (auto const& [reported, counted] : { std::pair(1e9, 10.0), std::pair(0.0, 1.0), std::pair(-3.0, 1.0) }) {
+        state.pace = reported;
+        m_table.on_engine_state("10.0.0.1", state, m_now);
+        EXPECT_EQ(m_table.slowdown("1", m_now), counted);
+    }
+    m_now += Core::Duration(5000);
+    EXPECT_EQ(m_table.slowdown("1", m_now), 1) << "the agent is silent";
+    EXPECT_EQ(m_table.slowdown("unknown", m_now), 1);
+}
+
+TEST_F(ServerTableTest, TheCensusCountsEachServerOnce)
+{
+    auto leaving = engine("1", "a");
+    leaving.is_draining = true;
+    m_table.set_server(leaving, m_now);
+    m_table.set_server(engine("2", "a", 0), m_now);
+    m_table.set_server(engine("3", "a", 1), m_now);
+    m_table.set_server(engine("4", "a", 2), m_now);
+    m_table.set_server(engine("5", "a", 2), m_now);
+    m_table.on_ended("5", "r1", ServerOutcome::Unreachable, m_now);
+    Schema::EngineState state {};
+    state.version = 2;
+    state.pace = 3;
+    m_table.on_engine_state("10.0.0.4", state, m_now);
+    auto const census = m_table.census({ .service = "llm", .required_version = 2 }, m_now);
+    EXPECT_EQ(census.leaving, 1u);
+    EXPECT_EQ(census.empty, 1u);
+    EXPECT_EQ(census.outdated, 1u);
+    EXPECT_EQ(census.suspended, 1u);
+    EXPECT_EQ(census.open, 1u);
+    EXPECT_EQ(census.greatest_pace, 3);
+    EXPECT_EQ(census.to_text().rfind("open=1 full=0 silent=0 outdated=1 empty=1 loading=0 suspended=1 leaving=1 pace=3", 0), 0u) << census.to_text();
+}
--- a/Tests/Platform/stand_ins.py
+++ b/Tests/Platform/stand_ins.py
@@ -485,6 +485,8 @@
         self.lose_order_answers = 0
         self.events = 6
         self.event_seconds = 0.01
+        # The factor by which it says that it is slow.
+        self.pace = 1.0
         # Requests that it runs, and that wait within it.
         self.running = self.waiting = 0
         # Whether it refuses what it has no slot for.
@@ -592,7 +594,7 @@
         if is_of_agent or request.path == "/report":
             await asyncio.sleep(max(0, self.deaf_until - time.monotonic()))
         if request.path == "/report":
-            body = {"Stage": "both", "Busy": self.is_busy(), "CallSeq": self.order_sequence, "Waiting": self.waiting, "Running": self.running, "pace": 1.0, **self.start(), **self.held()}
+            body = {"Stage": "both", "Busy": self.is_busy(), "CallSeq": self.order_sequence, "Waiting": self.waiting, "Running": self.running, "pace": self.pace, **self.start(), **self.held()}
             return await self.reply(request, 200, body=json.dumps(body).encode())
         if is_of_agent:
             return await self.answer_agent(request)
