Tests: Callers outside the limits end no process, known red

Crowd and bounds are fixed here, before the product changes: 40 connections of 1 MB each, or 300 that send nothing; the process lives, takes 24 MB and 150 descriptors more at most, and answers an ordinary request. The settings that the tests lower are in the schema and do nothing yet.

--- a/Libraries/LibSchema/Generated.h
+++ b/Libraries/LibSchema/Generated.h
@@ -459,6 +459,10 @@
          * Bound of routine log lines.
          */
         std::optional<int64_t> log_lines_per_second;
+        /**
+         * Most connections of callers.
+         */
+        std::optional<int64_t> max_caller_connections;
         /**
          * TCP port of the metrics.
          */
@@ -489,6 +493,11 @@
          * The region of each failure domain.
          */
         std::map<std::string, std::string> regions;
+        /**
+         * Most that requests of callers and answers that they have not read may take in memory, all
+         * connections together, bytes.
+         */
+        std::optional<int64_t> request_memory_bytes;
         /**
          * IP:PORT of link listeners of entries; they may be stale.
          */
@@ -748,6 +757,10 @@
          * Largest body, bytes.
          */
         std::optional<int64_t> max_body_bytes;
+        /**
+         * Most connections of callers.
+         */
+        std::optional<int64_t> max_caller_connections;
         /**
          * Largest header block, bytes.
          */
@@ -764,6 +777,11 @@
          * Region.
          */
         std::string region;
+        /**
+         * Most that requests of callers and answers that they have not read may take in memory, all
+         * connections together, bytes.
+         */
+        std::optional<int64_t> request_memory_bytes;
         /**
          * How long a dropped link may take to come back, milliseconds.
          */
@@ -3240,6 +3258,7 @@
         x.link_megabits_per_second = get_stack_optional<double>(j, "link_megabits_per_second");
         x.link_port = j.at("link_port").get<int64_t>();
         x.log_lines_per_second = get_stack_optional<int64_t>(j, "log_lines_per_second");
+        x.max_caller_connections = get_stack_optional<int64_t>(j, "max_caller_connections");
         x.metrics_port = get_stack_optional<int64_t>(j, "metrics_port");
         x.platform_address = j.at("platform_address").get<std::string>();
         x.platform_features = get_stack_optional<std::vector<std::string>>(j, "platform_features");
@@ -3247,6 +3266,7 @@
         x.readiness_address = j.at("readiness_address").get<std::string>();
         x.region = j.at("region").get<std::string>();
         x.regions = j.at("regions").get<std::map<std::string, std::string>>();
+        x.request_memory_bytes = get_stack_optional<int64_t>(j, "request_memory_bytes");
         x.seeds = get_stack_optional<std::vector<std::string>>(j, "seeds");
     }
 
@@ -3262,6 +3282,7 @@
         j["link_megabits_per_second"] = x.link_megabits_per_second;
         j["link_port"] = x.link_port;
         j["log_lines_per_second"] = x.log_lines_per_second;
+        j["max_caller_connections"] = x.max_caller_connections;
         j["metrics_port"] = x.metrics_port;
         j["platform_address"] = x.platform_address;
         j["platform_features"] = x.platform_features;
@@ -3269,6 +3290,7 @@
         j["readiness_address"] = x.readiness_address;
         j["region"] = x.region;
         j["regions"] = x.regions;
+        j["request_memory_bytes"] = x.request_memory_bytes;
         j["seeds"] = x.seeds;
     }
 
@@ -3397,10 +3419,12 @@
         x.log_level = get_stack_optional<LogLevel>(j, "log_level");
         x.log_poll_ms = get_stack_optional<int64_t>(j, "log_poll_ms");
         x.max_body_bytes = get_stack_optional<int64_t>(j, "max_body_bytes");
+        x.max_caller_connections = get_stack_optional<int64_t>(j, "max_caller_connections");
         x.max_header_bytes = get_stack_optional<int64_t>(j, "max_header_bytes");
         x.platform_address = j.at("platform_address").get<std::string>();
         x.platform_port = j.at("platform_port").get<int64_t>();
         x.region = j.at("region").get<std::string>();
+        x.request_memory_bytes = get_stack_optional<int64_t>(j, "request_memory_bytes");
         x.resume_ms = get_stack_optional<int64_t>(j, "resume_ms");
         x.retention_ms = get_stack_optional<int64_t>(j, "retention_ms");
         x.retry_ratio = get_stack_optional<double>(j, "retry_ratio");
@@ -3428,10 +3452,12 @@
         j["log_level"] = x.log_level;
         j["log_poll_ms"] = x.log_poll_ms;
         j["max_body_bytes"] = x.max_body_bytes;
+        j["max_caller_connections"] = x.max_caller_connections;
         j["max_header_bytes"] = x.max_header_bytes;
         j["platform_address"] = x.platform_address;
         j["platform_port"] = x.platform_port;
         j["region"] = x.region;
+        j["request_memory_bytes"] = x.request_memory_bytes;
         j["resume_ms"] = x.resume_ms;
         j["retention_ms"] = x.retention_ms;
         j["retry_ratio"] = x.retry_ratio;
--- /dev/null
+++ b/Tests/Platform/test_callers_outside_the_limits.py
@@ -0,0 +1,97 @@
+# SPDX-License-Identifier: BSD-2-Clause
+"""Callers that the process does not control: what they send must end no process, and ordinary callers still get answers.
+
+The crowd and the bounds are fixed: the budget for what callers send is 8 MB here, a crowd sends 40 MB, and the process may take 24 MB."""
+
+import os
+
+
+from cluster import wait_until
+from crowd import Bounds, Crowd, in_chunks, with_length
+from fleet import CALLERS_PORT, HOST, KEY, Fleet, limits
+from test_direct_path import assert_whole_stream, wait_linked
+
+CROWD = 40
+BODY_BYTES = 1 << 20
+BUDGET_BYTES = 8 << 20
+MOST_MEGABYTES = 24
+MOST_CONNECTIONS, IDLE_CROWD, MOST_DESCRIPTORS = 100, 300, 150
+OVER_LIMIT_BYTES = 4 * BODY_BYTES
+
+
+class GuardedFleet(Fleet):
+    """A sanitizer keeps what was freed, which is no memory of the program."""
+
+    def environment(self, identity):
+        return {"ASAN_OPTIONS": os.environ.get("ASAN_OPTIONS", "") + ":quarantine_size_mb=0:thread_local_quarantine_size_kb=0:malloc_context_size=1"}
+
+    def start(self, program, identity, settings):
+        limited = {"request_memory_bytes": BUDGET_BYTES, "max_caller_connections": MOST_CONNECTIONS} if program == "mountbarrow-direct-entry" else {}
+        super().start(program, identity, {**settings, **limited})
+
+
+def head(number, path="/once/crowd", key=KEY):
+    return f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: crowd-{number}\r\nX-Deadline-Ms: 8000\r\nAuthorization: Bearer {key}\r\n".encode()
+
+
+def assert_bounded(build, folders, what, payloads):
+    """The process lives, stays under its bounds, and answers an ordinary request, while the crowd is there and once it is gone."""
+    with GuardedFleet(build, folders, entries=1, engines=1) as fleet:
+        wait_linked(fleet)
+        fleet.configure(**limits(MaxBodyBytes=BODY_BYTES))
+        entry = fleet.entries[0]
+        wait_until(lambda: fleet.configuration_in_force(entry) == fleet.version, "the configuration")
+        bounds = Bounds(fleet.processes[entry], MOST_MEGABYTES, MOST_DESCRIPTORS)
+        with Crowd(entry, CALLERS_PORT, payloads) as crowd:
+            crowd.send()
+            bounds.check(what)
+            assert_whole_stream(fleet.call(entry, "POST", "/stream/a", body=b"x" * 1000))
+            bounds.check(what + ", an ordinary request")
+        assert fleet.call(entry, "POST", "/once/a", body=b"x" * (BODY_BYTES // 2)).status == 200
+        bounds.check(what + ", gone")
+
+
+# Guards against bodies that stop just short of their end and are kept, each whole, until the process ends for lack of memory.
+def test_unfinished_bodies_with_a_length_end_no_process(build, folders):
+    assert_bounded(build, folders, "bodies with a length", [with_length(head(i), BODY_BYTES, BODY_BYTES - 1) for i in range(CROWD)])
+
+
+# Guards against the same in large chunks.
+def test_unfinished_bodies_in_large_chunks_end_no_process(build, folders):
+    assert_bounded(build, folders, "large chunks", [in_chunks(head(i), BODY_BYTES, 1 << 18) for i in range(CROWD)])
+
+
+# Guards against the same in chunks of a few bytes.
+def test_unfinished_bodies_in_small_chunks_end_no_process(build, folders):
+    assert_bounded(build, folders, "small chunks", [in_chunks(head(i), BODY_BYTES, 16) for i in range(CROWD)])
+
+
+# Guards against a body that is announced over the limit and kept up to it.
+def test_bodies_announced_over_the_limit_end_no_process(build, folders):
+    assert_bounded(build, folders, "announced over the limit", [with_length(head(i), OVER_LIMIT_BYTES, BODY_BYTES - 1) for i in range(CROWD)])
+
+
+# Guards against bodies without an end.
+def test_bodies_sent_over_the_limit_end_no_process(build, folders):
+    assert_bounded(build, folders, "sent over the limit", [in_chunks(head(i), OVER_LIMIT_BYTES, 1 << 16) for i in range(CROWD)])
+
+
+# Guards against requests that are kept behind the one in hand on their connection.
+def test_requests_behind_one_in_hand_end_no_process(build, folders):
+    first = [head(i, "/stream/crowd") + b"X-Token-Counts: 10,10\r\nContent-Length: 0\r\n\r\n" for i in range(CROWD)]
+    assert_bounded(build, folders, "behind one in hand", [first[i] + with_length(head(CROWD + i), BODY_BYTES, BODY_BYTES - 1) for i in range(CROWD)])
+
+
+# Guards against whole requests that come together, and whose answers nobody reads.
+def test_whole_requests_whose_answers_are_not_read_end_no_process(build, folders):
+    assert_bounded(build, folders, "answers not read", [with_length(head(i), BODY_BYTES, BODY_BYTES) for i in range(CROWD)])
+
+
+# Guards against bodies under a key that nobody has.
+def test_unfinished_bodies_with_an_unknown_key_end_no_process(build, folders):
+    assert_bounded(build, folders, "an unknown key", [with_length(head(i, key="nobody"), BODY_BYTES, BODY_BYTES - 1) for i in range(CROWD)])
+
+
+# Guards against connections that use up the process's descriptors.
+def test_idle_connections_use_up_no_descriptors(build, folders):
+    assert_bounded(build, folders, "idle connections", [head(i)[:40] if i % 2 else b"" for i in range(IDLE_CROWD)])
