LibTransport: One budget bounds what all callers of a process take in memory and descriptors

What callers saw: many callers that stop just short of a body's end, or keep connections open, end an entry by memory, and all requests in hand with it. Cause: a body was bounded by connection, nothing by process; a body over the limit was kept up to it; a second request waited unread behind the one in hand; nothing bounded connections, and an accept without a descriptor was tried again at once, for ever. Change: IngressServer counts bodies (whole ones twice), buffers and untaken answers of all connections. Over the limit (request_memory_bytes, 80 MB) the request that began first and is not whole is refused: 503, not run, Retry-After. An announced length over the limit gets its 413 at once. Over max_caller_connections (3000, three quarters of the descriptors at most) the connection that rested longest makes room. The same server stands before both entries. The checks now also wait until the process has read what was sent: stricter, same crowd.

--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -61,6 +61,8 @@
     TRY(check_common(path, settings));
     TRY(check_minimum(path, "max_header_bytes", settings.max_header_bytes, 1024));
     TRY(check_minimum(path, "max_body_bytes", settings.max_body_bytes, 1));
+    TRY(check_minimum(path, "request_memory_bytes", settings.request_memory_bytes, 1));
+    TRY(check_minimum(path, "max_caller_connections", settings.max_caller_connections, 1));
     TRY(check_minimum(path, "idle_timeout_ms", settings.idle_timeout_ms, 1000));
     TRY(check_minimum(path, "default_deadline_ms", settings.default_deadline_ms, 1));
     TRY(check_minimum(path, "links_per_service", settings.links_per_service, 1));
--- a/Libraries/LibTransport/IngressServer.cpp
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -12,6 +12,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 namespace Transport {
@@ -32,6 +33,19 @@
 // Handshakes that were under way as a listener stopped are over by then.
 static constexpr Core::Duration handshake_patience { 50 };
 
+// How much of the input is handed to the reader at once, which copies it.
+static constexpr size_t read_slice_bytes = size_t { 64 } << 10;
+static constexpr size_t least_requests_in_memory = 3;
+// A connection that holds less does not give way for the memory.
+static constexpr size_t least_freed_bytes = 4096;
+// A caller that has taken nothing of its answer for so long may lose it if memory is short.
+static constexpr Core::Duration untaken_patience { 1000 };
+// Connections that callers may have of the process's descriptors; the others are for backend servers, links and the store.
+static constexpr size_t descriptor_numerator = 3;
+static constexpr size_t descriptor_denominator = 4;
+// Without a descriptor left, each further look at the listener would fail as well.
+static constexpr Core::Duration accept_pause { 100 };
+
 char const* reason_phrase(int status)
 {
     switch (status) {
@@ -178,12 +192,17 @@
     : m_loop(loop)
     , m_server(&server)
     , m_reader(MessageReader::Kind::Request, server.limits().max_head_bytes,
-          { .head = [this](MessageHead const& head) { m_head = head; },
+          { .head = [this](MessageHead const& head) {
+               m_head = head;
+               // Only what has been written to is resident, and a string that grows is copied.
+               if (head.content_length && *head.content_length <= m_server->limits().max_body_bytes)
+                   m_body.reserve(static_cast<size_t>(*head.content_length)); },
               .data = [this](std::string_view data) {
                   if (m_body.size() <= m_server->limits().max_body_bytes)
                       m_body.append(data); },
               .done = [this] { on_request(); } })
     , m_quiet_since(Core::monotonic_now())
+    , m_moved_at(m_quiet_since)
 {
     int const on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -194,8 +213,11 @@
     auto on_event = [](bufferevent*, short, void* self) { static_cast<IngressConnection*>(self)->on_lost(); };
     auto on_written = [](bufferevent*, void* self) {
         auto* connection = static_cast<IngressConnection*>(self);
+        connection->m_moved_at = Core::monotonic_now();
         if (connection->m_is_closing)
             connection->drop();
+        else
+            connection->update_memory();
     };
     bufferevent_setcb(m_stream, on_read, on_written, on_event, this);
     bufferevent_enable(m_stream, EV_READ | EV_WRITE);
@@ -210,12 +232,18 @@
 void IngressConnection::on_bytes()
 {
     auto keep = shared_from_this();
+    m_moved_at = Core::monotonic_now();
     auto* input = bufferevent_get_input(m_stream);
     auto const size = evbuffer_get_length(input);
     if (m_is_closing) {
         evbuffer_drain(input, size);
         return;
     }
+    if (m_has_request && m_closes) {
+        // No answer will be followed by another one.
+        evbuffer_drain(input, size);
+        return;
+    }
     if (m_has_request) {
         // What comes behind the request in hand waits in the buffer until that is answered.
         bool const is_more_than_one = size > m_server->limits().max_head_bytes + m_server->limits().max_body_bytes;
@@ -223,19 +251,157 @@
             evbuffer_drain(input, size);
             m_closes = true;
         }
+        update_memory();
+        return;
+    }
+    read_input();
+    update_memory();
+}
+
+void IngressConnection::read_input()
+{
+    auto const& limits = m_server->limits();
+    bool is_first = true;
+    // The reader may hold a request behind the last one when nothing more has arrived.
+    while (m_stream && !m_has_request && !m_is_closing && (is_first || evbuffer_get_length(bufferevent_get_input(m_stream)) > 0)) {
+        is_first = false;
+        auto* input = bufferevent_get_input(m_stream);
+        std::string bytes(std::min(evbuffer_get_length(input), read_slice_bytes), '\0');
+        evbuffer_remove(input, bytes.data(), bytes.size());
+        if (m_reader.is_between_messages())
+            m_quiet_since = Core::monotonic_now();
+        auto const fed = m_reader.feed(bytes);
+        if (!fed.has_value()) {
+            refuse(fed.error() == MessageFault::HeadTooLarge ? IngressFault::HeadTooLarge : IngressFault::Malformed);
+            return;
+        }
+        bool const is_announced_too_large = !m_has_request && m_head.content_length.value_or(0) > limits.max_body_bytes;
+        if (!m_is_closing && (m_body.size() > limits.max_body_bytes || is_announced_too_large))
+            refuse(IngressFault::BodyTooLarge);
+    }
+}
+
+// Limits on all connections together.
+
+size_t IngressConnection::memory_bytes() const
+{
+    size_t bytes = m_body.size() + m_reader.held_bytes();
+    if (m_stream)
+        bytes += evbuffer_get_length(bufferevent_get_input(m_stream)) + evbuffer_get_length(bufferevent_get_output(m_stream));
+    if (auto const request = m_request.lock(); request && !request->is_over())
+        bytes += 2 * request->body().size();
+    return bytes;
+}
+
+void IngressConnection::update_memory()
+{
+    if (!m_server)
+        return;
+    auto const bytes = m_stream ? memory_bytes() : 0;
+    m_server->m_memory_bytes += bytes - std::exchange(m_counted_bytes, bytes);
+    m_server->enforce_memory_limit();
+}
+
+bool IngressConnection::has_memory_to_free() const
+{
+    if (!m_stream)
+        return false;
+    auto const unread = evbuffer_get_length(bufferevent_get_input(m_stream));
+    bool const is_unfinished = !m_has_request && !m_is_closing && !m_reader.is_between_messages();
+    if (is_unfinished && m_body.size() + m_reader.held_bytes() + unread >= least_freed_bytes)
+        return true;
+    if (m_has_request && unread >= least_freed_bytes)
+        return true;
+    // An answer that was written a moment ago is on its way out.
+    bool const has_untaken = evbuffer_get_length(bufferevent_get_output(m_stream)) >= least_freed_bytes;
+    return has_untaken && Core::monotonic_now() - m_moved_at >= untaken_patience;
+}
+
+void IngressConnection::give_way()
+{
+    auto keep = shared_from_this();
+    if (m_is_closing) {
+        drop();
         return;
     }
-    std::string bytes(size, '\0');
-    evbuffer_remove(input, bytes.data(), size);
-    if (m_reader.is_between_messages())
-        m_quiet_since = Core::monotonic_now();
-    auto const fed = m_reader.feed(bytes);
-    if (!fed.has_value()) {
-        refuse(fed.error() == MessageFault::HeadTooLarge ? IngressFault::HeadTooLarge : IngressFault::Malformed);
+    if (!m_has_request) {
+        if (m_reader.is_between_messages())
+            drop();
+        else
+            refuse(IngressFault::Overloaded);
+        return;
+    }
+    auto* input = bufferevent_get_input(m_stream);
+    if (evbuffer_get_length(input) > 0) {
+        // The requests behind the one in hand are not read, and its answer tells that the connection ends.
+        evbuffer_drain(input, evbuffer_get_length(input));
+        m_closes = true;
+        update_memory();
+        return;
+    }
+    linger hard { .l_onoff = 1, .l_linger = 0 };
+    setsockopt(bufferevent_getfd(m_stream), SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    on_lost();
+}
+
+size_t IngressServer::memory_limit() const
+{
+    return std::max(m_limits.max_memory_bytes, least_requests_in_memory * (m_limits.max_head_bytes + m_limits.max_body_bytes));
+}
+
+std::shared_ptr<IngressConnection> IngressServer::oldest_that(bool (IngressConnection::*may_give_way)() const) const
+{
+    std::shared_ptr<IngressConnection> found;
+    for (auto const& connection : m_connections) {
+        bool const is_better = !found || connection->m_quiet_since < found->m_quiet_since;
+        if (is_better && (connection.get()->*may_give_way)())
+            found = connection;
+    }
+    return found;
+}
+
+void IngressServer::enforce_memory_limit()
+{
+    if (std::exchange(m_is_making_room, true))
         return;
+    while (m_memory_bytes > memory_limit()) {
+        auto const before = m_memory_bytes;
+        auto const connection = oldest_that(&IngressConnection::has_memory_to_free);
+        if (!connection)
+            break;
+        m_given_way += 1;
+        connection->give_way();
+        connection->update_memory();
+        if (m_memory_bytes >= before)
+            break;
     }
-    if (!m_is_closing && m_body.size() > m_server->limits().max_body_bytes)
-        refuse(IngressFault::BodyTooLarge);
+    m_is_making_room = false;
+}
+
+bool IngressServer::make_room_for_connection()
+{
+    auto const limit = std::min(m_limits.max_connections, m_descriptor_limit);
+    if (m_connections.size() < limit)
+        return true;
+    auto const connection = oldest_that(&IngressConnection::may_be_closed);
+    if (!connection)
+        return false;
+    m_given_way += 1;
+    connection->give_way();
+    // Nothing more is to come from a caller that is refused, and its answer lies in the socket's buffer.
+    if (connection->m_stream && m_connections.size() >= limit)
+        bufferevent_flush(connection->m_stream, EV_WRITE, BEV_FLUSH);
+    return true;
+}
+
+void IngressServer::on_accept_failed()
+{
+    Core::log_event(Core::LogLevel::Warn, "accept_failed", { { "error", std::strerror(EVUTIL_SOCKET_ERROR()) }, { "connections", std::to_string(m_connections.size()) } });
+    evconnlistener_disable(m_listener);
+    m_accept_timer = m_loop->after(accept_pause, [this] {
+        if (m_listener && !m_has_stopped_accepting)
+            evconnlistener_enable(m_listener);
+    });
 }
 
 void IngressConnection::on_request()
@@ -259,9 +425,10 @@
         status = status_body_too_large;
     else if (fault == IngressFault::HeadTimeout)
         status = status_request_timeout;
-    else if (fault == IngressFault::Stopping)
+    else if (fault == IngressFault::Stopping || fault == IngressFault::Overloaded)
         status = status_unavailable;
     auto const answer = m_server->m_fault_handler(fault, m_head);
+    std::string().swap(m_body);
     m_closes = true;
     write_head(status, answer.headers, answer.body.size(), BodyFraming::Length);
     write(answer.body);
@@ -270,8 +437,10 @@
 
 void IngressConnection::write(std::string_view data)
 {
-    if (m_stream)
-        bufferevent_write(m_stream, data.data(), data.size());
+    if (!m_stream)
+        return;
+    bufferevent_write(m_stream, data.data(), data.size());
+    update_memory();
 }
 
 void IngressConnection::write_head(int status, HttpHeaders const& headers, std::optional<uint64_t> length, BodyFraming framing)
@@ -350,8 +519,10 @@
     auto keep = shared_from_this();
     if (m_stream)
         bufferevent_free(std::exchange(m_stream, nullptr));
-    if (m_server)
-        m_server->m_connections.erase(keep);
+    if (!m_server)
+        return;
+    update_memory();
+    m_server->m_connections.erase(keep);
 }
 
 /// Whether closing would cut off no request: none is under way, and none has come that nobody has read.
@@ -405,6 +576,10 @@
     server->m_listener = evconnlistener_new_bind(loop.base(), accepted, server.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listen_backlog, reinterpret_cast<sockaddr const*>(&target), sizeof(target));
     if (!server->m_listener)
         return Core::failure(Core::ErrorCode::AddressInUse, address + ":" + std::to_string(port));
+    evconnlistener_set_error_cb(server->m_listener, [](evconnlistener*, void* self) { static_cast<IngressServer*>(self)->on_accept_failed(); });
+    rlimit descriptors {};
+    getrlimit(RLIMIT_NOFILE, &descriptors);
+    server->m_descriptor_limit = static_cast<size_t>(descriptors.rlim_cur) / descriptor_denominator * descriptor_numerator;
     server->m_idle_timer = loop.every(idle_check_interval, [raw = server.get()] { raw->look_for_idle(); });
     return server;
 }
@@ -424,6 +599,10 @@
 
 void IngressServer::accept(int socket)
 {
+    if (!make_room_for_connection()) {
+        evutil_closesocket(socket);
+        return;
+    }
     m_connections.insert(std::make_shared<IngressConnection>(*m_loop, *this, socket));
 }
 
--- a/Libraries/LibTransport/IngressServer.h
+++ b/Libraries/LibTransport/IngressServer.h
@@ -90,6 +90,10 @@
     /// The caller's machine takes what comes even where the caller only waits. An answer of which nothing is taken for so long
     /// gets through to nobody, and its work at a backend server ends with its connection.
     Core::Duration untaken_answer_limit { 5000 };
+    /// Most bytes that requests and untaken answers of all connections together may take. Three requests of the largest size always fit.
+    size_t max_memory_bytes { size_t { 80 } << 20 };
+    /// Most connections, and at most three quarters of the descriptors that the process may have.
+    size_t max_connections { 3000 };
 };
 
 /// Why a connection's bytes were refused before they made a request.
@@ -100,6 +104,8 @@
     HeadTimeout,
     /// The server ends before the request is whole. It has not run.
     Stopping,
+    /// The requests of all callers together take too much memory or too many connections. It has not run.
+    Overloaded,
 };
 
 /// What a fault is answered with, beside its status.
@@ -111,6 +117,11 @@
 /// Serves callers over HTTP/1.1, one request after another on a connection.
 ///
 /// evhttp is not used here: it takes a request with two lengths and resolves the question by itself.
+///
+/// Callers may send whatever they like: what all of them together can take in memory and descriptors is limited. When a limit is
+/// exceeded, the connections give way whose requests began first: unfinished requests are refused, requests behind one that is in hand are
+/// dropped unread, and answers that nobody takes are broken off. A whole request is never refused for the memory. Callers inside the limits
+/// end their requests long before those that stop in the middle.
 class IngressServer {
 public:
     using Handler = std::function<void(std::shared_ptr<IngressRequest>)>;
@@ -139,6 +150,10 @@
     bool has_finished() const { return m_listener == nullptr && m_connections.empty(); }
 
     size_t connection_count() const { return m_connections.size(); }
+    /// Bytes that requests and untaken answers take.
+    size_t memory_bytes() const { return m_memory_bytes; }
+    /// Number of connections that gave way because a limit on all of them together was exceeded.
+    uint64_t given_way_count() const { return m_given_way; }
 
 private:
     friend class IngressConnection;
@@ -147,6 +162,14 @@
     void accept_waiting();
     void stop_listening();
     void look_for_idle();
+    /// Lets connections give way until the limit on memory is kept, or none is left that may.
+    void enforce_memory_limit();
+    /// Lets one connection give way if there are as many as are allowed. @return false if none may.
+    bool make_room_for_connection();
+    /// Of the connections that may give way, the one whose request began first, or that has been at rest for longest; null if there is none.
+    std::shared_ptr<IngressConnection> oldest_that(bool (IngressConnection::*may_give_way)() const) const;
+    size_t memory_limit() const;
+    void on_accept_failed();
 
     Core::EventLoop* m_loop { nullptr };
     // Null once it is closed.
@@ -157,8 +180,13 @@
     bool m_is_ending { false };
     bool m_has_stopped_accepting { false };
     std::set<std::shared_ptr<IngressConnection>> m_connections;
+    size_t m_memory_bytes { 0 };
+    uint64_t m_given_way { 0 };
+    bool m_is_making_room { false };
+    size_t m_descriptor_limit { 0 };
     std::unique_ptr<Core::Timer> m_idle_timer;
     std::unique_ptr<Core::Timer> m_listener_timer;
+    std::unique_ptr<Core::Timer> m_accept_timer;
 };
 
 /// One caller's connection; see IngressServer.
@@ -174,6 +202,8 @@
     friend class IngressServer;
 
     void on_bytes();
+    /// Feeds what has arrived to the reader, up to the end of a request.
+    void read_input();
     void on_lost();
     void on_request();
     void refuse(IngressFault);
@@ -185,6 +215,14 @@
     void drop();
     bool is_at_rest() const;
     bool may_end_at_rest(Core::Time now) const;
+    /// Bytes that this connection takes for requests and answers. A whole request counts twice: its body is copied to send it on.
+    size_t memory_bytes() const;
+    /// Brings the server's total up to date, and lets connections give way if it exceeds the limit.
+    void update_memory();
+    bool has_memory_to_free() const;
+    /// Whether no request is in hand.
+    bool may_be_closed() const { return !m_has_request; }
+    void give_way();
     void look_at_time(Core::Time now);
 
     Core::EventLoop& m_loop;
@@ -200,6 +238,10 @@
     bool m_closes { false };
     bool m_is_closing { false };
     Core::Time m_quiet_since;
+    // When bytes last arrived or were taken.
+    Core::Time m_moved_at;
+    // What the server's total contains of this connection.
+    size_t m_counted_bytes { 0 };
 };
 
 /// The reason phrase of a status, as RFC 9110 names it.
--- a/Libraries/LibTransport/MessageReader.h
+++ b/Libraries/LibTransport/MessageReader.h
@@ -86,6 +86,8 @@
     bool is_between_messages() const { return m_state == State::Head && m_head_bytes.empty(); }
     bool has_partial_head() const { return m_state == State::Head && !m_head_bytes.empty(); }
     bool is_whole() const { return m_state == State::Whole; }
+    /// Bytes that are held and not parsed yet.
+    size_t held_bytes() const { return m_head_bytes.size(); }
 
 private:
     enum class State {
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -534,6 +534,8 @@
         limits.max_body_bytes = static_cast<size_t>(configuration->max_body_bytes);
         limits.head_timeout = Core::Duration(configuration->header_timeout_ms);
         limits.idle_timeout = Core::Duration(configuration->idle_timeout_ms);
+        limits.max_memory_bytes = static_cast<size_t>(m_settings.request_memory_bytes.value_or(static_cast<int64_t>(limits.max_memory_bytes)));
+        limits.max_connections = static_cast<size_t>(m_settings.max_caller_connections.value_or(static_cast<int64_t>(limits.max_connections)));
         m_callers->set_limits(limits);
     }
     if (!configuration->unreadable_fields.empty()) {
@@ -594,8 +596,11 @@
 Transport::FaultAnswer DirectEntry::answer_to_fault(Transport::IngressFault fault, Transport::MessageHead const& head)
 {
     m_metrics.count("mountbarrow_ingress_faults_total", "fault=\"" + std::to_string(static_cast<int>(fault)) + "\"");
-    if (fault == Transport::IngressFault::Stopping) {
-        auto const problem = refusal_problem(Refusal::Stopping, status_unavailable, Schema::Outcome::NotRun, retry_after_when_unready);
+    bool const is_overloaded = fault == Transport::IngressFault::Overloaded;
+    if (is_overloaded)
+        Core::log_event(Core::LogLevel::Warn, "caller_gave_way", { { "request", m_heads->read_caller(head).request_id }, { "memory_bytes", std::to_string(m_callers->memory_bytes()) }, { "connections", std::to_string(m_callers->connection_count()) } });
+    if (is_overloaded || fault == Transport::IngressFault::Stopping) {
+        auto const problem = refusal_problem(is_overloaded ? Refusal::MemoryFull : Refusal::Stopping, status_unavailable, Schema::Outcome::NotRun, retry_after_when_unready);
         return { m_heads->generated_answer_headers(m_heads->read_caller(head).request_id, retry_after_when_unready), Schema::to_text(problem) };
     }
     Schema::Problem problem {};
@@ -623,7 +628,7 @@
         oldest = std::min(oldest, request->started());
     }
     Core::log_event(Core::LogLevel::Info, "requests_in_flight",
-        { { "count", std::to_string(m_requests.size()) }, { "waiting", std::to_string(waiting) }, { "oldest_ms", std::to_string((now - oldest).count()) }, { "connections", std::to_string(m_callers ? m_callers->connection_count() : 0) }, { "up_ms", std::to_string((now - m_started_at).count()) } });
+        { { "count", std::to_string(m_requests.size()) }, { "waiting", std::to_string(waiting) }, { "oldest_ms", std::to_string((now - oldest).count()) }, { "connections", std::to_string(m_callers ? m_callers->connection_count() : 0) }, { "memory_bytes", std::to_string(m_callers ? m_callers->memory_bytes() : 0) }, { "gave_way", std::to_string(m_callers ? m_callers->given_way_count() : 0) }, { "up_ms", std::to_string((now - m_started_at).count()) } });
 }
 
 /// Returns a sender for messages that older builds do not know and would close the link for; it skips entries of such builds.
--- a/Services/DirectEntry/Refusal.cpp
+++ b/Services/DirectEntry/Refusal.cpp
@@ -28,6 +28,8 @@
         return "servers_limited";
     case Refusal::QueueFull:
         return "queue_full";
+    case Refusal::MemoryFull:
+        return "memory_full";
     case Refusal::NotRunAnywhere:
         return "not_run_anywhere";
     case Refusal::OutcomeUnknown:
--- a/Services/DirectEntry/Refusal.h
+++ b/Services/DirectEntry/Refusal.h
@@ -26,6 +26,8 @@
     /// The backend servers accept no more requests than others send, by the limits that they state.
     ServersLimited,
     QueueFull,
+    /// The requests of all callers together take as much memory as is allowed, and this one was not whole.
+    MemoryFull,
     /// All attempts failed before a backend server ran the request.
     NotRunAnywhere,
     /// The request may have run, and no answer can be given.
--- a/Services/Entry/Entry.cpp
+++ b/Services/Entry/Entry.cpp
@@ -106,6 +106,8 @@
     limits.head_timeout = idle_timeout;
     limits.idle_timeout = idle_timeout;
     limits.untaken_answer_limit = idle_timeout;
+    limits.max_memory_bytes = static_cast<size_t>(settings.request_memory_bytes.value_or(static_cast<int64_t>(limits.max_memory_bytes)));
+    limits.max_connections = static_cast<size_t>(settings.max_caller_connections.value_or(static_cast<int64_t>(limits.max_connections)));
     return limits;
 }
 
@@ -113,6 +115,8 @@
 {
     if (fault == Transport::IngressFault::Stopping)
         return Schema::Reason::Stopping;
+    if (fault == Transport::IngressFault::Overloaded)
+        return Schema::Reason::QueueFull;
     bool const is_too_large = fault == Transport::IngressFault::HeadTooLarge || fault == Transport::IngressFault::BodyTooLarge;
     return is_too_large ? Schema::Reason::TooLarge : Schema::Reason::Malformed;
 }
@@ -121,7 +125,8 @@
 {
     auto on_fault = [this](Transport::IngressFault fault, Transport::MessageHead const&) {
         m_metrics.count("mountbarrow_entry_ingress_faults_total", "fault=\"" + std::to_string(static_cast<int>(fault)) + "\"");
-        auto const retry_after = fault == Transport::IngressFault::Stopping ? stopping_retry_after : Core::Duration(0);
+        bool const is_unavailable = fault == Transport::IngressFault::Stopping || fault == Transport::IngressFault::Overloaded;
+        auto const retry_after = is_unavailable ? stopping_retry_after : Core::Duration(0);
         auto const problem = problem_for(Schema::Outcome::NotRun, reason_of(fault), retry_after);
         return Transport::FaultAnswer { problem_headers(problem), Schema::to_text(problem) };
     };
--- a/Tests/LibTransport/TestIngressServer.cpp
+++ b/Tests/LibTransport/TestIngressServer.cpp
@@ -360,3 +360,119 @@
     EXPECT_NE(client.text().find("Connection: close"), std::string::npos);
     EXPECT_TRUE(client.text().ends_with("\r\n\r\none two"));
 }
+
+static IngressLimits small_limits()
+{
+    IngressLimits limits;
+    limits.max_head_bytes = 1000;
+    limits.max_body_bytes = 10000;
+    limits.max_memory_bytes = 40000;
+    limits.max_connections = 4;
+    return limits;
+}
+
+static std::string unfinished_request(size_t sent)
+{
+    return "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10000\r\n\r\n" + std::string(sent, 'a');
+}
+
+// Guards against unfinished requests that together take all memory, and against bytes that are counted for good.
+TEST_F(IngressServerTest, TheRequestThatBeganFirstGivesWayWhenUnfinishedOnesTakeTooMuchMemory)
+{
+    auto limits = small_limits();
+    limits.max_connections = 100;
+    m_server->set_limits(limits);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (size_t i = 0; i < 6; ++i) {
+        clients.push_back(std::make_unique<RawClient>(m_server->port()));
+        clients.back()->send_text(unfinished_request(9999));
+        run_for(Core::Duration(20));
+        EXPECT_LE(m_server->memory_bytes(), limits.max_memory_bytes);
+    }
+    run_until([&] { return clients[0]->read_more() && clients[1]->read_more(); });
+    EXPECT_TRUE(clients[0]->text().starts_with("HTTP/1.1 503 ")) << clients[0]->text();
+    EXPECT_EQ(m_faults, (std::vector<IngressFault> { IngressFault::Overloaded, IngressFault::Overloaded }));
+    clients[5]->send_text("b");
+    run_until([&] { return m_requests.size() == 1; });
+    EXPECT_EQ(m_requests[0]->body().size(), 10000U);
+    m_requests[0]->reply(200, {}, "done");
+    for (auto const& client : clients)
+        client->close_now();
+    run_until([&] { return m_server->connection_count() == 0; });
+    EXPECT_EQ(m_server->memory_bytes(), 0U);
+}
+
+TEST_F(IngressServerTest, AWholeRequestIsNeverRefusedForTheMemoryThatItTakes)
+{
+    auto limits = small_limits();
+    limits.max_connections = 100;
+    m_server->set_limits(limits);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (size_t i = 0; i < 2; ++i) {
+        clients.push_back(std::make_unique<RawClient>(m_server->port()));
+        clients.back()->send_text(unfinished_request(10000));
+        run_until([&] { return m_requests.size() == i + 1; });
+    }
+    RawClient third(m_server->port());
+    third.send_text(unfinished_request(9999));
+    run_until([&] { return third.read_more(); });
+    EXPECT_TRUE(third.text().starts_with("HTTP/1.1 503 "));
+    for (size_t i = 0; i < 2; ++i) {
+        m_requests[i]->reply(200, {}, "done");
+        run_until([&] { clients[i]->read_more(); return clients[i]->text().ends_with("done"); });
+    }
+    run_until([&] { return m_server->memory_bytes() == 0; });
+}
+
+TEST_F(IngressServerTest, RequestsBehindOneInHandAreDroppedUnreadWhenMemoryIsShort)
+{
+    auto limits = small_limits();
+    limits.max_connections = 100;
+    m_server->set_limits(limits);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (size_t i = 0; i < 6; ++i) {
+        clients.push_back(std::make_unique<RawClient>(m_server->port()));
+        clients.back()->send_text("GET /first HTTP/1.1\r\nHost: x\r\n\r\n");
+        run_until([&] { return m_requests.size() == i + 1; });
+        clients.back()->send_text(unfinished_request(9999));
+        run_for(Core::Duration(20));
+        EXPECT_LE(m_server->memory_bytes(), limits.max_memory_bytes);
+    }
+    for (auto const& request : std::vector(m_requests))
+        request->reply(200, {}, "done");
+    run_until([&] { return clients[0]->read_more(); });
+    EXPECT_TRUE(clients[0]->text().ends_with("done"));
+    EXPECT_NE(clients[0]->text().find("Connection: close"), std::string::npos);
+    run_until([&] { clients[5]->read_more(); return clients[5]->text().ends_with("done"); });
+    EXPECT_EQ(clients[5]->text().find("Connection: close"), std::string::npos);
+}
+
+TEST_F(IngressServerTest, ABodyThatIsAnnouncedOverTheLimitIsRefusedBeforeItComes)
+{
+    m_server->set_limits(small_limits());
+    RawClient client(m_server->port());
+    client.send_text("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10001\r\n\r\n");
+    run_until([&] { return client.read_more(); });
+    EXPECT_TRUE(client.text().starts_with("HTTP/1.1 413 "));
+}
+
+// Guards against callers that keep connections until the process has no descriptor left.
+TEST_F(IngressServerTest, TheConnectionThatRestedLongestMakesRoomAndOneInHandStays)
+{
+    m_server->set_limits(small_limits());
+    RawClient busy(m_server->port());
+    busy.send_text("GET /busy HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return m_requests.size() == 1; });
+    std::vector<std::unique_ptr<RawClient>> idle;
+    for (size_t i = 0; i < 10; ++i) {
+        idle.push_back(std::make_unique<RawClient>(m_server->port()));
+        run_for(Core::Duration(5));
+        EXPECT_LE(m_server->connection_count(), 4U);
+    }
+    run_until([&] { return idle[0]->read_more(); });
+    RawClient next(m_server->port());
+    next.send_text("GET /next HTTP/1.1\r\nHost: x\r\n\r\n");
+    run_until([&] { return m_requests.size() == 2; });
+    m_requests[0]->reply(200, {}, "busy done");
+    run_until([&] { busy.read_more(); return busy.text().ends_with("busy done"); });
+}
--- a/Tests/Platform/crowd.py
+++ b/Tests/Platform/crowd.py
@@ -19,6 +19,7 @@
     def __init__(self, address, port, payloads):
         self.left = {}
         self.closed = 0
+        self.address, self.port = address, port
         for payload in payloads:
             connection = socket.socket()
             connection.settimeout(10)
@@ -63,6 +64,25 @@
                 if not self.left[connection]:
                     selector.unregister(connection)
         selector.close()
+        self.wait_until_read()
+
+    def unread_bytes(self):
+        """What lies in the system's buffers and the process has not read, of all its connections at the port."""
+        local = f"{int.from_bytes(socket.inet_aton(self.address), 'little'):08X}:{self.port:04X}"
+        with open("/proc/net/tcp", encoding="ascii") as file:
+            return sum(int(fields[4].split(":")[1], 16) for fields in map(str.split, file) if fields[1] == local)
+
+    def wait_until_read(self):
+        """Waits until the process has read all, or reads no more."""
+        unread, last_read = self.unread_bytes(), time.monotonic()
+        hang = last_read + HANG_SECONDS
+        while unread and time.monotonic() - last_read < QUIET_SECONDS:
+            assert time.monotonic() < hang, "the process is still reading"
+            time.sleep(0.05)
+            now_unread = self.unread_bytes()
+            if now_unread < unread:
+                last_read = time.monotonic()
+            unread = now_unread
 
 
 def descriptors(pid):
--- a/Tests/Processes/cluster.py
+++ b/Tests/Processes/cluster.py
@@ -111,6 +111,8 @@
         self.region = region
         self.process = None
         self.backend = None
+        # What the daemon's environment holds besides.
+        self.environment = None
 
     def row(self, state="live"):
         return {"id": self.identity, "role": self.role, "service": self.service, "address": self.address,
@@ -149,9 +151,9 @@
             file.write(text)
         return path
 
-    def start(self, program, arguments):
+    def start(self, program, arguments, environment=None):
         log = open(os.path.join(self.folder, f"{program}.{len(self.processes)}.err"), "wb")
-        process = subprocess.Popen([os.path.join(self.build, program), *arguments], stdout=log, stderr=log)
+        process = subprocess.Popen([os.path.join(self.build, program), *arguments], stdout=log, stderr=log, env={**os.environ, **(environment or {})})
         self.processes.append(process)
         return process
 
@@ -190,8 +192,9 @@
                 "key_file": os.path.join(self.folder, "keys"),
                 "log_file": os.path.join(self.folder, instance.identity + ".log"), **settings}
 
-    def add_entry(self, identity, domain="d0", region="r0", **settings):
+    def add_entry(self, identity, domain="d0", region="r0", environment=None, **settings):
         instance = Instance(identity, "entry", "", self.next_address(), domain, region)
+        instance.environment = environment
         self.instances[identity] = instance
         values = self.common_settings(instance, {"tokens_file": os.path.join(self.folder, "tokens.json"), **settings})
         instance.settings = self.write(identity + ".json", json.dumps(values))
@@ -218,7 +221,7 @@
         instance.backend = self.start("mountbarrow-fake-engine", instance.backend_arguments)
 
     def start_daemon(self, instance, wait=True):
-        instance.process = self.start("mountbarrow-" + instance.role, ["--settings", instance.settings])
+        instance.process = self.start("mountbarrow-" + instance.role, ["--settings", instance.settings], instance.environment)
         if wait:
             self.wait_http(instance.address, HTTP_PORT)
 
