LibTransport: A peer that has not proved its key may send 64 KB on a link

Cause: a link kept a message of up to 32 MB before its peer's key was proved. Change: the link fails once more than 64 KB came before the peer's hello was accepted.

--- a/Libraries/LibTransport/Link.cpp
+++ b/Libraries/LibTransport/Link.cpp
@@ -12,6 +12,8 @@
 namespace Transport {
 
 static constexpr size_t max_message_bytes = 32 * 1024 * 1024;
+// What a peer may send before it has proved its key: the upgrade of the connection, its challenge and its hello, with what follows in one read.
+static constexpr size_t max_handshake_bytes = 64 * 1024;
 // A peer that does not read is cut off before it costs the process its memory.
 static constexpr size_t max_pending_bytes = 64 * 1024 * 1024;
 // A peer that dials may be slow; what it costs meanwhile is one socket.
@@ -102,6 +104,10 @@
         std::string bytes(size, '\0');
         evbuffer_remove(input, bytes.data(), size);
         m_options.traffic->received += size;
+        if (!m_is_ready && (m_handshake_bytes += size) > max_handshake_bytes) {
+            fail(Core::ErrorCode::BadCredentials);
+            return;
+        }
         m_codec.receive(bytes);
     }
 }
--- a/Libraries/LibTransport/Link.h
+++ b/Libraries/LibTransport/Link.h
@@ -110,6 +110,8 @@
     Core::Time m_heard_at;
     Core::Time m_sent_at;
     bool m_is_ready { false };
+    // Bytes received while the peer had not proved its key.
+    size_t m_handshake_bytes { 0 };
     bool m_is_over { false };
 };
 
