LibTransport: Connections give way outside the handling of a request

Cause: the limit on memory was enforced wherever something was written, also amid the handling of a request, whose own caller could be the one that gives way. Found by reading.

--- a/Libraries/LibSettings/FleetSettings.cpp
+++ b/Libraries/LibSettings/FleetSettings.cpp
@@ -6,6 +6,9 @@
 
 namespace Settings {
 
+static constexpr double max_memory_bytes = 1e12;
+static constexpr double max_connections = 1e6;
+
 Core::ErrorOr<void> check_socket_address(std::string const& path, char const* key, std::string const& address)
 {
     auto const [ip, port] = Transport::split_address(address);
@@ -30,6 +33,10 @@
         TRY(check_socket_address(path, "control_address", *settings.control_address));
     if (settings.metrics_port)
         TRY(check_range(path, "metrics_port", static_cast<double>(*settings.metrics_port), min_port, max_port));
+    if (settings.request_memory_bytes)
+        TRY(check_range(path, "request_memory_bytes", static_cast<double>(*settings.request_memory_bytes), 1, max_memory_bytes));
+    if (settings.max_caller_connections)
+        TRY(check_range(path, "max_caller_connections", static_cast<double>(*settings.max_caller_connections), 1, max_connections));
     if (settings.bounds.heartbeat_ms)
         TRY(check_range(path, "bounds.heartbeat_ms", static_cast<double>(*settings.bounds.heartbeat_ms), 1, max_duration_s * 1000));
     TRY(check_range(path, "bounds.retry_ratio", settings.bounds.retry_ratio, 0, 1));
--- a/Libraries/LibTransport/IngressServer.cpp
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -252,10 +252,14 @@
             m_closes = true;
         }
         update_memory();
+        if (m_server)
+            m_server->enforce_memory_limit();
         return;
     }
     read_input();
     update_memory();
+    if (m_server)
+        m_server->enforce_memory_limit();
 }
 
 void IngressConnection::read_input()
@@ -299,7 +303,6 @@
         return;
     auto const bytes = m_stream ? memory_bytes() : 0;
     m_server->m_memory_bytes += bytes - std::exchange(m_counted_bytes, bytes);
-    m_server->enforce_memory_limit();
 }
 
 bool IngressConnection::has_memory_to_free() const
@@ -362,8 +365,6 @@
 
 void IngressServer::enforce_memory_limit()
 {
-    if (std::exchange(m_is_making_room, true))
-        return;
     while (m_memory_bytes > memory_limit()) {
         auto const before = m_memory_bytes;
         auto const connection = oldest_that(&IngressConnection::has_memory_to_free);
@@ -375,7 +376,6 @@
         if (m_memory_bytes >= before)
             break;
     }
-    m_is_making_room = false;
 }
 
 bool IngressServer::make_room_for_connection()
@@ -388,9 +388,6 @@
         return false;
     m_given_way += 1;
     connection->give_way();
-    // Nothing more is to come from a caller that is refused, and its answer lies in the socket's buffer.
-    if (connection->m_stream && m_connections.size() >= limit)
-        bufferevent_flush(connection->m_stream, EV_WRITE, BEV_FLUSH);
     return true;
 }
 
@@ -600,6 +597,7 @@
 void IngressServer::accept(int socket)
 {
     if (!make_room_for_connection()) {
+        Core::log_event(Core::LogLevel::Info, "connection_closed_unread", { { "connections", std::to_string(m_connections.size()) } });
         evutil_closesocket(socket);
         return;
     }
@@ -612,6 +610,8 @@
     auto const connections = m_connections;
     for (auto const& connection : connections)
         connection->look_at_time(now);
+    // What is written grows without an event of the connection.
+    enforce_memory_limit();
 }
 
 /// The system resets what waits in a listener's queue as it closes, and to the callers those are open connections.
--- a/Libraries/LibTransport/IngressServer.h
+++ b/Libraries/LibTransport/IngressServer.h
@@ -162,7 +162,8 @@
     void accept_waiting();
     void stop_listening();
     void look_for_idle();
-    /// Lets connections give way until the limit on memory is kept, or none is left that may.
+    /// Lets connections give way until the limit on memory is kept, or none is left that may. Not to be called while a request is being
+    /// handled: its caller may be the one that gives way.
     void enforce_memory_limit();
     /// Lets one connection give way if there are as many as are allowed. @return false if none may.
     bool make_room_for_connection();
@@ -182,7 +183,6 @@
     std::set<std::shared_ptr<IngressConnection>> m_connections;
     size_t m_memory_bytes { 0 };
     uint64_t m_given_way { 0 };
-    bool m_is_making_room { false };
     size_t m_descriptor_limit { 0 };
     std::unique_ptr<Core::Timer> m_idle_timer;
     std::unique_ptr<Core::Timer> m_listener_timer;
@@ -217,7 +217,7 @@
     bool may_end_at_rest(Core::Time now) const;
     /// Bytes that this connection takes for requests and answers. A whole request counts twice: its body is copied to send it on.
     size_t memory_bytes() const;
-    /// Brings the server's total up to date, and lets connections give way if it exceeds the limit.
+    /// Brings the server's total up to date.
     void update_memory();
     bool has_memory_to_free() const;
     /// Whether no request is in hand.
--- a/Services/DirectEntry/DirectEntry.cpp
+++ b/Services/DirectEntry/DirectEntry.cpp
@@ -66,6 +66,15 @@
     return result;
 }
 
+/// The limits that hold for all callers together; the configuration sets those of each request.
+static Transport::IngressLimits ingress_limits(Schema::DirectEntrySettings const& settings)
+{
+    Transport::IngressLimits limits;
+    limits.max_memory_bytes = static_cast<size_t>(settings.request_memory_bytes.value_or(static_cast<int64_t>(limits.max_memory_bytes)));
+    limits.max_connections = static_cast<size_t>(settings.max_caller_connections.value_or(static_cast<int64_t>(limits.max_connections)));
+    return limits;
+}
+
 static Routing::RetryLimit retry_limit(Schema::DirectEntrySettings const& settings)
 {
     Routing::RetryLimit limit;
@@ -152,6 +161,7 @@
     auto on_fault = [this](Transport::IngressFault fault, Transport::MessageHead const& head) { return answer_to_fault(fault, head); };
     m_callers = TRY(Transport::IngressServer::create(
         m_loop, callers.first, callers.second, [this](auto request) { on_request(std::move(request)); }, on_fault));
+    m_callers->set_limits(ingress_limits(m_settings));
     m_readiness = TRY(Transport::HttpServer::create(m_loop, readiness.first, readiness.second, {}, [this](auto const& exchange) {
         exchange->reply(is_ready() ? status_ok : status_unavailable, {}, {});
     }));
@@ -529,13 +539,11 @@
             m_servers.set_timing(service.name, *service.timing);
     }
     if (m_callers) {
-        Transport::IngressLimits limits;
+        auto limits = ingress_limits(m_settings);
         limits.max_head_bytes = static_cast<size_t>(configuration->max_header_bytes);
         limits.max_body_bytes = static_cast<size_t>(configuration->max_body_bytes);
         limits.head_timeout = Core::Duration(configuration->header_timeout_ms);
         limits.idle_timeout = Core::Duration(configuration->idle_timeout_ms);
-        limits.max_memory_bytes = static_cast<size_t>(m_settings.request_memory_bytes.value_or(static_cast<int64_t>(limits.max_memory_bytes)));
-        limits.max_connections = static_cast<size_t>(m_settings.max_caller_connections.value_or(static_cast<int64_t>(limits.max_connections)));
         m_callers->set_limits(limits);
     }
     if (!configuration->unreadable_fields.empty()) {
