LibRouting: Only an engine that says it is slow is judged by the end of its answer

Cause: judged each engine so, and by the usual answer where the caller states none, though it accepts a shorter one only. Requests with short deadlines were refused at engines of ordinary pace: test_an_entry_whose_time_of_day_is_wrong_shortens_no_bound failed, all 503. Change: the check holds for engines with a reported pace over 1, and by the longest answer that the caller accepts if that is shorter.

--- a/Libraries/LibRouting/ServerTable.cpp
+++ b/Libraries/LibRouting/ServerTable.cpp
@@ -565,11 +565,14 @@
 bool ServerTable::ends_soon_enough(Server const& server, ServerRequirements const& requirements, Core::Time now) const
 {
     auto const* model = engine_service(server.record.service);
-    if (!model || !requirements.max_time_to_end)
+    auto const* report = reported(server, now);
+    bool const is_slow = report && report->state.pace > 1;
+    if (!model || !is_slow || !requirements.max_time_to_end)
         return true;
     auto const& times = model->times;
     auto const running = std::min(times.slots(), load(server, times, now).running + 1);
-    auto const answer_tokens = requirements.answer_tokens > 0 ? static_cast<double>(requirements.answer_tokens) : times.usual_answer_tokens();
+    auto const longest = requirements.max_answer_tokens > 0 ? static_cast<double>(requirements.max_answer_tokens) : times.usual_answer_tokens();
+    auto const answer_tokens = requirements.answer_tokens > 0 ? static_cast<double>(requirements.answer_tokens) : std::min(longest, times.usual_answer_tokens());
     auto const answer_ms = slowdown(server, times, now) * times.answer_ms(answer_tokens, running);
     return predicted_ms(server, requirements, now) + answer_ms <= static_cast<double>(requirements.max_time_to_end->count());
 }
--- a/Libraries/LibRouting/ServerTable.h
+++ b/Libraries/LibRouting/ServerTable.h
@@ -29,9 +29,12 @@
     /// chosen while its agent reports, as only the agent knows whether the engine is about to load a version, or still runs.
     int64_t newest_version { 0 };
     int64_t prompt_tokens { 0 };
-    /// Length of the answer that the caller expects; 0 if unknown, which stands for the service's usual one.
+    /// Length of the answer that the caller expects; 0 if unknown, which stands for the service's usual one, or the longest if that is shorter.
     int64_t answer_tokens { 0 };
-    /// Longest acceptable predicted time to the end of a streamed answer; std::nullopt if there is no limit.
+    /// Length of the longest answer that the caller accepts; 0 if unknown.
+    int64_t max_answer_tokens { 0 };
+    /// Longest acceptable predicted time to the end of a streamed answer at an engine that reports that it is slow; std::nullopt if there is no
+    /// limit.
     std::optional<Core::Duration> max_time_to_end {};
     /// Ids of servers that must not be chosen, as earlier attempts of the request went to their present incarnations.
     std::set<std::string> excluded {};
@@ -384,7 +387,7 @@
     static double allowed_prefill_ms(EngineTimingModel const&, ServerRequirements const&, double slowdown);
     /// Whether the answer is predicted to begin within ServerRequirements::max_time_to_first_event.
     bool begins_soon_enough(Server const&, ServerRequirements const&, Core::Time now) const;
-    /// Whether the answer is predicted to end within ServerRequirements::max_time_to_end.
+    /// Whether the answer is predicted to end within ServerRequirements::max_time_to_end. Always true for an engine at its ordinary pace.
     bool ends_soon_enough(Server const&, ServerRequirements const&, Core::Time now) const;
     /// The least slowdown() of the service's usable engines.
     double least_slowdown(std::string const& service, EngineTimingModel const&, Core::Time now) const;
--- a/Services/DirectEntry/ProxiedRequest.cpp
+++ b/Services/DirectEntry/ProxiedRequest.cpp
@@ -211,6 +211,7 @@
     requirements.newest_version = m_context.newest_version(m_service);
     requirements.prompt_tokens = m_head.prompt_tokens;
     requirements.answer_tokens = std::min(m_head.answer_tokens_hint, m_head.answer_tokens);
+    requirements.max_answer_tokens = m_head.answer_tokens;
     if (is_stream() && !m_has_delivered)
         requirements.max_time_to_end = deadline() - Core::monotonic_now();
     requirements.prefill_allowance = m_prefill_allowance;
--- a/Tests/LibRouting/TestServerTable.cpp
+++ b/Tests/LibRouting/TestServerTable.cpp
@@ -946,6 +946,13 @@
     EXPECT_EQ(m_table.choose(requirements, m_now).error(), NoServer::NoneInTime);
     requirements.answer_tokens = 20;
     EXPECT_EQ(m_table.choose(requirements, m_now)->id, "1");
+    requirements.answer_tokens = 0;
+    requirements.max_answer_tokens = 20;
+    EXPECT_EQ(m_table.choose(requirements, m_now)->id, "1") << "a usual answer is longer than what the caller accepts";
+    state.pace = 1;
+    m_table.on_engine_state("10.0.0.1", state, m_now);
+    requirements.answer_tokens = 2000;
+    EXPECT_EQ(m_table.choose(requirements, m_now)->id, "1") << "the engine is not slow";
 }
 
 // Guards against refusals by the time of an ordinary engine while all are slow, and by that of a slow one while another is not.
