LibTransport: An unknown limit on descriptors closes no connection

Cause: a failed getrlimit left the limit at 0, and each new connection was closed unread. Change: the limit is then that of the settings alone, with a log line. A failing getrlimit itself has no test.

--- a/Libraries/LibTransport/IngressServer.cpp
+++ b/Libraries/LibTransport/IngressServer.cpp
@@ -11,6 +11,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <limits>
 #include <netinet/tcp.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -575,8 +576,10 @@
         return Core::failure(Core::ErrorCode::AddressInUse, address + ":" + std::to_string(port));
     evconnlistener_set_error_cb(server->m_listener, [](evconnlistener*, void* self) { static_cast<IngressServer*>(self)->on_accept_failed(); });
     rlimit descriptors {};
-    getrlimit(RLIMIT_NOFILE, &descriptors);
-    server->m_descriptor_limit = static_cast<size_t>(descriptors.rlim_cur) / descriptor_denominator * descriptor_numerator;
+    bool const is_known = getrlimit(RLIMIT_NOFILE, &descriptors) == 0;
+    if (!is_known)
+        Core::log_event(Core::LogLevel::Warn, "descriptor_limit_unknown", { { "error", std::strerror(errno) } });
+    server->m_descriptor_limit = is_known ? static_cast<size_t>(descriptors.rlim_cur) / descriptor_denominator * descriptor_numerator : std::numeric_limits<size_t>::max();
     server->m_idle_timer = loop.every(idle_check_interval, [raw = server.get()] { raw->look_for_idle(); });
     return server;
 }
