LibTransport: Read heads and chunks by the grammar of RFC 9112

Callers saw an answer whose status was 000, sent by an engine in trouble (MIXED); others with a field name that held a blank, with a version of 0.9, two or four digits of status, or a chunk that does not end with CR LF. Requests with such names were sent on to backend servers.

Cause: http_parser, as Debian builds it, takes any number up to 999 as a status, a blank as a byte of a name and any digits as a version. MessageReader judged line ends and framing before it, and neither the start line nor names, so everything else was believed as far as the library understood it, and written again by us.

Change: heads, chunks and trailers are parsed by the grammar alone (MessageHead, ChunkDecoder); http_parser goes. A malformed answer is logged as malformed_answer and counted in mountbarrow_malformed_answers_total, by server and fault, and fails the call as before. Requests are read by the same grammar. One that asks for another protocol is read without it (RFC 9110, section 7.8), where http_parser refused it.

MessageReader's tests of bad heads now name the fault of each, where all were "Malformed" before.

--- a/Libraries/LibTransport/BackendCall.cpp
+++ b/Libraries/LibTransport/BackendCall.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibTransport/BackendCall.h>
 
+#include <LibTransport/MalformedAnswers.h>
 #include <LibTransport/SocketAddress.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -122,11 +123,15 @@
         std::string bytes(size, '\0');
         evbuffer_remove(input, bytes.data(), size);
         auto const fed = m_reader.feed(bytes);
+        if (fed.has_value() || m_is_over)
+            continue;
         // Bytes behind a whole answer belong to no request: they go with the connection.
-        if (!fed.has_value() && fed.error() != MessageFault::Surplus)
-            fail(CallFailure::Malformed);
-        else if (!fed.has_value() && !m_is_over)
+        if (fed.error() == MessageFault::Surplus) {
             finish();
+            continue;
+        }
+        MalformedAnswers::report(m_request.address, m_request.port, fed.error());
+        fail(CallFailure::Malformed);
     }
 }
 
--- a/Libraries/LibTransport/HttpServer.h
+++ b/Libraries/LibTransport/HttpServer.h
@@ -3,6 +3,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/EventLoop.h>
+#include <LibTransport/MessageHead.h>
 #include <LibTransport/RateLimit.h>
 #include <LibTransport/RequestTarget.h>
 #include <functional>
@@ -21,8 +22,6 @@
 
 namespace Transport {
 
-using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
-
 /// One request to a server of ours and the answer to it, whole or streamed.
 class HttpExchange {
 public:
--- a/Meta/setup.sh
+++ b/Meta/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build clang-format clang-tidy python3 pkg-config libevent-dev libwebsocketpp-dev
     nlohmann-json3-dev libboost-dev libexpected-dev libtclap-dev liblog4cxx-dev librapidcheck-dev libgtest-dev
-    libgmock-dev libssl-dev libhttp-parser-dev)
+    libgmock-dev libssl-dev)
 missing=()
 for package in "${packages[@]}"; do
     dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
--- a/Services/Agent/Agent.h
+++ b/Services/Agent/Agent.h
@@ -14,6 +14,7 @@
 #include <LibSchema/Generated.h>
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/LinkHub.h>
+#include <LibTransport/MalformedAnswers.h>
 
 namespace Agent {
 
@@ -54,6 +55,7 @@
     Core::EventLoop& m_loop;
     Schema::AgentSettings m_settings;
     Core::Metrics m_metrics;
+    Transport::MalformedAnswers m_malformed_answers { m_metrics };
     Configuration::Replica m_replica;
     Membership::InstanceList m_list;
     Membership::IdempotencyKeyOwner m_key_home;
--- a/Services/DirectEntry/DirectEntry.h
+++ b/Services/DirectEntry/DirectEntry.h
@@ -21,6 +21,7 @@
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/IngressServer.h>
 #include <LibTransport/LinkHub.h>
+#include <LibTransport/MalformedAnswers.h>
 #include <memory>
 #include <random>
 #include <set>
@@ -126,6 +127,7 @@
     Core::EventLoop& m_loop;
     Schema::DirectEntrySettings m_settings;
     Core::Metrics m_metrics;
+    Transport::MalformedAnswers m_malformed_answers { m_metrics };
     std::unique_ptr<Platform::RequestHeads> m_heads;
     std::unique_ptr<Platform::WeightOrigin> m_origin;
     EntryFacts m_facts;
--- a/Services/EngineAgent/EngineAgent.h
+++ b/Services/EngineAgent/EngineAgent.h
@@ -8,6 +8,7 @@
 #include <LibCore/PauseWatch.h>
 #include <LibTransport/HttpServer.h>
 #include <LibTransport/LinkHub.h>
+#include <LibTransport/MalformedAnswers.h>
 #include <memory>
 #include <set>
 
@@ -66,6 +67,7 @@
     Core::EventLoop& m_loop;
     Schema::EngineAgentSettings m_settings;
     Core::Metrics m_metrics;
+    Transport::MalformedAnswers m_malformed_answers { m_metrics };
     Core::PauseWatch m_pauses;
     std::unique_ptr<Platform::EngineApi> m_engine;
     std::unique_ptr<Platform::WeightOrigin> m_origin;
--- a/Services/Entry/Entry.h
+++ b/Services/Entry/Entry.h
@@ -11,6 +11,7 @@
 #include <LibPlatform/Platform.h>
 #include <LibTransport/IngressServer.h>
 #include <LibTransport/LinkHub.h>
+#include <LibTransport/MalformedAnswers.h>
 
 namespace Entry {
 
@@ -56,6 +57,7 @@
     Core::EventLoop& m_loop;
     Schema::EntrySettings m_settings;
     Core::Metrics m_metrics;
+    Transport::MalformedAnswers m_malformed_answers { m_metrics };
     Configuration::Replica m_replica;
     Configuration::SnapshotSchedule m_snapshots;
     Membership::InstanceList m_list;
--- a/Tests/LibTransport/TestMessageReader.cpp
+++ b/Tests/LibTransport/TestMessageReader.cpp
@@ -82,35 +82,95 @@
     EXPECT_EQ(reading.whole, 1u);
 }
 
-struct BadHead {
+struct BadRequest {
     char const* name;
-    char const* bytes;
+    MessageFault fault;
+    std::string bytes;
 };
 
-class AmbiguousFraming : public testing::TestWithParam<BadHead> { };
+class MalformedRequest : public testing::TestWithParam<BadRequest> { };
 
-TEST_P(AmbiguousFraming, IsRefused)
+TEST_P(MalformedRequest, IsRefused)
 {
     auto const reading = read_requests(GetParam().bytes);
-    EXPECT_EQ(reading.fault, MessageFault::Malformed);
+    EXPECT_EQ(reading.fault, GetParam().fault);
     EXPECT_EQ(reading.whole, 0u);
 }
 
-INSTANTIATE_TEST_SUITE_P(Heads, AmbiguousFraming,
+static std::string request_with(std::string const& fields, std::string const& body = {})
+{
+    return "POST / HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n\r\n" + body;
+}
+
+static std::string request_with_chunks(std::string const& chunks)
+{
+    return request_with("Transfer-Encoding: chunked", chunks);
+}
+
+using namespace std::string_literals;
+
+INSTANTIATE_TEST_SUITE_P(Heads, MalformedRequest,
     testing::Values(
-        BadHead { "two_lengths", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd" },
-        BadHead { "the_same_length_twice", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc" },
-        BadHead { "length_and_chunks", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
-        BadHead { "other_encoding", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" },
-        BadHead { "bare_line_feed", "POST / HTTP/1.1\nHost: x\r\nContent-Length: 0\r\n\r\n" },
-        BadHead { "only_bare_line_feeds", "POST / HTTP/1.1\nHost: x\n\n" },
-        BadHead { "folded", "POST / HTTP/1.1\r\nHost: x\r\n folded\r\nContent-Length: 0\r\n\r\n" },
-        BadHead { "blank_before_colon", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length : 3\r\n\r\nabc" },
-        BadHead { "no_colon", "POST / HTTP/1.1\r\nHost: x\r\nnonsense\r\n\r\n" },
-        BadHead { "length_no_number", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3a\r\n\r\nabc" },
-        BadHead { "no_method", "\x01\x02 / HTTP/1.1\r\nHost: x\r\n\r\n" }),
+        BadRequest { "two_lengths", MessageFault::Framing, request_with("Content-Length: 3\r\nContent-Length: 4", "abcd") },
+        BadRequest { "the_same_length_twice", MessageFault::Framing, request_with("Content-Length: 3\r\nContent-Length: 3", "abc") },
+        BadRequest { "length_and_chunks", MessageFault::Framing, request_with("Content-Length: 3\r\nTransfer-Encoding: chunked", "0\r\n\r\n") },
+        BadRequest { "other_encoding", MessageFault::Framing, request_with("Transfer-Encoding: gzip, chunked", "0\r\n\r\n") },
+        BadRequest { "chunks_of_http_1_0", MessageFault::Framing, "POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+        BadRequest { "bare_line_feed", MessageFault::LineEnd, "POST / HTTP/1.1\nHost: x\r\nContent-Length: 0\r\n\r\n" },
+        BadRequest { "only_bare_line_feeds", MessageFault::LineEnd, "POST / HTTP/1.1\nHost: x\n\n" },
+        BadRequest { "carriage_return_in_value", MessageFault::LineEnd, request_with("X-Odd: a\rb") },
+        BadRequest { "folded", MessageFault::FieldName, "POST / HTTP/1.1\r\nHost: x\r\n folded\r\nContent-Length: 0\r\n\r\n" },
+        BadRequest { "folded_with_colon", MessageFault::FieldName, request_with("X-Odd: 1\r\n a: b") },
+        BadRequest { "blank_before_colon", MessageFault::FieldName, request_with("Content-Length : 3", "abc") },
+        BadRequest { "no_colon", MessageFault::FieldName, request_with("nonsense") },
+        BadRequest { "blank_in_name", MessageFault::FieldName, request_with("X Odd: 1") },
+        BadRequest { "blank_in_length", MessageFault::FieldName, request_with("Content Length: 3", "abc") },
+        BadRequest { "control_byte_in_name", MessageFault::FieldName, request_with("X\x01Odd: 1") },
+        BadRequest { "nul_in_name", MessageFault::FieldName, request_with("X\0Odd: 1"s) },
+        BadRequest { "eight_bits_in_name", MessageFault::FieldName, request_with("X\xe9: 1") },
+        BadRequest { "empty_name", MessageFault::FieldName, request_with(": 1") },
+        BadRequest { "nul_in_value", MessageFault::FieldValue, request_with("X-Odd: a\0b"s) },
+        BadRequest { "delete_in_value", MessageFault::FieldValue, request_with("X-Odd: \x7f") },
+        BadRequest { "length_no_number", MessageFault::Framing, request_with("Content-Length: 3a", "abc") },
+        BadRequest { "length_with_sign", MessageFault::Framing, request_with("Content-Length: +3", "abc") },
+        BadRequest { "no_method", MessageFault::StartLine, "\x01\x02 / HTTP/1.1\r\nHost: x\r\n\r\n" },
+        BadRequest { "tunnel", MessageFault::StartLine, "CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n" },
+        BadRequest { "no_version", MessageFault::StartLine, "GET /\r\nHost: x\r\n\r\n" },
+        BadRequest { "blank_in_target", MessageFault::StartLine, "GET /a b HTTP/1.1\r\nHost: x\r\n\r\n" },
+        BadRequest { "control_byte_in_target", MessageFault::StartLine, "GET /a\x01 HTTP/1.1\r\nHost: x\r\n\r\n" },
+        BadRequest { "relative_target", MessageFault::StartLine, "GET a?b=http://c HTTP/1.1\r\nHost: x\r\n\r\n" },
+        BadRequest { "two_blanks", MessageFault::StartLine, "GET  / HTTP/1.1\r\nHost: x\r\n\r\n" },
+        BadRequest { "version_0_9", MessageFault::Version, "GET / HTTP/0.9\r\nHost: x\r\n\r\n" },
+        BadRequest { "version_2_0", MessageFault::Version, "GET / HTTP/2.0\r\nHost: x\r\n\r\n" },
+        BadRequest { "version_9_9", MessageFault::Version, "GET / HTTP/9.9\r\nHost: x\r\n\r\n" },
+        BadRequest { "no_host", MessageFault::Host, "GET / HTTP/1.1\r\n\r\n" },
+        BadRequest { "two_hosts", MessageFault::Host, request_with("Host: y") },
+        BadRequest { "chunk_size_with_sign", MessageFault::ChunkSize, request_with_chunks("+3\r\nabc\r\n0\r\n\r\n") },
+        BadRequest { "chunk_size_with_prefix", MessageFault::ChunkSize, request_with_chunks("0x3\r\nabc\r\n0\r\n\r\n") },
+        BadRequest { "chunk_without_end", MessageFault::ChunkEnd, request_with_chunks("3\r\nabcd\r\n0\r\n\r\n") },
+        BadRequest { "blank_in_trailer_name", MessageFault::FieldName, request_with_chunks("0\r\nX Odd: 1\r\n\r\n") }),
     [](auto const& info) { return info.param.name; });
 
+TEST(MessageReader, ReadsEveryRequestThatIsAllowed)
+{
+    std::vector<std::string> const requests {
+        "GET / HTTP/1.0\r\n\r\n",
+        "\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost:\r\n\r\n",
+        "GET / HTTP/1.2\r\nHost: x\r\n\r\n",
+        "GET http://x/ HTTP/1.1\r\nHost: x\r\n\r\n",
+        "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n",
+        request_with("Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nContent-Length: 0"),
+        request_with("X-Empty:\r\nX-Bytes: \xe9\xff\r\n!#$%&'*+-.^_`|~: 1"),
+        request_with_chunks("00A;a=\"b c\"\r\n0123456789\r\n0\r\nX-Sum: 1\r\n\r\n"),
+    };
+    for (auto const& request : requests) {
+        auto const reading = read_requests(request);
+        EXPECT_FALSE(reading.fault) << request << fault_name(reading.fault.value_or(MessageFault::Surplus));
+        EXPECT_EQ(reading.whole, 1u) << request;
+    }
+}
+
 TEST(MessageReader, AHeadThatIsTooLongIsRefusedWhetherItEndsOrNot)
 {
     std::string const long_field = "GET / HTTP/1.1\r\nHost: x\r\nField: " + std::string(2000, 'a');
