MessageReader: Interim answers are skipped

Callers saw a 102 or 103 as the final answer to their request where it carried the request's id; a 100 or 103 followed by a whole 200, which RFC 9110 allows, ended as 502 for a request that runs once, and its server counted as failed.

Cause: the reader handed on the first head that it read, whatever its status, and a call ends at the first whole message.

Change: an answer's reader checks interim heads like any other, at most eight, and hands on the head behind them. A 101 is a fault: no request asks for another protocol.

Shown: on MalformedAnswersTest.ABackendCallPassesWhatIsAllowed fails for the answers behind interim ones; now it passes.

--- a/Libraries/LibTransport/MessageReader.cpp
+++ b/Libraries/LibTransport/MessageReader.cpp
@@ -51,10 +51,21 @@
         return tl::unexpected(head.error());
     m_unread.erase(0, size);
     m_head = std::move(*head);
+    if (m_kind == Kind::Answer && m_head.is_interim())
+        return skip_interim_answer();
     begin_body();
     return {};
 }
 
+tl::expected<void, MessageFault> MessageReader::skip_interim_answer()
+{
+    m_interim_answers += 1;
+    if (m_interim_answers > max_interim_answers)
+        return tl::unexpected(MessageFault::TooManyInterimAnswers);
+    begin_message();
+    return {};
+}
+
 void MessageReader::begin_body()
 {
     m_state = State::Body;
--- a/Libraries/LibTransport/MessageReader.h
+++ b/Libraries/LibTransport/MessageReader.h
@@ -10,9 +10,12 @@
 
 namespace Transport {
 
+/// A server may send this many interim answers (1xx) before its answer.
+inline constexpr int max_interim_answers = 8;
+
 /// Reads one message after another from a connection's bytes, strictly by the grammar of RFC 9112.
 ///
-/// A head is held until it is whole, so that it can be refused before anybody acts on it.
+/// A head is held until it is whole, so that it can be refused before anybody acts on it. Interim answers are checked and skipped.
 class MessageReader {
 public:
     using Kind = MessageKind;
@@ -55,6 +58,7 @@
     tl::expected<void, MessageFault> read_next();
     tl::expected<void, MessageFault> take_head();
     tl::expected<void, MessageFault> check_partial_head() const;
+    tl::expected<void, MessageFault> skip_interim_answer();
     void begin_body();
     tl::expected<void, MessageFault> take_body();
     void begin_message();
@@ -68,6 +72,7 @@
     MessageFault m_fault { MessageFault::LineEnd };
     bool m_is_feeding { false };
     MessageHead m_head;
+    int m_interim_answers { 0 };
     // Bytes of a body of stated length that have not come yet.
     uint64_t m_left_in_body { 0 };
     ChunkDecoder m_chunks;
--- a/Tests/LibTransport/SentAnswers.h
+++ b/Tests/LibTransport/SentAnswers.h
@@ -123,6 +123,8 @@
         { "trailer_without_colon", with_chunks("5\r\nhello\r\n0\r\nX-Odd\r\n\r\n") },
         { "trailer_ends_in_line_feed", with_chunks("5\r\nhello\r\n0\r\nX-Odd: 1\n\r\n") },
         { "switch_of_protocols", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n" + with_start("HTTP/1.1 200 OK") },
+        { "malformed_interim_answer", "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + with_start("HTTP/1.1 200 OK") },
+        { "malformed_behind_interim_answer", "HTTP/1.1 100 Continue\r\n\r\n" + with_start("HTTP/1.1 000 OK") },
     };
 }
 
@@ -150,5 +152,8 @@
         { "chunk_extensions", with_chunks("5;a;b=1;c=\"x\\\" ;y\"\r\nhello\r\n0;last\r\n\r\n") },
         { "blanks_around_extensions", with_chunks("5 ; a = 1\r\nhello\r\n0\r\n\r\n") },
         { "trailers", with_chunks("5\r\nhello\r\n0\r\nX-Sum: 1\r\nX-Empty:\r\n\r\n") },
+        { "continue_before", "HTTP/1.1 100 Continue\r\n\r\n" + with_start("HTTP/1.1 200 OK") },
+        { "early_hints_before", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + with_start("HTTP/1.1 200 OK") },
+        { "several_interim_answers", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 100 Continue\r\nX-Field: 1\r\n\r\nHTTP/1.1 199 X\r\n\r\n" + with_start("HTTP/1.1 200 OK") },
     };
 }
