LibTransport: Clients read answers by the same reader as callers' entries

Callers of the product's own interface saw 3 bytes of an answer that stated two lengths (3, then 10) as the whole answer, statuses of 001, 099, 600 and more, and names with blanks, control and 8-bit bytes. Reports, the store, the origin, peers' chunks and the command line were read in the same way. An answer with a chunk extension, which RFC 9112 allows, closed the caller's connection.

Cause: HttpCall, KeptConnection and HttpClient left all reading to libevent's client, which has rules of its own, weaker than those of MessageReader.

Change: HttpConnection makes their calls over a bufferevent and reads with MessageReader. It keeps what libevent's client did: limits of head and body, silence and total time, kept connections made anew once they have ended, and no answer that ends with its connection. A malformed answer is a failure of its own, after which the request may have run; agents report it to entries as broken off. Methods go out as they came; one that libevent did not know went out as GET.

--- a/Libraries/LibTransport/KeptConnection.h
+++ b/Libraries/LibTransport/KeptConnection.h
@@ -6,8 +6,6 @@
 #include <memory>
 #include <string>
 
-struct evhttp_connection;
-
 namespace Transport {
 
 /// Asks one server again and again over a connection that is kept between the calls, and made anew once it has ended.
@@ -35,21 +33,14 @@
     void reset();
 
 private:
-    struct Call;
-
-    void connect();
-    void close_connection();
-    void on_end(bool is_whole, HttpAnswer);
-    void on_total_timeout();
+    void on_end(tl::expected<HttpAnswer, HttpFailure>);
 
     Core::EventLoop& m_loop;
-    std::string m_address;
-    uint16_t m_port;
-    Core::Duration m_timeout;
-    size_t m_max_body_bytes;
-    evhttp_connection* m_connection { nullptr };
-    std::shared_ptr<Call> m_call;
-    std::unique_ptr<Core::Timer> m_end_timer;
+    HttpCallRequest m_request;
+    std::shared_ptr<HttpConnection> m_connection;
+    // The call under way.
+    Callback m_callback;
+    HttpAnswer m_answer;
 };
 
 }
--- a/Tests/LibTransport/TestMalformedAnswers.cpp
+++ b/Tests/LibTransport/TestMalformedAnswers.cpp
@@ -2,6 +2,8 @@
 #include "LoopTest.h"
 #include "SentAnswers.h"
 #include <LibTransport/BackendCall.h>
+#include <LibTransport/HttpClient.h>
+#include <LibTransport/KeptConnection.h>
 #include <LibTransport/Link.h>
 #include <optional>
 #include <rapidcheck/gtest.h>
@@ -11,6 +13,7 @@
 
 namespace {
 
+constexpr Core::Duration silence { 5000 };
 constexpr size_t max_head_bytes = 4096;
 
 /// A server that answers whatever comes on a connection with the same bytes.
@@ -78,6 +81,40 @@
         run_until([&] { return received.is_whole.has_value(); });
         return received;
     }
+
+    Received ask_by_client(std::string const& answer)
+    {
+        SayingServer server(m_loop, answer);
+        HttpClient client(m_loop);
+        Received received;
+        HttpCallRequest request;
+        request.address = "127.0.0.1";
+        request.port = server.port();
+        request.timeout = silence;
+        client.call(request, [&](auto const& result) { take(received, result); });
+        run_until([&] { return received.is_whole.has_value(); });
+        return received;
+    }
+
+    Received ask_by_kept_connection(std::string const& answer)
+    {
+        SayingServer server(m_loop, answer);
+        KeptConnection kept(m_loop, "127.0.0.1", server.port(), silence);
+        Received received;
+        kept.get("/", [&](auto const& result) { take(received, result); });
+        run_until([&] { return received.is_whole.has_value(); });
+        return received;
+    }
+
+private:
+    static void take(Received& received, tl::expected<HttpAnswer, HttpFailure> const& result)
+    {
+        received.is_whole = result.has_value();
+        if (!result.has_value())
+            return;
+        received.status = result->status;
+        received.body = result->body;
+    }
 };
 
 static void expect_refused(SentAnswer const& answer, Received const& received)
@@ -99,12 +136,38 @@
         expect_refused(answer, ask_by_backend_call(answer.bytes));
 }
 
+// The same for what agents, the store, the origin, peers and the command line read.
+TEST_F(MalformedAnswersTest, AClientGivesNone)
+{
+    for (auto const& answer : malformed_answers())
+        expect_refused(answer, ask_by_client(answer.bytes));
+}
+
+// The same for what engines report.
+TEST_F(MalformedAnswersTest, AKeptConnectionGivesNone)
+{
+    for (auto const& answer : malformed_answers())
+        expect_refused(answer, ask_by_kept_connection(answer.bytes));
+}
+
 TEST_F(MalformedAnswersTest, ABackendCallPassesWhatIsAllowed)
 {
     for (auto const& answer : allowed_answers())
         expect_passed(answer, ask_by_backend_call(answer.bytes));
 }
 
+TEST_F(MalformedAnswersTest, AClientPassesWhatIsAllowed)
+{
+    for (auto const& answer : allowed_answers())
+        expect_passed(answer, ask_by_client(answer.bytes));
+}
+
+TEST_F(MalformedAnswersTest, AKeptConnectionPassesWhatIsAllowed)
+{
+    for (auto const& answer : allowed_answers())
+        expect_passed(answer, ask_by_kept_connection(answer.bytes));
+}
+
 namespace {
 
 struct Reading {
