LibRouting: An answer whose head HTTP does not allow is invalid

An agent of an older build reads its backend server's answers with libevent's rules and passes on a status of 001 or 600 and names with blanks or control bytes, which a new entry would give to its caller.

Change: a part of an answer that states such a status or field is invalid, like one that contradicts the parts before it: the attempt is cancelled and has failed. The grammar of names and values moves to LibCore, since decisions do not include transport.

Shown: AnswerAssembly.AHeadThatHttpDoesNotAllowIsInvalid; without the check every such part is accepted (by reading: add() looked at sequence numbers alone).

--- a/Libraries/LibRouting/AnswerAssembly.cpp
+++ b/Libraries/LibRouting/AnswerAssembly.cpp
@@ -1,14 +1,26 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibRouting/AnswerAssembly.h>
 
+#include <LibCore/HttpText.h>
+#include <algorithm>
+
 namespace Routing {
 
+/// An agent of an older build may pass on what its backend server sent without checking it.
+static bool has_valid_head(Schema::Part const& part)
+{
+    if (part.status && !Core::is_final_status(*part.status))
+        return false;
+    auto const is_valid = [](Schema::Header const& header) { return Core::is_token(header.name) && Core::is_field_value(header.value); };
+    return !part.headers || std::all_of(part.headers->begin(), part.headers->end(), is_valid);
+}
+
 AnswerAssembly::PartResult AnswerAssembly::add(Schema::Part part)
 {
     auto const sequence = part.sequence;
     if (sequence < m_next || m_waiting.contains(sequence))
         return PartResult::Duplicate;
-    if (sequence >= m_next + max_parts_ahead)
+    if (sequence >= m_next + max_parts_ahead || !has_valid_head(part))
         return PartResult::Invalid;
     if (m_last && (sequence > *m_last || part.last))
         return PartResult::Invalid;
--- a/Libraries/LibRouting/AnswerAssembly.h
+++ b/Libraries/LibRouting/AnswerAssembly.h
@@ -18,7 +18,7 @@
         /// A part of this sequence number was received before; this one is dropped.
         Duplicate,
         /// The part lies beyond the last part or too far ahead (see max_parts_ahead), or marks another part as last although that
-        /// contradicts the parts received before. The answer cannot be trusted.
+        /// contradicts the parts received before, or states a status or a header that HTTP does not allow. The answer cannot be trusted.
         Invalid,
     };
 
--- a/Libraries/LibTransport/ChunkDecoder.cpp
+++ b/Libraries/LibTransport/ChunkDecoder.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibTransport/ChunkDecoder.h>
 
+#include <LibCore/HttpText.h>
 #include <algorithm>
 #include <charconv>
 
@@ -24,7 +25,7 @@
 /// Takes a token off `text`; empty if there is none.
 static std::string_view take_token(std::string_view& text)
 {
-    auto const* const end = std::find_if_not(text.begin(), text.end(), [](char const& byte) { return is_token({ &byte, 1 }); });
+    auto const* const end = std::find_if_not(text.begin(), text.end(), [](char const& byte) { return Core::is_token({ &byte, 1 }); });
     auto const token = text.substr(0, static_cast<size_t>(end - text.begin()));
     text.remove_prefix(token.size());
     return token;
@@ -42,7 +43,7 @@
         }
         if (text[i] != '"')
             continue;
-        bool const is_sound = is_field_value(text.substr(0, i));
+        bool const is_sound = Core::is_field_value(text.substr(0, i));
         text.remove_prefix(i + 1);
         return is_sound;
     }
--- a/Libraries/LibTransport/HttpConnection.cpp
+++ b/Libraries/LibTransport/HttpConnection.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibTransport/HttpConnection.h>
 
+#include <LibCore/HttpText.h>
 #include <LibCore/Log.h>
 #include <LibTransport/MalformedAnswers.h>
 #include <LibTransport/SocketAddress.h>
@@ -42,7 +43,7 @@
 {
     std::string bytes = call.method + ' ' + call.path + " HTTP/1.1\r\n";
     auto const add = [&](std::string const& name, std::string const& value) {
-        if (is_token(name) && is_field_value(value))
+        if (Core::is_token(name) && Core::is_field_value(value))
             bytes += name + ": " + value + "\r\n";
         else
             Core::log_event(Core::LogLevel::Warn, "field_not_sent", { { "server", server_of(call) } });
--- a/Libraries/LibTransport/MessageHead.cpp
+++ b/Libraries/LibTransport/MessageHead.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include <LibTransport/MessageHead.h>
 
+#include <LibCore/HttpText.h>
 #include <algorithm>
 #include <charconv>
 #include <strings.h>
@@ -14,7 +15,6 @@
 static constexpr int status_switching_protocols = 101;
 static constexpr int first_interim_status = 100;
 static constexpr int first_final_status = 200;
-static constexpr int last_status = 599;
 static constexpr int status_no_content = 204;
 static constexpr int status_not_modified = 304;
 
@@ -84,8 +84,6 @@
     return is_interim() || status == status_no_content || status == status_not_modified;
 }
 
-// The bytes of the grammar (RFC 5234, appendix B.1; RFC 9110, sections 5.5 and 5.6).
-
 static bool is_digit(char c)
 {
     return c >= '0' && c <= '9';
@@ -96,33 +94,11 @@
     return c > ' ' && c < '\x7f';
 }
 
-static bool is_token_byte(char c)
-{
-    static constexpr std::string_view delimiters = "\"(),/:;<=>?@[\\]{}";
-    return is_visible(c) && delimiters.find(c) == std::string_view::npos;
-}
-
-static bool is_text_byte(char c)
-{
-    auto const byte = static_cast<unsigned char>(c);
-    return byte == '\t' || (byte >= ' ' && byte != 0x7f);
-}
-
 static bool is_blank(char c)
 {
     return c == ' ' || c == '\t';
 }
 
-bool is_token(std::string_view text)
-{
-    return !text.empty() && std::all_of(text.begin(), text.end(), is_token_byte);
-}
-
-bool is_field_value(std::string_view text)
-{
-    return std::all_of(text.begin(), text.end(), is_text_byte);
-}
-
 static std::string_view without_blanks_around(std::string_view text)
 {
     while (!text.empty() && is_blank(text.front()))
@@ -148,10 +124,10 @@
     if (colon == std::string_view::npos)
         return tl::unexpected(MessageFault::FieldName);
     auto const name = line.substr(0, colon);
-    if (!is_token(name))
+    if (!Core::is_token(name))
         return tl::unexpected(MessageFault::FieldName);
     auto const value = without_blanks_around(line.substr(colon + 1));
-    if (!is_field_value(value))
+    if (!Core::is_field_value(value))
         return tl::unexpected(MessageFault::FieldValue);
     return std::pair(name, value);
 }
@@ -202,7 +178,7 @@
     auto const method = line.substr(0, method_end);
     auto const target = line.substr(method_end + 1, target_end - method_end - 1);
     // A connection to a server serves as no tunnel.
-    if (!is_token(method) || method == "CONNECT" || !is_target(method, target))
+    if (!Core::is_token(method) || method == "CONNECT" || !is_target(method, target))
         return tl::unexpected(MessageFault::StartLine);
     head.method = method;
     head.target = target;
@@ -223,11 +199,11 @@
         return tl::unexpected(MessageFault::Status);
     std::from_chars(digits.data(), digits.data() + digits.size(), head.status);
     // RFC 9110, section 15: values outside of this range are invalid.
-    if (head.status < first_interim_status || head.status > last_status)
+    if (!head.is_interim() && !Core::is_final_status(head.status))
         return tl::unexpected(MessageFault::Status);
     // Some servers also leave out the space before an absent reason phrase.
     line.remove_prefix(digits.size());
-    if (!is_field_value(line))
+    if (!Core::is_field_value(line))
         return tl::unexpected(MessageFault::StartLine);
     return {};
 }
--- a/Libraries/LibTransport/MessageHead.h
+++ b/Libraries/LibTransport/MessageHead.h
@@ -92,12 +92,6 @@
     bool has_status_without_body() const;
 };
 
-/// Whether a text is a token (RFC 9110, section 5.6.2), as the name of a field has to be.
-bool is_token(std::string_view);
-
-/// Whether a text may be the value of a field (RFC 9110, section 5.5).
-bool is_field_value(std::string_view);
-
 /// Takes the next line off `text`, without its CR LF.
 /// @return LineEnd if no line of `text` ends with CR LF, or a CR or LF stands elsewhere in it.
 tl::expected<std::string_view, MessageFault> take_line(std::string_view& text);
--- a/Tests/LibRouting/TestAnswers.cpp
+++ b/Tests/LibRouting/TestAnswers.cpp
@@ -51,6 +51,27 @@
     RC_ASSERT(!assembly.is_whole());
 }
 
+// Guards against a malformed answer that an agent of an older build passes on from its backend server.
+TEST(AnswerAssembly, AHeadThatHttpDoesNotAllowIsInvalid)
+{
+    auto const add_head = [](int64_t status, std::string const& name, std::string const& value) {
+        Schema::Part part;
+        part.status = status;
+        part.headers.emplace();
+        part.headers->emplace_back();
+        part.headers->back().name = name;
+        part.headers->back().value = value;
+        return AnswerAssembly().add(std::move(part));
+    };
+    EXPECT_EQ(add_head(200, "X-Field", "a b\xe9"), AnswerAssembly::PartResult::Accepted);
+    for (int64_t const status : { -200, 0, 1, 99, 100, 103, 199, 600, 1000 })
+        EXPECT_EQ(add_head(status, "X-Field", "1"), AnswerAssembly::PartResult::Invalid) << status;
+    for (auto const* name : { "", "X Odd", "X\x01", "X\x7f", "X\xe9", "X:" })
+        EXPECT_EQ(add_head(200, name, "1"), AnswerAssembly::PartResult::Invalid) << name;
+    for (auto const* value : { "a\rb", "a\nb", "\x01", "\x7f" })
+        EXPECT_EQ(add_head(200, "X-Field", value), AnswerAssembly::PartResult::Invalid) << value;
+}
+
 TEST(AnswerAssembly, PartsAfterTheLastOrBeyondTheWindowAreInvalid)
 {
     AnswerAssembly assembly;
