--- a/Tests/LibRouting/TestAnswers.cpp
+++ b/Tests/LibRouting/TestAnswers.cpp
@@ -55,7 +55,7 @@
 TEST(AnswerAssembly, AHeadThatHttpDoesNotAllowIsInvalid)
 {
     auto const add_head = [](int64_t status, std::string const& name, std::string const& value) {
-        Schema::Part part;
+        Schema::Part part {};
         part.status = status;
         part.headers.emplace();
         part.headers->emplace_back();
