--- a/Utilities/mountbarrow/main.cpp
+++ b/Utilities/mountbarrow/main.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 #include "Client.h"
+#include <LibCore/Log.h>
 #include <LibSettings/Settings.h>
 #include <fstream>
 #include <iostream>
@@ -211,6 +212,7 @@
     TCLAP::SwitchArg until_ready("u", "until-ready", "End a watch once all copies serve", command);
     TCLAP::UnlabeledMultiArg<std::string> words("command", "Command and its words", true, "COMMAND", command);
     command.parse(argc, argv);
+    Core::configure_log("mountbarrow", Core::LogLevel::Warn);
 
     Options options;
     auto const colon = entry.getValue().find(':');
