LibTransport: The end of a stream stands once

BackendCall and HttpConnection ended their streams by the same lines, and two tests had the same service that answers with raw bytes.

--- a/Libraries/LibTransport/BackendCall.cpp
+++ b/Libraries/LibTransport/BackendCall.cpp
@@ -3,6 +3,7 @@
 
 #include <LibTransport/MalformedAnswers.h>
 #include <LibTransport/SocketAddress.h>
+#include <LibTransport/StreamEnd.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -179,15 +180,7 @@
 void BackendCall::State::close()
 {
     m_connect_timer.reset();
-    if (!m_stream)
-        return;
-    // The stream may be in the middle of its own callback, so no more of it is heard and it ends in the next turn.
-    bufferevent_disable(m_stream, EV_READ | EV_WRITE);
-    bufferevent_setcb(m_stream, nullptr, nullptr, nullptr, nullptr);
-    m_loop.soon([self = shared_from_this()] {
-        if (self->m_stream)
-            bufferevent_free(std::exchange(self->m_stream, nullptr));
-    });
+    end_stream(m_loop, m_stream);
 }
 
 BackendCall::BackendCall(std::shared_ptr<State> state)
--- a/Libraries/LibTransport/HttpConnection.cpp
+++ b/Libraries/LibTransport/HttpConnection.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/Log.h>
 #include <LibTransport/MalformedAnswers.h>
 #include <LibTransport/SocketAddress.h>
+#include <LibTransport/StreamEnd.h>
 #include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -253,15 +254,7 @@
 void HttpConnection::close_stream()
 {
     m_is_closed = true;
-    if (!m_stream)
-        return;
-    // The stream may be in the middle of its own callback, so no more of it is heard and it ends in the next turn.
-    bufferevent_disable(m_stream, EV_READ | EV_WRITE);
-    bufferevent_setcb(m_stream, nullptr, nullptr, nullptr, nullptr);
-    m_loop.soon([self = shared_from_this()] {
-        if (self->m_stream)
-            bufferevent_free(std::exchange(self->m_stream, nullptr));
-    });
+    end_stream(m_loop, m_stream);
 }
 
 }
--- a/Tests/Platform/test_answers_cut_in_the_head.py
+++ b/Tests/Platform/test_answers_cut_in_the_head.py
@@ -20,14 +20,13 @@
          b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Kind: c\r\n\r\n", b"HTTP/1.1 200 OK\r\nConnection: close\r\nX-Kind: d\r\n\r\n")
 
 
-class CuttingService(threading.Thread):
-    """Takes the place of a backend server, and stops in the head of each answer."""
+class RawService(threading.Thread):
+    """Takes the place of a backend server, and answers each request with the bytes of a subclass and an end."""
 
     def __init__(self, address, port):
         super().__init__(daemon=True)
         self.listener = socket.create_server((address, port))
-        self.random = random.Random(7)
-        self.cuts = 0
+        self.sent = 0
         self.start()
 
     def run(self):
@@ -39,16 +38,25 @@
             with connection:
                 if not connection.recv(65536):
                     continue
-                head = self.random.choice(HEADS)
-                before = b"HTTP/1.1 100 Continue\r\n\r\n" if self.random.random() < 0.3 else b""
-                connection.sendall(before + head[:self.random.randrange(1, len(head))])
-                self.cuts += 1
+                connection.sendall(self.answer())
+                self.sent += 1
 
     def close(self):
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
 
+class CuttingService(RawService):
+    """Stops in the head of each answer."""
+
+    random = random.Random(7)
+
+    def answer(self):
+        head = self.random.choice(HEADS)
+        before = b"HTTP/1.1 100 Continue\r\n\r\n" if self.random.random() < 0.3 else b""
+        return before + head[:self.random.randrange(1, len(head))]
+
+
 def test_an_answer_cut_in_its_head_is_no_answer_of_an_entry(build, folders):
     with Fleet(build, folders, entries=1, engines=2, plains=2) as fleet:
         wait_linked(fleet)
@@ -77,4 +85,4 @@
             code, _, body = cluster.call(cluster.entries()[0], LEDGER, headers={"X-Call-Id": f"q{number}"})
             assert code == 502 and json.loads(body)["outcome"] == "unknown", (number, code, body)
         service.close()
-        assert service.cuts >= CALLS, service.cuts
+        assert service.sent >= CALLS, service.sent
--- a/Tests/Platform/test_malformed_answers.py
+++ b/Tests/Platform/test_malformed_answers.py
@@ -2,13 +2,12 @@
 """Backend servers whose answers RFC 9112 does not allow: no caller may get one, and what they state counts for nothing."""
 
 import json
-import socket
-import threading
 import time
 
 from cluster import BACKEND_PORT, wait_until
 from fleet import Fleet
 from stand_ins import MALFORMED, MALFORMED_STATEMENTS, UNUSUAL, filled
+from test_answers_cut_in_the_head import RawService
 from test_direct_path import wait_linked
 from test_whole_path import LEDGER, start
 
@@ -135,30 +134,13 @@
         assert fleet.runs("odd") == 0
 
 
-class TemplateService(threading.Thread):
-    """Takes the place of a backend server, and answers by a template."""
-
-    def __init__(self, address, port):
-        super().__init__(daemon=True)
-        self.listener = socket.create_server((address, port))
-        self.template = b""
-        self.sent = 0
-        self.start()
-
-    def run(self):
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            with connection:
-                if connection.recv(65536):
-                    connection.sendall(filled(self.template, b"X-Kind: a\r\n", b"answer"))
-                    self.sent += 1
-
-    def close(self):
-        self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
+class TemplateService(RawService):
+    """Answers by a template."""
+
+    template = b""
+
+    def answer(self):
+        return filled(self.template, b"X-Kind: a\r\n", b"answer")
 
 
 def test_a_malformed_answer_reaches_no_caller_of_an_agent(build, folders):
